--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,35 @@
+/** Public surface of the coordination library. */
+
+export * from './ids.js';
+export {systemClock} from './clock.js';
+export type {Clock} from './clock.js';
+export {randomBelow, seededRandom} from './random.js';
+export type {RandomSource} from './random.js';
+export {matchesSelector} from './labels.js';
+export type {Labels} from './labels.js';
+export {rankByRendezvous} from './rendezvous.js';
+export type * from './peers/transport.js';
+export type * from './upstreams/engine.js';
+export {documentKey, parseDocument} from './configuration/documents.js';
+export type {DocumentFault} from './configuration/documents.js';
+export {
+  applyChanges,
+  buildConfiguration,
+  emptyConfiguration,
+} from './configuration/configuration.js';
+export type {
+  Configuration,
+  ConfigurationChange,
+  KeyHash,
+  Route,
+  Upstream,
+} from './configuration/configuration.js';
+export type * from './generated/documents.js';
+export type {
+  MutualTlsPeers,
+  PlainPeers,
+  Settings,
+} from './generated/settings.js';
+export {parseSettings} from './settings.js';
+export type {CompleteSettings, SettingsFault} from './settings.js';
+export * from './generated/messages/persimmonwick/peer.js';
