Carry a request along the whole path

Cause: the parts need a path on which they can be put together. Change: daemon with the completion API and plain services, stand-ins for platform, engines and services, virtual clock and in-memory network. Before: nothing ran. After: 7 tests pass; a streamed completion goes caller, daemon, prefill engine, KV transfer, decode engine, and no engine memory is held at its end.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -16,6 +16,7 @@
   applyChanges,
   buildConfiguration,
   emptyConfiguration,
+  upstreamsOfPool,
 } from './configuration/configuration.js';
 export type {
   Configuration,
@@ -33,3 +34,30 @@
 export {parseSettings} from './settings.js';
 export type {CompleteSettings, SettingsFault} from './settings.js';
 export * from './generated/messages/persimmonwick/peer.js';
+export {statusOf} from './requests/failure.js';
+export type {
+  FailureCode,
+  RequestFailure,
+  RunState,
+} from './requests/failure.js';
+export type {
+  CompletionEvent,
+  CompletionRequest,
+} from './requests/completion.js';
+export {CompletionRunner} from './placement/completion-runner.js';
+export type {
+  CompletionRunnerParts,
+  EngineDirectory,
+} from './placement/completion-runner.js';
+export {chatSchema} from './generated/chat-schema.js';
+export type {ChatMessage, ChatRequest} from './generated/chat.js';
+export {VirtualClock} from './simulation/virtual-clock.js';
+export {
+  InMemoryNetwork,
+  perfectDelivery,
+} from './simulation/in-memory-network.js';
+export type {
+  Delivery,
+  DeliveryPolicy,
+  PeerDispatcher,
+} from './simulation/in-memory-network.js';
--- /dev/null
+++ b/packages/coordination/src/requests/failure.ts
@@ -0,0 +1,79 @@
+/** How a request may fail, as callers learn it. */
+
+/** Whether a failed request ran; `not-run` also promises that it never will. */
+export type RunState = 'not-run' | 'ran' | 'unknown';
+
+/** Stable codes of failures; docs/ERRORS.md lists them. */
+export type FailureCode =
+  | 'invalid-request'
+  | 'missing-key'
+  | 'unknown-key'
+  | 'key-withdrawn'
+  | 'route-forbidden'
+  | 'route-not-found'
+  | 'model-not-found'
+  | 'idempotency-key-missing'
+  | 'idempotency-key-reused'
+  | 'idempotency-key-in-use'
+  | 'claim-unavailable'
+  | 'body-too-large'
+  | 'rate-exceeded'
+  | 'queue-full'
+  | 'target-unreachable'
+  | 'no-upstream'
+  | 'upstream-failed'
+  | 'upstream-timeout'
+  | 'caller-gone'
+  | 'draining'
+  | 'not-ready'
+  | 'internal';
+
+/** The one answer of a request that failed. */
+export interface RequestFailure {
+  readonly code: FailureCode;
+  /** One sentence for the caller; holds no key, prompt or answer. */
+  readonly message: string;
+  readonly ran: RunState;
+  /** When a new try makes sense. */
+  readonly retryAfterMilliseconds?: number;
+}
+
+/** HTTP status of each failure. */
+export function statusOf(code: FailureCode): number {
+  switch (code) {
+    case 'invalid-request':
+    case 'idempotency-key-missing':
+      return 400;
+    case 'missing-key':
+    case 'unknown-key':
+    case 'key-withdrawn':
+      return 401;
+    case 'route-forbidden':
+      return 403;
+    case 'route-not-found':
+    case 'model-not-found':
+      return 404;
+    case 'idempotency-key-reused':
+    case 'idempotency-key-in-use':
+      return 409;
+    case 'body-too-large':
+      return 413;
+    case 'rate-exceeded':
+      return 429;
+    case 'caller-gone':
+      return 499;
+    case 'internal':
+      return 500;
+    case 'upstream-failed':
+      return 502;
+    case 'queue-full':
+    case 'target-unreachable':
+    case 'no-upstream':
+    case 'claim-unavailable':
+    case 'draining':
+    case 'not-ready':
+      return 503;
+    case 'upstream-timeout':
+      return 504;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -0,0 +1,131 @@
+/** The chat completion API and the list of models. */
+
+import {Controller, Get, Inject, Post, Req, Res} from '@nestjs/common';
+import {accountId} from '@persimmonwick/coordination';
+import type {
+  AccountId,
+  ChatRequest,
+  CompletionRequest,
+  Configuration,
+  RequestFailure,
+  RequestId,
+  Route,
+} from '@persimmonwick/coordination';
+import type {FastifyReply, FastifyRequest} from 'fastify';
+import {Result} from 'true-myth';
+import {daemonPartsToken} from '../daemon-parts.js';
+import type {DaemonParts} from '../daemon-parts.js';
+import {authenticate, mayUseRoute, routeRefusal} from './authenticate.js';
+import {callerSignal, headerValues, requestIdOf} from './call-context.js';
+import {
+  estimateTokens,
+  maximumTokensOf,
+  parseChatRequest,
+  promptOf,
+} from './chat-request.js';
+import {sendFailure} from './failure-reply.js';
+import {sendStreamedAnswer, sendWholeAnswer} from './completion-answer.js';
+
+@Controller('v1')
+export class CompletionsController {
+  constructor(@Inject(daemonPartsToken) private readonly parts: DaemonParts) {}
+
+  @Get('models')
+  listModels(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
+    const configuration = this.parts.configuration();
+    const account = authenticate(
+      configuration,
+      headerValues(request, 'authorization'),
+    );
+    if (account.isErr) return sendFailure(reply, account.error);
+    const routes = configuration.routes.filter(route =>
+      mayUseRoute(configuration, route, account.value),
+    );
+    if (routes.length === 0 && account.value === undefined)
+      return sendFailure(reply, routeRefusal(undefined));
+    const models = new Set(
+      routes.flatMap(({spec}) =>
+        spec.target.kind === 'model' ? spec.target.models : [],
+      ),
+    );
+    const data = [...models].map(id => ({
+      id,
+      object: 'model',
+      created: 0,
+      owned_by: 'persimmonwick',
+    }));
+    return reply.send({object: 'list', data});
+  }
+
+  @Post('chat/completions')
+  async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
+    const id = requestIdOf(request);
+    reply.header('x-request-id', id);
+    const configuration = this.parts.configuration();
+    const account = authenticate(
+      configuration,
+      headerValues(request, 'authorization'),
+    );
+    if (account.isErr) return sendFailure(reply, account.error);
+    const chat = parseChatRequest(request.body as Buffer | undefined);
+    if (chat.isErr) return sendFailure(reply, chat.error);
+    const route = findModelRoute(
+      configuration,
+      chat.value.model,
+      account.value,
+    );
+    if (route.isErr) return sendFailure(reply, route.error);
+    const completion = this.describe(
+      id,
+      account.value ?? accountId('open'),
+      route.value,
+      chat.value,
+    );
+    const events = this.parts.runner.run(completion, callerSignal(reply));
+    return chat.value.stream === true
+      ? sendStreamedAnswer(reply, completion, events)
+      : sendWholeAnswer(reply, completion, events);
+  }
+
+  private describe(
+    id: RequestId,
+    account: AccountId,
+    route: Route,
+    chat: ChatRequest,
+  ): CompletionRequest {
+    const prompt = promptOf(chat);
+    return {
+      request: id,
+      account,
+      route,
+      model: chat.model,
+      prompt,
+      promptTokens: estimateTokens(prompt),
+      maximumTokens: maximumTokensOf(chat),
+      deadline: this.parts.clock.now() + this.parts.requestMilliseconds,
+    };
+  }
+}
+
+function findModelRoute(
+  configuration: Configuration,
+  model: string,
+  account: AccountId | undefined,
+): Result<Route, RequestFailure> {
+  const routes = configuration.routes.filter(
+    ({spec}) =>
+      spec.target.kind === 'model' && spec.target.models.includes(model),
+  );
+  const usable = routes.find(route =>
+    mayUseRoute(configuration, route, account),
+  );
+  if (usable !== undefined) return Result.ok(usable);
+  if (account === undefined) return Result.err(routeRefusal(account));
+  // A model that only other accounts may use is reported like a missing one,
+  // so that no account learns what the others have.
+  return Result.err({
+    code: 'model-not-found',
+    message: 'no route of the client account serves this model',
+    ran: 'not-run',
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/load-settings.ts
@@ -0,0 +1,64 @@
+/** Reading of the settings file, with overrides from the environment. */
+
+import {readFileSync} from 'node:fs';
+import {parseSettings} from '@persimmonwick/coordination';
+import type {
+  CompleteSettings,
+  SettingsFault,
+} from '@persimmonwick/coordination';
+import {Result} from 'true-myth';
+import {parseDocument as parseYaml} from 'yaml';
+
+const overridePrefix = 'PERSIMMONWICK_';
+
+/**
+ * Reads and checks the settings in `file`. A variable such as
+ * `PERSIMMONWICK_listen__callers` replaces the value at `/listen/callers`.
+ */
+export function loadSettings(
+  file: string,
+  environment: NodeJS.ProcessEnv,
+): Result<CompleteSettings, SettingsFault[]> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const reason = (error as NodeJS.ErrnoException).code ?? 'unreadable';
+    return Result.err([
+      {path: '/', value: `${file}: ${reason}`, expected: 'a readable file'},
+    ]);
+  }
+  const document = parseYaml(text);
+  if (document.errors.length > 0)
+    return Result.err(
+      document.errors.map(error => ({
+        path: '/',
+        value: error.message.split('\n')[0]!,
+        expected: 'YAML without errors',
+      })),
+    );
+  const settings: unknown = document.toJS();
+  if (isRecord(settings)) applyOverrides(settings, environment);
+  return parseSettings(settings);
+}
+
+function applyOverrides(
+  settings: Record<string, unknown>,
+  environment: NodeJS.ProcessEnv,
+): void {
+  for (const [name, value] of Object.entries(environment)) {
+    if (!name.startsWith(overridePrefix) || value === undefined) continue;
+    const path = name.slice(overridePrefix.length).split('__');
+    const last = path.pop()!;
+    let target = settings;
+    for (const key of path) {
+      if (!isRecord(target[key])) target[key] = {};
+      target = target[key] as Record<string, unknown>;
+    }
+    target[last] = parseYaml(value).toJS();
+  }
+}
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+  return value !== null && typeof value === 'object' && !Array.isArray(value);
+}
--- /dev/null
+++ b/packages/daemon/test/tools/run-daemon.ts
@@ -0,0 +1,80 @@
+/** A daemon in the test's own process, before a sample fleet of fakes. */
+
+import {parseSettings} from '@persimmonwick/coordination';
+import {SampleFleet} from '@persimmonwick/standins';
+import type {FakeEngineOptions} from '@persimmonwick/standins';
+import type {ExecutionContext} from 'ava';
+import {request} from 'undici';
+import {silentLog, startDaemon} from '../../src/index.js';
+import type {Daemon} from '../../src/index.js';
+
+export interface DaemonWithFleet {
+  readonly fleet: SampleFleet;
+  readonly daemon: Daemon;
+  call(
+    path: string,
+    options?: {
+      method?: 'GET' | 'POST';
+      key?: string;
+      body?: unknown;
+      headers?: Record<string, string>;
+    },
+  ): Promise<{
+    status: number;
+    headers: Record<string, unknown>;
+    text: string;
+  }>;
+}
+
+export async function runDaemon(
+  t: ExecutionContext,
+  options: Partial<FakeEngineOptions> = {},
+): Promise<DaemonWithFleet> {
+  const fleet = new SampleFleet(options);
+  await fleet.start();
+  const settings = parseSettings({
+    host: 'north-1',
+    failureDomain: 'north',
+    listen: {
+      callers: '127.0.0.1:0',
+      operators: '127.0.0.1:0',
+      peers: '127.0.0.1:0',
+    },
+    platform: {
+      addresses: [fleet.platform.address],
+      watchTimeoutMilliseconds: 1000,
+    },
+    peerSecurity: {kind: 'plain'},
+  }).unwrapOrElse(faults => {
+    throw new TypeError(JSON.stringify(faults));
+  });
+  const daemon = await startDaemon(settings, silentLog);
+  t.teardown(async () => {
+    await daemon.close();
+    await fleet.close();
+  });
+  await daemon.ready;
+  return {
+    fleet,
+    daemon,
+    async call(path, {method = 'GET', key, body, headers = {}} = {}) {
+      const answer = await request(
+        `http://${daemon.addresses.callers}${path}`,
+        {
+          method,
+          headers: {
+            ...(key === undefined ? {} : {authorization: `Bearer ${key}`}),
+            ...(body === undefined ? {} : {'content-type': 'application/json'}),
+            ...headers,
+          },
+          body: body === undefined ? undefined : JSON.stringify(body),
+        },
+      );
+      return {
+        status: answer.statusCode,
+        headers: answer.headers,
+        text: await answer.body.text(),
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/fake-engine.ts
@@ -0,0 +1,411 @@
+/**
+ * A fake model engine over HTTP: prefill with a prefix cache and short-lived
+ * results, KV import over a link of limited rate, continuous batching in a
+ * fixed number of decode slots, resume, cancel, and switches to fail.
+ */
+
+import {createHash} from 'node:crypto';
+import {seededRandom} from '@persimmonwick/coordination';
+import {request as call} from 'undici';
+import type {FastifyInstance, FastifyReply} from 'fastify';
+import {createServer, listen} from './http-server.js';
+
+export interface FakeEngineOptions {
+  readonly prefillTokensPerSecond: number;
+  readonly decodeSlots: number;
+  readonly decodeStepMilliseconds: number;
+  readonly prefillResultMilliseconds: number;
+  readonly cacheBlocks: number;
+  readonly cacheBlockTokens: number;
+  readonly bytesPerToken: number;
+  readonly linkBytesPerSecond: number;
+  readonly checksFencing: boolean;
+}
+
+/** Switches to fail; they take hold on the next step. */
+export interface FakeEngineFaults {
+  /** Steps stop, connections stay open. */
+  stalled: boolean;
+  /** Answers are never sent, connections stay open. */
+  silent: boolean;
+  /** Steps take this many times as long. */
+  slowFactor: number;
+  /** Load reports are this old. */
+  reportAgeMilliseconds: number;
+  /** Share of cache events that are dropped. */
+  droppedEventShare: number;
+}
+
+interface Attempt {
+  readonly request: string;
+  readonly attempt: string;
+  readonly owner: {host: string; incarnation: string};
+  readonly startedAt: number;
+  state: 'prefilling' | 'prefilled' | 'imported' | 'decoding';
+  tokens: number;
+  handle?: string;
+  produced: number;
+  maximumTokens: number;
+  wake: () => void;
+}
+
+interface AttemptBody {
+  request: string;
+  attempt: string;
+  owner: {host: string; incarnation: string};
+}
+
+const defaults: FakeEngineOptions = {
+  prefillTokensPerSecond: 40_000,
+  decodeSlots: 20,
+  decodeStepMilliseconds: 5,
+  prefillResultMilliseconds: 800,
+  cacheBlocks: 64,
+  cacheBlockTokens: 2_000,
+  bytesPerToken: 1_000,
+  linkBytesPerSecond: 1_000_000_000,
+  checksFencing: true,
+};
+
+const pause = (milliseconds: number) =>
+  new Promise<void>(done => setTimeout(done, milliseconds));
+
+export class FakeEngine {
+  readonly faults: FakeEngineFaults = {
+    stalled: false,
+    silent: false,
+    slowFactor: 1,
+    reportAgeMilliseconds: 0,
+    droppedEventShare: 0,
+  };
+  /** Orders that took hold, with their fencing numbers. */
+  readonly orders: Array<{order: unknown; fencingNumber: bigint}> = [];
+  prefilledTokens = 0;
+  address = '';
+  readonly options: FakeEngineOptions;
+  private readonly server: FastifyInstance = createServer();
+  private readonly attempts = new Map<string, Attempt>();
+  private readonly cache = new Map<string, number>();
+  private readonly cacheEvents: unknown[] = [];
+  private cacheSequence = 0;
+  private prefillFreeAt = 0;
+  private queuedPrefillTokens = 0;
+  private fencingNumber = 0n;
+  private stepCredit = 0;
+  private readonly random = seededRandom(1);
+  private readonly ticker: NodeJS.Timeout;
+
+  constructor(options: Partial<FakeEngineOptions> = {}) {
+    this.options = {...defaults, ...options};
+    this.ticker = setInterval(
+      () => this.step(),
+      this.options.decodeStepMilliseconds,
+    );
+    this.addRoutes();
+  }
+
+  /** Tokens of KV cache that attempts hold. */
+  get heldTokens(): number {
+    return [...this.attempts.values()].reduce(
+      (sum, attempt) => sum + attempt.tokens,
+      0,
+    );
+  }
+
+  async listen(port = 0): Promise<string> {
+    this.address = await listen(this.server, port);
+    return this.address;
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.ticker);
+    for (const attempt of [...this.attempts.values()]) this.release(attempt);
+    await this.server.close();
+  }
+
+  private addRoutes(): void {
+    this.server.addHook('onRequest', async (_request, reply) => {
+      if (this.faults.silent) return reply.hijack();
+      return undefined;
+    });
+    this.server.get('/load', () => this.describeLoad());
+    this.server.get('/running', () => this.listRunning());
+    this.server.get('/cache-events', request =>
+      this.listCacheEvents(request.query as Record<string, string>),
+    );
+    this.server.post('/prefill', (request, reply) =>
+      this.prefill(
+        request.body as AttemptBody & {prompt: string; cacheScope: string},
+        reply,
+      ),
+    );
+    this.server.get('/kv/:handle', (request, reply) =>
+      this.exportCache((request.params as {handle: string}).handle, reply),
+    );
+    this.server.post('/kv/import', (request, reply) =>
+      this.importCache(
+        request.body as AttemptBody & {sourceAddress: string; handle: string},
+        reply,
+      ),
+    );
+    this.server.post('/decode', (request, reply) =>
+      this.decode(
+        request.body as AttemptBody & {maximumTokens: number; offset: number},
+        reply,
+      ),
+    );
+    this.server.post('/cancel', request => {
+      const attempt = this.attempts.get((request.body as AttemptBody).attempt);
+      if (attempt !== undefined) this.release(attempt);
+      return {cancelled: attempt !== undefined};
+    });
+    this.server.post('/orders', (request, reply) =>
+      this.takeOrder(
+        request.body as {order: unknown; fencingNumber: string},
+        reply,
+      ),
+    );
+  }
+
+  private describeLoad() {
+    const decoding = [...this.attempts.values()].filter(
+      ({state}) => state === 'imported' || state === 'decoding',
+    );
+    return {
+      ageMilliseconds: this.faults.reportAgeMilliseconds,
+      queuedPrefillTokens: this.queuedPrefillTokens,
+      prefillTokensPerSecond: this.options.prefillTokensPerSecond,
+      decodeSlots: this.options.decodeSlots,
+      decodeSlotsUsed: decoding.length,
+      decodeStepMilliseconds: this.options.decodeStepMilliseconds,
+      heldTokens: this.heldTokens,
+    };
+  }
+
+  private listRunning() {
+    return {
+      running: [...this.attempts.values()].map(attempt => ({
+        request: attempt.request,
+        attempt: attempt.attempt,
+        owner: attempt.owner,
+        state: attempt.state,
+        ageMilliseconds: performance.now() - attempt.startedAt,
+      })),
+    };
+  }
+
+  private listCacheEvents(query: Record<string, string>) {
+    const after = Number(query['after'] ?? 0);
+    return {
+      newestSequence: this.cacheSequence,
+      events: this.cacheEvents.filter(
+        event => (event as {sequence: number}).sequence > after,
+      ),
+    };
+  }
+
+  private async prefill(
+    body: AttemptBody & {prompt: string; cacheScope: string},
+    reply: FastifyReply,
+  ): Promise<unknown> {
+    const tokens = body.prompt.split(/\s+/).filter(Boolean);
+    const attempt = this.admit(body, 'prefilling', tokens.length);
+    const cachedTokens = this.countCachedTokens(body.cacheScope, tokens);
+    const newTokens = tokens.length - cachedTokens;
+    const cost =
+      (newTokens / this.options.prefillTokensPerSecond) *
+      1000 *
+      this.faults.slowFactor;
+    const now = performance.now();
+    this.prefillFreeAt = Math.max(now, this.prefillFreeAt) + cost;
+    this.queuedPrefillTokens += newTokens;
+    await pause(this.prefillFreeAt - now);
+    this.queuedPrefillTokens -= newTokens;
+    while (this.faults.stalled) await pause(10);
+    if (!this.attempts.has(body.attempt))
+      return reply.code(409).send({code: 'cancelled'});
+    this.prefilledTokens += newTokens;
+    this.storeBlocks(body.cacheScope, tokens);
+    attempt.state = 'prefilled';
+    attempt.handle = `${body.attempt}-cache`;
+    const lifetime = this.options.prefillResultMilliseconds;
+    setTimeout(() => this.release(attempt), lifetime).unref();
+    return {
+      handle: attempt.handle,
+      promptTokens: tokens.length,
+      cachedTokens,
+      bytes: tokens.length * this.options.bytesPerToken,
+      expiresInMilliseconds: lifetime,
+    };
+  }
+
+  private async exportCache(
+    handle: string,
+    reply: FastifyReply,
+  ): Promise<unknown> {
+    const attempt = [...this.attempts.values()].find(
+      candidate => candidate.handle === handle,
+    );
+    if (attempt === undefined) return reply.code(404).send({code: 'expired'});
+    const bytes = attempt.tokens * this.options.bytesPerToken;
+    await pause((bytes / this.options.linkBytesPerSecond) * 1000);
+    this.release(attempt);
+    return {tokens: attempt.tokens};
+  }
+
+  private async importCache(
+    body: AttemptBody & {sourceAddress: string; handle: string},
+    reply: FastifyReply,
+  ): Promise<unknown> {
+    if (this.describeLoad().decodeSlotsUsed >= this.options.decodeSlots)
+      return reply.code(429).send({code: 'no-decode-slot'});
+    const attempt = this.admit(body, 'imported', 0);
+    try {
+      const answer = await call(
+        `http://${body.sourceAddress}/kv/${body.handle}`,
+      );
+      const exported = (await answer.body.json()) as {tokens?: number};
+      if (answer.statusCode !== 200 || exported.tokens === undefined) {
+        this.release(attempt);
+        return await reply.code(410).send({code: 'expired'});
+      }
+      attempt.tokens = exported.tokens;
+      return {};
+    } catch {
+      this.release(attempt);
+      return reply.code(502).send({code: 'source-unreachable'});
+    }
+  }
+
+  private async decode(
+    body: AttemptBody & {maximumTokens: number; offset: number},
+    reply: FastifyReply,
+  ): Promise<unknown> {
+    const attempt = this.attempts.get(body.attempt);
+    if (attempt === undefined || attempt.request !== body.request)
+      return reply.code(404).send({code: 'unknown-attempt'});
+    attempt.state = 'decoding';
+    attempt.maximumTokens = body.maximumTokens;
+    reply.hijack();
+    reply.raw.writeHead(200, {'content-type': 'text/event-stream'});
+    for (let offset = body.offset; offset < body.maximumTokens; offset += 1) {
+      while (attempt.produced <= offset || this.faults.silent) {
+        if (!this.attempts.has(body.attempt) || reply.raw.destroyed)
+          return reply.raw.destroy();
+        await this.waitForStep(attempt);
+      }
+      const token = {
+        request: body.request,
+        attempt: body.attempt,
+        offset,
+        text: `${body.request}:${offset} `,
+        last: offset + 1 === body.maximumTokens,
+      };
+      reply.raw.write(`data: ${JSON.stringify(token)}\n\n`);
+    }
+    reply.raw.end();
+    this.release(attempt);
+    return undefined;
+  }
+
+  private waitForStep(attempt: Attempt): Promise<void> {
+    return new Promise(resolve => {
+      attempt.wake = resolve;
+      setTimeout(resolve, 100).unref();
+    });
+  }
+
+  private takeOrder(
+    body: {order: unknown; fencingNumber: string},
+    reply: FastifyReply,
+  ): unknown {
+    const fencingNumber = BigInt(body.fencingNumber);
+    if (this.options.checksFencing && fencingNumber < this.fencingNumber)
+      return reply.code(409).send({code: 'old-fencing-number'});
+    this.fencingNumber = fencingNumber;
+    this.orders.push({order: body.order, fencingNumber});
+    return {};
+  }
+
+  private admit(
+    body: AttemptBody,
+    state: Attempt['state'],
+    tokens: number,
+  ): Attempt {
+    const attempt: Attempt = {
+      request: body.request,
+      attempt: body.attempt,
+      owner: body.owner,
+      startedAt: performance.now(),
+      state,
+      tokens,
+      produced: 0,
+      maximumTokens: 0,
+      wake: () => {},
+    };
+    this.attempts.set(body.attempt, attempt);
+    return attempt;
+  }
+
+  private release(attempt: Attempt): void {
+    if (this.attempts.get(attempt.attempt) === attempt)
+      this.attempts.delete(attempt.attempt);
+    attempt.wake();
+  }
+
+  private step(): void {
+    if (this.faults.stalled) return;
+    this.stepCredit += 1 / this.faults.slowFactor;
+    if (this.stepCredit < 1) return;
+    this.stepCredit -= 1;
+    for (const attempt of this.attempts.values()) {
+      if (attempt.state !== 'decoding') continue;
+      if (attempt.produced >= attempt.maximumTokens) continue;
+      attempt.produced += 1;
+      attempt.tokens += 1;
+      attempt.wake();
+    }
+  }
+
+  private blockKeys(scope: string, tokens: string[]): string[] {
+    const size = this.options.cacheBlockTokens;
+    const count = Math.floor(tokens.length / size);
+    return Array.from(
+      {length: count},
+      (_, index) =>
+        `${scope}\u0000${tokens.slice(0, (index + 1) * size).join(' ')}`,
+    );
+  }
+
+  private countCachedTokens(scope: string, tokens: string[]): number {
+    const keys = this.blockKeys(scope, tokens);
+    const missing = keys.findIndex(key => !this.cache.has(key));
+    const hits = missing === -1 ? keys.length : missing;
+    return hits * this.options.cacheBlockTokens;
+  }
+
+  private storeBlocks(scope: string, tokens: string[]): void {
+    for (const key of this.blockKeys(scope, tokens)) {
+      this.cache.delete(key);
+      this.cache.set(key, tokens.length);
+      this.recordCacheEvent('stored', scope, key);
+    }
+    while (this.cache.size > this.options.cacheBlocks) {
+      const oldest = this.cache.keys().next().value!;
+      this.cache.delete(oldest);
+      this.recordCacheEvent('evicted', scope, oldest);
+    }
+  }
+
+  private recordCacheEvent(kind: string, cacheScope: string, key: string) {
+    this.cacheSequence += 1;
+    if (this.random.next() < this.faults.droppedEventShare) return;
+    this.cacheEvents.push({
+      sequence: this.cacheSequence,
+      kind,
+      cacheScope,
+      blockHash: createHash('sha256').update(key).digest('hex'),
+    });
+    if (this.cacheEvents.length > 1000) this.cacheEvents.shift();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/sample-fleet.ts
@@ -0,0 +1,153 @@
+/** A small fleet of fakes with a configuration for two rival accounts. */
+
+import {createHash} from 'node:crypto';
+import {FakeEngine} from './fake-engine.js';
+import type {FakeEngineOptions} from './fake-engine.js';
+import {FakePlatform} from './fake-platform.js';
+import {FakeService} from './fake-service.js';
+
+/** Keys of the sample accounts; the third was withdrawn. */
+export const sampleKeys = {
+  batinah: 'key-of-batinah',
+  lembaga: 'key-of-lembaga',
+  withdrawn: 'key-that-was-withdrawn',
+} as const;
+
+export const sampleModel = 'review-1';
+
+const failureDomains = ['north', 'south', 'west'] as const;
+
+/** Fakes that run, published in one configuration. */
+export class SampleFleet {
+  readonly platform = new FakePlatform();
+  readonly prefillEngines: FakeEngine[];
+  readonly decodeEngines: FakeEngine[];
+  readonly service = new FakeService();
+
+  constructor(options: Partial<FakeEngineOptions> = {}) {
+    this.prefillEngines = [0, 1].map(() => new FakeEngine(options));
+    this.decodeEngines = [0, 1, 2].map(() => new FakeEngine(options));
+  }
+
+  get engines(): FakeEngine[] {
+    return [...this.prefillEngines, ...this.decodeEngines];
+  }
+
+  /** Starts every fake and publishes the configuration. */
+  async start(): Promise<void> {
+    await this.platform.listen();
+    await this.service.listen();
+    await Promise.all(this.engines.map(engine => engine.listen()));
+    this.platform.publish(...this.describe());
+    this.platform.withdraw('Key/withdrawn');
+  }
+
+  async close(): Promise<void> {
+    const fakes = [this.platform, this.service, ...this.engines];
+    await Promise.allSettled(fakes.map(fake => fake.close()));
+  }
+
+  private describe() {
+    return [
+      ...describeAccounts(),
+      ...describeRoutes(),
+      ...this.prefillEngines.map((engine, index) =>
+        describeUpstream(`prefill-${index}`, engine.address, index, 'prefill'),
+      ),
+      ...this.decodeEngines.map((engine, index) =>
+        describeUpstream(`decode-${index}`, engine.address, index, 'decode'),
+      ),
+      describeUpstream('orders-0', this.service.address, 0, 'orders'),
+    ];
+  }
+}
+
+function describeAccounts() {
+  const accounts = ['batinah', 'lembaga'].map(name => ({
+    kind: 'ClientAccount',
+    name,
+    labels: {member: name},
+    spec: {rateTokensPerSecond: 100_000, burstTokens: 200_000},
+  }));
+  const keys = Object.entries(sampleKeys).map(([name, key]) => ({
+    kind: 'Key',
+    name,
+    spec: {
+      sha256: createHash('sha256').update(key).digest('hex'),
+      account: name === 'withdrawn' ? 'batinah' : name,
+    },
+  }));
+  return [...accounts, ...keys];
+}
+
+function describeRoutes() {
+  const pool = (name: string, role: string, model?: string) => ({
+    kind: 'Pool',
+    name,
+    labels: {use: name},
+    spec: {role, model, upstreams: {matchLabels: {use: name}}},
+  });
+  return [
+    pool('prefill', 'prefill', sampleModel),
+    pool('decode', 'decode', sampleModel),
+    pool('orders', 'service'),
+    {
+      kind: 'Route',
+      name: 'review',
+      spec: {
+        target: {
+          kind: 'model',
+          models: [sampleModel],
+          prefill: {matchLabels: {use: 'prefill'}},
+          decode: {matchLabels: {use: 'decode'}},
+        },
+        service: {
+          kind: 'targeted',
+          firstTokenMilliseconds: 1500,
+          betweenTokensMilliseconds: 60,
+        },
+      },
+    },
+    {
+      kind: 'Route',
+      name: 'kit-releases',
+      spec: {
+        target: {
+          kind: 'service',
+          pathPrefix: '/kit-releases',
+          services: {matchLabels: {use: 'orders'}},
+          repeatable: false,
+        },
+      },
+    },
+    {
+      kind: 'Route',
+      name: 'orders',
+      spec: {
+        target: {
+          kind: 'service',
+          pathPrefix: '/orders',
+          services: {matchLabels: {use: 'orders'}},
+        },
+      },
+    },
+  ];
+}
+
+function describeUpstream(
+  name: string,
+  address: string,
+  index: number,
+  use: string,
+) {
+  return {
+    kind: 'Upstream',
+    name,
+    labels: {use},
+    spec: {
+      address,
+      failureDomain: failureDomains[index]!,
+      checksFencing: true,
+    },
+  };
+}
--- a/schema/generate.mjs
+++ b/schema/generate.mjs
@@ -67,6 +67,7 @@
 try {
   await generateSchema('settings');
   await generateSchema('documents');
+  await generateSchema('chat');
   generateMessages();
   if (process.argv.includes('--check')) {
     const differences = findDifferences();
