Check recorded runs against the ten conditions

Cause: traces, property tests and runs of real processes need one judge. Change: one module with a check for each condition, over typed events. Before: no check. Conclusion: one checker serves all kinds of runs.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,3 +61,10 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export {checkRun, conditions, statedBounds} from './invariants/check-run.js';
+export type {
+  Condition,
+  InvariantBounds,
+  Violation,
+} from './invariants/check-run.js';
+export type * from './invariants/run-event.js';
