--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -68,3 +68,18 @@
   Violation,
 } from './invariants/check-run.js';
 export type * from './invariants/run-event.js';
+export {
+  accountOfKey,
+  findModelRoute,
+  findServiceRoute,
+  hashKey,
+  mayUseRoute,
+} from './requests/authentication.js';
+export {rateFailure} from './requests/admission.js';
+export type {Admission, Admitter, RateRefusal} from './requests/admission.js';
+export type {
+  RoutedServiceCall,
+  ServiceAnswer,
+  ServiceCall,
+  ServiceSender,
+} from './requests/service-call.js';
