--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -83,3 +83,6 @@
   ServiceCall,
   ServiceSender,
 } from './requests/service-call.js';
+export {loadTrace} from './replay/load-trace.js';
+export type {TraceFileFault} from './replay/load-trace.js';
+export type {Trace} from './generated/trace.js';
--- a/schema/generate.mjs
+++ b/schema/generate.mjs
@@ -68,6 +68,7 @@
   await generateSchema('settings');
   await generateSchema('documents');
   await generateSchema('chat');
+  await generateSchema('trace');
   generateMessages();
   if (process.argv.includes('--check')) {
     const differences = findDifferences();
