Add model service, pauses and choice of services

Cause: replay needs services and pauses on virtual time; the daemon and replay need one choice of services. Change: pause gate around clock and transport, model service, order of services with the own failure domain first, what an upstream's error proves.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -86,3 +86,12 @@
 export {loadTrace} from './replay/load-trace.js';
 export type {TraceFileFault} from './replay/load-trace.js';
 export type {Trace} from './generated/trace.js';
+export {
+  PauseGate,
+  pausableClock,
+  pausableTransport,
+} from './simulation/pause-gate.js';
+export {ModelService} from './simulation/model-service.js';
+export type {ServiceFault} from './simulation/model-service.js';
+export {provesNotRun, serviceFailure} from './requests/retry-safety.js';
+export {orderServices} from './requests/service-choice.js';
--- a/packages/coordination/src/invariants/execution.ts
+++ b/packages/coordination/src/invariants/execution.ts
@@ -39,7 +39,7 @@
     if (answer.kind === 'failed' && answer.ran === 'not-run')
       refused.add(request);
   return eventsOf(events, 'upstream-ran')
-    .filter(event => refused.has(event.request))
+    .filter(event => event.phase !== 'prefill' && refused.has(event.request))
     .map(event => ({
       condition: 'not-run-is-true',
       at: event.at,
--- a/packages/coordination/src/invariants/run-event.ts
+++ b/packages/coordination/src/invariants/run-event.ts
@@ -74,6 +74,8 @@
       readonly upstream: UpstreamId;
       readonly request: RequestId;
       readonly account: AccountId | undefined;
+      /** A prefill whose result no decode followed has not run the request. */
+      readonly phase: 'prefill' | 'decode' | 'call';
       /** Everything that the upstream was sent, as text. */
       readonly sent: string;
     }
--- a/packages/coordination/test/invariants.test.ts
+++ b/packages/coordination/test/invariants.test.ts
@@ -33,6 +33,7 @@
   upstream: engine,
   request: id,
   account: batinah,
+  phase: 'call',
   sent: 'body',
 });
 
