--- /dev/null
+++ b/packages/standins/src/daemon-process.ts
@@ -0,0 +1,109 @@
+/** A daemon in a process of its own, for the demo and tests of failures. */
+
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import {stringify} from 'yaml';
+
+/** What the settings file of a daemon is made of. */
+export interface DaemonPlan {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+  readonly platform: string;
+  readonly seeds: readonly string[];
+}
+
+const daemonFile = fileURLToPath(
+  new URL('../../../daemon/dist/src/main.js', import.meta.url),
+);
+const pollMilliseconds = 50;
+
+export class DaemonProcess {
+  private child: ChildProcess | undefined;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'persimmonwick-'));
+  /** What the daemon has written to its log. */
+  output = '';
+
+  constructor(readonly plan: DaemonPlan) {}
+
+  /** Starts the process; a stopped daemon may be started again. */
+  start(): void {
+    const file = join(this.folder, 'settings.yaml');
+    writeFileSync(file, stringify(settingsOf(this.plan)));
+    const child = spawn(process.execPath, [daemonFile, '--settings', file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    for (const stream of [child.stdout, child.stderr])
+      stream.on('data', chunk => {
+        this.output += String(chunk);
+      });
+    this.child = child;
+  }
+
+  /** Resolves when the daemon takes requests. */
+  async waitUntilReady(): Promise<void> {
+    while (this.child?.exitCode === null) {
+      try {
+        const answer = await request(`http://${this.plan.operators}/readyz`);
+        await answer.body.dump();
+        if (answer.statusCode === 200) return;
+      } catch {
+        // It does not listen yet.
+      }
+      await new Promise(done => setTimeout(done, pollMilliseconds));
+    }
+    throw new DaemonExitError(this.plan.host, this.output);
+  }
+
+  /** Sends `signal`, as SIGKILL, SIGSTOP, SIGCONT or SIGTERM. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Exit status; undefined while the process runs or after a signal. */
+  async waitForExit(): Promise<number | null> {
+    if (this.child === undefined) return null;
+    if (this.child.exitCode !== null || this.child.signalCode !== null)
+      return this.child.exitCode;
+    await once(this.child, 'exit');
+    return this.child.exitCode;
+  }
+
+  /** Ends the process, whatever state it is in. */
+  async close(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.waitForExit();
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+}
+
+/** A daemon that ended before it was ready. */
+export class DaemonExitError extends Error {
+  constructor(host: string, output: string) {
+    super(`the daemon of ${host} ended early: ${output.slice(-2000)}`);
+    this.name = 'DaemonExitError';
+  }
+}
+
+function settingsOf(plan: DaemonPlan) {
+  return {
+    host: plan.host,
+    failureDomain: plan.failureDomain,
+    listen: {
+      callers: plan.callers,
+      operators: plan.operators,
+      peers: plan.peers,
+    },
+    platform: {addresses: [plan.platform]},
+    seeds: [...plan.seeds],
+    peerSecurity: {kind: 'plain'},
+  };
+}
--- a/packages/standins/src/fake-engine.ts
+++ b/packages/standins/src/fake-engine.ts
@@ -36,6 +36,18 @@
   droppedEventShare: number;
 }
 
+/** Told of what an engine holds and runs. */
+export interface EngineObserver {
+  held(engine: FakeEngine, request: string, attempt: string): void;
+  freed(engine: FakeEngine, attempt: string): void;
+  ran(
+    engine: FakeEngine,
+    request: string,
+    phase: 'prefill' | 'decode',
+    body: object,
+  ): void;
+}
+
 interface Attempt {
   readonly request: string;
   readonly attempt: string;
@@ -81,6 +93,7 @@
   /** Orders that took hold, with their fencing numbers. */
   readonly orders: Array<{order: unknown; fencingNumber: bigint}> = [];
   prefilledTokens = 0;
+  observer: EngineObserver | undefined;
   address = '';
   readonly options: FakeEngineOptions;
   private readonly server: FastifyInstance = createServer();
@@ -209,6 +222,7 @@
     reply: FastifyReply,
   ): Promise<unknown> {
     const tokens = body.prompt.split(/\s+/).filter(Boolean);
+    this.observer?.ran(this, body.request, 'prefill', body);
     const attempt = this.admit(body, 'prefilling', tokens.length);
     const cachedTokens = this.countCachedTokens(body.cacheScope, tokens);
     const newTokens = tokens.length - cachedTokens;
@@ -284,6 +298,7 @@
     const attempt = this.attempts.get(body.attempt);
     if (attempt === undefined || attempt.request !== body.request)
       return reply.code(404).send({code: 'unknown-attempt'});
+    this.observer?.ran(this, body.request, 'decode', body);
     attempt.state = 'decoding';
     attempt.maximumTokens = body.maximumTokens;
     reply.hijack();
@@ -344,12 +359,15 @@
       wake: () => {},
     };
     this.attempts.set(body.attempt, attempt);
+    this.observer?.held(this, body.request, body.attempt);
     return attempt;
   }
 
   private release(attempt: Attempt): void {
-    if (this.attempts.get(attempt.attempt) === attempt)
+    if (this.attempts.get(attempt.attempt) === attempt) {
       this.attempts.delete(attempt.attempt);
+      this.observer?.freed(this, attempt.attempt);
+    }
     attempt.wake();
   }
 
--- a/packages/standins/src/fake-service.ts
+++ b/packages/standins/src/fake-service.ts
@@ -17,6 +17,8 @@
   delayMilliseconds = 0;
   /** When true, calls run but their answers never come. */
   losesAnswers = false;
+  /** Told of each call when it runs. */
+  onRun: (run: ServiceRun) => void = () => {};
   address = '';
   private readonly server: FastifyInstance = createServer();
 
@@ -28,12 +30,14 @@
       (_r, body, done) => done(null, body),
     );
     this.server.all('/*', async (request, reply) => {
-      this.runs.push({
+      const run = {
         idempotencyKey: request.headers['idempotency-key'] as string,
         path: request.url,
         headers: request.headers,
         body: String(request.body ?? ''),
-      });
+      };
+      this.runs.push(run);
+      this.onRun(run);
       if (this.losesAnswers) return reply.hijack();
       if (this.delayMilliseconds > 0)
         await new Promise(done => setTimeout(done, this.delayMilliseconds));
--- a/packages/standins/src/sample-fleet.ts
+++ b/packages/standins/src/sample-fleet.ts
@@ -1,6 +1,7 @@
 /** A small fleet of fakes with a configuration for two rival accounts. */
 
 import {createHash} from 'node:crypto';
+import {accountId} from '@persimmonwick/coordination';
 import {FakeEngine} from './fake-engine.js';
 import type {FakeEngineOptions} from './fake-engine.js';
 import {FakePlatform} from './fake-platform.js';
@@ -15,7 +16,19 @@
 
 export const sampleModel = 'review-1';
 
-const failureDomains = ['north', 'south', 'west'] as const;
+export const sampleFailureDomains = ['north', 'south', 'west'] as const;
+
+/** A host of the sample's Membership document. */
+export interface SampleMember {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly address: string;
+}
+
+const sampleAccounts = ['batinah', 'lembaga'] as const;
+const rateTokensPerSecond = 100_000;
+const burstTokens = 200_000;
+const claimRetentionMilliseconds = 3_000;
 
 /** Fakes that run, published in one configuration. */
 export class SampleFleet {
@@ -24,7 +37,11 @@
   readonly decodeEngines: FakeEngine[];
   readonly service = new FakeService();
 
-  constructor(options: Partial<FakeEngineOptions> = {}) {
+  constructor(
+    options: Partial<FakeEngineOptions> = {},
+    /** Hosts that hold limits and claims, with the addresses of peers. */
+    private readonly members: readonly SampleMember[] = [],
+  ) {
     this.prefillEngines = [0, 1].map(() => new FakeEngine(options));
     this.decodeEngines = [0, 1, 2].map(() => new FakeEngine(options));
   }
@@ -47,6 +64,23 @@
     await Promise.allSettled(fakes.map(fake => fake.close()));
   }
 
+  /** The accounts' keys and limits, as a recorded run names them. */
+  describeLimits() {
+    return sampleAccounts.flatMap(name => [
+      {
+        kind: 'limit-published' as const,
+        account: accountId(name),
+        rateTokensPerSecond,
+        burstTokens,
+      },
+      {
+        kind: 'key-published' as const,
+        key: sampleKeys[name],
+        account: accountId(name),
+      },
+    ]);
+  }
+
   private describe() {
     return [
       ...describeAccounts(),
@@ -58,16 +92,33 @@
         describeUpstream(`decode-${index}`, engine.address, index, 'decode'),
       ),
       describeUpstream('orders-0', this.service.address, 0, 'orders'),
+      ...this.describeMembership(),
+    ];
+  }
+
+  private describeMembership() {
+    if (this.members.length === 0) return [];
+    const members = this.members.map(({host, failureDomain, address}) => ({
+      host,
+      failureDomain,
+      address,
+    }));
+    return [
+      {
+        kind: 'Membership',
+        name: 'fleet',
+        spec: {members, witnesses: 3, claimRetentionMilliseconds},
+      },
     ];
   }
 }
 
 function describeAccounts() {
-  const accounts = ['batinah', 'lembaga'].map(name => ({
+  const accounts = sampleAccounts.map(name => ({
     kind: 'ClientAccount',
     name,
     labels: {member: name},
-    spec: {rateTokensPerSecond: 100_000, burstTokens: 200_000},
+    spec: {rateTokensPerSecond, burstTokens},
   }));
   const keys = Object.entries(sampleKeys).map(([name, key]) => ({
     kind: 'Key',
@@ -146,7 +197,7 @@
     labels: {use},
     spec: {
       address,
-      failureDomain: failureDomains[index]!,
+      failureDomain: sampleFailureDomains[index]!,
       checksFencing: true,
     },
   };
