Take configuration pages from any source and move forward only

Cause: a host read the platform alone and rebuilt every table for each change. Change: a store that takes pages of any origin, keeps refused documents apart so that a later version can mend them, answers peers with deltas or a reset in pages under 1 MB, and checks a delta only where it can have broken something.

--- a/packages/coordination/src/configuration/configuration.ts
+++ b/packages/coordination/src/configuration/configuration.ts
@@ -7,7 +7,6 @@
 import type {
   ClientAccountDocument,
   ConfigurationDocument,
-  KeyDocument,
   LinkDocument,
   MembershipDocument,
   PoolDocument,
@@ -15,11 +14,14 @@
   UpstreamDocument,
 } from '../generated/documents.js';
 import type {AccountId, Branded} from '../ids.js';
-import {accountId} from '../ids.js';
 import {matchesSelector} from '../labels.js';
-import {documentKey, parseDocument} from './documents.js';
+import {changeDocumentSet} from './document-set.js';
+import type {ChangedDocumentSet, ConfigurationChange} from './document-set.js';
 import type {DocumentFault} from './documents.js';
 import {findCrossFaults} from './cross-check.js';
+import {indexDocuments} from './index-documents.js';
+
+export type {ConfigurationChange} from './document-set.js';
 
 /** SHA-256 of a key in lower-case hexadecimal. */
 export type KeyHash = Branded<'KeyHash'>;
@@ -27,11 +29,6 @@
 export type Route = RouteDocument;
 export type Upstream = UpstreamDocument;
 
-/** Replaces or withdraws one published document. */
-export type ConfigurationChange =
-  | {readonly kind: 'publish'; readonly document: unknown}
-  | {readonly kind: 'withdraw'; readonly key: string};
-
 /** All documents of one published version. */
 export interface Configuration {
   readonly version: bigint;
@@ -46,7 +43,17 @@
 }
 
 /** The configuration before anything was published: version zero. */
-export const emptyConfiguration: Configuration = indexDocuments(0n, new Map());
+export const emptyConfiguration: Configuration = {
+  version: 0n,
+  documents: new Map(),
+  accounts: new Map(),
+  accountOfKey: new Map(),
+  routes: [],
+  pools: [],
+  upstreams: new Map(),
+  links: [],
+  membership: undefined,
+};
 
 /** Checks `values` as a whole and indexes them. */
 export function buildConfiguration(
@@ -68,25 +75,26 @@
   version: bigint,
   changes: readonly ConfigurationChange[],
 ): Result<Configuration, DocumentFault[]> {
-  const documents = new Map(base.documents);
-  const faults: DocumentFault[] = [];
-  for (const change of changes) {
-    switch (change.kind) {
-      case 'withdraw':
-        documents.delete(change.key);
-        break;
-      case 'publish': {
-        const parsed = parseDocument(change.document);
-        if (parsed.isErr) faults.push(...parsed.error);
-        else documents.set(documentKey(parsed.value), parsed.value);
-      }
-    }
-  }
-  if (faults.length > 0) return Result.err(faults);
-  const configuration = indexDocuments(version, documents);
-  const crossFaults = findCrossFaults(configuration);
-  if (crossFaults.length > 0) return Result.err(crossFaults);
-  return Result.ok(configuration);
+  const {documents} = base;
+  const set = changeDocumentSet({documents, malformed: new Map()}, changes);
+  return configurationOfSet(base, version, set);
+}
+
+/**
+ * Checks a set of documents and indexes it. `base` is an accepted configuration
+ * from which `set` differs in the touched keys only: what they cannot have
+ * broken is not checked again.
+ */
+export function configurationOfSet(
+  base: Configuration,
+  version: bigint,
+  set: ChangedDocumentSet,
+): Result<Configuration, DocumentFault[]> {
+  if (set.malformed.size > 0)
+    return Result.err([...set.malformed.values()].flat());
+  const configuration = indexDocuments(base, version, set);
+  const faults = findCrossFaults(base, configuration, set.touchedKeys);
+  return faults.length > 0 ? Result.err(faults) : Result.ok(configuration);
 }
 
 /** Upstreams that a pool's selector allows, leaving ones included. */
@@ -98,39 +106,3 @@
     matchesSelector(pool.spec.upstreams, upstream.labels ?? {}),
   );
 }
-
-function indexDocuments(
-  version: bigint,
-  documents: ReadonlyMap<string, ConfigurationDocument>,
-): Configuration {
-  const all = [...documents.values()];
-  const ofKind = <Kind extends ConfigurationDocument['kind']>(kind: Kind) =>
-    all.filter(
-      (document): document is Extract<ConfigurationDocument, {kind: Kind}> =>
-        document.kind === kind,
-    );
-  const keys: KeyDocument[] = ofKind('Key');
-  return {
-    version,
-    documents,
-    accounts: new Map(
-      ofKind('ClientAccount').map(account => [
-        accountId(account.name),
-        account,
-      ]),
-    ),
-    accountOfKey: new Map(
-      keys.map(key => [
-        key.spec.sha256 as KeyHash,
-        accountId(key.spec.account),
-      ]),
-    ),
-    routes: ofKind('Route'),
-    pools: ofKind('Pool'),
-    upstreams: new Map(
-      ofKind('Upstream').map(upstream => [upstream.name, upstream]),
-    ),
-    links: ofKind('Link'),
-    membership: ofKind('Membership')[0],
-  };
-}
--- a/packages/coordination/src/configuration/documents.ts
+++ b/packages/coordination/src/configuration/documents.ts
@@ -1,7 +1,7 @@
 /** Parsing and checking of single configuration documents. */
 
 import {Ajv} from 'ajv';
-import type {ErrorObject} from 'ajv';
+import type {ErrorObject, ValidateFunction} from 'ajv';
 import {Result} from 'true-myth';
 import {documentsSchema} from '../generated/documents-schema.js';
 import type {ConfigurationDocument} from '../generated/documents.js';
@@ -28,6 +28,13 @@
   'Membership',
 ] as const;
 
+const validators = new Map<string, ValidateFunction>(
+  kinds.map(kind => [
+    kind,
+    ajv.getSchema(`documents.schema.json#/definitions/${kind}Document`)!,
+  ]),
+);
+
 /** Key under which a document is published. */
 export function documentKey(document: {kind: string; name: string}): string {
   return `${document.kind}/${document.name}`;
@@ -39,14 +46,11 @@
 ): Result<ConfigurationDocument, DocumentFault[]> {
   const {kind, name} = (value ?? {}) as {kind?: unknown; name?: unknown};
   const label = `${String(kind)}/${String(name)}`;
-  const known = kinds.find(candidate => candidate === kind);
-  if (known === undefined) {
+  const validate = validators.get(String(kind));
+  if (validate === undefined) {
     const reason = `expected one of ${kinds.join(', ')}`;
     return Result.err([{document: label, field: '/kind', reason}]);
   }
-  const validate = ajv.getSchema(
-    `documents.schema.json#/definitions/${known}Document`,
-  )!;
   if (validate(value)) return Result.ok(value as ConfigurationDocument);
   return Result.err(
     (validate.errors ?? []).map(error => faultOf(label, error)),
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,3 +61,24 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export type {
+  ConfigurationOrigin,
+  ConfigurationPage,
+  PlatformError,
+  PlatformSource,
+} from './configuration/configuration-page.js';
+export {ConfigurationStore} from './configuration/configuration-store.js';
+export type {
+  ConfigurationListener,
+  ConfigurationStoreParts,
+  PageOutcome,
+  RefusedVersion,
+} from './configuration/configuration-store.js';
+export {ConfigurationHandler} from './configuration/configuration-handler.js';
+export {ConfigurationDistributor} from './configuration/configuration-distributor.js';
+export type {ConfigurationDistributorParts} from './configuration/configuration-distributor.js';
+export type {DistributionTiming} from './configuration/distribution-timing.js';
+export {
+  findConfigurationWarnings,
+  findTransitionFaults,
+} from './configuration/advice.js';
--- /dev/null
+++ b/packages/coordination/test/configuration-store.test.ts
@@ -0,0 +1,162 @@
+import test from 'ava';
+import {
+  ConfigurationHandler,
+  ConfigurationStore,
+  VirtualClock,
+} from '../src/index.js';
+import type {RefusedVersion} from '../src/index.js';
+import {account, accountsWithKeys, key} from './tools/documents.js';
+
+const platform = {kind: 'platform'} as const;
+const publish = (...documents: unknown[]) =>
+  documents.map(document => ({kind: 'publish', document}) as const);
+
+function makeStore() {
+  const refused: RefusedVersion[] = [];
+  const clock = new VirtualClock();
+  const store = new ConfigurationStore({
+    clock,
+    onRefused: each => refused.push(each),
+  });
+  const page = (from: bigint, to: bigint, ...documents: unknown[]) =>
+    store.apply({from, to, changes: publish(...documents)}, platform).kind;
+  return {clock, store, refused, page};
+}
+
+test('versions only go forward', t => {
+  const {store, page} = makeStore();
+  t.is(page(0n, 5n, account('a')), 'applied');
+  t.is(page(0n, 4n, account('b')), 'known');
+  t.is(page(5n, 3n), 'known');
+  t.is(page(7n, 9n, account('b')), 'gap');
+  t.is(store.current.version, 5n);
+});
+
+test('a refused version is told once and mended by the next', t => {
+  const {store, refused, page} = makeStore();
+  page(0n, 1n, account('a'));
+  t.is(page(1n, 2n, key('k', 'missing')), 'refused');
+  t.is(page(1n, 2n, key('k', 'missing')), 'known');
+  t.is(store.current.version, 1n);
+  t.is(store.newestReadVersion, 2n);
+  t.is(page(2n, 3n, {kind: 'Key', name: 'broken'}), 'refused');
+  t.is(page(3n, 4n, key('broken', 'a'), account('missing')), 'applied');
+  t.is(store.current.documents.size, 4);
+  t.deepEqual(
+    refused.map(each => each.version),
+    [2n, 3n],
+  );
+});
+
+test('a refused version survives news from a peer', t => {
+  const {store, page} = makeStore();
+  page(0n, 1n, account('a'));
+  page(1n, 5n, account('b'), key('k', 'missing'));
+  t.is(page(1n, 3n, account('c')), 'applied');
+  t.is(page(5n, 6n, account('missing')), 'applied');
+  t.deepEqual([...store.current.accounts.keys()].sort(), ['a', 'b', 'missing']);
+});
+
+test('a reset replaces all', t => {
+  const {store, page} = makeStore();
+  page(0n, 1n, account('a'), key('k', 'a'));
+  t.is(page(0n, 2n, account('b')), 'applied');
+  t.deepEqual([...store.current.accounts.keys()], ['b']);
+  t.is(store.current.accountOfKey.size, 0);
+});
+
+test('waiting for a version ends with it or at the deadline', async t => {
+  const {clock, store, page} = makeStore();
+  const late = store.waitForVersion(1n, 50);
+  t.false(await clock.runUntil(late));
+  const found = store.waitForVersion(1n, clock.now() + 50);
+  page(0n, 1n, account('a'));
+  t.true(await found);
+});
+
+test('subscribers hear until they leave', t => {
+  const {store, page} = makeStore();
+  const heard: bigint[] = [];
+  const leave = store.subscribe(next => heard.push(next.version));
+  page(0n, 1n, account('a'));
+  leave();
+  page(1n, 2n, account('b'));
+  t.deepEqual(heard, [1n]);
+});
+
+test('a peer gets a delta, or all when too far behind', async t => {
+  const {clock, store, page} = makeStore();
+  page(0n, 1n, account('a'), account('b'));
+  page(1n, 2n, account('c'));
+  store.apply(
+    {from: 2n, to: 3n, changes: [{kind: 'withdraw', key: 'ClientAccount/a'}]},
+    platform,
+  );
+  const handler = new ConfigurationHandler(store, clock);
+  const ask = (afterVersion: bigint) =>
+    handler.handle({
+      afterVersion,
+      waitMilliseconds: 0,
+      transferVersion: 0n,
+      afterKey: '',
+    });
+  const delta = await ask(1n);
+  t.false(delta.reset);
+  t.deepEqual(
+    delta.changes.map(change => [change.key, change.document === '']),
+    [
+      ['ClientAccount/a', true],
+      ['ClientAccount/c', false],
+    ],
+  );
+  const unknown = new ConfigurationStore({clock});
+  unknown.apply({from: 0n, to: 9n, changes: publish(account('z'))}, platform);
+  const far = await new ConfigurationHandler(unknown, clock).handle({
+    afterVersion: 4n,
+    waitMilliseconds: 0,
+    transferVersion: 0n,
+    afterKey: '',
+  });
+  t.true(far.reset);
+});
+
+test('pages stay under a megabyte', async t => {
+  const {clock, store} = makeStore();
+  const big = account('big');
+  const huge = {...big, labels: {}, spec: {...big.spec}};
+  const route = {
+    kind: 'Route',
+    name: 'r',
+    spec: {
+      target: {
+        kind: 'model',
+        models: ['m'],
+        prefill: {},
+        decode: {},
+        sharedPreamble: 'x'.repeat(1_048_000),
+      },
+    },
+  };
+  const changes = publish(...accountsWithKeys(6100), huge, route);
+  t.is(store.apply({from: 0n, to: 1n, changes}, platform).kind, 'applied');
+  const handler = new ConfigurationHandler(store, clock);
+  let afterKey = '';
+  let documents = 0;
+  for (let more = true; more;) {
+    const reply = await handler.handle({
+      afterVersion: 0n,
+      waitMilliseconds: 0,
+      transferVersion: 1n,
+      afterKey,
+    });
+    const bytes = reply.changes.reduce(
+      (sum, change) => sum + change.document.length + change.key.length,
+      0,
+    );
+    t.true(bytes <= 1_000_000 || reply.changes.length === 1);
+    documents += reply.changes.length;
+    afterKey = reply.changes.at(-1)!.key;
+    more = reply.more;
+  }
+  t.is(documents, 12_202);
+});
--- /dev/null
+++ b/packages/coordination/test/configuration.test.ts
@@ -0,0 +1,123 @@
+import test from 'ava';
+import {
+  applyChanges,
+  buildConfiguration,
+  findConfigurationWarnings,
+  findTransitionFaults,
+} from '../src/index.js';
+import {account, hashOf, key, upstream} from './tools/documents.js';
+
+const member = (host: string, failureDomain = 'd0') => ({
+  host,
+  failureDomain,
+  address: `10.0.0.${host.slice(1)}:7000`,
+});
+const membership = (spec: object) => ({
+  kind: 'Membership',
+  name: 'fleet',
+  spec,
+});
+const base = () =>
+  buildConfiguration(1n, [
+    account('a'),
+    account('b'),
+    key('k1', 'a'),
+    key('k2', 'b'),
+  ]).unwrapOrElse(faults => {
+    throw new Error(JSON.stringify(faults));
+  });
+const reasons = (result: ReturnType<typeof applyChanges>) =>
+  result.isErr ? result.error.map(fault => fault.reason) : [];
+
+test('a delta is checked like the whole', t => {
+  const publish = (document: unknown) => ({kind: 'publish', document}) as const;
+  const withdraw = (name: string) => ({kind: 'withdraw', key: name}) as const;
+  t.deepEqual(
+    reasons(applyChanges(base(), 2n, [withdraw('ClientAccount/a')])),
+    ['no ClientAccount named a'],
+  );
+  t.deepEqual(reasons(applyChanges(base(), 2n, [publish(key('k3', 'c'))])), [
+    'no ClientAccount named c',
+  ]);
+  const copy = {...key('k3', 'a'), spec: key('k1', 'a').spec};
+  t.deepEqual(reasons(applyChanges(base(), 2n, [publish(copy)])), [
+    'the same hash as Key/k1',
+  ]);
+  t.true(
+    applyChanges(base(), 2n, [publish(copy), withdraw('Key/k1')]).isOk,
+    'a hash may move',
+  );
+});
+
+test('a delta leaves the tables of its base alone', t => {
+  const before = base();
+  const after = applyChanges(before, 2n, [
+    {kind: 'withdraw', key: 'Key/k1'},
+  ]).unwrapOr(before);
+  t.false(after.accountOfKey.has(hashOf('k1') as never));
+  t.true(before.accountOfKey.has(hashOf('k1') as never));
+  t.is(after.accounts, before.accounts);
+});
+
+test('routes come in one order on every host', t => {
+  const route = (name: string) => ({
+    kind: 'Route',
+    name,
+    spec: {target: {kind: 'service', pathPrefix: `/${name}`, services: {}}},
+  });
+  const one = buildConfiguration(1n, [route('b'), route('a')]).unwrapOr(base());
+  t.deepEqual(
+    one.routes.map(each => each.name),
+    ['a', 'b'],
+  );
+});
+
+test('a key must be published under its own name', t => {
+  const change = {kind: 'publish', key: 'Key/other', document: key('k3', 'a')};
+  t.deepEqual(reasons(applyChanges(base(), 2n, [change as never])), [
+    'published under Key/other',
+  ]);
+});
+
+test('members and links are listed once', t => {
+  const moved = {...member('h1', 'd1'), address: '10.0.0.9:7000'};
+  const check = (spec: object) =>
+    reasons(buildConfiguration(1n, [membership(spec)]));
+  t.is(check({members: [member('h1'), member('h1')]}).length, 2);
+  t.is(check({members: [member('h1')], previousMembers: [moved]}).length, 2);
+  const link = (name: string) => ({
+    kind: 'Link',
+    name,
+    spec: {from: 'd0', to: 'd1', bytesPerSecond: 1},
+  });
+  t.is(reasons(buildConfiguration(1n, [link('l1'), link('l2')])).length, 1);
+});
+
+test('idle selectors and unknown domains only warn', t => {
+  const pool = {
+    kind: 'Pool',
+    name: 'p',
+    spec: {role: 'service', upstreams: {matchLabels: {pool: 'none'}}},
+  };
+  const link = {
+    kind: 'Link',
+    name: 'l',
+    spec: {from: 'd0', to: 'd9', bytesPerSecond: 1},
+  };
+  const built = buildConfiguration(1n, [upstream('u'), pool, link]);
+  t.deepEqual(
+    findConfigurationWarnings(built.unwrapOr(base())).map(each => each.reason),
+    ['the selector matches nothing', 'no host or upstream in d9'],
+  );
+});
+
+test('members change through previousMembers', t => {
+  const of = (spec: object) =>
+    buildConfiguration(1n, [membership(spec)]).unwrapOr(base());
+  const old = of({members: [member('h1')]});
+  const both = {members: [member('h2')], previousMembers: [member('h1')]};
+  t.is(findTransitionFaults(old, of({members: [member('h2')]})).length, 1);
+  t.is(findTransitionFaults(old, of(both)).length, 0);
+  t.is(findTransitionFaults(of(both), of({members: [member('h2')]})).length, 0);
+  t.is(findTransitionFaults(of(both), of({members: [member('h3')]})).length, 1);
+});
