--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,37 +61,27 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
-export {checkRun, conditions, statedBounds} from './invariants/check-run.js';
 export type {
-  Condition,
-  InvariantBounds,
-  Violation,
-} from './invariants/check-run.js';
-export type * from './invariants/run-event.js';
-export {
-  accountOfKey,
-  findModelRoute,
-  findServiceRoute,
-  hashKey,
-  mayUseRoute,
-} from './requests/authentication.js';
-export {rateFailure} from './requests/admission.js';
-export type {Admission, Admitter, RateRefusal} from './requests/admission.js';
+  ConfigurationOrigin,
+  ConfigurationPage,
+  PlatformError,
+  PlatformSource,
+} from './configuration/configuration-page.js';
+export {ConfigurationStore} from './configuration/configuration-store.js';
 export type {
-  RoutedServiceCall,
-  ServiceAnswer,
-  ServiceCall,
-  ServiceSender,
-} from './requests/service-call.js';
-export {loadTrace} from './replay/load-trace.js';
-export type {TraceFileFault} from './replay/load-trace.js';
-export type {Trace} from './generated/trace.js';
+  ConfigurationListener,
+  ConfigurationStoreParts,
+  PageOutcome,
+  RefusedVersion,
+} from './configuration/configuration-store.js';
+export {ConfigurationHandler} from './configuration/configuration-handler.js';
+export {ConfigurationDistributor} from './configuration/configuration-distributor.js';
+export type {ConfigurationDistributorParts} from './configuration/configuration-distributor.js';
+export type {DistributionTiming} from './configuration/distribution-timing.js';
 export {
-  PauseGate,
-  pausableClock,
-  pausableTransport,
-} from './simulation/pause-gate.js';
-export {ModelService} from './simulation/model-service.js';
-export type {ServiceFault} from './simulation/model-service.js';
-export {provesNotRun, serviceFailure} from './requests/retry-safety.js';
-export {orderServices} from './requests/service-choice.js';
+  findConfigurationWarnings,
+  findTransitionFaults,
+} from './configuration/advice.js';
+export {KeyGuard, KeyWithdrawnError} from './configuration/key-guard.js';
+export type {GuardedRequest} from './configuration/key-guard.js';
+export {liveUpstreams} from './configuration/live-upstreams.js';
