Place prefill and decode by reservation and recover on the way

Cause: the first runner chose engines at random, queued nothing and failed a completion with the first fault of an engine. Change: a view of each engine (report, own work, cache, health), a placer that reserves a decode slot and link time, a queue that is fair by account in tokens, early refusal, and recovery: the KV cache moves while it lives, streams resume over a new connection, lost engines cost another prefill within a retry budget. A model engine on virtual time brings about the faults.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,3 +61,33 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export type {OwnedAttempts} from './placement/attempt-cleaner.js';
+export {blocksOfWords} from './placement/cache-view.js';
+export type {PromptBlocks} from './placement/cache-view.js';
+export {deferrableShare, FairQueue} from './placement/fair-queue.js';
+export type {
+  QueueBounds,
+  QueueItem,
+  ServiceClass,
+} from './placement/fair-queue.js';
+export type {
+  PlacementPolicy,
+  SlotSharing,
+} from './placement/placement-policy.js';
+export {
+  defaultModelEngineOptions,
+  ModelEngine,
+} from './simulation/model-engine.js';
+export type {
+  EngineFault,
+  ModelEngineOptions,
+} from './simulation/model-engine.js';
+export {connectEngine} from './simulation/model-engine-connection.js';
+export type {EngineRoute} from './simulation/model-engine-connection.js';
+export {ModelFleet} from './simulation/model-fleet.js';
+export type {
+  EngineSpec,
+  FleetSpec,
+  HostSpec,
+  RequestSpec,
+} from './simulation/model-fleet.js';
--- /dev/null
+++ b/packages/coordination/src/placement/abort-scope.ts
@@ -0,0 +1,55 @@
+/** Signals and calls that end with their parent, or after a time. */
+
+import {Result} from 'true-myth';
+import type {Clock} from '../clock.js';
+import type {UpstreamId} from '../ids.js';
+import type {UpstreamError} from '../upstreams/engine.js';
+
+/** A signal that follows its parent until it is closed. */
+export class AbortScope {
+  private readonly controller = new AbortController();
+  private readonly follow = () => this.controller.abort();
+
+  constructor(private readonly parent: AbortSignal) {
+    if (parent.aborted) this.controller.abort();
+    else parent.addEventListener('abort', this.follow, {once: true});
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  abort(): void {
+    this.controller.abort();
+  }
+
+  /** Aborts the scope and lets go of the parent. */
+  close(): void {
+    this.parent.removeEventListener('abort', this.follow);
+    this.controller.abort();
+  }
+}
+
+/** Makes one call of an upstream and gives up on it after a time. */
+export async function callWithin<Value>(
+  clock: Clock,
+  milliseconds: number,
+  parent: AbortSignal,
+  upstream: UpstreamId,
+  call: (signal: AbortSignal) => Promise<Result<Value, UpstreamError>>,
+): Promise<Result<Value, UpstreamError>> {
+  const scope = new AbortScope(parent);
+  const settled = new AbortController();
+  let isExpired = false;
+  void clock.sleep(milliseconds, settled.signal).then(() => {
+    if (settled.signal.aborted) return;
+    isExpired = true;
+    scope.abort();
+  });
+  const result = await call(scope.signal);
+  settled.abort();
+  scope.close();
+  if (result.isErr && isExpired && !parent.aborted)
+    return Result.err({kind: 'silent', upstream});
+  return result;
+}
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -1,32 +1,48 @@
 /**
- * Runs one completion: places prefill and decode, moves the KV cache and hands
- * tokens on. Whatever way it ends, no engine keeps memory for it.
+ * Runs completions: queues them, places prefill and decode, moves the KV cache,
+ * hands tokens on and starts again after failures. Whatever way a completion
+ * ends, no engine keeps memory for it.
  */
 
-import {Result} from 'true-myth';
+import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
-import type {Configuration, Upstream} from '../configuration/configuration.js';
-import {upstreamsOfPool} from '../configuration/configuration.js';
-import {attemptId} from '../ids.js';
-import {matchesSelector} from '../labels.js';
+import type {Configuration} from '../configuration/configuration.js';
+import type {FailureDomainId} from '../ids.js';
+import {attemptId, failureDomainId} from '../ids.js';
 import type {RandomSource} from '../random.js';
-import {randomBelow} from '../random.js';
 import type {
   CompletionEvent,
   CompletionRequest,
 } from '../requests/completion.js';
-import type {RequestFailure} from '../requests/failure.js';
+import type {RequestFailure, RunState} from '../requests/failure.js';
 import type {
-  Engine,
   EngineAttempt,
   RequestOwner,
   UpstreamError,
 } from '../upstreams/engine.js';
+import {AbortScope} from './abort-scope.js';
+import {AttemptCleaner} from './attempt-cleaner.js';
+import type {OwnedAttempts} from './attempt-cleaner.js';
+import {AttemptRunner} from './attempt-runner.js';
+import type {CompletionProgress} from './attempt-runner.js';
+import {blocksOfWords} from './cache-view.js';
+import type {PromptBlocks} from './cache-view.js';
+import {Dispatcher} from './dispatcher.js';
+import {EngineView} from './engine-view.js';
+import type {EngineDirectory} from './engine-view.js';
+import {LinkView} from './link-view.js';
+import {
+  callerGone,
+  deadlinePassed,
+  upstreamFailed,
+} from './placement-failures.js';
+import type {Placement} from './placement.js';
+import {defaultPolicy} from './placement-policy.js';
+import type {PlacementPolicy} from './placement-policy.js';
+import {Placer} from './placer.js';
+import {RetryBudget} from './retry-budget.js';
 
-/** Gives the engine behind an upstream. */
-export interface EngineDirectory {
-  engineOf(upstream: Upstream): Engine;
-}
+export type {EngineDirectory} from './engine-view.js';
 
 /** What a runner works with. */
 export interface CompletionRunnerParts {
@@ -36,152 +52,190 @@
   readonly engines: EngineDirectory;
   readonly configuration: () => Configuration;
   readonly makeAttemptId: () => string;
+  /** The host's failure domain; taken from the membership when absent. */
+  readonly failureDomain?: FailureDomainId;
+  /** Told of each attempt before an engine sees it. */
+  readonly ownedAttempts?: OwnedAttempts;
+  readonly policy?: PlacementPolicy;
+  /** Names cache blocks as the engines do. */
+  readonly promptBlocks?: PromptBlocks;
+  readonly blockTokens?: number;
+  /** Time without a token after which a connection is suspect. */
+  readonly silenceMilliseconds?: number;
 }
 
-const cancelTimeoutMilliseconds = 1000;
+const defaultBlockTokens = 2_000;
+const defaultSilenceMilliseconds = 400;
+
+/** Why a completion stops before its engines are done. */
+type Ending = 'caller-gone' | 'deadline' | undefined;
 
 export class CompletionRunner {
-  constructor(private readonly parts: CompletionRunnerParts) {}
+  private readonly budget = new RetryBudget();
+  private readonly view: EngineView;
+  private readonly links: LinkView;
+  private readonly placer: Placer;
+  private readonly dispatcher: Dispatcher;
+  private readonly cleaner: AttemptCleaner;
+
+  constructor(private readonly parts: CompletionRunnerParts) {
+    const {clock, random, configuration, owner} = parts;
+    const policy = parts.policy ?? defaultPolicy;
+    const blockTokens = parts.blockTokens ?? defaultBlockTokens;
+    const pump = () => this.dispatcher.pump();
+    this.view = new EngineView({...parts, host: owner.host});
+    this.view.onReport = pump;
+    this.links = new LinkView(configuration);
+    this.cleaner = new AttemptCleaner(clock, parts.ownedAttempts);
+    this.placer = new Placer({
+      clock,
+      random,
+      configuration,
+      view: this.view,
+      links: this.links,
+      policy,
+      promptBlocks: parts.promptBlocks ?? blocksOfWords(blockTokens),
+      blockTokens,
+      failureDomain: () => this.failureDomain(),
+      onRelease: pump,
+    });
+    this.dispatcher = new Dispatcher({
+      clock,
+      configuration,
+      placer: this.placer,
+      isReserving: policy.kind === 'reserving',
+    });
+  }
 
   /** Yields tokens in order, each once, and then one closing event. */
   async *run(
     request: CompletionRequest,
     signal: AbortSignal,
   ): AsyncGenerator<CompletionEvent> {
-    const prefill = this.choose(request, 'prefill');
-    const decode = this.choose(request, 'decode');
-    if (prefill === undefined || decode === undefined) {
-      yield {kind: 'failed', failure: noUpstream(request.model)};
-      return;
-    }
-    const attempt: EngineAttempt = {
-      request: request.request,
-      attempt: attemptId(this.parts.makeAttemptId()),
-      owner: this.parts.owner,
-    };
+    const {clock} = this.parts;
+    const scope = new AbortScope(signal);
+    const done = new AbortController();
+    void clock
+      .sleep(request.deadline - clock.now(), done.signal)
+      .then(() => scope.abort());
     try {
-      yield* this.runOn(request, attempt, prefill, decode, signal);
+      yield* this.runWithin(request, signal, scope.signal);
     } finally {
-      await Promise.all([
-        this.release(prefill, attempt),
-        this.release(decode, attempt),
-      ]);
+      done.abort();
+      scope.close();
     }
   }
 
-  private async *runOn(
+  /** Stops reading engines, after every cancel has been tried. */
+  async close(): Promise<void> {
+    await this.view.close();
+    await this.cleaner.close();
+  }
+
+  private async *runWithin(
     request: CompletionRequest,
-    attempt: EngineAttempt,
-    prefill: Engine,
-    decode: Engine,
+    caller: AbortSignal,
     signal: AbortSignal,
   ): AsyncGenerator<CompletionEvent> {
-    const moved = await this.prefillAndMove(
-      request,
-      attempt,
-      prefill,
-      decode,
-      signal,
-    );
-    if (moved.isErr) {
-      yield {kind: 'failed', failure: failureOf(moved.error)};
-      return;
-    }
-    const tokens = decode.decode(
-      {
-        ...attempt,
-        maximumTokens: request.maximumTokens,
-        offset: 0,
-        priority: 0,
-      },
-      signal,
-    );
-    let completionTokens = 0;
-    for await (const token of tokens) {
-      if (token.isErr) {
-        yield {kind: 'failed', failure: failureOf(token.error)};
+    const progress: CompletionProgress = {
+      promptTokens: request.promptTokens,
+      delivered: 0,
+      isDecodeStarted: false,
+    };
+    const arrivedAt = this.parts.clock.now();
+    this.budget.deposit();
+    let lastError: UpstreamError | undefined;
+    for (;;) {
+      const admission = await this.dispatcher.admit(
+        {...request, promptTokens: progress.promptTokens},
+        {
+          arrivedAt,
+          delivered: progress.delivered,
+          isRetry: lastError !== undefined,
+        },
+        signal,
+      );
+      const ending = endingOf(caller, signal);
+      if (admission.isErr || ending !== undefined) {
+        if (admission.isOk) admission.value.close();
+        const failure = failureOf(ending, progress, admission, lastError);
+        yield {kind: 'failed', failure};
+        return;
+      }
+      const attempt = new AttemptRunner(
+        {
+          clock: this.parts.clock,
+          placer: this.placer,
+          links: this.links,
+          cleaner: this.cleaner,
+          silenceMilliseconds:
+            this.parts.silenceMilliseconds ?? defaultSilenceMilliseconds,
+        },
+        request,
+        this.nameAttempt(request),
+        admission.value,
+        progress,
+      );
+      const end = yield* attempt.run(signal);
+      if (end.kind === 'complete') {
+        const {promptTokens, delivered} = progress;
+        yield {kind: 'finished', promptTokens, completionTokens: delivered};
+        return;
+      }
+      lastError = end.error;
+      const reason = endingOf(caller, signal);
+      if (reason !== undefined || !this.budget.withdraw()) {
+        const failure = failureOf(reason, progress, admission, lastError);
+        yield {kind: 'failed', failure};
         return;
       }
-      yield {kind: 'token', offset: completionTokens, text: token.value.text};
-      completionTokens += 1;
     }
-    yield {
-      kind: 'finished',
-      promptTokens: moved.value,
-      completionTokens,
-    };
   }
 
-  private async prefillAndMove(
-    request: CompletionRequest,
-    attempt: EngineAttempt,
-    prefill: Engine,
-    decode: Engine,
-    signal: AbortSignal,
-  ): Promise<Result<number, UpstreamError>> {
-    const computed = await prefill.prefill(
-      {
-        ...attempt,
-        model: request.model,
-        account: request.account,
-        cacheScope: request.account,
-        prompt: request.prompt,
-        priority: 0,
-      },
-      signal,
-    );
-    if (computed.isErr) return Result.err(computed.error);
-    const moved = await decode.importCache(
-      {
-        ...attempt,
-        sourceAddress: prefill.address,
-        handle: computed.value.handle,
-      },
-      signal,
-    );
-    return moved.map(() => computed.value.promptTokens);
+  private nameAttempt({request}: CompletionRequest): EngineAttempt {
+    return {
+      request,
+      attempt: attemptId(this.parts.makeAttemptId()),
+      owner: this.parts.owner,
+    };
   }
 
-  private choose(
-    request: CompletionRequest,
-    role: 'prefill' | 'decode',
-  ): Engine | undefined {
-    const {target} = request.route.spec;
-    if (target.kind !== 'model') return undefined;
-    const configuration = this.parts.configuration();
-    const candidates = configuration.pools
-      .filter(
-        pool =>
-          pool.spec.role === role &&
-          pool.spec.model === request.model &&
-          matchesSelector(target[role], pool.labels ?? {}),
-      )
-      .flatMap(pool => upstreamsOfPool(configuration, pool))
-      .filter(upstream => upstream.spec.state !== 'leaving');
-    const index = randomBelow(this.parts.random, candidates.length);
-    const chosen = candidates[index];
-    return chosen && this.parts.engines.engineOf(chosen);
+  private failureDomain(): FailureDomainId | undefined {
+    const {failureDomain, configuration, owner} = this.parts;
+    if (failureDomain !== undefined) return failureDomain;
+    const member = configuration().membership?.spec.members.find(
+      ({host}) => host === owner.host,
+    );
+    return member && failureDomainId(member.failureDomain);
   }
+}
 
-  private async release(engine: Engine, attempt: EngineAttempt): Promise<void> {
-    const signal = AbortSignal.timeout(cancelTimeoutMilliseconds);
-    await engine.cancel(attempt, signal);
-  }
+function endingOf(caller: AbortSignal, signal: AbortSignal): Ending {
+  if (caller.aborted) return 'caller-gone';
+  return signal.aborted ? 'deadline' : undefined;
 }
 
-function noUpstream(model: string): RequestFailure {
-  return {
-    code: 'no-upstream',
-    message: `no live upstream serves ${model}`,
-    ran: 'not-run',
-    retryAfterMilliseconds: 1000,
-  };
+function failureOf(
+  ending: Ending,
+  progress: CompletionProgress,
+  admission: Result<Placement, RequestFailure>,
+  error: UpstreamError | undefined,
+): RequestFailure {
+  const ran = runStateOf(progress);
+  switch (ending) {
+    case 'caller-gone':
+      return callerGone(ran);
+    case 'deadline':
+      return deadlinePassed(ran);
+    case undefined:
+      if (admission.isErr && error === undefined)
+        return {...admission.error, ran};
+      return upstreamFailed(error!, ran);
+  }
 }
 
-function failureOf(error: UpstreamError): RequestFailure {
-  return {
-    code: error.kind === 'silent' ? 'upstream-timeout' : 'upstream-failed',
-    message: `upstream ${error.upstream}: ${error.kind}`,
-    ran: 'unknown',
-  };
+/** A prefill alone makes no answer; a decode that was asked for may have. */
+function runStateOf(progress: CompletionProgress): RunState {
+  if (progress.delivered > 0) return 'ran';
+  return progress.isDecodeStarted ? 'unknown' : 'not-run';
 }
--- /dev/null
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -0,0 +1,268 @@
+/**
+ * Holds requests back until engines can be reserved for them, in fair order,
+ * and refuses early what would miss its first-token target.
+ */
+
+import {Result} from 'true-myth';
+import type {Clock} from '../clock.js';
+import type {Configuration} from '../configuration/configuration.js';
+import type {CompletionRequest} from '../requests/completion.js';
+import type {RequestFailure} from '../requests/failure.js';
+import {FairQueue} from './fair-queue.js';
+import type {QueueBounds, QueueItem} from './fair-queue.js';
+import type {Placement} from './placement.js';
+import type {PlacementDemand, Placer} from './placer.js';
+import {
+  deadlinePassed,
+  noUpstream,
+  queueFull,
+  targetUnreachable,
+} from './placement-failures.js';
+import {ServiceRate} from './service-rate.js';
+
+type Admission = Result<Placement, RequestFailure>;
+
+interface Waiting extends QueueItem {
+  readonly demand: PlacementDemand;
+  /** Time by which the first token is due; undefined without a target. */
+  readonly firstTokenBy: number | undefined;
+  readonly isRetry: boolean;
+  readonly settle: (admission: Admission) => void;
+}
+
+interface Lane {
+  readonly queue: FairQueue<Waiting>;
+  readonly rate: ServiceRate;
+  /** Requests that lost their engine; they go first. */
+  readonly retries: Waiting[];
+}
+
+/** What a dispatcher works with. */
+export interface DispatcherParts {
+  readonly clock: Clock;
+  readonly configuration: () => Configuration;
+  readonly placer: Placer;
+  readonly isReserving: boolean;
+}
+
+/** Says how a request enters the queue. */
+export interface AdmissionTerms {
+  readonly arrivedAt: number;
+  /** Tokens that the caller already has. */
+  readonly delivered: number;
+  readonly isRetry: boolean;
+}
+
+const queueBounds: QueueBounds = {perAccount: 1_024, total: 4_096};
+/** Left for what an estimate cannot know. */
+const targetMarginMilliseconds = 100;
+const leastRetryMilliseconds = 250;
+/** Lanes beyond this number are forgotten when nothing waits in them. */
+const maximumIdleLanes = 64;
+/** How long a request that lost its engine waits for another. */
+const engineWaitMilliseconds = 2_000;
+
+export class Dispatcher {
+  private readonly lanes = new Map<string, Lane>();
+  private isPumping = false;
+  private mustPump = false;
+
+  constructor(private readonly parts: DispatcherParts) {}
+
+  /** Waits for engines, at most until the request's target or deadline. */
+  async admit(
+    request: CompletionRequest,
+    terms: AdmissionTerms,
+    signal: AbortSignal,
+  ): Promise<Admission> {
+    const demand = this.parts.placer.demandOf(request, terms.delivered);
+    const lane = this.laneOf(request);
+    const settled = new AbortController();
+    let admission: Admission | undefined;
+    let wake = () => {};
+    const waiting = this.describe(demand, terms, result => {
+      admission ??= result;
+      settled.abort();
+      wake();
+    });
+    const refusal = this.enqueue(lane, waiting, terms);
+    if (refusal !== undefined) return Result.err(refusal);
+    this.pump();
+    if (admission !== undefined) return admission;
+    const leave = () => settled.abort();
+    signal.addEventListener('abort', leave, {once: true});
+    if (signal.aborted) leave();
+    await this.waitForTurn(waiting, settled.signal, resume => (wake = resume));
+    signal.removeEventListener('abort', leave);
+    this.remove(lane, waiting);
+    return admission ?? Result.err(this.lateFailure(waiting, request));
+  }
+
+  /** Places whatever can be placed now. */
+  pump(): void {
+    this.mustPump = true;
+    if (this.isPumping) return;
+    this.isPumping = true;
+    while (this.mustPump) {
+      this.mustPump = false;
+      for (const [key, lane] of this.lanes) {
+        this.pumpLane(lane);
+        if (this.lanes.size > maximumIdleLanes && isIdle(lane))
+          this.lanes.delete(key);
+      }
+    }
+    this.isPumping = false;
+  }
+
+  private pumpLane(lane: Lane): void {
+    const {clock, placer} = this.parts;
+    for (;;) {
+      const waiting = lane.retries[0] ?? lane.queue.peek();
+      if (waiting === undefined) return lane.rate.stop(clock.now());
+      const outcome = placer.place(waiting.demand);
+      if (outcome.kind !== 'placed') return;
+      this.remove(lane, waiting, true);
+      lane.rate.record(clock.now(), waiting.costTokens);
+      const isLate = this.isLate(waiting, outcome.placement);
+      if (isLate) outcome.placement.close();
+      waiting.settle(
+        isLate
+          ? Result.err(targetUnreachable(leastRetryMilliseconds))
+          : Result.ok(outcome.placement),
+      );
+    }
+  }
+
+  private enqueue(
+    lane: Lane,
+    waiting: Waiting,
+    terms: AdmissionTerms,
+  ): RequestFailure | undefined {
+    const {clock} = this.parts;
+    if (terms.isRetry) {
+      lane.retries.push(waiting);
+      return undefined;
+    }
+    const wait = lane.rate.waitFor(lane.queue.costAhead(waiting.account));
+    if (
+      waiting.firstTokenBy !== undefined &&
+      this.parts.isReserving &&
+      clock.now() + wait > waiting.firstTokenBy - targetMarginMilliseconds
+    )
+      return targetUnreachable(Math.max(leastRetryMilliseconds, wait));
+    if (!lane.queue.push(waiting))
+      return queueFull(Math.max(leastRetryMilliseconds, wait));
+    lane.rate.start(clock.now());
+    return undefined;
+  }
+
+  private isLate(waiting: Waiting, placement: Placement): boolean {
+    if (waiting.firstTokenBy === undefined || !this.parts.isReserving)
+      return false;
+    const {prefillMilliseconds, transferMilliseconds} = placement.estimate;
+    const step = placement.decode.report.decodeStepMilliseconds;
+    return (
+      this.parts.clock.now() +
+        prefillMilliseconds +
+        transferMilliseconds +
+        2 * step >
+      waiting.firstTokenBy
+    );
+  }
+
+  private async waitForTurn(
+    waiting: Waiting,
+    settled: AbortSignal,
+    setWake: (wake: () => void) => void,
+  ): Promise<void> {
+    const {clock} = this.parts;
+    const until = this.latestStart(waiting);
+    const woken = new Promise<void>(setWake);
+    // A sleep that was ended by the settled signal resolves like `woken`.
+    await Promise.race([woken, clock.sleep(until - clock.now(), settled)]);
+  }
+
+  /** Time after which `waiting` is refused. */
+  private latestStart(waiting: Waiting): number {
+    const now = this.parts.clock.now();
+    const {request} = waiting.demand;
+    const due =
+      waiting.firstTokenBy === undefined
+        ? request.deadline
+        : Math.min(
+            request.deadline,
+            waiting.firstTokenBy - targetMarginMilliseconds,
+          );
+    switch (this.parts.placer.availability(request)) {
+      case 'absent':
+        return now;
+      case 'open':
+        return due;
+      case 'closed':
+        if (waiting.isRetry) return Math.min(due, now + engineWaitMilliseconds);
+        return waiting.service === 'targeted' ? now : due;
+    }
+  }
+
+  private lateFailure(
+    waiting: Waiting,
+    request: CompletionRequest,
+  ): RequestFailure {
+    if (this.parts.placer.availability(request) !== 'open')
+      return noUpstream(request.model);
+    const isDue = this.parts.clock.now() >= request.deadline;
+    if (waiting.firstTokenBy === undefined || isDue) return deadlinePassed();
+    return targetUnreachable(leastRetryMilliseconds);
+  }
+
+  private remove(lane: Lane, waiting: Waiting, isTurn = false): void {
+    const retry = lane.retries.indexOf(waiting);
+    if (retry >= 0) lane.retries.splice(retry, 1);
+    else if (isTurn) lane.queue.take();
+    else lane.queue.remove(waiting);
+  }
+
+  private describe(
+    demand: PlacementDemand,
+    terms: AdmissionTerms,
+    settle: Waiting['settle'],
+  ): Waiting {
+    const {request} = demand;
+    const {service} = request.route.spec;
+    const hasTarget = service?.kind === 'targeted' && !terms.isRetry;
+    return {
+      demand,
+      account: request.account,
+      service: service?.kind ?? 'targeted',
+      costTokens: Math.max(1, request.promptTokens + request.maximumTokens),
+      weight: this.weightOf(request),
+      firstTokenBy: hasTarget
+        ? terms.arrivedAt + service.firstTokenMilliseconds
+        : undefined,
+      isRetry: terms.isRetry,
+      settle,
+    };
+  }
+
+  private weightOf({account}: CompletionRequest): number {
+    const {accounts} = this.parts.configuration();
+    return Math.max(0.01, accounts.get(account)?.spec.weight ?? 1);
+  }
+
+  private laneOf({model, route}: CompletionRequest): Lane {
+    const key = `${model}\u0000${JSON.stringify(route.spec.target)}`;
+    const known = this.lanes.get(key);
+    if (known !== undefined) return known;
+    const lane: Lane = {
+      queue: new FairQueue<Waiting>(queueBounds),
+      rate: new ServiceRate(),
+      retries: [],
+    };
+    this.lanes.set(key, lane);
+    return lane;
+  }
+}
+
+function isIdle({queue, retries}: Lane): boolean {
+  return queue.length + retries.length === 0;
+}
--- a/packages/coordination/src/simulation/virtual-clock.ts
+++ b/packages/coordination/src/simulation/virtual-clock.ts
@@ -28,15 +28,17 @@
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise(resolve => {
+      const cancel = () => this.cancel(sleeper);
       const sleeper: Sleeper = {
         wakesAt: this.time + Math.max(0, milliseconds),
         order: (this.order += 1),
-        wake: resolve,
+        wake: () => {
+          signal?.removeEventListener('abort', cancel);
+          resolve();
+        },
       };
       insertSorted(this.sleepers, sleeper);
-      signal?.addEventListener('abort', () => this.cancel(sleeper), {
-        once: true,
-      });
+      signal?.addEventListener('abort', cancel, {once: true});
     });
   }
 
--- /dev/null
+++ b/packages/coordination/test/tools/placement-fleet.ts
@@ -0,0 +1,89 @@
+/** A small fleet for tests of placement. */
+
+import type {
+  CompletionEvent,
+  CompletionRunner,
+  CompletionRunnerParts,
+  RequestSpec,
+} from '../../src/index.js';
+import {ModelFleet} from '../../src/index.js';
+
+export const host = {name: 'host-1', failureDomain: 'a'};
+
+const request: RequestSpec = {
+  account: 'batinah',
+  service: 'targeted',
+  prompt: 'word '.repeat(400),
+  promptTokens: 400,
+  maximumTokens: 20,
+  timeoutMilliseconds: 20_000,
+};
+
+/** Two prefill engines (`p1`, `p2`) and two decode engines (`d1`, `d2`). */
+export function makeFleet(parts: Partial<CompletionRunnerParts> = {}) {
+  const fleet = new ModelFleet({
+    engines: [
+      {name: 'p1', role: 'prefill', failureDomain: 'a'},
+      {name: 'p2', role: 'prefill', failureDomain: 'b'},
+      {name: 'd1', role: 'decode', failureDomain: 'a'},
+      {name: 'd2', role: 'decode', failureDomain: 'b'},
+    ],
+    hosts: [host],
+    accounts: {batinah: 1, sohar: 1},
+    firstTokenMilliseconds: 1_500,
+    betweenTokensMilliseconds: 60,
+    domainDelayMilliseconds: 1.5,
+    seed: 1,
+  });
+  return {fleet, runner: fleet.makeRunner(host, parts)};
+}
+
+/** Starts a request and collects its events. */
+export function start(
+  fleet: ModelFleet,
+  runner: CompletionRunner,
+  spec: Partial<RequestSpec> = {},
+  caller = new AbortController(),
+) {
+  const events: CompletionEvent[] = [];
+  const asked = fleet.makeRequest({...request, ...spec});
+  const done = (async () => {
+    for await (const event of runner.run(asked, caller.signal))
+      events.push(event);
+  })();
+  return {events, done, request: asked};
+}
+
+/** True when every token came once, in order, and then the end. */
+export function isWhole(events: readonly CompletionEvent[], tokens = 20) {
+  const offsets = events.flatMap(event =>
+    event.kind === 'token' ? [event.offset] : [],
+  );
+  return (
+    events.length === tokens + 1 &&
+    events.at(-1)?.kind === 'finished' &&
+    offsets.every((offset, index) => offset === index)
+  );
+}
+
+export function heldTokens(fleet: ModelFleet): number {
+  let sum = 0;
+  for (const engine of fleet.engines.values()) sum += engine.heldTokens;
+  return sum;
+}
+
+/** Name of the engine that decodes now. */
+export function decodingEngine(fleet: ModelFleet): string {
+  for (const [name, engine] of fleet.engines)
+    for (const {state} of engine.running())
+      if (state === 'decoding') return name;
+  return 'none';
+}
+
+/** Name of the engine that prefills now. */
+export function prefillingEngine(fleet: ModelFleet): string {
+  for (const [name, engine] of fleet.engines)
+    for (const {state} of engine.running())
+      if (state === 'prefilling') return name;
+  return 'none';
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,6 +71,7 @@
     ready: watcher.ready,
     async close() {
       await callers.close();
+      await runner.close();
       await watcher.close();
       await services.close();
       await engines.close();
