--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,27 +61,33 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export type {OwnedAttempts} from './placement/attempt-cleaner.js';
+export {blocksOfWords} from './placement/cache-view.js';
+export type {PromptBlocks} from './placement/cache-view.js';
+export {deferrableShare, FairQueue} from './placement/fair-queue.js';
 export type {
-  ConfigurationOrigin,
-  ConfigurationPage,
-  PlatformError,
-  PlatformSource,
-} from './configuration/configuration-page.js';
-export {ConfigurationStore} from './configuration/configuration-store.js';
+  QueueBounds,
+  QueueItem,
+  ServiceClass,
+} from './placement/fair-queue.js';
 export type {
-  ConfigurationListener,
-  ConfigurationStoreParts,
-  PageOutcome,
-  RefusedVersion,
-} from './configuration/configuration-store.js';
-export {ConfigurationHandler} from './configuration/configuration-handler.js';
-export {ConfigurationDistributor} from './configuration/configuration-distributor.js';
-export type {ConfigurationDistributorParts} from './configuration/configuration-distributor.js';
-export type {DistributionTiming} from './configuration/distribution-timing.js';
+  PlacementPolicy,
+  SlotSharing,
+} from './placement/placement-policy.js';
 export {
-  findConfigurationWarnings,
-  findTransitionFaults,
-} from './configuration/advice.js';
-export {KeyGuard, KeyWithdrawnError} from './configuration/key-guard.js';
-export type {GuardedRequest} from './configuration/key-guard.js';
-export {liveUpstreams} from './configuration/live-upstreams.js';
+  defaultModelEngineOptions,
+  ModelEngine,
+} from './simulation/model-engine.js';
+export type {
+  EngineFault,
+  ModelEngineOptions,
+} from './simulation/model-engine.js';
+export {connectEngine} from './simulation/model-engine-connection.js';
+export type {EngineRoute} from './simulation/model-engine-connection.js';
+export {ModelFleet} from './simulation/model-fleet.js';
+export type {
+  EngineSpec,
+  FleetSpec,
+  HostSpec,
+  RequestSpec,
+} from './simulation/model-fleet.js';
