Carry requests between hosts over gRPC

One unary method with mutual TLS. Senders are checked by membership, certificate and incarnation; calls are bounded by deadline, number and size. Retries of idempotent areas share a budget.

--- /dev/null
+++ b/packages/daemon/src/peers/index.ts
@@ -0,0 +1,15 @@
+/** Connections between hosts. */
+
+export {GrpcPeerTransport} from './grpc-peer-transport.js';
+export type {
+  GrpcPeerTransportOptions,
+  SeedReply,
+} from './grpc-peer-transport.js';
+export {IncarnationRegister} from './incarnation-register.js';
+export {maximumPeerMessageBytes} from './peer-method.js';
+export {loadPeerSecurity} from './peer-security.js';
+export type {PeerSecurity} from './peer-security.js';
+export {PeerServer} from './peer-server.js';
+export type {PeerArea, PeerHandlers, PeerServerOptions} from './peer-server.js';
+export {RetryBudget, withRetries} from './retries.js';
+export type {RetryOptions} from './retries.js';
--- /dev/null
+++ b/packages/daemon/src/peers/peer-channel.ts
@@ -0,0 +1,128 @@
+/** One connection to a peer. */
+
+import {Client, Metadata, connectivityState, status} from '@grpc/grpc-js';
+import type {ChannelOptions, ServiceError} from '@grpc/grpc-js';
+import type {HostId, PeerReply, PeerRequest} from '@persimmonwick/coordination';
+import {Result} from 'true-myth';
+import {exchangeMethod, maximumPeerMessageBytes} from './peer-method.js';
+import type {PeerSecurity} from './peer-security.js';
+import {channelCredentialsOf} from './peer-security.js';
+
+/** Why a channel gave no reply. */
+export type ChannelError = 'unreachable' | 'timeout' | 'malformed';
+
+const channelOptions: ChannelOptions = {
+  'grpc.max_receive_message_length': maximumPeerMessageBytes,
+  'grpc.max_send_message_length': maximumPeerMessageBytes,
+  'grpc.enable_retries': 0,
+  // A shared pool would hand a dropped connection to the next channel.
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1000,
+  'grpc.keepalive_time_ms': 10_000,
+  'grpc.keepalive_timeout_ms': 2000,
+  'grpc.enable_http_proxy': 0,
+  // IP numbers are not allowed as TLS server names.
+  'grpc.ssl_target_name_override': 'peer.persimmonwick',
+};
+
+export class PeerChannel {
+  private readonly client: Client;
+  private shownName: HostId | undefined;
+  /** Calls that wait for their replies. */
+  outstanding = 0;
+
+  /** Without `host`, any host of the fleet may answer at `address`. */
+  constructor(
+    readonly address: string,
+    security: PeerSecurity,
+    host?: HostId,
+  ) {
+    const credentials = channelCredentialsOf(security, commonName => {
+      this.shownName = commonName;
+      return host === undefined || commonName === host;
+    });
+    this.client = new Client(address, credentials, channelOptions);
+  }
+
+  /** Common name of the peer's certificate; undefined without TLS. */
+  get certifiedHost(): HostId | undefined {
+    return this.shownName;
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  /** Sends `request` once and waits until `deadline` on the wall clock. */
+  async exchange(
+    request: PeerRequest,
+    deadline: number,
+  ): Promise<Result<PeerReply, ChannelError>> {
+    this.outstanding += 1;
+    try {
+      // Nothing is sent before the channel is ready, so a failure up to here
+      // proves that the peer has not seen the request.
+      const isConnected = await this.connect(deadline);
+      if (!isConnected) return Result.err('unreachable');
+      return await this.call(request, deadline);
+    } finally {
+      this.outstanding -= 1;
+    }
+  }
+
+  private async connect(deadline: number): Promise<boolean> {
+    const channel = this.client.getChannel();
+    for (;;) {
+      const state = channel.getConnectivityState(true);
+      switch (state) {
+        case connectivityState.READY:
+          return true;
+        case connectivityState.TRANSIENT_FAILURE:
+        case connectivityState.SHUTDOWN:
+          return false;
+        case connectivityState.IDLE:
+        case connectivityState.CONNECTING: {
+          const error = await new Promise<Error | undefined>(resolve =>
+            channel.watchConnectivityState(state, deadline, resolve),
+          );
+          if (error != null) return false;
+        }
+      }
+    }
+  }
+
+  private call(
+    request: PeerRequest,
+    deadline: number,
+  ): Promise<Result<PeerReply, ChannelError>> {
+    return new Promise(resolve => {
+      this.client.makeUnaryRequest(
+        exchangeMethod.path,
+        exchangeMethod.requestSerialize,
+        exchangeMethod.responseDeserialize,
+        request,
+        new Metadata(),
+        {deadline},
+        (error, reply) =>
+          resolve(
+            error === null && reply !== undefined
+              ? Result.ok(reply)
+              : Result.err(errorOf(error)),
+          ),
+      );
+    });
+  }
+}
+
+/** The call went out, so the peer may have acted whatever the status says. */
+function errorOf(error: ServiceError | null): ChannelError {
+  switch (error?.code) {
+    case status.DEADLINE_EXCEEDED:
+    case status.UNAVAILABLE:
+    case status.CANCELLED:
+      return 'timeout';
+    default:
+      return 'malformed';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peer-security.ts
@@ -0,0 +1,113 @@
+/** Certificates of the connections between hosts. */
+
+import {X509Certificate} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {ServerCredentials, credentials} from '@grpc/grpc-js';
+import type {ChannelCredentials} from '@grpc/grpc-js';
+import type {
+  CompleteSettings,
+  HostId,
+  SettingsFault,
+} from '@persimmonwick/coordination';
+import {hostId} from '@persimmonwick/coordination';
+import {Result} from 'true-myth';
+
+/** How connections between hosts are secured, with the files read. */
+export type PeerSecurity =
+  | {readonly kind: 'plain'}
+  | {
+      readonly kind: 'mutual-tls';
+      readonly certificate: Buffer;
+      readonly key: Buffer;
+      readonly authority: Buffer;
+    };
+
+/** Reads the files that the settings name and checks the own certificate. */
+export function loadPeerSecurity(
+  settings: Pick<CompleteSettings, 'host' | 'peerSecurity'>,
+): Result<PeerSecurity, SettingsFault[]> {
+  const {peerSecurity} = settings;
+  if (peerSecurity.kind === 'plain') return Result.ok({kind: 'plain'});
+  const faults: SettingsFault[] = [];
+  const read = (field: 'certificateFile' | 'keyFile' | 'authorityFile') => {
+    try {
+      return readFileSync(peerSecurity[field]);
+    } catch (error) {
+      const reason = (error as NodeJS.ErrnoException).code ?? 'unreadable';
+      faults.push({
+        path: `/peerSecurity/${field}`,
+        value: `${peerSecurity[field]}: ${reason}`,
+        expected: 'a readable PEM file',
+      });
+      return Buffer.alloc(0);
+    }
+  };
+  const certificate = read('certificateFile');
+  const key = read('keyFile');
+  const authority = read('authorityFile');
+  if (faults.length === 0)
+    faults.push(...findCertificateFaults(certificate, settings.host));
+  return faults.length > 0
+    ? Result.err(faults)
+    : Result.ok({kind: 'mutual-tls', certificate, key, authority});
+}
+
+function findCertificateFaults(
+  certificate: Buffer,
+  host: string,
+): SettingsFault[] {
+  const path = '/peerSecurity/certificateFile';
+  try {
+    const {subject} = new X509Certificate(certificate);
+    if (commonNameOf(subject) === host) return [];
+    return [
+      {
+        path,
+        value: subject,
+        expected: `a certificate with common name ${host}`,
+      },
+    ];
+  } catch {
+    return [{path, value: 'unreadable', expected: 'a certificate in PEM'}];
+  }
+}
+
+function commonNameOf(subject: string): string | undefined {
+  return /^CN=(.+)$/m.exec(subject)?.[1];
+}
+
+/** Credentials of the listening side; callers must show a certificate. */
+export function serverCredentialsOf(security: PeerSecurity): ServerCredentials {
+  if (security.kind === 'plain') return ServerCredentials.createInsecure();
+  const {authority, certificate, key} = security;
+  return ServerCredentials.createSsl(
+    authority,
+    [{cert_chain: certificate, private_key: key}],
+    true,
+  );
+}
+
+/**
+ * Credentials of the calling side. Peers are addressed by IP numbers, so the
+ * certificate is checked for the host id instead of the address.
+ */
+export function channelCredentialsOf(
+  security: PeerSecurity,
+  isExpected: (commonName: HostId) => boolean,
+): ChannelCredentials {
+  if (security.kind === 'plain') return credentials.createInsecure();
+  const {authority, certificate, key} = security;
+  return credentials.createSsl(authority, key, certificate, {
+    checkServerIdentity: (_name, shown) =>
+      isExpected(hostId(String(shown.subject.CN)))
+        ? undefined
+        : new PeerCertificateError(String(shown.subject.CN)),
+  });
+}
+
+/** A peer showed the certificate of another host. */
+export class PeerCertificateError extends Error {
+  constructor(readonly commonName: string) {
+    super(`unexpected certificate of ${commonName}`);
+  }
+}
