--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -17,6 +17,8 @@
   | 'idempotency-key-in-use'
   | 'claim-unavailable'
   | 'body-too-large'
+  | 'headers-too-large'
+  | 'request-timeout'
   | 'rate-exceeded'
   | 'queue-full'
   | 'target-unreachable'
@@ -56,8 +58,12 @@
     case 'idempotency-key-reused':
     case 'idempotency-key-in-use':
       return 409;
+    case 'request-timeout':
+      return 408;
     case 'body-too-large':
       return 413;
+    case 'headers-too-large':
+      return 431;
     case 'rate-exceeded':
       return 429;
     case 'caller-gone':
--- a/packages/daemon/src/callers/call-context.ts
+++ b/packages/daemon/src/callers/call-context.ts
@@ -1,8 +1,8 @@
-/** What one call of a caller carries from start to end. */
+/** What is read from the head of a call. */
 
 import type {RequestId} from '@persimmonwick/coordination';
 import {requestId} from '@persimmonwick/coordination';
-import type {FastifyReply, FastifyRequest} from 'fastify';
+import type {FastifyRequest} from 'fastify';
 import {v4 as makeUuid} from 'uuid';
 
 const requestIdPattern = /^[A-Za-z0-9._-]{1,128}$/;
@@ -22,12 +22,3 @@
       index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === name,
   );
 }
-
-/** A signal that is aborted when the caller goes before its answer ends. */
-export function callerSignal(reply: FastifyReply): AbortSignal {
-  const controller = new AbortController();
-  reply.raw.on('close', () => {
-    if (!reply.raw.writableFinished) controller.abort();
-  });
-  return controller.signal;
-}
--- /dev/null
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -0,0 +1,56 @@
+/** Hooks that every call passes before and after its controller. */
+
+import type {RequestFailure} from '@persimmonwick/coordination';
+import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {DaemonParts} from '../daemon-parts.js';
+import {requestIdOf} from './call-context.js';
+import {CallRecord} from './call-record.js';
+import {sendFailure} from './failure-reply.js';
+
+const drainingFailure: RequestFailure = {
+  code: 'draining',
+  message: 'the host is stopping; send the request to another one',
+  ran: 'not-run',
+  retryAfterMilliseconds: 1000,
+};
+
+const notReadyFailure: RequestFailure = {
+  code: 'not-ready',
+  message: 'the host has no configuration yet',
+  ran: 'not-run',
+  retryAfterMilliseconds: 1000,
+};
+
+/** Gives each call its record and turns calls away that can't be taken. */
+export function addCallHooks(
+  fastify: FastifyInstance,
+  parts: DaemonParts,
+): void {
+  fastify.decorateRequest('callRecord', null);
+  fastify.addHook('onRequest', async (request, reply) => {
+    const record = startRecord(request, reply, parts);
+    if (parts.gate.isDraining) return sendFailure(reply, drainingFailure);
+    if (parts.configuration().version === 0n)
+      return sendFailure(reply, notReadyFailure);
+    parts.gate.enter(record);
+    return undefined;
+  });
+  fastify.addHook('onSend', async (_request, reply) => {
+    if (parts.gate.isDraining) reply.header('connection', 'close');
+  });
+}
+
+function startRecord(
+  request: FastifyRequest,
+  reply: FastifyReply,
+  parts: DaemonParts,
+): CallRecord {
+  const record = new CallRecord(requestIdOf(request), reply, parts);
+  request.callRecord = record;
+  reply.header('x-request-id', record.request);
+  reply.raw.once('close', () => {
+    record.close();
+    parts.gate.leave(record);
+  });
+  return record;
+}
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -6,17 +6,20 @@
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {NestFastifyApplication} from '@nestjs/platform-fastify';
 import type {CompleteSettings} from '@persimmonwick/coordination';
+import type {FastifyError, FastifyReply, FastifyRequest} from 'fastify';
 import {daemonPartsToken} from '../daemon-parts.js';
 import type {DaemonParts} from '../daemon-parts.js';
+import {listenOn} from '../listen.js';
+import type {RunningServer} from '../listen.js';
+import {addCallHooks} from './call-hooks.js';
+import {answerClientError} from './client-error.js';
 import {CompletionsController} from './completions.controller.js';
+import {FailureFilter, frameworkFailure} from './failure-filter.js';
+import {sendFailure} from './failure-reply.js';
 import {ServicesController} from './services.controller.js';
 
-/** A server that listens. */
-export interface RunningServer {
-  /** IP address and port, as `127.0.0.1:8080`. */
-  readonly address: string;
-  close(): Promise<void>;
-}
+const keepAliveMilliseconds = 72_000;
+const slowSenderCheckMilliseconds = 1000;
 
 /** Starts the server towards callers. */
 export async function startCallerServer(
@@ -29,33 +32,45 @@
   })
   class CallerModule {}
 
-  const adapter = new FastifyAdapter({
-    bodyLimit: settings.limits.bodyBytes,
-    requestTimeout: settings.limits.slowSenderMilliseconds,
-    http: {maxHeaderSize: settings.limits.headerBytes},
-  });
+  const adapter = createAdapter(settings.limits);
   const application = await NestFactory.create<NestFastifyApplication>(
     CallerModule,
     adapter,
     {bodyParser: false, logger: false},
   );
+  application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
+  addCallHooks(fastify, parts);
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser('*', {parseAs: 'buffer'}, (_r, body, done) =>
     done(null, body),
   );
-  return listenOn(application, settings.listen.callers);
+  return listenOn(application, settings.listen.callers, '/listen/callers');
 }
 
-/** Listens on `address` and closes the application with the server. */
-export async function listenOn(
-  application: NestFastifyApplication,
-  address: string,
-): Promise<RunningServer> {
-  const [host, port] = address.split(':') as [string, string];
-  await application.listen(Number(port), host);
-  return {
-    address: new URL(await application.getUrl()).host,
-    close: () => application.close(),
-  };
+function createAdapter(limits: CompleteSettings['limits']): FastifyAdapter {
+  const {slowSenderMilliseconds} = limits;
+  return new FastifyAdapter({
+    bodyLimit: limits.bodyBytes,
+    requestTimeout: slowSenderMilliseconds,
+    keepAliveTimeout: keepAliveMilliseconds,
+    return503OnClosing: false,
+    clientErrorHandler: answerClientError,
+    frameworkErrors: (
+      error: FastifyError,
+      _request: FastifyRequest,
+      reply: FastifyReply,
+    ) => {
+      void sendFailure(reply, frameworkFailure(error));
+    },
+    http: {
+      maxHeaderSize: limits.headerBytes,
+      requestTimeout: slowSenderMilliseconds,
+      headersTimeout: slowSenderMilliseconds,
+      connectionsCheckingInterval: Math.min(
+        slowSenderCheckMilliseconds,
+        slowSenderMilliseconds,
+      ),
+    },
+  });
 }
--- /dev/null
+++ b/packages/daemon/src/callers/client-error.ts
@@ -0,0 +1,52 @@
+/** Answers to what the HTTP parser refuses before a call exists. */
+
+import {STATUS_CODES} from 'node:http';
+import type {Socket} from 'node:net';
+import type {RequestFailure} from '@persimmonwick/coordination';
+import {statusOf} from '@persimmonwick/coordination';
+import {failureBody, runStateHeader} from './failure-reply.js';
+
+/** Writes a failure to a connection that has no reply object, and ends it. */
+export function answerClientError(
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const failure = clientFailure(error.code);
+  const status = statusOf(failure.code);
+  const body = JSON.stringify(failureBody(failure));
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
+    'connection: close',
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `${runStateHeader}: ${failure.ran}`,
+  ];
+  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy());
+}
+
+function clientFailure(code: string | undefined): RequestFailure {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return {
+        code: 'headers-too-large',
+        message: 'the headers are larger than this host takes',
+        ran: 'not-run',
+      };
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return {
+        code: 'request-timeout',
+        message: 'the request did not arrive in time',
+        ran: 'not-run',
+      };
+    default:
+      return {
+        code: 'invalid-request',
+        message: 'the request is not well-formed HTTP',
+        ran: 'not-run',
+      };
+  }
+}
--- a/packages/daemon/src/callers/completion-answer.ts
+++ b/packages/daemon/src/callers/completion-answer.ts
@@ -6,6 +6,7 @@
   CompletionRequest,
 } from '@persimmonwick/coordination';
 import type {FastifyReply} from 'fastify';
+import type {CallRecord} from './call-record.js';
 import {failureBody, runStateHeader, sendFailure} from './failure-reply.js';
 
 type FinishedEvent = Extract<CompletionEvent, {kind: 'finished'}>;
@@ -39,14 +40,17 @@
   reply: FastifyReply,
   request: CompletionRequest,
   events: AsyncIterable<CompletionEvent>,
+  call: CallRecord,
 ) {
   for await (const event of events) {
     if (!reply.raw.headersSent) {
       if (event.kind === 'failed') return sendFailure(reply, event.failure);
       startStream(reply);
     }
-    await writeEvent(reply, describeEvent(request, event));
-    if (event.kind === 'finished') await writeEvent(reply, '[DONE]');
+    const data = describeEvent(request, event, call);
+    await writeEvent(reply, data, call.signal);
+    if (event.kind === 'finished')
+      await writeEvent(reply, '[DONE]', call.signal);
   }
   if (reply.raw.headersSent) reply.raw.end();
   return reply;
@@ -62,22 +66,27 @@
   });
 }
 
-async function writeEvent(reply: FastifyReply, data: string): Promise<void> {
+async function writeEvent(
+  reply: FastifyReply,
+  data: string,
+  interrupted: AbortSignal,
+): Promise<void> {
   if (reply.raw.destroyed) return;
   if (reply.raw.write(`data: ${data}\n\n`)) return;
-  // The engine is read no further until the caller has caught up.
-  const settled = new AbortController();
-  const {signal} = settled;
-  await Promise.race([
-    once(reply.raw, 'drain', {signal}),
-    once(reply.raw, 'close', {signal}),
-  ]);
-  settled.abort();
+  // The engine is read no further until the caller has caught up. A reply that
+  // closes interrupts its call.
+  if (interrupted.aborted) return;
+  try {
+    await once(reply.raw, 'drain', {signal: interrupted});
+  } catch {
+    // The call was interrupted; its next event says why.
+  }
 }
 
 function describeEvent(
   request: CompletionRequest,
   event: CompletionEvent,
+  call: CallRecord,
 ): string {
   switch (event.kind) {
     case 'token':
@@ -88,7 +97,7 @@
         usage: usageOf(event),
       });
     case 'failed':
-      return JSON.stringify(failureBody(event.failure));
+      return JSON.stringify(failureBody(call.fail(event.failure)));
   }
 }
 
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -6,17 +6,15 @@
   AccountId,
   ChatRequest,
   CompletionRequest,
-  Configuration,
-  RequestFailure,
   RequestId,
   Route,
 } from '@persimmonwick/coordination';
 import type {FastifyReply, FastifyRequest} from 'fastify';
-import {Result} from 'true-myth';
 import {daemonPartsToken} from '../daemon-parts.js';
 import type {DaemonParts} from '../daemon-parts.js';
 import {authenticate, mayUseRoute, routeRefusal} from './authenticate.js';
-import {callerSignal, headerValues, requestIdOf} from './call-context.js';
+import {headerValues} from './call-context.js';
+import {callRecordOf} from './call-record.js';
 import {
   estimateTokens,
   maximumTokensOf,
@@ -24,7 +22,9 @@
   promptOf,
 } from './chat-request.js';
 import {sendFailure} from './failure-reply.js';
+import {findModelRoute} from './find-route.js';
 import {sendStreamedAnswer, sendWholeAnswer} from './completion-answer.js';
+import {observeTokens} from './observe-tokens.js';
 
 @Controller('v1')
 export class CompletionsController {
@@ -59,8 +59,7 @@
 
   @Post('chat/completions')
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
-    const id = requestIdOf(request);
-    reply.header('x-request-id', id);
+    const call = callRecordOf(request);
     const configuration = this.parts.configuration();
     const account = authenticate(
       configuration,
@@ -75,15 +74,20 @@
       account.value,
     );
     if (route.isErr) return sendFailure(reply, route.error);
+    const owner = account.value ?? accountId('open');
+    call.assign(owner, route.value);
     const completion = this.describe(
-      id,
-      account.value ?? accountId('open'),
+      call.request,
+      owner,
       route.value,
       chat.value,
     );
-    const events = this.parts.runner.run(completion, callerSignal(reply));
+    const events = observeTokens(
+      this.parts.runner.run(completion, call.signal),
+      call.observation,
+    );
     return chat.value.stream === true
-      ? sendStreamedAnswer(reply, completion, events)
+      ? sendStreamedAnswer(reply, completion, events, call)
       : sendWholeAnswer(reply, completion, events);
   }
 
@@ -106,26 +110,3 @@
     };
   }
 }
-
-function findModelRoute(
-  configuration: Configuration,
-  model: string,
-  account: AccountId | undefined,
-): Result<Route, RequestFailure> {
-  const routes = configuration.routes.filter(
-    ({spec}) =>
-      spec.target.kind === 'model' && spec.target.models.includes(model),
-  );
-  const usable = routes.find(route =>
-    mayUseRoute(configuration, route, account),
-  );
-  if (usable !== undefined) return Result.ok(usable);
-  if (account === undefined) return Result.err(routeRefusal(account));
-  // A model that only other accounts may use is reported like a missing one,
-  // so that no account learns what the others have.
-  return Result.err({
-    code: 'model-not-found',
-    message: 'no route of the client account serves this model',
-    ran: 'not-run',
-  });
-}
--- a/packages/daemon/src/callers/failure-reply.ts
+++ b/packages/daemon/src/callers/failure-reply.ts
@@ -14,7 +14,8 @@
 }
 
 /** Answers a call with `failure`. */
-export function sendFailure(reply: FastifyReply, failure: RequestFailure) {
+export function sendFailure(reply: FastifyReply, cause: RequestFailure) {
+  const failure = reply.request.callRecord?.fail(cause) ?? cause;
   if (failure.retryAfterMilliseconds !== undefined)
     reply.header(
       'retry-after',
--- a/packages/daemon/src/daemon-parts.ts
+++ b/packages/daemon/src/daemon-parts.ts
@@ -5,8 +5,10 @@
   CompletionRunner,
   Configuration,
 } from '@persimmonwick/coordination';
+import type {RequestGate} from './callers/request-gate.js';
 import type {ServiceForwarder} from './callers/service-forwarder.js';
 import type {EventLog} from './log/logger.js';
+import type {RequestObserver} from './operators/request-observer.js';
 
 export interface DaemonParts {
   readonly clock: Clock;
@@ -14,6 +16,8 @@
   readonly configuration: () => Configuration;
   readonly runner: CompletionRunner;
   readonly services: ServiceForwarder;
+  readonly gate: RequestGate;
+  readonly observer: RequestObserver;
   readonly requestMilliseconds: number;
 }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,3 +6,8 @@
 export {hashKey} from './callers/authenticate.js';
 export {createEventLog, silentLog} from './log/logger.js';
 export type {EventLog} from './log/logger.js';
+export {StartError} from './start-error.js';
+export * from './peers/index.js';
+export type * from './operators/request-observer.js';
+export type {Explanation} from './operators/explain.js';
+export type {PeerStatus, UpstreamStatus} from './operators/operator-parts.js';
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -47,6 +47,12 @@
     text: 'the platform gave no usable answer',
     fields: ['address', 'reason'],
   },
+  peerRefused: {
+    number: 2101,
+    level: 'warn',
+    text: 'a request of another host is refused',
+    fields: ['peer', 'code'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,12 +2,15 @@
 /** The daemon's command line. */
 
 import process from 'node:process';
+import type {SettingsFault} from '@persimmonwick/coordination';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {startDaemon} from './daemon.js';
 import {loadSettings} from './load-settings.js';
 import {createEventLog} from './log/logger.js';
+import {StartError} from './start-error.js';
 
+const failureStatus = 1;
 const badSettingsStatus = 2;
 
 const options = await yargs(hideBin(process.argv))
@@ -18,17 +21,39 @@
     demandOption: true,
     describe: 'settings file in YAML',
   })
+  .epilogue(
+    'Exit status: 0 after a graceful stop, 1 after a second signal or an ' +
+      'internal error, 2 when the settings can not be used. SIGTERM or SIGINT ' +
+      'drains the host and then stops it; a second one stops it at once.',
+  )
   .strict()
   .parse();
 
 const settings = loadSettings(options.settings, process.env);
-if (settings.isErr) {
-  for (const {path, value, expected} of settings.error)
-    process.stderr.write(`${path}: got ${value}, expected ${expected}\n`);
-  process.exit(badSettingsStatus);
+if (settings.isErr) refuseSettings(settings.error);
+else await run(settings.value);
+
+async function run(value: Parameters<typeof startDaemon>[0]): Promise<void> {
+  try {
+    const daemon = await startDaemon(value, createEventLog(value.host));
+    let isStopping = false;
+    const stop = () => {
+      if (isStopping) process.exit(failureStatus);
+      isStopping = true;
+      void daemon.close();
+    };
+    for (const signal of ['SIGTERM', 'SIGINT'] as const)
+      process.on(signal, stop);
+  } catch (error) {
+    if (!(error instanceof StartError)) throw error;
+    refuseSettings(error.faults);
+  }
 }
 
-const log = createEventLog(settings.value.host);
-const daemon = await startDaemon(settings.value, log);
-for (const signal of ['SIGTERM', 'SIGINT'] as const)
-  process.once(signal, () => void daemon.close());
+function refuseSettings(faults: readonly SettingsFault[]): void {
+  for (const {path, value, expected} of faults)
+    process.stderr.write(
+      `${options.settings}: ${path}: got ${value}, expected ${expected}\n`,
+    );
+  process.exitCode = badSettingsStatus;
+}
--- /dev/null
+++ b/packages/daemon/src/operators/explain.ts
@@ -0,0 +1,146 @@
+/** Says which route and upstreams a request would get, and why not others. */
+
+import {matchesSelector, upstreamsOfPool} from '@persimmonwick/coordination';
+import type {
+  AccountId,
+  Configuration,
+  PoolDocument,
+  Route,
+  Selector,
+  Upstream,
+} from '@persimmonwick/coordination';
+import {mayUseRoute} from '../callers/authenticate.js';
+import {findModelRoute, findServiceRoute} from '../callers/find-route.js';
+
+/** What an explanation is asked for. */
+export type ExplainedTarget =
+  | {readonly kind: 'model'; readonly model: string}
+  | {readonly kind: 'path'; readonly path: string};
+
+/** What becomes of one upstream or route. */
+export interface ExplainedChoice {
+  readonly name: string;
+  readonly isUsable: boolean;
+  /** Why it is not used; empty when it is. */
+  readonly reasons: readonly string[];
+}
+
+/** An upstream with the pool that brought it up. */
+export interface ExplainedUpstream extends ExplainedChoice {
+  readonly pool: string;
+  readonly role: string;
+  readonly address: string;
+}
+
+/** The whole explanation. */
+export interface Explanation {
+  readonly account: string;
+  readonly version: string;
+  readonly route: string | undefined;
+  /** Code of the refusal when there is no route. */
+  readonly refusal: string | undefined;
+  readonly routes: readonly ExplainedChoice[];
+  readonly upstreams: readonly ExplainedUpstream[];
+}
+
+/** Explains what `account` gets; undefined stands for a call without key. */
+export function explainRequest(
+  configuration: Configuration,
+  account: AccountId | undefined,
+  target: ExplainedTarget,
+): Explanation {
+  const found =
+    target.kind === 'model'
+      ? findModelRoute(configuration, target.model, account)
+      : findServiceRoute(configuration, target.path, account);
+  const route = found.unwrapOr(undefined as Route | undefined);
+  return {
+    account: account ?? '',
+    version: configuration.version.toString(),
+    route: route?.name,
+    refusal: found.isErr ? found.error.code : undefined,
+    routes: configuration.routes.map(candidate =>
+      explainRoute(configuration, candidate, account, target, route),
+    ),
+    upstreams:
+      route === undefined ? [] : explainUpstreams(configuration, route, target),
+  };
+}
+
+function explainRoute(
+  configuration: Configuration,
+  candidate: Route,
+  account: AccountId | undefined,
+  target: ExplainedTarget,
+  chosen: Route | undefined,
+): ExplainedChoice {
+  const reasons: string[] = [];
+  if (!servesTarget(candidate, target))
+    reasons.push('does not serve what is asked for');
+  if (!mayUseRoute(configuration, candidate, account))
+    reasons.push('its selector does not match the labels of the account');
+  if (reasons.length === 0 && candidate !== chosen)
+    reasons.push('another route goes before it');
+  return {name: candidate.name, isUsable: reasons.length === 0, reasons};
+}
+
+function servesTarget(route: Route, target: ExplainedTarget): boolean {
+  const {spec} = route;
+  if (target.kind === 'model')
+    return (
+      spec.target.kind === 'model' && spec.target.models.includes(target.model)
+    );
+  if (spec.target.kind !== 'service') return false;
+  const prefix = spec.target.pathPrefix.replace(/\/$/, '');
+  const path = target.path.split('?')[0]!;
+  return path === prefix || path.startsWith(`${prefix}/`);
+}
+
+function explainUpstreams(
+  configuration: Configuration,
+  route: Route,
+  target: ExplainedTarget,
+): ExplainedUpstream[] {
+  return configuration.pools
+    .filter(pool => pool.spec.role in selectorsOf(route))
+    .flatMap(pool =>
+      upstreamsOfPool(configuration, pool).map(upstream =>
+        explainUpstream(route, pool, upstream, target),
+      ),
+    );
+}
+
+function explainUpstream(
+  route: Route,
+  pool: PoolDocument,
+  upstream: Upstream,
+  target: ExplainedTarget,
+): ExplainedUpstream {
+  const {role, model} = pool.spec;
+  const reasons: string[] = [];
+  if (!matchesSelector(selectorsOf(route)[role] ?? {}, pool.labels ?? {}))
+    reasons.push('the selector of the route does not match its pool');
+  if (target.kind === 'model' && model !== target.model)
+    reasons.push(`its pool serves ${model ?? 'no model'}`);
+  if (upstream.spec.state === 'leaving') reasons.push('it is leaving');
+  return {
+    name: upstream.name,
+    pool: pool.name,
+    role,
+    address: upstream.spec.address,
+    isUsable: reasons.length === 0,
+    reasons,
+  };
+}
+
+function selectorsOf(
+  route: Route,
+): Partial<Record<PoolDocument['spec']['role'], Selector>> {
+  const {target} = route.spec;
+  switch (target.kind) {
+    case 'model':
+      return {prefill: target.prefill, decode: target.decode};
+    case 'service':
+      return {service: target.services};
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -0,0 +1,139 @@
+/** Turns the reports of requests into statistics by account and class. */
+
+import type {
+  Clock,
+  FailureCode,
+  RequestFailure,
+} from '@persimmonwick/coordination';
+import {AccountTable} from './account-table.js';
+import type {AccountEntry} from './account-table.js';
+import type {
+  RequestObservation,
+  RequestObserver,
+  RequestSubject,
+} from './request-observer.js';
+import type {RequestStatistics} from './request-statistics.js';
+
+export class RequestMetrics implements RequestObserver {
+  private readonly table: AccountTable;
+  /** Calls that failed before their account and route were known. */
+  readonly earlyFailures = new Map<FailureCode, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    maximumAccounts?: number,
+  ) {
+    this.table = new AccountTable(clock, maximumAccounts);
+  }
+
+  observe(subject: RequestSubject, arrivedAt: number): RequestObservation {
+    const find = () =>
+      this.table.statisticsOf(subject.account, subject.serviceClass);
+    return new StatisticsObservation(subject, arrivedAt, this.clock, find);
+  }
+
+  refused({code}: RequestFailure): void {
+    this.earlyFailures.set(code, (this.earlyFailures.get(code) ?? 0) + 1);
+  }
+
+  entries(): Iterable<AccountEntry> {
+    return this.table.entries();
+  }
+}
+
+class StatisticsObservation implements RequestObservation {
+  private firstTokenAt: number | undefined;
+  private lastTokenAt = 0;
+  private laterTokens = 0;
+  private statistics: RequestStatistics;
+
+  constructor(
+    private readonly subject: RequestSubject,
+    private readonly arrivedAt: number,
+    private readonly clock: Clock,
+    private readonly findStatistics: () => RequestStatistics,
+  ) {
+    this.statistics = findStatistics();
+  }
+
+  dequeued(): void {
+    this.statistics.record('queueing', this.clock.now() - this.arrivedAt);
+  }
+
+  firstToken(): void {
+    const now = this.clock.now();
+    this.firstTokenAt = now;
+    this.lastTokenAt = now;
+    this.statistics.record('first-token', now - this.arrivedAt);
+  }
+
+  token(): void {
+    const now = this.clock.now();
+    this.statistics.record('between-tokens', now - this.lastTokenAt);
+    this.lastTokenAt = now;
+    this.laterTokens += 1;
+  }
+
+  prefillWasted(tokens: number): void {
+    this.statistics.wastedPrefillTokens += tokens;
+  }
+
+  finished(): void {
+    const statistics = this.findStatistics();
+    statistics.finished += 1;
+    if (this.isWithinTargets()) statistics.goodput += 1;
+    statistics.record('whole-request', this.clock.now() - this.arrivedAt);
+  }
+
+  failed(failure: RequestFailure, isInsideRate?: boolean): void {
+    const statistics = this.findStatistics();
+    statistics.countFailure(failure.code);
+    if (failure.ran !== 'not-run') return;
+    if (isInsideRate ?? isRefusedInsideRate(failure.code))
+      statistics.refusedInsideRate += 1;
+  }
+
+  /** The mean time between tokens is held against its target. */
+  private isWithinTargets(): boolean {
+    const {firstTokenMilliseconds, betweenTokensMilliseconds} = this.subject;
+    if (firstTokenMilliseconds === undefined) return true;
+    if (this.firstTokenAt === undefined) return false;
+    if (this.firstTokenAt - this.arrivedAt > firstTokenMilliseconds)
+      return false;
+    if (this.laterTokens === 0) return true;
+    const between = (this.lastTokenAt - this.firstTokenAt) / this.laterTokens;
+    return between <= (betweenTokensMilliseconds ?? Infinity);
+  }
+}
+
+/** True for refusals that the account's rate does not explain. */
+function isRefusedInsideRate(code: FailureCode): boolean {
+  switch (code) {
+    case 'queue-full':
+    case 'target-unreachable':
+    case 'no-upstream':
+    case 'claim-unavailable':
+    case 'draining':
+    case 'not-ready':
+    case 'upstream-failed':
+    case 'upstream-timeout':
+    case 'internal':
+      return true;
+    case 'invalid-request':
+    case 'missing-key':
+    case 'unknown-key':
+    case 'key-withdrawn':
+    case 'route-forbidden':
+    case 'route-not-found':
+    case 'model-not-found':
+    case 'idempotency-key-missing':
+    case 'idempotency-key-reused':
+    case 'idempotency-key-in-use':
+    case 'body-too-large':
+    case 'headers-too-large':
+    case 'request-timeout':
+    case 'rate-exceeded':
+    case 'caller-gone':
+      return false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -0,0 +1,93 @@
+/** Both directions of the connections between hosts. */
+
+import {PeerRefusal_Code, hostId} from '@persimmonwick/coordination';
+import type {
+  CompleteSettings,
+  Configuration,
+  HostId,
+  Member,
+  PeerIdentity,
+} from '@persimmonwick/coordination';
+import type {EventLog} from '../log/logger.js';
+import {StartError} from '../start-error.js';
+import {GrpcPeerTransport} from './grpc-peer-transport.js';
+import {IncarnationRegister} from './incarnation-register.js';
+import {PeerServer} from './peer-server.js';
+import type {PeerHandlers} from './peer-server.js';
+import type {PeerSecurity} from './peer-security.js';
+
+/** What the connections between hosts work with. */
+export interface PeerParts {
+  readonly settings: CompleteSettings;
+  readonly security: PeerSecurity;
+  readonly self: PeerIdentity;
+  readonly configuration: () => Configuration;
+  readonly log: EventLog;
+  readonly handlers: PeerHandlers;
+}
+
+/** Connections between hosts that are open. */
+export interface Peers {
+  readonly address: string;
+  readonly transport: GrpcPeerTransport;
+  readonly incarnations: IncarnationRegister;
+  close(): Promise<void>;
+}
+
+/** Listens for other hosts and makes the transport towards them. */
+export async function startPeers(parts: PeerParts): Promise<Peers> {
+  const {settings, security, self, configuration, log, handlers} = parts;
+  const incarnations = new IncarnationRegister();
+  const configurationVersion = () => configuration().version;
+  const memberOf = (host: HostId) => findMember(configuration(), host);
+  const server = new PeerServer({
+    address: settings.listen.peers,
+    security,
+    self,
+    handlers,
+    incarnations,
+    isKnownHost: host => memberOf(host) !== undefined,
+    configurationVersion,
+    onRefusal: (host, code) =>
+      log.write('peerRefused', {
+        peer: host.slice(0, maximumLoggedLength),
+        code: PeerRefusal_Code[code] ?? String(code),
+      }),
+  });
+  try {
+    await server.listen();
+  } catch (error) {
+    await server.close();
+    throw StartError.ofAddress('/listen/peers', settings.listen.peers, error);
+  }
+  const transport = new GrpcPeerTransport({
+    self,
+    security,
+    addressOf: host => memberOf(host)?.address,
+    incarnations,
+    configurationVersion,
+  });
+  return {
+    address: server.address,
+    transport,
+    incarnations,
+    async close() {
+      await transport.close();
+      await server.close();
+    },
+  };
+}
+
+const maximumLoggedLength = 64;
+
+/** The member of the present or the previous list. */
+function findMember(
+  {membership}: Configuration,
+  host: HostId,
+): Member | undefined {
+  if (membership === undefined) return undefined;
+  const {members, previousMembers = []} = membership.spec;
+  return [...members, ...previousMembers].find(
+    member => hostId(member.host) === host,
+  );
+}
--- a/packages/daemon/test/tools/run-daemon.ts
+++ b/packages/daemon/test/tools/run-daemon.ts
@@ -1,16 +1,18 @@
 /** A daemon in the test's own process, before a sample fleet of fakes. */
 
 import {parseSettings} from '@persimmonwick/coordination';
+import type {CompleteSettings} from '@persimmonwick/coordination';
 import {SampleFleet} from '@persimmonwick/standins';
 import type {FakeEngineOptions} from '@persimmonwick/standins';
 import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {silentLog, startDaemon} from '../../src/index.js';
-import type {Daemon} from '../../src/index.js';
+import type {Daemon, EventLog} from '../../src/index.js';
 
 export interface DaemonWithFleet {
   readonly fleet: SampleFleet;
   readonly daemon: Daemon;
+  readonly settings: CompleteSettings;
   call(
     path: string,
     options?: {
@@ -26,9 +28,16 @@
   }>;
 }
 
+/** Settings and log that a test changes. */
+export interface RunOptions {
+  readonly limits?: Partial<CompleteSettings['limits']>;
+  readonly log?: EventLog;
+}
+
 export async function runDaemon(
   t: ExecutionContext,
   options: Partial<FakeEngineOptions> = {},
+  {limits = {}, log = silentLog}: RunOptions = {},
 ): Promise<DaemonWithFleet> {
   const fleet = new SampleFleet(options);
   await fleet.start();
@@ -45,10 +54,11 @@
       watchTimeoutMilliseconds: 1000,
     },
     peerSecurity: {kind: 'plain'},
+    limits: {drainMilliseconds: 500, ...limits},
   }).unwrapOrElse(faults => {
     throw new TypeError(JSON.stringify(faults));
   });
-  const daemon = await startDaemon(settings, silentLog);
+  const daemon = await startDaemon(settings, log);
   t.teardown(async () => {
     await daemon.close();
     await fleet.close();
@@ -57,6 +67,7 @@
   return {
     fleet,
     daemon,
+    settings,
     async call(path, {method = 'GET', key, body, headers = {}} = {}) {
       const answer = await request(
         `http://${daemon.addresses.callers}${path}`,
