--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -85,3 +85,11 @@
 export {KeyGuard, KeyWithdrawnError} from './configuration/key-guard.js';
 export type {GuardedRequest} from './configuration/key-guard.js';
 export {liveUpstreams} from './configuration/live-upstreams.js';
+export {OwnedAttempts} from './ownership/owned-attempts.js';
+export {OwnershipHandler} from './ownership/ownership-handler.js';
+export {Sweeper} from './ownership/sweeper.js';
+export type {
+  SweeperParts,
+  SweepReason,
+  SweptEngine,
+} from './ownership/sweeper.js';
