--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -149,3 +149,11 @@
   HostSpec,
   RequestSpec,
 } from './simulation/model-fleet.js';
+export {OwnedAttempts} from './ownership/owned-attempts.js';
+export {OwnershipHandler} from './ownership/ownership-handler.js';
+export {Sweeper} from './ownership/sweeper.js';
+export type {
+  SweeperParts,
+  SweepReason,
+  SweptEngine,
+} from './ownership/sweeper.js';
