--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,3 +61,15 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export {Limiter} from './limits/limiter.js';
+export type {LimiterParts} from './limits/limiter.js';
+export {InvalidTokensError} from './limits/admission.js';
+export type {Admission, RateRefusal} from './limits/admission.js';
+export {TokenBucket} from './limits/token-bucket.js';
+export type {
+  BucketGrant,
+  BucketShare,
+  BucketStart,
+} from './limits/token-bucket.js';
+export {holderShares} from './limits/shares.js';
+export type {HolderShare} from './limits/shares.js';
--- /dev/null
+++ b/packages/coordination/src/limits/account-gate.ts
@@ -0,0 +1,204 @@
+/** Admits the requests of one account at one host, in their order. */
+
+import {Result} from 'true-myth';
+import type {Clock} from '../clock.js';
+import type {ClientAccountDocument} from '../generated/documents.js';
+import type {AccountState} from './account-state.js';
+import type {WaitingRequest} from './account-state.js';
+import {refusal} from './admission.js';
+import type {Admission, RateRefusal} from './admission.js';
+import {readInstant} from './borrowed-tokens.js';
+import type {BucketHolder} from './bucket-holder.js';
+import {ChargedAdmission} from './charged-admission.js';
+import {
+  returnAheadMilliseconds,
+  returnIntervalMilliseconds,
+} from './constants.js';
+import type {GrantCollector} from './grant-collector.js';
+import type {TokenBucket} from './token-bucket.js';
+
+/** Part of the tokens borrowed lately that is asked for ahead. */
+const spareFraction = 0.3;
+
+/** Makes a request of the whole burst fit shares that were rounded. */
+const roundingFactor = 1 - 1e-12;
+
+/** What the gates of one host share. */
+export interface AccountGateParts {
+  readonly clock: Clock;
+  readonly holder: BucketHolder;
+  readonly collector: GrantCollector;
+  /** The account as configured now. */
+  readonly documentOf: (
+    state: AccountState,
+  ) => ClientAccountDocument | undefined;
+  readonly ended: AbortSignal;
+}
+
+/** The gate of one account. */
+export class AccountGate {
+  private waiting: WaitingRequest[] = [];
+  private isServing = false;
+  private isReturning = false;
+
+  constructor(
+    readonly state: AccountState,
+    private readonly parts: AccountGateParts,
+  ) {}
+
+  /** True when nothing waits and nothing is borrowed. */
+  get isIdle(): boolean {
+    return !this.isServing && this.state.borrowed.isEmpty;
+  }
+
+  admit(
+    tokens: number,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Admission, RateRefusal>> {
+    this.state.usedAt = this.parts.clock.now();
+    if (!this.isServing) {
+      const admission = this.chargeAtHand(tokens);
+      if (admission !== undefined) return Promise.resolve(Result.ok(admission));
+    }
+    return this.wait(tokens, signal);
+  }
+
+  /** Gives back all that is borrowed and not used. */
+  giveBackAll(): void {
+    this.giveBackExpiring(Infinity);
+  }
+
+  /** Refuses all that waits and gives back all that is borrowed. */
+  close(): void {
+    for (const waiting of this.waiting.splice(0))
+      waiting.answer(Result.err(refusal('closed')));
+    this.giveBackAll();
+  }
+
+  /** Charges own and borrowed tokens, the whole of `tokens` or nothing. */
+  private chargeAtHand(tokens: number): Admission | undefined {
+    // One reading for all, so that nothing expires between look and charge.
+    const at = readInstant(this.parts.clock);
+    const {borrowed} = this.state;
+    const bucket = this.ownBucket();
+    const borrowedTokens = borrowed.available(at);
+    const ownTokens = bucket?.available(at.now) ?? 0;
+    if (borrowedTokens + ownTokens < tokens * roundingFactor) return undefined;
+    const borrowedParts = borrowed.take(tokens, at);
+    const missing = Math.max(0, tokens - borrowedTokens);
+    const charge = bucket?.charge(missing, at.now);
+    return new ChargedAdmission(tokens, borrowedParts, {
+      ownTokens: charge?.tokens ?? 0,
+      refundOwn: unused =>
+        bucket!.refund(charge!.mark, unused, this.parts.clock.now()),
+      giveBack: ({grant}, unused) =>
+        this.parts.collector.giveBack(this.state.account, grant, unused),
+    });
+  }
+
+  private wait(
+    tokens: number,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Admission, RateRefusal>> {
+    return new Promise(resolve => {
+      const waiting: WaitingRequest = {
+        tokens,
+        isAnswered: false,
+        answer: result => {
+          if (waiting.isAnswered) return;
+          waiting.isAnswered = true;
+          signal?.removeEventListener('abort', cancel);
+          resolve(result);
+        },
+      };
+      const cancel = () => waiting.answer(Result.err(refusal('cancelled')));
+      signal?.addEventListener('abort', cancel, {once: true});
+      this.waiting.push(waiting);
+      if (!this.isServing) void this.serve();
+    });
+  }
+
+  private async serve(): Promise<void> {
+    this.isServing = true;
+    while (this.waiting.length > 0) {
+      const batch = this.waiting;
+      this.waiting = [];
+      await this.collectFor(batch.filter(waiting => !waiting.isAnswered));
+      for (const waiting of batch) this.decide(waiting);
+    }
+    this.isServing = false;
+    if (!this.state.borrowed.isEmpty && !this.isReturning)
+      await this.returnInTime();
+  }
+
+  private async collectFor(batch: readonly WaitingRequest[]): Promise<void> {
+    const {collector, ended} = this.parts;
+    const {state} = this;
+    const now = this.parts.clock.now();
+    const atHand = this.tokensAtHand();
+    const needed = batch.reduce((sum, waiting) => sum + waiting.tokens, 0);
+    const missing = needed - atHand;
+    if (missing <= 0 || ended.aborted) return;
+    const spare = state.recentlyBorrowed(now) * spareFraction;
+    state.countBorrowed(missing, now);
+    await collector.collect(state, missing, spare);
+  }
+
+  private decide(waiting: WaitingRequest): void {
+    if (waiting.isAnswered) return;
+    const document = this.parts.documentOf(this.state);
+    if (this.parts.ended.aborted) {
+      waiting.answer(Result.err(refusal('closed')));
+    } else if (document === undefined) {
+      waiting.answer(Result.err(refusal('unknown-account')));
+    } else if (waiting.tokens > document.spec.burstTokens) {
+      waiting.answer(Result.err(refusal('larger-than-burst')));
+    } else {
+      const admission = this.chargeAtHand(waiting.tokens);
+      if (admission === undefined) this.refuse(waiting, document);
+      else waiting.answer(Result.ok(admission));
+    }
+  }
+
+  /** What was collected in vain goes back at once. */
+  private refuse(
+    waiting: WaitingRequest,
+    document: ClientAccountDocument,
+  ): void {
+    const atHand = this.tokensAtHand();
+    const rate = document.spec.rateTokensPerSecond * this.state.totalFraction;
+    const retryAfterMilliseconds =
+      rate > 0 ? Math.ceil(((waiting.tokens - atHand) / rate) * 1_000) : 0;
+    if (this.waiting.length === 0) this.giveBackAll();
+    waiting.answer(
+      Result.err({reason: 'rate-exceeded', retryAfterMilliseconds}),
+    );
+  }
+
+  private tokensAtHand(): number {
+    const at = readInstant(this.parts.clock);
+    const ownTokens = this.ownBucket()?.available(at.now) ?? 0;
+    return ownTokens + this.state.borrowed.available(at);
+  }
+
+  private ownBucket(): TokenBucket | undefined {
+    if (!this.state.isOwnHolder) return undefined;
+    return this.parts.holder.bucketOf(this.state.account);
+  }
+
+  /** Gives grants back before they expire, until none is left. */
+  private async returnInTime(): Promise<void> {
+    const {clock, ended} = this.parts;
+    this.isReturning = true;
+    while (!this.state.borrowed.isEmpty && !ended.aborted) {
+      await clock.sleep(returnIntervalMilliseconds, ended);
+      this.giveBackExpiring(clock.now() + returnAheadMilliseconds);
+    }
+    this.isReturning = false;
+  }
+
+  private giveBackExpiring(time: number): void {
+    for (const grant of this.state.borrowed.removeExpiring(time))
+      this.parts.collector.giveBack(this.state.account, grant, grant.tokens);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/limits/account-state.ts
@@ -0,0 +1,69 @@
+/** What a host remembers of an account while the account is in use here. */
+
+import type {Result} from 'true-myth';
+import type {AccountId, FailureDomainId, HostId} from '../ids.js';
+import type {Admission, RateRefusal} from './admission.js';
+import {BorrowedTokens} from './borrowed-tokens.js';
+import type {HolderShare} from './shares.js';
+
+/** A request that waits for tokens. */
+export interface WaitingRequest {
+  readonly tokens: number;
+  /** Only the first answer counts. */
+  readonly answer: (result: Result<Admission, RateRefusal>) => void;
+  isAnswered: boolean;
+}
+
+/** A holder as the borrower knows it. */
+export interface KnownHolder {
+  readonly host: HostId;
+  readonly isNear: boolean;
+  notAskedBefore: number;
+}
+
+/** The shares of one account and what it borrowed. */
+export class AccountState {
+  readonly borrowed = new BorrowedTokens();
+  holders: readonly KnownHolder[] = [];
+  isOwnHolder = false;
+  totalFraction = 0;
+  /** Grows when the shares or the account change. */
+  generation = 0;
+  usedAt = 0;
+  private flowTokens = 0;
+  private flowSince = 0;
+
+  constructor(readonly account: AccountId) {}
+
+  /** Takes on who holds the account. */
+  setShares(
+    shares: readonly HolderShare[],
+    self: HostId,
+    nearDomain: FailureDomainId,
+  ): void {
+    this.generation += 1;
+    this.isOwnHolder = shares.some(share => share.host === self);
+    this.totalFraction = shares.reduce((sum, share) => sum + share.fraction, 0);
+    this.holders = shares
+      .filter(share => share.host !== self)
+      .map(share => ({
+        host: share.host,
+        isNear: share.failureDomain === nearDomain,
+        notAskedBefore: -Infinity,
+      }));
+  }
+
+  /** Counts tokens that had to be borrowed. */
+  countBorrowed(tokens: number, now: number): void {
+    this.flowTokens = this.recentlyBorrowed(now) + tokens;
+    this.flowSince = now;
+  }
+
+  /** Tokens borrowed lately, with older ones counted less. */
+  recentlyBorrowed(now: number): number {
+    const age = now - this.flowSince;
+    return this.flowTokens * Math.exp(-age / flowMemoryMilliseconds);
+  }
+}
+
+const flowMemoryMilliseconds = 500;
--- /dev/null
+++ b/packages/coordination/src/limits/constants.ts
@@ -0,0 +1,47 @@
+/** Times and sizes that the hosts of a fleet share for limits. */
+
+/** Holders of each client account in each failure domain. */
+export const defaultHoldersPerDomain = 3;
+
+/** How long a borrower uses a grant, counted from before it asked. */
+export const grantLifetimeMilliseconds = 250;
+
+/** Longest lifetime that a holder accepts. */
+export const maximumLifetimeMilliseconds = 1_000;
+
+/** How long a holder remembers a grant so that unused tokens can come back. */
+export const grantMemoryMilliseconds = 120_000;
+
+/** Longest wait for one answer of a holder. */
+export const exchangeTimeoutMilliseconds = 30;
+
+/** Longest time spent on collecting grants for waiting requests. */
+export const collectTimeoutMilliseconds = 80;
+
+/** How long a holder that gave no answer is not asked. */
+export const suspectMilliseconds = 1_000;
+
+/** How long a holder that had too little is not asked. */
+export const exhaustedMilliseconds = 5;
+
+/** Time between two looks for grants that are about to expire. */
+export const returnIntervalMilliseconds = 50;
+
+/** Time between two rounds of upkeep. */
+export const upkeepMilliseconds = 2_000;
+
+/** Time before its expiry at which a grant is given back. */
+export const returnAheadMilliseconds = 100;
+
+/** How long an account must be unused before its memory is released. */
+export const idleMilliseconds = 10_000;
+
+/** Time that a holder counts a grant: longer than its borrower does. */
+export function holdingMilliseconds(lifetimeMilliseconds: number): number {
+  return lifetimeMilliseconds * 1.25 + 25;
+}
+
+/** Longest time that a holder counts any grant. */
+export const maximumHoldingMilliseconds = holdingMilliseconds(
+  maximumLifetimeMilliseconds,
+);
--- /dev/null
+++ b/packages/coordination/src/limits/peak-history.ts
@@ -0,0 +1,79 @@
+/**
+ * Highest totals of a bucket since earlier moments, in bounded memory. Totals
+ * that are merged to save memory are rounded up.
+ */
+
+const maximumEntries = 16;
+
+/** Suffix maxima of a sequence of totals. */
+export class PeakHistory {
+  private sequence = 0;
+  private readonly sequences: number[] = [];
+  private readonly peaks: number[] = [];
+
+  /** Names the present moment: later totals belong to it, earlier ones don't. */
+  mark(): number {
+    return this.sequence;
+  }
+
+  record(total: number): void {
+    const {sequences, peaks} = this;
+    this.sequence += 1;
+    while (peaks.length > 0 && peaks[peaks.length - 1]! <= total) {
+      peaks.pop();
+      sequences.pop();
+    }
+    peaks.push(total);
+    sequences.push(this.sequence);
+    if (peaks.length > maximumEntries) this.mergeClosest();
+  }
+
+  /** Highest total since `mark`. */
+  peakSince(mark: number): number {
+    return this.peaks[this.firstAfter(mark)] ?? 0;
+  }
+
+  /** Adds `tokens` to all totals since `mark`. */
+  raiseSince(mark: number, tokens: number): void {
+    const {sequences, peaks} = this;
+    let first = this.firstAfter(mark);
+    for (let index = first; index < peaks.length; index += 1)
+      peaks[index]! += tokens;
+    while (
+      first > 0 &&
+      first < peaks.length &&
+      peaks[first - 1]! <= peaks[first]!
+    ) {
+      first -= 1;
+      peaks.splice(first, 1);
+      sequences.splice(first, 1);
+    }
+  }
+
+  /** Makes the peak since any earlier moment unbounded. */
+  forget(): void {
+    this.record(Infinity);
+  }
+
+  private firstAfter(mark: number): number {
+    const {sequences} = this;
+    let index = sequences.length;
+    while (index > 0 && sequences[index - 1]! > mark) index -= 1;
+    return index;
+  }
+
+  private mergeClosest(): void {
+    const {sequences, peaks} = this;
+    let closest = 0;
+    let smallestGap = Infinity;
+    for (let index = 0; index + 1 < peaks.length; index += 1) {
+      const gap = peaks[index]! - peaks[index + 1]!;
+      if (gap < smallestGap) {
+        smallestGap = gap;
+        closest = index;
+      }
+    }
+    peaks.splice(closest + 1, 1);
+    sequences.splice(closest, 1);
+  }
+}
--- /dev/null
+++ b/packages/coordination/test/tools/limit-schedule.ts
@@ -0,0 +1,329 @@
+/** Random schedules of requests and failures, and the check of their bound. */
+
+import fc from 'fast-check';
+import {perfectDelivery, randomBelow, seededRandom} from '../../src/index.js';
+import type {Configuration, Member, RandomSource} from '../../src/index.js';
+import {
+  LimitFleet,
+  account,
+  limitConfiguration,
+  membersOf,
+} from './limit-fleet.js';
+import type {FleetHost} from './limit-fleet.js';
+
+type Step = {readonly afterMilliseconds: number; readonly host: number} & (
+  | {
+      readonly kind: 'admit';
+      readonly tokens: number;
+      readonly usedPercent: number;
+      readonly settleMilliseconds: number;
+      readonly copies: number;
+    }
+  | {readonly kind: 'restart'}
+  | {
+      readonly kind: 'pause';
+      readonly milliseconds: number;
+      readonly stopsClock: boolean;
+    }
+  | {readonly kind: 'jump-wall-clock'; readonly milliseconds: number}
+  | {readonly kind: 'cut'; readonly domain: number}
+  | {readonly kind: 'heal'}
+  | {readonly kind: 'limits'; readonly rate: number; readonly burst: number}
+  | {readonly kind: 'members'}
+);
+
+export interface Schedule {
+  readonly seed: number;
+  readonly holdersPerDomain: number;
+  readonly steps: readonly Step[];
+}
+
+interface Use {
+  readonly at: number;
+  tokens: number;
+}
+
+interface VersionInForce {
+  readonly rate: number;
+  readonly burst: number;
+  readonly from: number;
+  until: number;
+}
+
+/** Longest time a grant of a former version is in use. */
+const grantMilliseconds = 350;
+
+const domainCount = 2;
+const hostsPerDomain = 2;
+const hostCount = domainCount * hostsPerDomain + 1;
+
+/** All hosts; the last one is a member only of the second list. */
+const allMembers: Member[] = [
+  ...membersOf(domainCount, hostsPerDomain),
+  {host: 'host-9', failureDomain: 'domain-1', address: '10.0.0.9:7000'},
+];
+const firstList = allMembers.slice(0, -1);
+const secondList = allMembers.slice(1);
+
+const timing = {
+  afterMilliseconds: fc.oneof(
+    {weight: 3, arbitrary: fc.integer({min: 0, max: 20})},
+    {weight: 2, arbitrary: fc.integer({min: 0, max: 600})},
+    {weight: 1, arbitrary: fc.integer({min: 0, max: 3_000})},
+  ),
+  host: fc.nat({max: hostCount - 1}),
+};
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc.record({
+      ...timing,
+      kind: fc.constant('admit' as const),
+      tokens: fc.integer({min: 1, max: 60}),
+      usedPercent: fc.constantFrom(0, 10, 50, 100),
+      settleMilliseconds: fc.integer({min: 0, max: 2_000}),
+      copies: fc.integer({min: 1, max: 4}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({...timing, kind: fc.constant('restart' as const)}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      ...timing,
+      kind: fc.constant('pause' as const),
+      milliseconds: fc.integer({min: 1, max: 2_000}),
+      stopsClock: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      ...timing,
+      kind: fc.constant('jump-wall-clock' as const),
+      milliseconds: fc.integer({min: 1, max: 10_000}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      ...timing,
+      kind: fc.constant('cut' as const),
+      domain: fc.nat({max: domainCount - 1}),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({...timing, kind: fc.constant('heal' as const)}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      ...timing,
+      kind: fc.constant('limits' as const),
+      rate: fc.constantFrom(20, 60, 100),
+      burst: fc.constantFrom(20, 60, 120),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({...timing, kind: fc.constant('members' as const)}),
+  },
+);
+
+export const scheduleArbitrary: fc.Arbitrary<Schedule> = fc.record({
+  seed: fc.integer({min: 1, max: 2 ** 31 - 1}),
+  holdersPerDomain: fc.constantFrom(1, 2),
+  steps: fc.array(stepArbitrary, {minLength: 5, maxLength: 40}),
+});
+
+/** Runs one schedule against real limiters. */
+export class ScheduleRun {
+  readonly uses: Use[] = [];
+  private readonly versions: VersionInForce[] = [];
+  private readonly fleet: LimitFleet;
+  private readonly random: RandomSource;
+  private readonly background: Promise<void>[] = [];
+  private cutDomain: string | undefined;
+  private rate = 60;
+  private burst = 60;
+  private members = firstList;
+  private previousMembers: Member[] | undefined;
+  private published: Configuration;
+
+  constructor(private readonly schedule: Schedule) {
+    this.random = seededRandom(schedule.seed);
+    this.published = this.publish(1);
+    this.fleet = new LimitFleet(
+      allMembers,
+      this.published,
+      index => 1 + (index - 2) * 0.01,
+      schedule.holdersPerDomain,
+    );
+    this.fleet.network.policy = (from, to) => this.deliver(from, to);
+  }
+
+  async run(): Promise<void> {
+    const {clock} = this.fleet;
+    await clock.advance(randomBelow(this.random, 4_000));
+    for (const step of this.schedule.steps) {
+      await clock.advance(step.afterMilliseconds);
+      this.act(step, this.fleet.hosts[step.host]!);
+    }
+    await clock.advance(4_000);
+    await clock.runUntil(Promise.all(this.background));
+    await this.fleet.close();
+  }
+
+  /** Tokens above the bound in the worst window; at most zero when it holds. */
+  worstExcess(): number {
+    let worst = -Infinity;
+    this.uses.forEach((first, start) => {
+      let used = 0;
+      for (const last of this.uses.slice(start)) {
+        used += last.tokens;
+        const {rate, burst} = this.highestLimits(first.at, last.at);
+        const allowed = burst + (rate * (last.at - first.at)) / 1_000;
+        worst = Math.max(worst, used - allowed * fastestClock);
+      }
+    });
+    return worst;
+  }
+
+  private act(step: Step, host: FleetHost): void {
+    switch (step.kind) {
+      case 'admit':
+        for (let copy = 0; copy < step.copies; copy += 1)
+          this.background.push(this.admit(step, host));
+        return;
+      case 'restart':
+        this.fleet.restart(host);
+        return;
+      case 'pause':
+        this.background.push(this.pause(step, host));
+        return;
+      case 'jump-wall-clock':
+        host.clock.jumpWallClock(step.milliseconds);
+        return;
+      case 'cut':
+        this.cutDomain = `domain-${step.domain}`;
+        return;
+      case 'heal':
+        this.cutDomain = undefined;
+        return;
+      case 'limits':
+        this.rate = step.rate;
+        this.burst = step.burst;
+        this.rollOut();
+        return;
+      case 'members':
+        this.changeMembers();
+    }
+  }
+
+  private async admit(
+    step: Extract<Step, {kind: 'admit'}>,
+    host: FleetHost,
+  ): Promise<void> {
+    if (host.clock.isPaused) return;
+    const {limiter} = host;
+    // The limiter resolves in the same task in which it charges.
+    const result = await limiter.admit(account, step.tokens);
+    if (result.isErr) return;
+    const use = {at: this.fleet.clock.now(), tokens: step.tokens};
+    this.uses.push(use);
+    await this.fleet.clock.sleep(step.settleMilliseconds);
+    await host.clock.awake();
+    if (host.limiter !== limiter) return;
+    use.tokens = (step.tokens * step.usedPercent) / 100;
+    result.value.settle(use.tokens);
+  }
+
+  private async pause(
+    step: Extract<Step, {kind: 'pause'}>,
+    host: FleetHost,
+  ): Promise<void> {
+    if (host.clock.isPaused) return;
+    host.clock.pause(step.stopsClock);
+    await this.fleet.clock.sleep(step.milliseconds);
+    host.clock.resume();
+  }
+
+  /** The second list replaces the first once all hosts know of both. */
+  private changeMembers(): void {
+    const {hosts} = this.fleet;
+    if (hosts.some(host => host.configuration !== this.published)) return;
+    if (this.previousMembers !== undefined) {
+      this.previousMembers = undefined;
+    } else {
+      this.previousMembers = this.members;
+      this.members = this.members === firstList ? secondList : firstList;
+    }
+    this.rollOut();
+  }
+
+  private rollOut(): void {
+    this.published = this.publish(Number(this.published.version) + 1);
+    const {published} = this;
+    const former = this.versions[this.versions.length - 2]!;
+    const {hosts, clock} = this.fleet;
+    const arrivals = hosts.map(async host => {
+      await clock.sleep(randomBelow(this.random, 800));
+      await host.clock.awake();
+      if (host.configuration.version >= published.version) return;
+      host.configuration = published;
+      host.limiter.applyConfiguration();
+    });
+    this.background.push(
+      Promise.all(arrivals).then(() => {
+        former.until = clock.now() + grantMilliseconds;
+      }),
+    );
+  }
+
+  private publish(version: number): Configuration {
+    const from = version === 1 ? 0 : this.fleet.clock.now();
+    const {rate, burst} = this;
+    this.versions.push({rate, burst, from, until: Infinity});
+    return limitConfiguration(
+      version,
+      rate,
+      burst,
+      this.members,
+      this.previousMembers,
+    );
+  }
+
+  private highestLimits(start: number, end: number) {
+    const inForce = this.versions.filter(
+      version => version.from <= end && version.until >= start,
+    );
+    return {
+      rate: Math.max(...inForce.map(version => version.rate)),
+      burst: Math.max(...inForce.map(version => version.burst)),
+    };
+  }
+
+  private deliver(from: string, to: string) {
+    const domainOf = (name: string) =>
+      allMembers.find(member => member.host === name)?.failureDomain;
+    const isCut =
+      this.cutDomain !== undefined &&
+      (domainOf(from) === this.cutDomain) !== (domainOf(to) === this.cutDomain);
+    const isSlow = randomBelow(this.random, 10) === 0;
+    const isDoubled = randomBelow(this.random, 5) === 0;
+    return {
+      ...perfectDelivery,
+      isDropped: isCut || randomBelow(this.random, 20) === 0,
+      delayMilliseconds: isSlow ? randomBelow(this.random, 60) : 1.5,
+      copyDelaysMilliseconds:
+        isDoubled && !isCut ? [randomBelow(this.random, 2_000)] : [],
+    };
+  }
+}
+
+/** Speed of the fastest host clock, with room for rounding. */
+const fastestClock = 1.02 + 1e-9;
