Run a request that may not be repeated at most once

Cause: a try through another host, a doubled message or a restarted host could run the same request again. Change: attempts claim a key at a majority of witnesses chosen from the Membership; a restarted witness abstains, reads its co-witnesses and takes part again; owners answer what became of their attempts.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -61,3 +61,41 @@
   DeliveryPolicy,
   PeerDispatcher,
 } from './simulation/in-memory-network.js';
+export {Claims} from './claims/claims.js';
+export type {ClaimsParts} from './claims/claims.js';
+export {ClaimWitness} from './claims/claim-witness.js';
+export type {ClaimWitnessParts} from './claims/claim-witness.js';
+export {ClaimCoordinator} from './claims/claim-coordinator.js';
+export type {ClaimCoordinatorParts} from './claims/claim-coordinator.js';
+export {ClaimPermit} from './claims/claim-permit.js';
+export type {PermitEnds, PermitError} from './claims/claim-permit.js';
+export type {
+  ClaimDecision,
+  ClaimRefusal,
+  NotRunReason,
+} from './claims/claim-decision.js';
+export {
+  chooseWitnesses,
+  viewOfMembership,
+  WitnessDirectory,
+} from './claims/witness-placement.js';
+export type {
+  ClaimName,
+  MembershipSpec,
+  MembershipView,
+  WitnessSets,
+} from './claims/witness-placement.js';
+export {WitnessParticipation} from './claims/witness-participation.js';
+export {WitnessRecovery} from './claims/witness-recovery.js';
+export type {WitnessRecoveryParts} from './claims/witness-recovery.js';
+export {
+  ClaimOwnerState_State,
+  ClaimRefused_Code,
+} from './generated/messages/persimmonwick/claims.js';
+export type {
+  ClaimKey,
+  ClaimOutcome,
+  ClaimOwner,
+  ClaimReply,
+  ClaimRequest,
+} from './generated/messages/persimmonwick/claims.js';
--- /dev/null
+++ b/packages/coordination/test/tools/claim-fleet.ts
@@ -0,0 +1,134 @@
+/** Hosts that run claims over a simulated network, and a plain service. */
+
+import type {Result} from 'true-myth';
+import type {
+  ClaimDecision,
+  ClaimKey,
+  ClaimOutcome,
+  ClaimRefusal,
+  MembershipSpec,
+  RandomSource,
+} from '../../src/index.js';
+import {
+  Claims,
+  hostId,
+  incarnation,
+  InMemoryNetwork,
+  seededRandom,
+  viewOfMembership,
+  VirtualClock,
+  WitnessParticipation,
+} from '../../src/index.js';
+import {SimulatedHost} from './simulated-host.js';
+
+export interface FleetHost {
+  readonly machine: SimulatedHost;
+  readonly claims: Claims;
+}
+
+/** A witness that votes on every key from its start on. */
+export class ForgetfulParticipation extends WitnessParticipation {
+  override get isAbstaining(): boolean {
+    return false;
+  }
+
+  override mayVote(): boolean {
+    return true;
+  }
+}
+
+/** Members `h0`, `h1`, ... spread over failure domains in turn. */
+export function listMembers(count: number, domains: number, first = 0) {
+  const members = Array.from({length: count}, (_, index) => ({
+    host: `h${index + first}`,
+    failureDomain: `d${index % domains}`,
+    address: `127.0.0.1:${7000 + index + first}`,
+  }));
+  return members as unknown as MembershipSpec['members'];
+}
+
+export function claimKey(name: string, fingerprint = 'f'): ClaimKey {
+  return {account: 'a', route: 'r', idempotencyKey: name, fingerprint};
+}
+
+export function outcomeOf(text: string): ClaimOutcome {
+  const body = new TextEncoder().encode(text);
+  return {status: 200, contentType: 'text/plain', body, bodyOmitted: false};
+}
+
+export class ClaimFleet {
+  readonly clock = new VirtualClock();
+  readonly network = new InMemoryNetwork(this.clock);
+  readonly hosts = new Map<string, FleetHost>();
+  readonly memberships = new Map<string, MembershipSpec>();
+  readonly random: RandomSource;
+  private starts = 0;
+
+  constructor(
+    seed: number,
+    private readonly forgetful = false,
+  ) {
+    this.random = seededRandom(seed);
+  }
+
+  /** Starts hosts that have long taken part. */
+  async startAll(
+    names: readonly string[],
+    membership: MembershipSpec,
+  ): Promise<void> {
+    for (const name of names) {
+      this.memberships.set(name, membership);
+      this.start(name, false);
+    }
+    await this.clock.advance(
+      viewOfMembership(membership).retentionMilliseconds,
+    );
+  }
+
+  /** Starts, or replaces, one host with an empty memory. */
+  start(name: string, isRecovering = true): FleetHost {
+    this.hosts.get(name)?.machine.kill();
+    const identity = {
+      host: hostId(name),
+      incarnation: incarnation(`${name}-${(this.starts += 1)}`),
+    };
+    const machine = new SimulatedHost(identity, this.clock, this.network);
+    const membership = () => this.memberships.get(name);
+    const claims = new Claims({
+      clock: machine.clock,
+      random: seededRandom(this.starts),
+      self: identity,
+      transport: machine.transport,
+      membership,
+      participation: this.forgetful
+        ? new ForgetfulParticipation(machine.clock, identity.host, () =>
+            viewOfMembership(membership()!),
+          )
+        : undefined,
+    });
+    machine.listen(async (body, from) => {
+      if (body.$case !== 'claim') throw new TypeError(body.$case);
+      return {$case: 'claim', value: await claims.handle(body.value, from)};
+    });
+    if (isRecovering) void claims.recover();
+    const host = {machine, claims};
+    this.hosts.set(name, host);
+    return host;
+  }
+
+  begin(name: string, key: ClaimKey, patienceMilliseconds = 3000) {
+    const {claims} = this.hosts.get(name)!;
+    const deadline = this.clock.now() + patienceMilliseconds;
+    return claims.begin(key, deadline, new AbortController().signal);
+  }
+
+  /** Starts a try and lets time pass until it is decided. */
+  async decide(name: string, key: ClaimKey, patienceMilliseconds = 3000) {
+    return this.clock.runUntil(this.begin(name, key, patienceMilliseconds));
+  }
+}
+
+/** One word for what a try came to. */
+export function describe(result: Result<ClaimDecision, ClaimRefusal>): string {
+  return result.isOk ? result.value.kind : result.error.kind;
+}
