Put the parts of a host together

Cause: daemon and replay must run the same decisions. Change: Host composes configuration, limits, claims, ownership, completions and service calls; refusals of limits and claims as callers see them.

--- /dev/null
+++ b/packages/coordination/src/host/host.ts
@@ -0,0 +1,214 @@
+/**
+ * One host: all parts that decide, put together on a clock, a transport and the
+ * ways to upstreams. The daemon and the replay of traces run the same host.
+ */
+
+import type {Result} from 'true-myth';
+import {Claims} from '../claims/claims.js';
+import type {Clock} from '../clock.js';
+import type {Configuration} from '../configuration/configuration.js';
+import {ConfigurationDistributor} from '../configuration/configuration-distributor.js';
+import {ConfigurationHandler} from '../configuration/configuration-handler.js';
+import type {
+  ConfigurationOrigin,
+  PlatformError,
+  PlatformSource,
+} from '../configuration/configuration-page.js';
+import {ConfigurationStore} from '../configuration/configuration-store.js';
+import type {RefusedVersion} from '../configuration/configuration-store.js';
+import {KeyGuard} from '../configuration/key-guard.js';
+import type {AccountId, FailureDomainId, HostId} from '../ids.js';
+import {Limiter} from '../limits/limiter.js';
+import {OwnedAttempts} from '../ownership/owned-attempts.js';
+import {OwnershipHandler} from '../ownership/ownership-handler.js';
+import {Sweeper} from '../ownership/sweeper.js';
+import type {SweeperParts} from '../ownership/sweeper.js';
+import type {
+  PeerIdentity,
+  PeerReplyBody,
+  PeerRequestBody,
+  PeerTransport,
+} from '../peers/transport.js';
+import {CompletionRunner} from '../placement/completion-runner.js';
+import type {EngineDirectory} from '../placement/completion-runner.js';
+import type {RandomSource} from '../random.js';
+import type {CompletionEvent} from '../requests/completion.js';
+import type {RequestFailure} from '../requests/failure.js';
+import type {
+  RoutedServiceCall,
+  ServiceAnswer,
+  ServiceSender,
+} from '../requests/service-call.js';
+import {Completions} from './completions.js';
+import type {AdmittedCompletion} from './completions.js';
+import {ServiceCalls} from './service-calls.js';
+
+/** Told of what a host does; each part may be left out. */
+export interface HostObserver {
+  readonly configurationApplied?: (
+    configuration: Configuration,
+    origin: ConfigurationOrigin,
+  ) => void;
+  readonly configurationRefused?: (refused: RefusedVersion) => void;
+  readonly platformFailed?: (error: PlatformError) => void;
+  readonly attemptSwept?: SweeperParts['onCancelled'];
+  /** Tokens that an account paid for a request, and when it was admitted. */
+  readonly tokensUsed?: (
+    account: AccountId,
+    tokens: number,
+    admittedAt: number,
+  ) => void;
+}
+
+export interface HostParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly self: PeerIdentity;
+  readonly failureDomain: FailureDomainId;
+  readonly transport: PeerTransport;
+  readonly platform: PlatformSource;
+  /** Hosts to ask before a membership is known. */
+  readonly seeds: readonly HostId[];
+  readonly engines: EngineDirectory;
+  readonly sender: ServiceSender;
+  readonly makeAttemptId: () => string;
+  readonly observer?: HostObserver;
+  /** Time without a token after which a connection is suspect. */
+  readonly silenceMilliseconds?: number;
+}
+
+export class Host {
+  readonly store: ConfigurationStore;
+  readonly distributor: ConfigurationDistributor;
+  readonly limiter: Limiter;
+  readonly claims: Claims;
+  readonly runner: CompletionRunner;
+  private readonly handler: ConfigurationHandler;
+  private readonly owned = new OwnedAttempts();
+  private readonly ownership: OwnershipHandler;
+  private readonly sweeper: Sweeper;
+  private readonly keys: KeyGuard;
+  private readonly completions: Completions;
+  private readonly calls: ServiceCalls;
+
+  /** Must be made before the host answers its first peer. */
+  constructor(parts: HostParts) {
+    const {clock, self, transport} = parts;
+    const observer = parts.observer ?? {};
+    this.store = new ConfigurationStore({
+      clock,
+      onApplied: observer.configurationApplied,
+      onRefused: observer.configurationRefused,
+    });
+    const configuration = () => this.store.current;
+    const isLikelyLive = () => true;
+    this.handler = new ConfigurationHandler(this.store, clock);
+    this.distributor = new ConfigurationDistributor({
+      ...parts,
+      self: self.host,
+      store: this.store,
+      isLikelyLive,
+      onPlatformError: observer.platformFailed,
+    });
+    this.limiter = new Limiter({
+      ...parts,
+      ...self,
+      self: self.host,
+      configuration,
+    });
+    this.claims = new Claims({
+      ...parts,
+      membership: () => configuration().membership?.spec,
+    });
+    this.ownership = new OwnershipHandler(self, this.owned, transport);
+    this.sweeper = new Sweeper({
+      ...parts,
+      configuration,
+      owned: this.owned,
+      isLikelyLive,
+      onCancelled: observer.attemptSwept,
+    });
+    this.runner = new CompletionRunner({
+      ...parts,
+      owner: self,
+      configuration,
+      ownedAttempts: {
+        register: ({attempt}) => this.owned.register(attempt),
+        release: ({attempt}) => this.owned.release(attempt),
+      },
+    });
+    this.keys = new KeyGuard(this.store);
+    const {limiter, claims, runner, keys} = this;
+    const shared = {...parts, configuration, limiter, observer};
+    this.completions = new Completions({...shared, runner, keys});
+    this.calls = new ServiceCalls({...shared, claims});
+  }
+
+  /** The configuration in force. */
+  get configuration(): Configuration {
+    return this.store.current;
+  }
+
+  /** Starts all tasks; resolves when a configuration is in force. */
+  async start(): Promise<boolean> {
+    this.sweeper.start();
+    const isReady = await this.distributor.start();
+    void this.claims.recover();
+    return isReady;
+  }
+
+  /** Runs a completion; its account and route were checked. */
+  complete(
+    request: AdmittedCompletion,
+    signal: AbortSignal,
+  ): AsyncGenerator<CompletionEvent> {
+    return this.completions.run(request, signal);
+  }
+
+  /** Calls a plain service; its account and route were checked. */
+  call(
+    call: RoutedServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, RequestFailure>> {
+    return this.calls.run(call, signal);
+  }
+
+  /** Answers another host. */
+  async answer(
+    body: PeerRequestBody,
+    from: PeerIdentity,
+  ): Promise<PeerReplyBody | undefined> {
+    switch (body.$case) {
+      case 'configuration':
+        return {
+          $case: 'configuration',
+          value: await this.handler.handle(body.value),
+        };
+      case 'limit':
+        return {$case: 'limit', value: this.limiter.handle(body.value)};
+      case 'claim':
+        return {
+          $case: 'claim',
+          value: await this.claims.handle(body.value, from),
+        };
+      case 'ownership':
+        return {
+          $case: 'ownership',
+          value: await this.ownership.handle(body.value),
+        };
+      case 'fleet':
+      case 'lease':
+        return undefined;
+    }
+  }
+
+  /** Ends all tasks, after what this host owes to others is done. */
+  async close(signal?: AbortSignal): Promise<void> {
+    await this.runner.close();
+    await this.claims.close(signal);
+    await this.limiter.close();
+    await this.sweeper.close();
+    await this.distributor.close();
+    this.keys.close();
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -75,8 +75,6 @@
   hashKey,
   mayUseRoute,
 } from './requests/authentication.js';
-export {rateFailure} from './requests/admission.js';
-export type {Admission, Admitter, RateRefusal} from './requests/admission.js';
 export type {
   RoutedServiceCall,
   ServiceAnswer,
@@ -207,3 +205,6 @@
   ClaimReply,
   ClaimRequest,
 } from './generated/messages/persimmonwick/claims.js';
+export {Host} from './host/host.js';
+export type {HostObserver, HostParts} from './host/host.js';
+export type {AdmittedCompletion} from './host/completions.js';
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -16,6 +16,7 @@
   | 'idempotency-key-reused'
   | 'idempotency-key-in-use'
   | 'claim-unavailable'
+  | 'outcome-unknown'
   | 'body-too-large'
   | 'headers-too-large'
   | 'request-timeout'
@@ -57,6 +58,7 @@
       return 404;
     case 'idempotency-key-reused':
     case 'idempotency-key-in-use':
+    case 'outcome-unknown':
       return 409;
     case 'request-timeout':
       return 408;
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -129,6 +129,7 @@
     case 'idempotency-key-missing':
     case 'idempotency-key-reused':
     case 'idempotency-key-in-use':
+    case 'outcome-unknown':
     case 'body-too-large':
     case 'headers-too-large':
     case 'request-timeout':
--- a/packages/daemon/test/peers/grpc.test.ts
+++ b/packages/daemon/test/peers/grpc.test.ts
@@ -32,7 +32,12 @@
 const timeoutMilliseconds = 10_000;
 const limit = (account: string): PeerRequestBody => ({
   $case: 'limit',
-  value: {action: {$case: 'grant', value: {account, tokens: 7}}},
+  value: {
+    action: {
+      $case: 'grant',
+      value: {account, tokens: 7, spareTokens: 0, lifetimeMilliseconds: 100},
+    },
+  },
 });
 
 async function runServer(
@@ -43,7 +48,7 @@
     address: '127.0.0.1:0',
     security: plain,
     self: south,
-    handlers: {limit: {handle: () => ({tokens: 7})}},
+    handlers: {limit: {handle: () => ({tokens: 7, grantId: 'g'})}},
     incarnations: new IncarnationRegister(),
     isKnownHost: host => host === north.host,
     configurationVersion: () => 5n,
@@ -81,7 +86,7 @@
       limit: {
         handle: (request, from) => {
           seen.push(request, from);
-          return {tokens: 7};
+          return {tokens: 7, grantId: ''};
         },
       },
     },
@@ -93,7 +98,7 @@
   const answer = await ask(transport);
   t.deepEqual(answer.unwrapOr(undefined as never), {
     $case: 'limit',
-    value: {tokens: 7},
+    value: {tokens: 7, grantId: ''},
   });
   t.deepEqual(seen, [limit('batinah').value, north]);
   t.deepEqual(replies, [south, 5n]);
@@ -121,7 +126,7 @@
   let calls = 0;
   const server = await runServer(t, {
     security: await authority.issue(south.host),
-    handlers: {limit: {handle: () => ({tokens: (calls += 1)})}},
+    handlers: {limit: {handle: () => ({tokens: (calls += 1), grantId: ''})}},
   });
   const own = await authority.issue(north.host);
   const other = await foreign.issue(north.host);
@@ -293,7 +298,7 @@
         handle: async () => {
           entered.open();
           await release.opened;
-          return {tokens: 1};
+          return {tokens: 1, grantId: ''};
         },
       },
     },
@@ -324,7 +329,7 @@
 test('oversize or malformed bytes at the server', async t => {
   let calls = 0;
   const server = await runServer(t, {
-    handlers: {limit: {handle: () => ({tokens: (calls += 1)})}},
+    handlers: {limit: {handle: () => ({tokens: (calls += 1), grantId: ''})}},
   });
   const client = new Client(server.address, credentials.createInsecure());
   t.teardown(() => client.close());
