--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -83,9 +83,9 @@
   readonly limiter: Limiter;
   readonly claims: Claims;
   readonly runner: CompletionRunner;
-  private readonly handler: ConfigurationHandler;
+  readonly configurationHandler: ConfigurationHandler;
   private readonly owned = new OwnedAttempts();
-  private readonly ownership: OwnershipHandler;
+  readonly ownership: OwnershipHandler;
   private readonly sweeper: Sweeper;
   private readonly keys: KeyGuard;
   private readonly completions: Completions;
@@ -102,7 +102,7 @@
     });
     const configuration = () => this.store.current;
     const isLikelyLive = () => true;
-    this.handler = new ConfigurationHandler(this.store, clock);
+    this.configurationHandler = new ConfigurationHandler(this.store, clock);
     this.distributor = new ConfigurationDistributor({
       ...parts,
       self: self.host,
@@ -173,7 +173,7 @@
     return this.calls.run(call, signal);
   }
 
-  /** Answers another host. */
+  /** Answers another host; undefined in areas that this host lacks. */
   async answer(
     body: PeerRequestBody,
     from: PeerIdentity,
@@ -182,7 +182,7 @@
       case 'configuration':
         return {
           $case: 'configuration',
-          value: await this.handler.handle(body.value),
+          value: await this.configurationHandler.handle(body.value),
         };
       case 'limit':
         return {$case: 'limit', value: this.limiter.handle(body.value)};
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -74,6 +74,7 @@
   findServiceRoute,
   hashKey,
   mayUseRoute,
+  missingKey,
 } from './requests/authentication.js';
 export type {
   RoutedServiceCall,
--- a/packages/coordination/src/requests/authentication.ts
+++ b/packages/coordination/src/requests/authentication.ts
@@ -69,12 +69,13 @@
   );
 }
 
-/** The route with the longest prefix of `path` that `account` may use. */
+/** The route of `account` with the longest prefix of the path of `url`. */
 export function findServiceRoute(
   configuration: Configuration,
-  path: string,
+  url: string,
   account: AccountId | undefined,
 ): Result<Route, RequestFailure> {
+  const path = url.split('?')[0]!;
   if (isAmbiguousPath(path))
     return Result.err({
       code: 'invalid-request',
@@ -99,15 +100,25 @@
   );
 }
 
-const missingKey: RequestFailure = {
+/** The refusal of a call that came without a key to a route that needs one. */
+export const missingKey: RequestFailure = {
   code: 'missing-key',
   message: 'send the client account key as a bearer token',
   ran: 'not-run',
 };
 
+const ambiguousSegment = /\/\/|\\|%2f|%5c|%00|\/\.\.?(\/|$)/i;
+/** Encoded letters, digits, and `-._~`, which never need encoding. */
+const encodedUnreserved = /%(2[de]|3\d|4[1-9a-f]|5[0-9af]|6[1-9a-f]|7[0-9ae])/i;
+const brokenEncoding = /%(?![0-9a-f]{2})/i;
+
 /** True for paths that a service could read as another path than we do. */
 function isAmbiguousPath(path: string): boolean {
-  return /\/\/|\\|%2e|%2f|%5c|%00|\/\.\.?(\/|$)/i.test(path);
+  return (
+    ambiguousSegment.test(path) ||
+    encodedUnreserved.test(path) ||
+    brokenEncoding.test(path)
+  );
 }
 
 /** Length of the route's prefix when `path` lies under it, else zero. */
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -1,7 +1,12 @@
 /** The chat completion API and the list of models. */
 
 import {Controller, Get, Inject, Post, Req, Res} from '@nestjs/common';
-import {accountId} from '@persimmonwick/coordination';
+import {
+  accountId,
+  findModelRoute,
+  mayUseRoute,
+  missingKey,
+} from '@persimmonwick/coordination';
 import type {
   AccountId,
   ChatRequest,
@@ -12,7 +17,7 @@
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import {daemonPartsToken} from '../daemon-parts.js';
 import type {DaemonParts} from '../daemon-parts.js';
-import {authenticate, mayUseRoute, routeRefusal} from './authenticate.js';
+import {authenticate, keyHashOf} from './authenticate.js';
 import {headerValues} from './call-context.js';
 import {callRecordOf} from './call-record.js';
 import {
@@ -22,7 +27,6 @@
   promptOf,
 } from './chat-request.js';
 import {sendFailure} from './failure-reply.js';
-import {findModelRoute} from './find-route.js';
 import {sendStreamedAnswer, sendWholeAnswer} from './completion-answer.js';
 import {observeTokens} from './observe-tokens.js';
 
@@ -42,7 +46,7 @@
       mayUseRoute(configuration, route, account.value),
     );
     if (routes.length === 0 && account.value === undefined)
-      return sendFailure(reply, routeRefusal(undefined));
+      return sendFailure(reply, missingKey);
     const models = new Set(
       routes.flatMap(({spec}) =>
         spec.target.kind === 'model' ? spec.target.models : [],
@@ -61,10 +65,8 @@
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const call = callRecordOf(request);
     const configuration = this.parts.configuration();
-    const account = authenticate(
-      configuration,
-      headerValues(request, 'authorization'),
-    );
+    const authorization = headerValues(request, 'authorization');
+    const account = authenticate(configuration, authorization);
     if (account.isErr) return sendFailure(reply, account.error);
     const chat = parseChatRequest(request.body as Buffer | undefined);
     if (chat.isErr) return sendFailure(reply, chat.error);
@@ -76,14 +78,12 @@
     if (route.isErr) return sendFailure(reply, route.error);
     const owner = account.value ?? accountId('open');
     call.assign(owner, route.value);
-    const completion = this.describe(
-      call.request,
-      owner,
-      route.value,
-      chat.value,
-    );
+    const completion = {
+      ...this.describe(call.request, owner, route.value, chat.value),
+      keyHash: account.value && keyHashOf(authorization),
+    };
     const events = observeTokens(
-      this.parts.runner.run(completion, call.signal),
+      this.parts.host.complete(completion, call.signal),
       call.observation,
     );
     return chat.value.stream === true
--- a/packages/daemon/src/daemon-parts.ts
+++ b/packages/daemon/src/daemon-parts.ts
@@ -1,12 +1,7 @@
 /** What the controllers of a daemon work with. */
 
-import type {
-  Clock,
-  CompletionRunner,
-  Configuration,
-} from '@persimmonwick/coordination';
+import type {Clock, Configuration, Host} from '@persimmonwick/coordination';
 import type {RequestGate} from './callers/request-gate.js';
-import type {ServiceForwarder} from './callers/service-forwarder.js';
 import type {EventLog} from './log/logger.js';
 import type {RequestObserver} from './operators/request-observer.js';
 
@@ -14,8 +9,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly configuration: () => Configuration;
-  readonly runner: CompletionRunner;
-  readonly services: ServiceForwarder;
+  readonly host: Host;
   readonly gate: RequestGate;
   readonly observer: RequestObserver;
   readonly requestMilliseconds: number;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,18 +2,22 @@
 
 import {randomInt} from 'node:crypto';
 import {
-  CompletionRunner,
+  Host,
+  failureDomainId,
   hostId,
   incarnation,
   seededRandom,
   systemClock,
 } from '@persimmonwick/coordination';
-import type {CompleteSettings} from '@persimmonwick/coordination';
+import type {
+  CompleteSettings,
+  PeerTransport,
+} from '@persimmonwick/coordination';
 import {v4 as makeUuid, v7 as makeOrderedUuid} from 'uuid';
 import {startCallerServer} from './callers/caller-server.js';
 import {RequestGate} from './callers/request-gate.js';
-import {ServiceForwarder} from './callers/service-forwarder.js';
 import {Closables} from './closables.js';
+import {createHostObserver} from './log/host-observer.js';
 import type {EventLog} from './log/logger.js';
 import {isReady} from './operators/operator-parts.js';
 import {startOperatorServer} from './operators/operator-server.js';
@@ -21,10 +25,13 @@
 import {RequestMetrics} from './operators/request-metrics.js';
 import {loadPeerSecurity} from './peers/index.js';
 import {startPeers} from './peers/start-peers.js';
-import {ConfigurationWatcher} from './platform/configuration-watcher.js';
-import {createPlatformClient} from './platform/platform-client.js';
+import {
+  createPlatformClient,
+  createRotatingSource,
+} from './platform/platform-client.js';
 import {StartError} from './start-error.js';
 import {HttpEngineDirectory} from './upstreams/http-engine.js';
+import {HttpServiceSender} from './upstreams/http-service-sender.js';
 
 /** A daemon that runs. */
 export interface Daemon {
@@ -66,7 +73,6 @@
   const security = loadPeerSecurity(settings);
   if (security.isErr) throw new StartError(security.error);
   const clock = systemClock;
-  const random = seededRandom(randomInt(2 ** 31));
   const self = {
     host: hostId(settings.host),
     incarnation: incarnation(makeOrderedUuid()),
@@ -75,41 +81,36 @@
   const engines = closables.add(
     new HttpEngineDirectory(settings.upstreamSilenceMilliseconds),
   );
-  const services = closables.add(
-    new ServiceForwarder(random, requestMilliseconds),
-  );
-  const watcher = closables.add(
-    new ConfigurationWatcher(
-      createPlatformClient(settings.platform.addresses[0]),
-      clock,
-      log,
-      settings.platform.watchTimeoutMilliseconds,
-    ),
-  );
-  watcher.start();
-  const configuration = () => watcher.current;
+  const sender = closables.add(new HttpServiceSender(requestMilliseconds));
   const gate = new RequestGate(clock);
   const metrics = new RequestMetrics(clock);
-  const peers = closables.add(
-    await startPeers({
-      settings,
-      security: security.value,
-      self,
-      configuration,
-      log,
-      handlers: {},
-    }),
-  );
-  const runner = closables.add(
-    new CompletionRunner({
+  const makeHost = (transport: PeerTransport) =>
+    new Host({
       clock,
-      random,
-      owner: self,
+      random: seededRandom(randomInt(2 ** 31)),
+      self,
+      failureDomain: failureDomainId(settings.failureDomain),
+      transport,
+      platform: createRotatingSource(
+        settings.platform.addresses.map(createPlatformClient),
+      ),
+      seeds: settings.seeds.map(hostId),
       engines,
-      configuration,
+      sender,
       makeAttemptId: () => makeUuid(),
-    }),
-  );
+      observer: createHostObserver(log),
+    });
+  const {host, peers} = await startPeers({
+    settings,
+    security: security.value,
+    self,
+    log,
+    makeHost,
+  });
+  closables.add(peers);
+  closables.add(host);
+  const configuration = () => host.configuration;
+  const ready = host.start();
   const startDraining = () => {
     if (gate.isDraining) return;
     gate.startDraining();
@@ -141,8 +142,7 @@
         clock,
         log,
         configuration,
-        runner,
-        services,
+        host,
         gate,
         observer: metrics,
         requestMilliseconds,
@@ -158,7 +158,7 @@
   log.write('daemonStarted', {...self, ...addresses});
   return {
     addresses,
-    ready: watcher.ready,
+    ready: ready.then(() => undefined),
     startDraining,
     async close() {
       startDraining();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,7 +3,6 @@
 export {startDaemon} from './daemon.js';
 export type {Daemon} from './daemon.js';
 export {loadSettings} from './load-settings.js';
-export {hashKey} from './callers/authenticate.js';
 export {createEventLog, silentLog} from './log/logger.js';
 export type {EventLog} from './log/logger.js';
 export {StartError} from './start-error.js';
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -53,6 +53,12 @@
     text: 'a request of another host is refused',
     fields: ['peer', 'code'],
   },
+  attemptSwept: {
+    number: 2201,
+    level: 'warn',
+    text: 'memory that an engine held for a gone request is freed',
+    fields: ['upstream', 'attempt', 'owner', 'reason'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/operators/explain.ts
+++ b/packages/daemon/src/operators/explain.ts
@@ -1,6 +1,12 @@
 /** Says which route and upstreams a request would get, and why not others. */
 
-import {matchesSelector, upstreamsOfPool} from '@persimmonwick/coordination';
+import {
+  findModelRoute,
+  findServiceRoute,
+  matchesSelector,
+  mayUseRoute,
+  upstreamsOfPool,
+} from '@persimmonwick/coordination';
 import type {
   AccountId,
   Configuration,
@@ -9,8 +15,6 @@
   Selector,
   Upstream,
 } from '@persimmonwick/coordination';
-import {mayUseRoute} from '../callers/authenticate.js';
-import {findModelRoute, findServiceRoute} from '../callers/find-route.js';
 
 /** What an explanation is asked for. */
 export type ExplainedTarget =
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -4,9 +4,11 @@
 import type {
   CompleteSettings,
   Configuration,
+  Host,
   HostId,
   Member,
   PeerIdentity,
+  PeerTransport,
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {StartError} from '../start-error.js';
@@ -21,9 +23,9 @@
   readonly settings: CompleteSettings;
   readonly security: PeerSecurity;
   readonly self: PeerIdentity;
-  readonly configuration: () => Configuration;
   readonly log: EventLog;
-  readonly handlers: PeerHandlers;
+  /** Makes the host that answers others, given the way to them. */
+  readonly makeHost: (transport: PeerTransport) => Host;
 }
 
 /** Connections between hosts that are open. */
@@ -35,16 +37,26 @@
 }
 
 /** Listens for other hosts and makes the transport towards them. */
-export async function startPeers(parts: PeerParts): Promise<Peers> {
-  const {settings, security, self, configuration, log, handlers} = parts;
+export async function startPeers(
+  parts: PeerParts,
+): Promise<{host: Host; peers: Peers}> {
+  const {settings, security, self, log, makeHost} = parts;
   const incarnations = new IncarnationRegister();
-  const configurationVersion = () => configuration().version;
-  const memberOf = (host: HostId) => findMember(configuration(), host);
+  const configurationVersion = () => host.configuration.version;
+  const memberOf = (id: HostId) => findMember(host.configuration, id);
+  const transport = new GrpcPeerTransport({
+    self,
+    security,
+    addressOf: host => memberOf(host)?.address,
+    incarnations,
+    configurationVersion,
+  });
+  const host = makeHost(withSeeds(transport));
   const server = new PeerServer({
     address: settings.listen.peers,
     security,
     self,
-    handlers,
+    handlers: handlersOf(host),
     incarnations,
     isKnownHost: host => memberOf(host) !== undefined,
     configurationVersion,
@@ -58,16 +70,10 @@
     await server.listen();
   } catch (error) {
     await server.close();
+    await transport.close();
     throw StartError.ofAddress('/listen/peers', settings.listen.peers, error);
   }
-  const transport = new GrpcPeerTransport({
-    self,
-    security,
-    addressOf: host => memberOf(host)?.address,
-    incarnations,
-    configurationVersion,
-  });
-  return {
+  const peers = {
     address: server.address,
     transport,
     incarnations,
@@ -76,6 +82,16 @@
       await server.close();
     },
   };
+  return {host, peers};
+}
+
+function handlersOf(host: Host): PeerHandlers {
+  return {
+    configuration: host.configurationHandler,
+    limit: host.limiter,
+    claim: host.claims,
+    ownership: host.ownership,
+  };
 }
 
 const maximumLoggedLength = 64;
@@ -91,3 +107,19 @@
     member => hostId(member.host) === host,
   );
 }
+
+/** Hosts that settings name by their address are reached there. */
+function withSeeds(transport: GrpcPeerTransport): PeerTransport {
+  return {
+    async exchange(host, body, timeoutMilliseconds) {
+      if (!host.includes(':'))
+        return transport.exchange(host, body, timeoutMilliseconds);
+      const reply = await transport.exchangeWithSeed(
+        host,
+        body,
+        timeoutMilliseconds,
+      );
+      return reply.map(answer => answer.body);
+    },
+  };
+}
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -1,33 +1,14 @@
 /** Reads and watches the platform's configuration service over HTTP. */
 
-import type {ConfigurationChange} from '@persimmonwick/coordination';
+import type {
+  ConfigurationChange,
+  ConfigurationPage,
+  PlatformError,
+  PlatformSource,
+} from '@persimmonwick/coordination';
 import {Result} from 'true-myth';
 import {request} from 'undici';
 
-/** Changes from one version to another. */
-export interface ConfigurationPage {
-  readonly from: bigint;
-  readonly to: bigint;
-  readonly changes: readonly ConfigurationChange[];
-}
-
-/** Why the platform gave no page. */
-export interface PlatformError {
-  readonly kind: 'unreachable' | 'refused' | 'malformed';
-  readonly address: string;
-  readonly reason: string;
-}
-
-/** The configuration service; it can only be read. */
-export interface PlatformClient {
-  /** Changes after `version`; waits when there are none yet. */
-  watch(
-    version: bigint,
-    waitMilliseconds: number,
-    signal: AbortSignal,
-  ): Promise<Result<ConfigurationPage, PlatformError>>;
-}
-
 interface PublishedPage {
   from: number;
   to: number;
@@ -35,7 +16,7 @@
 }
 
 /** A client of the configuration service at `address`. */
-export function createPlatformClient(address: string): PlatformClient {
+export function createPlatformClient(address: string): PlatformSource {
   const failed = (kind: PlatformError['kind'], reason: string) =>
     Result.err<ConfigurationPage, PlatformError>({kind, address, reason});
   return {
@@ -80,3 +61,18 @@
     page.changes.every(change => typeof change?.key === 'string')
   );
 }
+
+/** Reads from one of several addresses, and from the next one after a failure. */
+export function createRotatingSource(
+  sources: readonly PlatformSource[],
+): PlatformSource {
+  let current = 0;
+  return {
+    async watch(afterVersion, waitMilliseconds, signal) {
+      const source = sources[current % sources.length]!;
+      const page = await source.watch(afterVersion, waitMilliseconds, signal);
+      if (page.isErr) current += 1;
+      return page;
+    },
+  };
+}
--- a/packages/daemon/src/upstreams/http-engine.ts
+++ b/packages/daemon/src/upstreams/http-engine.ts
@@ -18,6 +18,7 @@
 import {Result} from 'true-myth';
 import {Pool} from 'undici';
 import type {Dispatcher} from 'undici';
+import {errorOfHttp} from './http-error.js';
 
 const connections = 256;
 const okStatus = 200;
@@ -97,7 +98,7 @@
         for (const token of parsed.splice(0)) yield Result.ok(token);
       }
     } catch (error) {
-      yield Result.err(this.errorOf(error, signal));
+      yield Result.err(errorOfHttp(error, this.id, signal));
     }
   }
 
@@ -121,7 +122,7 @@
         return Result.err(await this.refusalOf(answer));
       return Result.ok((await answer.body.json()) as Answer);
     } catch (error) {
-      return Result.err(this.errorOf(error, signal));
+      return Result.err(errorOfHttp(error, this.id, signal));
     }
   }
 
@@ -151,22 +152,6 @@
       return {kind: 'malformed', upstream: this.id};
     }
   }
-
-  private errorOf(error: unknown, signal: AbortSignal): UpstreamError {
-    if (signal.aborted) return {kind: 'cancelled', upstream: this.id};
-    if (error instanceof SyntaxError)
-      return {kind: 'malformed', upstream: this.id};
-    switch ((error as NodeJS.ErrnoException).code) {
-      case 'ECONNREFUSED':
-      case 'UND_ERR_CONNECT_TIMEOUT':
-        return {kind: 'unreachable', upstream: this.id};
-      case 'UND_ERR_BODY_TIMEOUT':
-      case 'UND_ERR_HEADERS_TIMEOUT':
-        return {kind: 'silent', upstream: this.id};
-      default:
-        return {kind: 'broken', upstream: this.id};
-    }
-  }
 }
 
 /** Keeps one adapter for each upstream address. */
--- /dev/null
+++ b/packages/daemon/src/upstreams/http-service-sender.ts
@@ -0,0 +1,71 @@
+/** The HTTP adapter towards plain services. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+import {upstreamId} from '@persimmonwick/coordination';
+import type {
+  ServiceAnswer,
+  ServiceCall,
+  ServiceSender,
+  Upstream,
+  UpstreamError,
+} from '@persimmonwick/coordination';
+import {Result} from 'true-myth';
+import {Agent} from 'undici';
+import type {Dispatcher} from 'undici';
+import {errorOfHttp} from './http-error.js';
+
+const droppedAnswerHeaders = new Set([
+  'connection',
+  'content-length',
+  'keep-alive',
+  'transfer-encoding',
+  'x-request-id',
+]);
+
+export class HttpServiceSender implements ServiceSender {
+  private readonly agent: Agent;
+
+  constructor(timeoutMilliseconds: number) {
+    this.agent = new Agent({
+      headersTimeout: timeoutMilliseconds,
+      bodyTimeout: timeoutMilliseconds,
+      pipelining: 1,
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  async send(
+    upstream: Upstream,
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, UpstreamError>> {
+    try {
+      const answer = await this.agent.request({
+        origin: `http://${upstream.spec.address}`,
+        path: call.path,
+        method: call.method as Dispatcher.HttpMethod,
+        headers: call.headers,
+        body: call.body,
+        signal,
+      });
+      return Result.ok({
+        status: answer.statusCode,
+        headers: answerHeaders(answer.headers),
+        body: Buffer.from(await answer.body.arrayBuffer()),
+      });
+    } catch (error) {
+      return Result.err(errorOfHttp(error, upstreamId(upstream.name), signal));
+    }
+  }
+}
+
+function answerHeaders(headers: IncomingHttpHeaders) {
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers))
+    if (value !== undefined && !droppedAnswerHeaders.has(name))
+      kept[name] = value;
+  return kept;
+}
