Make the test of a paused sweeper fail without its reset

Cause: the test passed with the reset of silences taken out. Change: hosts of the test pause through their clocks, long enough to count. Conclusion: it fails without the reset, and passes with it.

--- a/packages/coordination/test/ownership.test.ts
+++ b/packages/coordination/test/ownership.test.ts
@@ -24,6 +24,7 @@
   SweptEngine,
 } from '../src/index.js';
 import {upstream} from './tools/documents.js';
+import {PausableClock} from './tools/pausable-clock.js';
 
 /** Every attempt of an unreachable owner is gone after this. */
 const silentBoundMilliseconds = 25_000;
@@ -75,7 +76,7 @@
   readonly engine = new MemoryEngine(this.clock);
   readonly reasons: SweepReason[] = [];
   readonly hosts: SweepHost[] = [];
-  readonly paused = new Set<string>();
+  readonly clocks: PausableClock[] = [];
   private readonly random = seededRandom(31);
   private starts = 0;
 
@@ -87,17 +88,19 @@
     const host = hostId(`h${at}`);
     this.starts += 1;
     const self = {host, incarnation: incarnation(`i${this.starts}`)};
+    const clock = new PausableClock(this.clock);
+    this.clocks[at] = clock;
     const owned = new OwnedAttempts();
     const transport = this.network.transportOf(self);
     const handler = new OwnershipHandler(self, owned, transport);
     this.network.attach(host, async body => {
-      while (this.paused.has(host)) await this.clock.sleep(100);
+      await clock.running();
       if (body.$case !== 'ownership')
         return {$case: 'refusal', value: {code: 0}};
       return {$case: body.$case, value: await handler.handle(body.value)};
     });
     const sweeper = new Sweeper({
-      clock: this.clock,
+      clock,
       random: this.random,
       self,
       failureDomain: failureDomainId(`d${at % 2}`),
@@ -205,19 +208,19 @@
 
 test('a short pause of the owner costs nothing', async t => {
   const {fleet} = startStreams();
-  fleet.paused.add('h0');
+  fleet.clocks[0]!.pause();
   await fleet.clock.advance(10_000);
-  fleet.paused.clear();
+  fleet.clocks[0]!.resume();
   await fleet.clock.advance(60_000);
   t.is(fleet.engine.attempts.size, 40);
 });
 
 test('an owner that wakes late has lost its streams only', async t => {
   const {fleet, owner} = startStreams();
-  fleet.paused.add('h0');
+  fleet.clocks[0]!.pause();
   await fleet.clock.advance(silentBoundMilliseconds);
   t.is(fleet.held('lost'), 0);
-  fleet.paused.clear();
+  fleet.clocks[0]!.resume();
   fleet.run(owner, 'after', 5);
   await fleet.clock.advance(60_000);
   t.is(fleet.held('after'), 5);
@@ -254,15 +257,13 @@
 
 test('a sweeper that wakes late starts its counts again', async t => {
   const {fleet} = startStreams();
-  const {clock} = fleet;
-  const sleep = clock.sleep.bind(clock);
-  fleet.paused.add('h0');
-  await clock.advance(12_000);
-  // All sweepers stand still for a minute; the owner wakes in that time.
-  clock.sleep = (milliseconds, signal) =>
-    sleep(milliseconds > 2000 ? 60_000 : milliseconds, signal);
-  await clock.advance(10_000);
-  clock.sleep = sleep;
-  await clock.advance(52_000);
+  fleet.clocks[0]!.pause();
+  await fleet.clock.advance(15_500);
+  for (const clock of fleet.clocks) clock.pause();
+  await fleet.clock.advance(60_000);
+  for (const clock of fleet.clocks.slice(1)) clock.resume();
+  await fleet.clock.advance(8000);
+  fleet.clocks[0]!.resume();
+  await fleet.clock.advance(60_000);
   t.is(fleet.held('lost'), 20);
 });
