Keep a view of the fleet by heartbeats to a few hosts

Cause: parts that choose among hosts had no idea which of them look live. A late timer marks a pause and expires the view.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -93,3 +93,12 @@
   SweepReason,
   SweptEngine,
 } from './ownership/sweeper.js';
+export {PauseDetector} from './fleet/pause-detector.js';
+export type {
+  PauseDetectorParts,
+  PauseListener,
+} from './fleet/pause-detector.js';
+export {FleetView} from './fleet/fleet-view.js';
+export type {FleetViewParts} from './fleet/fleet-view.js';
+export type {HostView} from './fleet/host-status.js';
+export type {HostHint} from './fleet/host-hints.js';
