Refresh configuration after a pause before it counts as fresh

Cause: a host that wakes up acted on the view from before its pause. Change: a pause makes the distributor ask watchers and the platform at once and isFresh tells when that has ended; the platform's host list is read as a hint.

--- a/packages/coordination/src/configuration/configuration-distributor.ts
+++ b/packages/coordination/src/configuration/configuration-distributor.ts
@@ -5,6 +5,7 @@
  */
 
 import {untilAborted} from '../abort.js';
+import type {PauseDetector} from '../fleet/pause-detector.js';
 import type {FailureDomainId, HostId} from '../ids.js';
 import {hostId} from '../ids.js';
 import type {PeerTransport} from '../peers/transport.js';
@@ -25,6 +26,8 @@
   /** Hosts to ask before a membership is known. */
   readonly seeds: readonly HostId[];
   readonly isLikelyLive: (host: HostId) => boolean;
+  /** After a pause the view is refreshed before it counts as fresh. */
+  readonly pauses?: PauseDetector;
   readonly timing?: Partial<DistributionTiming>;
 }
 
@@ -37,14 +40,18 @@
 export class ConfigurationDistributor {
   private readonly timing: DistributionTiming;
   private readonly closing = new AbortController();
+  private readonly unsubscribe: () => void;
   private readonly reader: PlatformReader;
   private readonly pulling = new Set<HostId>();
   private tasks: Promise<void>[] = [];
+  private refreshing: Promise<void> | undefined;
   private fallbackAt = Infinity;
   private round = 0;
 
   constructor(private readonly parts: ConfigurationDistributorParts) {
     this.timing = {...defaultDistributionTiming, ...parts.timing};
+    this.unsubscribe =
+      parts.pauses?.subscribe(() => void this.refresh()) ?? (() => {});
     this.reader = new PlatformReader(
       parts,
       this.timing.platformGraceMilliseconds,
@@ -69,6 +76,7 @@
   }
 
   async close(): Promise<void> {
+    this.unsubscribe();
     this.closing.abort();
     await Promise.all(this.tasks);
   }
@@ -101,6 +109,37 @@
     return store.waitForVersion(version, deadline, this.closing.signal);
   }
 
+  /** False while the view may be old, after a pause of this host. */
+  get isFresh(): boolean {
+    return this.refreshing === undefined;
+  }
+
+  /** Resolves when the view is fresh, or as fresh as can be had. */
+  async whenFresh(): Promise<void> {
+    while (this.refreshing !== undefined) await this.refreshing;
+  }
+
+  /**
+   * Asks peers and the platform for what was missed. When nobody answers, the
+   * host goes on with what it has, like any host that is cut off.
+   */
+  async refresh(): Promise<void> {
+    const {failureDomain, seeds, self, store} = this.parts;
+    const {signal} = this.closing;
+    const watchers = [failureDomain, ...domainsOf(store.current)].flatMap(
+      domain => this.watchersIn(domain),
+    );
+    const peers = watchers.length === 0 ? seeds : watchers;
+    const questions = [...new Set(peers)]
+      .filter(peer => peer !== self)
+      .map(peer => this.pull(peer, 0));
+    const answers = Promise.all([...questions, this.reader.read(0, signal)]);
+    const refreshing = untilAborted(answers, signal).then(() => undefined);
+    this.refreshing = refreshing;
+    await refreshing;
+    if (this.refreshing === refreshing) this.refreshing = undefined;
+  }
+
   private async askPeersAtStart(): Promise<void> {
     const {random, seeds, self} = this.parts;
     const peers = seeds.filter(seed => seed !== self);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -101,4 +101,9 @@
 export {FleetView} from './fleet/fleet-view.js';
 export type {FleetViewParts} from './fleet/fleet-view.js';
 export type {HostView} from './fleet/host-status.js';
-export type {HostHint} from './fleet/host-hints.js';
+export {HostHintReader} from './fleet/host-hints.js';
+export type {
+  HostHint,
+  HostHintReaderParts,
+  HostHintSource,
+} from './fleet/host-hints.js';
--- a/packages/coordination/test/configuration-distribution.test.ts
+++ b/packages/coordination/test/configuration-distribution.test.ts
@@ -202,3 +202,38 @@
   t.true((await fleet.timeUntil(version, 8000)) < 7000);
   await fleet.close();
 });
+
+test('a paused host refreshes before its view counts', async t => {
+  const fleet = await startNine(14);
+  const host = fleet.hosts.get(hostId('h5'))!;
+  host.clock.pause();
+  await fleet.clock.advance(5000);
+  const version = fleet.platform.publish(account('b'));
+  await fleet.clock.advance(20_000);
+  t.is(host.store.current.version, 1n);
+  host.clock.resume();
+  t.true(host.pauses.check());
+  t.false(host.distributor.isFresh);
+  await fleet.clock.runUntil(host.distributor.whenFresh());
+  t.is(host.store.current.version, version);
+  t.true(host.distributor.isFresh);
+  await fleet.close();
+});
+
+test('a paused watcher holds nobody back for long', async t => {
+  const fleet = await startNine(15);
+  const paused = watchers(fleet).filter(each => each.domain === 'd0');
+  for (const each of paused.slice(0, 1)) each.clock.pause();
+  await fleet.clock.advance(2500);
+  const version = fleet.platform.publish(account('b'));
+  await fleet.clock.advance(7000);
+  const behind = [...fleet.hosts.values()].filter(
+    each => each.store.current.version < version,
+  );
+  t.deepEqual(
+    behind.filter(each => !each.clock.isPaused).map(each => each.host),
+    [],
+  );
+  for (const each of paused) each.clock.resume();
+  await fleet.close();
+});
--- a/packages/coordination/test/fleet.test.ts
+++ b/packages/coordination/test/fleet.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
+import {Result} from 'true-myth';
 import {
   FleetView,
+  HostHintReader,
   InMemoryNetwork,
   PauseDetector,
   VirtualClock,
@@ -233,3 +235,26 @@
   await fleet.clock.advance(deathBoundMilliseconds + newsBoundMilliseconds);
   t.is(fleet.doubts.length, 50);
 });
+
+test('the platform list is read from time to time', async t => {
+  const clock = new VirtualClock();
+  let reads = 0;
+  const heard: number[] = [];
+  const reader = new HostHintReader({
+    clock,
+    random: seededRandom(1),
+    source: {
+      async read() {
+        reads += 1;
+        const error = {kind: 'unreachable', address: '', reason: ''} as const;
+        return reads === 1 ? Result.err(error) : Result.ok([]);
+      },
+    },
+    onHints: hints => heard.push(hints.length),
+  });
+  reader.start();
+  await clock.advance(120_000);
+  t.true(reads >= 3 && reads <= 5);
+  t.is(heard.length, reads - 1);
+  await reader.close();
+});
--- a/packages/coordination/test/tools/virtual-hosts.ts
+++ b/packages/coordination/test/tools/virtual-hosts.ts
@@ -5,6 +5,7 @@
   ConfigurationHandler,
   ConfigurationStore,
   InMemoryNetwork,
+  PauseDetector,
   VirtualClock,
   failureDomainId,
   hostId,
@@ -17,6 +18,7 @@
   PlatformSource,
   RefusedVersion,
 } from '../../src/index.js';
+import {PausableClock} from './pausable-clock.js';
 import {VirtualPlatform} from './virtual-platform.js';
 
 export const oneWayMilliseconds = 1.5;
@@ -24,6 +26,8 @@
 export interface VirtualHost {
   readonly host: HostId;
   readonly domain: string;
+  readonly clock: PausableClock;
+  readonly pauses: PauseDetector;
   readonly store: ConfigurationStore;
   readonly distributor: ConfigurationDistributor;
   readonly refused: RefusedVersion[];
@@ -86,25 +90,41 @@
     });
     const identity = {host, incarnation: incarnation(`i${this.starts}`)};
     const handler = new ConfigurationHandler(store, this.clock);
-    this.network.attach(host, async body =>
-      body.$case === 'configuration'
+    const clock = new PausableClock(this.clock);
+    const pauses = new PauseDetector({clock});
+    this.network.attach(host, async body => {
+      await clock.running();
+      return body.$case === 'configuration'
         ? {$case: body.$case, value: await handler.handle(body.value)}
-        : {$case: 'refusal', value: {code: 0}},
-    );
+        : {$case: 'refusal', value: {code: 0}};
+    });
+    const transport = this.network.transportOf(identity);
+    const platform = source ?? this.platform.source();
     const distributor = new ConfigurationDistributor({
-      clock: this.clock,
+      clock,
+      pauses,
       random: seededRandom(this.seed * 1000 + this.starts),
       self: host,
       failureDomain: failureDomainId(this.domainOf(host)),
       store,
-      platform: source ?? this.platform.source(),
-      transport: this.network.transportOf(identity),
+      platform: {watch: whileRunning(clock, platform.watch)},
+      transport: {exchange: whileRunning(clock, transport.exchange)},
       seeds: this.names.slice(0, 3),
       isLikelyLive: () => true,
     });
     const domain = this.domainOf(host);
-    const started = {host, domain, store, distributor, refused, versions};
+    const started = {
+      host,
+      domain,
+      clock,
+      pauses,
+      store,
+      distributor,
+      refused,
+      versions,
+    };
     this.hosts.set(host, started);
+    pauses.start();
     void distributor.start();
     return started;
   }
@@ -115,13 +135,13 @@
 
   async stop(host: HostId): Promise<void> {
     this.network.detach(host);
-    await this.hosts.get(host)!.distributor.close();
+    const {distributor, pauses} = this.hosts.get(host)!;
+    await Promise.all([distributor.close(), pauses.close()]);
     this.hosts.delete(host);
   }
 
   async close(): Promise<void> {
-    const hosts = [...this.hosts.values()];
-    await Promise.all(hosts.map(host => host.distributor.close()));
+    await Promise.all([...this.hosts.keys()].map(host => this.stop(host)));
   }
 
   /** Versions in force, each once. */
@@ -144,3 +164,15 @@
     return this.clock.now() - start;
   }
 }
+
+/** A paused host sees answers when it runs again. */
+function whileRunning<Parameters extends unknown[], Answer>(
+  clock: PausableClock,
+  call: (...parameters: Parameters) => Promise<Answer>,
+) {
+  return async (...parameters: Parameters) => {
+    const answer = await call(...parameters);
+    await clock.running();
+    return answer;
+  };
+}
