--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -209,3 +209,17 @@
 export {Host} from './host/host.js';
 export type {HostObserver, HostParts} from './host/host.js';
 export type {AdmittedCompletion} from './host/completions.js';
+export {PauseDetector} from './fleet/pause-detector.js';
+export type {
+  PauseDetectorParts,
+  PauseListener,
+} from './fleet/pause-detector.js';
+export {FleetView} from './fleet/fleet-view.js';
+export type {FleetViewParts} from './fleet/fleet-view.js';
+export type {HostView} from './fleet/host-status.js';
+export {HostHintReader} from './fleet/host-hints.js';
+export type {
+  HostHint,
+  HostHintReaderParts,
+  HostHintSource,
+} from './fleet/host-hints.js';
