--- /dev/null
+++ b/bench/goodput.mjs
@@ -0,0 +1,114 @@
+/**
+ * Measures goodput of the placement policy on virtual time and compares it with
+ * the bounds in bench/bounds.yaml. Arguments: words that a run's name must hold.
+ */
+
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import {Worker} from 'node:worker_threads';
+import {parse} from 'yaml';
+import {deployments} from './goodput/workload.mjs';
+import {findBrokenBounds} from './goodput/bounds.mjs';
+
+const seed = 20_260_101;
+const threads = 2;
+const loads = [0.7, 1.0, 1.5, 3.0];
+const faults = ['none', 'engine', 'host', 'domain'];
+const policies = {
+  reserving: {kind: 'reserving', choices: 2, slots: 'shares'},
+  'least load': {kind: 'least-reported'},
+  'round robin': {kind: 'round-robin'},
+};
+const comparedPolicies = {
+  'slots as reported': {kind: 'reserving', choices: 2, slots: 'reported'},
+  'slots known exactly': {kind: 'reserving', choices: 2, slots: 'exact'},
+};
+
+const wanted = process.argv.slice(2);
+
+function* scenarios() {
+  for (const name of Object.keys(deployments))
+    for (const fault of faults)
+      for (const load of loads) {
+        const used =
+          load >= 1 && fault === 'none'
+            ? {...policies, ...comparedPolicies}
+            : policies;
+        for (const [policyName, policy] of Object.entries(used))
+          yield {name, fault, load, policyName, policy, seed};
+      }
+  for (const name of Object.keys(deployments))
+    for (const [variant, factors] of Object.entries({
+      even: {},
+      'first at 5x': {first: 5},
+    }))
+      yield {
+        name,
+        fault: 'none',
+        load: 0.7,
+        policyName: `reserving, ${variant}`,
+        policy: policies.reserving,
+        seed: seed + 1,
+        factors,
+      };
+}
+
+const percent = value => `${(value * 100).toFixed(1)}%`;
+const row = ({name, fault, load, policyName, figures}) =>
+  `| ${[
+    name,
+    fault,
+    load.toFixed(1),
+    policyName,
+    percent(figures.goodput),
+    percent(figures.reached),
+    percent(figures.wasted),
+    figures.worstAccount.toFixed(2),
+    figures.refused,
+    figures.late,
+    figures.failed,
+    figures.arrived,
+  ].join(' | ')} |`;
+
+console.log(`seed ${seed}, 5 s of warm-up and 15 s measured, virtual time\n`);
+console.log(
+  '| deployment | fault | load | policy | goodput of capacity | of what is possible | wasted prefill | worst account of fair share | refused | late | failed | arrived |',
+);
+console.log(`|${' --- |'.repeat(12)}`);
+
+const startedAt = performance.now();
+const results = await measureAll(
+  [...scenarios()].filter(scenario => {
+    const {name, fault, load, policyName} = scenario;
+    const title = `${name}/${fault}/${load.toFixed(1)}/${policyName}`;
+    return wanted.every(word => title.includes(word));
+  }),
+);
+for (const result of results) console.log(row(result));
+const seconds = (performance.now() - startedAt) / 1000;
+console.log(`\n${results.length} runs in ${seconds.toFixed(0)} s`);
+
+const bounds = parse(
+  readFileSync(new URL('bounds.yaml', import.meta.url), 'utf8'),
+).goodput;
+const broken = findBrokenBounds(bounds, results);
+for (const line of broken) console.log(`bound broken: ${line}`);
+process.exitCode = broken.length > 0 ? 1 : 0;
+
+/** Measures on a few threads; the figures do not depend on their number. */
+async function measureAll(waiting) {
+  const measured = [];
+  let next = 0;
+  const work = async () => {
+    const worker = new Worker(new URL('goodput/worker.mjs', import.meta.url));
+    while (next < waiting.length) {
+      const index = next++;
+      worker.postMessage({index, scenario: waiting[index]});
+      const [{figures}] = await once(worker, 'message');
+      measured[index] = {...waiting[index], figures};
+    }
+    await worker.terminate();
+  };
+  await Promise.all(Array.from({length: threads}, work));
+  return measured;
+}
--- a/packages/coordination/src/placement/abort-scope.ts
+++ b/packages/coordination/src/placement/abort-scope.ts
@@ -5,13 +5,21 @@
 import type {UpstreamId} from '../ids.js';
 import type {UpstreamError} from '../upstreams/engine.js';
 
+/** The reason of signals that end because their work is over. */
+class ScopeEnded extends Error {
+  override readonly name = 'ScopeEnded';
+}
+
+/** Shared, because making an error for each call costs more than the call. */
+const scopeEnded = new ScopeEnded('the work is over');
+
 /** A signal that follows its parent until it is closed. */
 export class AbortScope {
   private readonly controller = new AbortController();
-  private readonly follow = () => this.controller.abort();
+  private readonly follow = () => this.controller.abort(scopeEnded);
 
   constructor(private readonly parent: AbortSignal) {
-    if (parent.aborted) this.controller.abort();
+    if (parent.aborted) this.follow();
     else parent.addEventListener('abort', this.follow, {once: true});
   }
 
@@ -20,13 +28,13 @@
   }
 
   abort(): void {
-    this.controller.abort();
+    this.controller.abort(scopeEnded);
   }
 
   /** Aborts the scope and lets go of the parent. */
   close(): void {
     this.parent.removeEventListener('abort', this.follow);
-    this.controller.abort();
+    this.controller.abort(scopeEnded);
   }
 }
 
@@ -39,15 +47,13 @@
   call: (signal: AbortSignal) => Promise<Result<Value, UpstreamError>>,
 ): Promise<Result<Value, UpstreamError>> {
   const scope = new AbortScope(parent);
-  const settled = new AbortController();
   let isExpired = false;
-  void clock.sleep(milliseconds, settled.signal).then(() => {
-    if (settled.signal.aborted) return;
+  void clock.sleep(milliseconds, scope.signal).then(() => {
+    if (scope.signal.aborted) return;
     isExpired = true;
     scope.abort();
   });
   const result = await call(scope.signal);
-  settled.abort();
   scope.close();
   if (result.isErr && isExpired && !parent.aborted)
     return Result.err({kind: 'silent', upstream});
--- a/packages/coordination/src/placement/attempt-cleaner.ts
+++ b/packages/coordination/src/placement/attempt-cleaner.ts
@@ -1,5 +1,6 @@
 /** Frees what attempts hold at engines, without holding back any answer. */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../clock.js';
 import type {EngineAttempt} from '../upstreams/engine.js';
 import {callWithin} from './abort-scope.js';
@@ -22,7 +23,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly owned: OwnedAttempts | undefined,
-  ) {}
+  ) {
+    // Each cancel listens.
+    setMaxListeners(0, this.closing.signal);
+  }
 
   /** Called before an engine sees `attempt`. */
   register(attempt: EngineAttempt): void {
--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -1,6 +1,6 @@
 /** Runs one attempt on reserved engines: prefill, transfer, decode. */
 
-import {Result} from 'true-myth';
+import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {
   CompletionEvent,
--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -3,7 +3,7 @@
  * not take it, while the prefill engine still has it.
  */
 
-import {Result} from 'true-myth';
+import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {CompletionRequest} from '../requests/completion.js';
 import type {
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -114,14 +114,12 @@
   ): AsyncGenerator<CompletionEvent> {
     const {clock} = this.parts;
     const scope = new AbortScope(signal);
-    const done = new AbortController();
     void clock
-      .sleep(request.deadline - clock.now(), done.signal)
+      .sleep(request.deadline - clock.now(), scope.signal)
       .then(() => scope.abort());
     try {
       yield* this.runWithin(request, signal, scope.signal);
     } finally {
-      done.abort();
       scope.close();
     }
   }
--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -8,6 +8,7 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {CompletionRequest} from '../requests/completion.js';
 import type {RequestFailure} from '../requests/failure.js';
+import {AbortScope} from './abort-scope.js';
 import {FairQueue} from './fair-queue.js';
 import type {QueueBounds, QueueItem} from './fair-queue.js';
 import type {Placement} from './placement.js';
@@ -77,23 +78,21 @@
   ): Promise<Admission> {
     const demand = this.parts.placer.demandOf(request, terms.delivered);
     const lane = this.laneOf(request);
-    const settled = new AbortController();
+    const settled = new AbortScope(signal);
     let admission: Admission | undefined;
     let wake = () => {};
     const waiting = this.describe(demand, terms, result => {
       admission ??= result;
-      settled.abort();
+      settled.close();
       wake();
     });
     const refusal = this.enqueue(lane, waiting, terms);
+    if (refusal !== undefined) settled.close();
     if (refusal !== undefined) return Result.err(refusal);
     this.pump();
     if (admission !== undefined) return admission;
-    const leave = () => settled.abort();
-    signal.addEventListener('abort', leave, {once: true});
-    if (signal.aborted) leave();
     await this.waitForTurn(waiting, settled.signal, resume => (wake = resume));
-    signal.removeEventListener('abort', leave);
+    settled.close();
     this.remove(lane, waiting);
     return admission ?? Result.err(this.lateFailure(waiting, request));
   }
--- a/packages/coordination/src/placement/engine-state.ts
+++ b/packages/coordination/src/placement/engine-state.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Upstream} from '../configuration/configuration.js';
+import type {Member} from '../generated/documents.js';
 import type {Engine, LoadReport} from '../upstreams/engine.js';
 import {CacheView} from './cache-view.js';
 import {EngineHealth} from './engine-health.js';
@@ -17,6 +18,13 @@
   endedAt: number | undefined;
 }
 
+/** A host's share of an engine's slots, with what it was computed from. */
+export interface SlotShare {
+  readonly members: readonly Member[];
+  readonly of: number;
+  readonly slots: number;
+}
+
 interface SentPrefill {
   readonly sentAt: number;
   readonly tokens: number;
@@ -38,7 +46,11 @@
 export class EngineState {
   readonly health = new EngineHealth();
   readonly cache = new CacheView();
+  /** True once the engine was a choice for prefill: its cache matters. */
+  isPrefillChoice = false;
   report: LoadReport = assumedReport;
+  /** The host's share of the slots, kept while what it follows from stays. */
+  share: SlotShare | undefined;
   /** Slots beyond the own share that may be taken until the next report. */
   borrowable = 0;
   private takenAt = 0;
--- a/packages/coordination/src/placement/engine-view.ts
+++ b/packages/coordination/src/placement/engine-view.ts
@@ -1,10 +1,12 @@
 /** The engines that a host knows, each read by one task of its own. */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../clock.js';
 import type {Configuration, Upstream} from '../configuration/configuration.js';
 import type {HostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
 import {rankByRendezvous} from '../rendezvous.js';
+import type {Member} from '../generated/documents.js';
 import type {Engine} from '../upstreams/engine.js';
 import {callWithin} from './abort-scope.js';
 import {EngineState} from './engine-state.js';
@@ -35,7 +37,10 @@
   /** Called when a report came in. */
   onReport: () => void = () => {};
 
-  constructor(private readonly parts: EngineViewParts) {}
+  constructor(private readonly parts: EngineViewParts) {
+    // Each engine's task listens.
+    setMaxListeners(0, this.closing.signal);
+  }
 
   /** The state of an upstream's engine; reading it starts with the first use. */
   stateOf(upstream: Upstream): EngineState {
@@ -55,6 +60,15 @@
   /** Slots of the engine that this host may always use. */
   slotShare(state: EngineState): number {
     const members = this.parts.configuration().membership?.spec.members ?? [];
+    const {decodeSlots} = state.report;
+    if (state.share?.members === members && state.share.of === decodeSlots)
+      return state.share.slots;
+    const slots = this.computeShare(state, members);
+    state.share = {members, of: decodeSlots, slots};
+    return slots;
+  }
+
+  private computeShare(state: EngineState, members: readonly Member[]): number {
     const {decodeSlots} = state.report;
     if (members.length <= 1) return decodeSlots;
     const ranked = rankByRendezvous(
@@ -78,7 +92,7 @@
     const {signal} = this.closing;
     while (!signal.aborted && this.isPublished(key, state)) {
       await this.readLoad(state, signal);
-      if (!signal.aborted) await this.readCache(state, signal);
+      if (state.isPrefillChoice) await this.readCache(state, signal);
       const jitter = 0.75 + this.parts.random.next() / 2;
       await clock.sleep(this.pollInterval() * jitter, signal);
     }
--- a/packages/coordination/src/placement/placer.ts
+++ b/packages/coordination/src/placement/placer.ts
@@ -317,6 +317,8 @@
     const states = allowedUpstreams(configuration, request, role).map(
       upstream => view.stateOf(upstream),
     );
+    if (role === 'prefill')
+      for (const state of states) state.isPrefillChoice = true;
     const leastSlowness = Math.min(
       ...states.map(({health}) => health.slowness(now)),
     );
--- a/packages/coordination/src/simulation/model-engine-connection.ts
+++ b/packages/coordination/src/simulation/model-engine-connection.ts
@@ -122,19 +122,24 @@
   private async exchange<Value>(
     answer: () => EngineAnswer<Value> | Promise<EngineAnswer<Value>>,
   ): Promise<Result<Value, UpstreamError> | undefined> {
-    const {target, route} = this;
+    const {target} = this;
     const upstream = target.id;
-    await target.clock.sleep(route.delayMilliseconds);
+    await this.travel();
     if (!this.canConnect()) return Result.err({kind: 'unreachable', upstream});
     if (target.fault.kind === 'silent') return undefined;
     const epoch = target.connectionEpoch;
     const result = await answer();
-    await target.clock.sleep(route.delayMilliseconds);
+    await this.travel();
     if (this.isBroken(epoch)) return Result.err({kind: 'broken', upstream});
     if (target.connectionEpoch !== epoch || !this.isHeard()) return undefined;
     return result.mapErr(code => ({kind: 'refused', upstream, code}));
   }
 
+  private async travel(): Promise<void> {
+    const {delayMilliseconds} = this.route;
+    if (delayMilliseconds > 0) await this.target.clock.sleep(delayMilliseconds);
+  }
+
   private canConnect(): boolean {
     return this.target.fault.kind !== 'dead' && this.route.isReachable();
   }
--- a/packages/coordination/src/simulation/virtual-clock.ts
+++ b/packages/coordination/src/simulation/virtual-clock.ts
@@ -8,10 +8,13 @@
   readonly wake: () => void;
 }
 
+const ticksPerImmediate = 64;
+
 /** Virtual time: sleepers wake in the order of their times. */
 export class VirtualClock implements Clock {
   private time = 0;
   private order = 0;
+  private turn = 0;
   private sleepers: Sleeper[] = [];
 
   /** `epoch` is the wall-clock time at virtual time zero. */
@@ -45,12 +48,12 @@
   /** Lets `milliseconds` pass and everything that falls due run. */
   async advance(milliseconds: number): Promise<void> {
     const end = this.time + milliseconds;
-    await settle();
+    await settle(0);
     while (this.sleepers[0] !== undefined && this.sleepers[0].wakesAt <= end) {
       const sleeper = this.sleepers.shift()!;
       this.time = Math.max(this.time, sleeper.wakesAt);
       sleeper.wake();
-      await settle();
+      await settle((this.turn += 1));
     }
     this.time = end;
   }
@@ -62,7 +65,7 @@
       isSettled = true;
     };
     promise.then(mark, mark);
-    await settle();
+    await settle(0);
     while (!isSettled && this.sleepers[0] !== undefined)
       await this.advance(this.sleepers[0].wakesAt - this.time);
     return promise;
@@ -87,6 +90,10 @@
 }
 
 /** Runs every task that waits for nothing but other tasks. */
-function settle(): Promise<void> {
+function settle(turn: number): Promise<void> {
+  // A tick runs when no microtask is left, far sooner than an immediate, which
+  // is still needed now and then for the input and output of the process.
+  if (turn % ticksPerImmediate !== 0)
+    return new Promise(resolve => process.nextTick(resolve));
   return new Promise(resolve => setImmediate(resolve));
 }
