--- a/packages/daemon/src/callers/completion-answer.ts
+++ b/packages/daemon/src/callers/completion-answer.ts
@@ -43,6 +43,7 @@
   call: CallRecord,
 ) {
   for await (const event of events) {
+    if (reply.raw.destroyed) break;
     if (!reply.raw.headersSent) {
       if (event.kind === 'failed') return sendFailure(reply, event.failure);
       startStream(reply);
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -1,6 +1,14 @@
 /** The chat completion API and the list of models. */
 
-import {Controller, Get, Inject, Post, Req, Res} from '@nestjs/common';
+import {
+  Controller,
+  Get,
+  HttpCode,
+  Inject,
+  Post,
+  Req,
+  Res,
+} from '@nestjs/common';
 import {accountId} from '@persimmonwick/coordination';
 import type {
   AccountId,
@@ -26,6 +34,8 @@
 import {sendStreamedAnswer, sendWholeAnswer} from './completion-answer.js';
 import {observeTokens} from './observe-tokens.js';
 
+const okStatus = 200;
+
 @Controller('v1')
 export class CompletionsController {
   constructor(@Inject(daemonPartsToken) private readonly parts: DaemonParts) {}
@@ -58,6 +68,7 @@
   }
 
   @Post('chat/completions')
+  @HttpCode(okStatus)
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const call = callRecordOf(request);
     const configuration = this.parts.configuration();
--- /dev/null
+++ b/packages/daemon/test/tools/raw-call.ts
@@ -0,0 +1,41 @@
+/** Calls over a bare socket, for input that no HTTP client would send. */
+
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import type {ExecutionContext} from 'ava';
+
+/** A connection whose answer can be awaited. */
+export interface RawCall {
+  readonly socket: Socket;
+  /** All that came until the other side closed. */
+  readonly answer: Promise<string>;
+}
+
+export function openRawCall(t: ExecutionContext, address: string): RawCall {
+  const [host, port] = address.split(':') as [string, string];
+  const socket = connect(Number(port), host);
+  t.teardown(() => socket.destroy());
+  const chunks: Buffer[] = [];
+  socket.on('error', () => {});
+  socket.on('data', chunk => chunks.push(chunk));
+  const answer = new Promise<string>(resolve =>
+    socket.on('close', () => resolve(Buffer.concat(chunks).toString())),
+  );
+  return {socket, answer};
+}
+
+/** Sends `text` and gives the whole answer. */
+export function sendRaw(
+  t: ExecutionContext,
+  address: string,
+  text: string | Buffer,
+): Promise<string> {
+  const call = openRawCall(t, address);
+  call.socket.write(text);
+  return call.answer;
+}
+
+/** Waits until `condition` holds; the test's own limit bounds it. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(done => setTimeout(done, 5));
+}
--- /dev/null
+++ b/packages/daemon/test/tools/recorded-log.ts
@@ -0,0 +1,29 @@
+/** A log that keeps its events for the test. */
+
+import type {EventLog} from '../../src/index.js';
+
+interface RecordedEvent {
+  readonly name: string;
+  readonly fields: Readonly<Record<string, string | number>>;
+}
+
+export class RecordedLog implements EventLog {
+  readonly events: RecordedEvent[] = [];
+
+  write: EventLog['write'] = (name, fields) => {
+    this.events.push({name, fields});
+  };
+
+  eventsOf(name: string) {
+    return this.events
+      .filter(event => event.name === name)
+      .map(({fields}) => fields);
+  }
+
+  /** How many requests failed with `code`. */
+  failures(code: string): number {
+    return this.eventsOf('requestFailed').filter(
+      fields => fields['code'] === code,
+    ).length;
+  }
+}
--- a/packages/daemon/test/tools/run-daemon.ts
+++ b/packages/daemon/test/tools/run-daemon.ts
@@ -6,12 +6,14 @@
 import type {FakeEngineOptions} from '@persimmonwick/standins';
 import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
-import {silentLog, startDaemon} from '../../src/index.js';
-import type {Daemon, EventLog} from '../../src/index.js';
+import {startDaemon} from '../../src/index.js';
+import type {Daemon} from '../../src/index.js';
+import {RecordedLog} from './recorded-log.js';
 
 export interface DaemonWithFleet {
   readonly fleet: SampleFleet;
   readonly daemon: Daemon;
+  readonly log: RecordedLog;
   readonly settings: CompleteSettings;
   call(
     path: string,
@@ -31,16 +33,18 @@
 /** Settings and log that a test changes. */
 export interface RunOptions {
   readonly limits?: Partial<CompleteSettings['limits']>;
-  readonly log?: EventLog;
+  readonly isPlatformDown?: boolean;
 }
 
 export async function runDaemon(
   t: ExecutionContext,
   options: Partial<FakeEngineOptions> = {},
-  {limits = {}, log = silentLog}: RunOptions = {},
+  {limits = {}, isPlatformDown = false}: RunOptions = {},
 ): Promise<DaemonWithFleet> {
   const fleet = new SampleFleet(options);
   await fleet.start();
+  if (isPlatformDown) fleet.platform.fault = 'down';
+  const log = new RecordedLog();
   const settings = parseSettings({
     host: 'north-1',
     failureDomain: 'north',
@@ -63,10 +67,11 @@
     await daemon.close();
     await fleet.close();
   });
-  await daemon.ready;
+  if (!isPlatformDown) await daemon.ready;
   return {
     fleet,
     daemon,
+    log,
     settings,
     async call(path, {method = 'GET', key, body, headers = {}} = {}) {
       const answer = await request(
