--- a/packages/daemon/src/load-settings.ts
+++ b/packages/daemon/src/load-settings.ts
@@ -38,14 +38,17 @@
       })),
     );
   const settings: unknown = document.toJS();
-  if (isRecord(settings)) applyOverrides(settings, environment);
-  return parseSettings(settings);
+  const faults = isRecord(settings)
+    ? applyOverrides(settings, environment)
+    : [];
+  return faults.length > 0 ? Result.err(faults) : parseSettings(settings);
 }
 
 function applyOverrides(
   settings: Record<string, unknown>,
   environment: NodeJS.ProcessEnv,
-): void {
+): SettingsFault[] {
+  const faults: SettingsFault[] = [];
   for (const [name, value] of Object.entries(environment)) {
     if (!name.startsWith(overridePrefix) || value === undefined) continue;
     const path = name.slice(overridePrefix.length).split('__');
@@ -55,8 +58,16 @@
       if (!isRecord(target[key])) target[key] = {};
       target = target[key] as Record<string, unknown>;
     }
-    target[last] = parseYaml(value).toJS();
+    const document = parseYaml(value);
+    if (document.errors.length > 0)
+      faults.push({
+        path: `/${[...path, last].join('/')}`,
+        value: `${name} in the environment`,
+        expected: 'YAML without errors',
+      });
+    else target[last] = document.toJS();
   }
+  return faults;
 }
 
 function isRecord(value: unknown): value is Record<string, unknown> {
--- /dev/null
+++ b/packages/daemon/test/operators/pages.test.ts
@@ -0,0 +1,123 @@
+import {sampleKeys, sampleModel} from '@persimmonwick/standins';
+import test from 'ava';
+import {request} from 'undici';
+import {startDaemon} from '../../src/index.js';
+import {StartError} from '../../src/index.js';
+import {RecordedLog} from '../tools/recorded-log.js';
+import {runDaemon} from '../tools/run-daemon.js';
+import type {DaemonWithFleet} from '../tools/run-daemon.js';
+
+async function read(
+  run: DaemonWithFleet,
+  path: string,
+  method: 'GET' | 'POST' = 'GET',
+) {
+  const url = `http://${run.daemon.addresses.operators}${path}`;
+  const answer = await request(url, {method});
+  return {status: answer.statusCode, text: await answer.body.text()};
+}
+
+const readJson = async (run: DaemonWithFleet, path: string) =>
+  JSON.parse((await read(run, path)).text);
+
+const chat = {
+  model: sampleModel,
+  messages: [{role: 'user', content: 'x'}],
+  max_tokens: 5,
+};
+
+test('status', async t => {
+  const run = await runDaemon(t);
+  const status = await readJson(run, '/status');
+  t.like(status, {
+    host: 'north-1',
+    failureDomain: 'north',
+    version: '2',
+    inFlight: 0,
+    isDraining: false,
+    isReady: true,
+  });
+  t.is((await read(run, '/healthz')).status, 200);
+});
+
+test('histograms after a completion', async t => {
+  const run = await runDaemon(t);
+  const options = {method: 'POST', key: sampleKeys.batinah} as const;
+  await run.call('/v1/chat/completions', {...options, body: chat});
+  while (run.log.eventsOf('requestFinished').length === 0)
+    await new Promise(done => setImmediate(done));
+  const {accounts} = await readJson(run, '/histograms');
+  t.like(accounts[0], {account: 'batinah', class: 'targeted', finished: 1});
+  t.is(accounts[0].phases['between-tokens'].count, 4);
+  const metrics = await read(run, '/metrics');
+  t.regex(metrics.text, /requests_finished_total\{account="batinah"/);
+});
+
+test('explain a model', async t => {
+  const run = await runDaemon(t);
+  const query = `account=batinah&model=${sampleModel}`;
+  const found = await readJson(run, `/explain?${query}`);
+  t.is(found.route, 'review');
+  const usable = found.upstreams.filter(
+    (upstream: {isUsable: boolean}) => upstream.isUsable,
+  );
+  t.is(usable.length, 5);
+});
+
+test('explain a path and a leaving upstream', async t => {
+  const run = await runDaemon(t);
+  run.fleet.platform.publish({
+    kind: 'Upstream',
+    name: 'orders-0',
+    labels: {use: 'orders'},
+    spec: {
+      address: run.fleet.service.address,
+      failureDomain: 'north',
+      state: 'leaving',
+    },
+  } as {kind: string; name: string});
+  let found = await readJson(run, '/explain?account=batinah&path=/orders/1');
+  while (found.version === '2')
+    found = await readJson(run, '/explain?account=batinah&path=/orders/1');
+  t.is(found.route, 'orders');
+  t.deepEqual(found.upstreams[0].reasons, ['it is leaving']);
+  const without = await readJson(run, '/explain?path=/orders/1');
+  t.is(without.refusal, 'missing-key');
+});
+
+test('bad questions', async t => {
+  const run = await runDaemon(t);
+  t.is((await read(run, '/explain')).status, 400);
+  t.is((await read(run, '/explain?path=/a&path=/b')).status, 400);
+  t.is((await read(run, '/explain?account=x&path=/a')).status, 404);
+  t.is((await read(run, '/nowhere')).status, 404);
+});
+
+test('drain', async t => {
+  const run = await runDaemon(t);
+  t.is((await read(run, '/drain')).status, 404);
+  t.is((await read(run, '/drain', 'POST')).status, 202);
+  t.is((await read(run, '/readyz')).status, 503);
+  const refused = await run.call('/orders/1', {key: sampleKeys.batinah});
+  t.is(refused.status, 503);
+});
+
+test('a daemon started twice on one address', async t => {
+  const run = await runDaemon(t);
+  const {callers, operators, peers} = run.daemon.addresses;
+  const free = {
+    callers: '127.0.0.1:0',
+    operators: '127.0.0.1:0',
+    peers: '127.0.0.1:0',
+  };
+  for (const taken of [{callers}, {operators}, {peers}]) {
+    const listen = {...free, ...taken};
+    const second = startDaemon({...run.settings, listen}, new RecordedLog());
+    const error = await t.throwsAsync(second, {instanceOf: StartError});
+    const [path, address] = Object.entries(taken)[0]!;
+    t.is(error!.faults[0]!.path, `/listen/${path}`);
+    t.true(error!.faults[0]!.value.startsWith(address));
+  }
+  const answer = await run.call('/orders/1', {key: sampleKeys.batinah});
+  t.is(answer.status, 201);
+});
