--- /dev/null
+++ b/packages/command/src/commands/index.ts
@@ -0,0 +1,22 @@
+/** All commands; one file each. */
+
+import type {CommandModule} from 'yargs';
+import type {CommandContext} from '../command-context.js';
+import {checkCommand} from './check.js';
+import {drainCommand} from './drain.js';
+import {explainCommand} from './explain.js';
+import {hashKeyCommand} from './hash-key.js';
+import {histogramsCommand} from './histograms.js';
+import {statusCommand} from './status.js';
+
+/** Makes the commands for one run of the tool. */
+export function createCommands(context: CommandContext): CommandModule[] {
+  return [
+    checkCommand,
+    statusCommand,
+    histogramsCommand,
+    explainCommand,
+    hashKeyCommand,
+    drainCommand,
+  ].map(create => create(context) as unknown as CommandModule);
+}
