Take signals from the first moment of a daemon's process

Connections refused by the parser are counted, and hash-key hides what is typed at a terminal (not tested at a terminal).

--- a/packages/command/src/commands/hash-key.ts
+++ b/packages/command/src/commands/hash-key.ts
@@ -1,5 +1,7 @@
 /** `persimmonwick hash-key`: the hash under which a key is published. */
 
+import {createInterface} from 'node:readline/promises';
+import {Writable} from 'node:stream';
 import {text} from 'node:stream/consumers';
 import {hashKey} from '@persimmonwick/daemon';
 import type {CommandModule} from 'yargs';
@@ -16,9 +18,7 @@
     describe: 'print the SHA-256 of a key read from standard input',
     builder: command => command as never,
     async handler(options) {
-      if (context.input.isTTY === true)
-        context.prompt('key, then Enter and Ctrl-D: ');
-      const key = (await text(context.input)).replace(/\r?\n$/, '');
+      const key = await readKey(context);
       if (!keyPattern.test(key)) {
         context.complain(
           'the key must be one line of visible ASCII characters without spaces',
@@ -30,3 +30,17 @@
     },
   };
 }
+
+async function readKey({input, prompt}: CommandContext): Promise<string> {
+  if (input.isTTY !== true) return (await text(input)).replace(/\r?\n$/, '');
+  prompt('key: ');
+  // What is typed goes to an output that drops it, so no terminal shows it.
+  const output = new Writable({write: (_chunk, _encoding, done) => done()});
+  const lines = createInterface({input, output, terminal: true});
+  try {
+    return await lines.question('');
+  } finally {
+    lines.close();
+    prompt('\n');
+  }
+}
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -1,6 +1,7 @@
 /** The HTTP server towards callers: Nest on the Fastify adapter. */
 
 import 'reflect-metadata';
+import type {Socket} from 'node:net';
 import {Module} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter} from '@nestjs/platform-fastify';
@@ -32,7 +33,7 @@
   })
   class CallerModule {}
 
-  const adapter = createAdapter(settings.limits);
+  const adapter = createAdapter(settings.limits, parts);
   const application = await NestFactory.create<NestFastifyApplication>(
     CallerModule,
     adapter,
@@ -48,14 +49,20 @@
   return listenOn(application, settings.listen.callers, '/listen/callers');
 }
 
-function createAdapter(limits: CompleteSettings['limits']): FastifyAdapter {
+function createAdapter(
+  limits: CompleteSettings['limits'],
+  {observer}: DaemonParts,
+): FastifyAdapter {
   const {slowSenderMilliseconds} = limits;
   return new FastifyAdapter({
     bodyLimit: limits.bodyBytes,
     requestTimeout: slowSenderMilliseconds,
     keepAliveTimeout: keepAliveMilliseconds,
     return503OnClosing: false,
-    clientErrorHandler: answerClientError,
+    clientErrorHandler: (error: NodeJS.ErrnoException, socket: Socket) => {
+      const failure = answerClientError(error, socket);
+      if (failure !== undefined) observer.refused(failure);
+    },
     frameworkErrors: (
       error: FastifyError,
       _request: FastifyRequest,
--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -6,14 +6,17 @@
 import {statusOf} from '@persimmonwick/coordination';
 import {failureBody, runStateHeader} from './failure-reply.js';
 
-/** Writes a failure to a connection that has no reply object, and ends it. */
+/**
+ * Writes a failure to a connection that has no reply object, and ends it.
+ * Returns the failure; undefined when the caller has gone.
+ */
 export function answerClientError(
   error: NodeJS.ErrnoException,
   socket: Socket,
-): void {
+): RequestFailure | undefined {
   if (error.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
-    return;
+    return undefined;
   }
   const failure = clientFailure(error.code);
   const status = statusOf(failure.code);
@@ -26,6 +29,7 @@
     `${runStateHeader}: ${failure.ran}`,
   ];
   socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy());
+  return failure;
 }
 
 function clientFailure(code: string | undefined): RequestFailure {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,10 +2,14 @@
 /** The daemon's command line. */
 
 import process from 'node:process';
-import type {SettingsFault} from '@persimmonwick/coordination';
+import type {
+  CompleteSettings,
+  SettingsFault,
+} from '@persimmonwick/coordination';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {startDaemon} from './daemon.js';
+import type {Daemon} from './daemon.js';
 import {loadSettings} from './load-settings.js';
 import {createEventLog} from './log/logger.js';
 import {StartError} from './start-error.js';
@@ -33,17 +37,19 @@
 if (settings.isErr) refuseSettings(settings.error);
 else await run(settings.value);
 
-async function run(value: Parameters<typeof startDaemon>[0]): Promise<void> {
+async function run(value: CompleteSettings): Promise<void> {
+  let daemon: Daemon | undefined;
+  let isStopping = false;
+  const stop = () => {
+    if (isStopping) process.exit(failureStatus);
+    isStopping = true;
+    void daemon?.close();
+  };
+  // A signal may come before the daemon has started.
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, stop);
   try {
-    const daemon = await startDaemon(value, createEventLog(value.host));
-    let isStopping = false;
-    const stop = () => {
-      if (isStopping) process.exit(failureStatus);
-      isStopping = true;
-      void daemon.close();
-    };
-    for (const signal of ['SIGTERM', 'SIGINT'] as const)
-      process.on(signal, stop);
+    daemon = await startDaemon(value, createEventLog(value.host));
+    if (isStopping) await daemon.close();
   } catch (error) {
     if (!(error instanceof StartError)) throw error;
     refuseSettings(error.faults);
--- a/packages/daemon/test/callers/bad-input.test.ts
+++ b/packages/daemon/test/callers/bad-input.test.ts
@@ -110,6 +110,10 @@
   t.regex(answer, /^HTTP\/1.1 431 /);
   t.regex(answer, /x-persimmonwick-ran: not-run/);
   t.true(answer.includes('"code":"headers-too-large"'));
+  const metrics = await request(
+    `http://${run.daemon.addresses.operators}/metrics`,
+  );
+  t.regex(await metrics.body.text(), /code="headers-too-large"\} 1/);
   await isAlive(t, run);
 });
 
