--- a/packages/daemon/test/peers/grpc.test.ts
+++ b/packages/daemon/test/peers/grpc.test.ts
@@ -221,7 +221,7 @@
       limit: {
         handle: () => {
           calls += 1;
-          return calls === 1 ? {tokens: 7} : new Promise<never>(() => {});
+          return calls === 1 ? {tokens: 7, grantId: ''} : new Promise<never>(() => {});
         },
       },
     },
