--- /dev/null
+++ b/bench/limits-fleet.mjs
@@ -0,0 +1,189 @@
+/** Fleets of limiters on virtual time, one for each way that is compared. */
+
+import {
+  InMemoryNetwork,
+  Limiter,
+  TokenBucket,
+  VirtualClock,
+  buildConfiguration,
+  failureDomainId,
+  hostId,
+  incarnation,
+  perfectDelivery,
+} from '../packages/coordination/dist/src/index.js';
+
+export const hostCount = 9;
+export const hostsPerDomain = 3;
+const betweenDomainsMilliseconds = 1.5;
+const insideDomainMilliseconds = 0.25;
+
+export const domainOf = index => Math.floor(index / hostsPerDomain);
+const nameOf = index => `host-${index}`;
+const indexOf = name => Number(name.slice('host-'.length));
+
+export const members = Array.from({length: hostCount}, (_, index) => ({
+  host: nameOf(index),
+  failureDomain: `domain-${domainOf(index)}`,
+  address: `10.0.0.${index + 1}:7000`,
+}));
+
+export function configurationOf(accounts, listed) {
+  return buildConfiguration(1n, [
+    ...accounts.map(({name, rate, burst}) => ({
+      kind: 'ClientAccount',
+      name,
+      spec: {rateTokensPerSecond: rate, burstTokens: burst},
+    })),
+    {kind: 'Membership', name: 'fleet', spec: {members: listed}},
+  ]).unwrapOrElse(faults => {
+    throw new RangeError(JSON.stringify(faults));
+  });
+}
+
+/** Hosts that each run a real limiter. */
+export class LimiterFleet {
+  clock = new VirtualClock();
+  messages = 0;
+  cutDomain = undefined;
+  limiters = [];
+  #network = new InMemoryNetwork(this.clock);
+  #deaths = [];
+  #incarnations = 0;
+
+  constructor(accounts, {listed = members, holdersPerDomain}) {
+    this.configuration = configurationOf(accounts, listed);
+    this.holdersPerDomain = holdersPerDomain;
+    this.#network.policy = (from, to) =>
+      this.#deliver(domainOf(indexOf(from)), domainOf(indexOf(to)));
+    for (let index = 0; index < hostCount; index += 1) this.replace(index);
+  }
+
+  admit(index, account, tokens) {
+    return this.limiters[index].admit(account, tokens);
+  }
+
+  /** A crash: nothing is given back. */
+  replace(index) {
+    const dead = {isDead: false};
+    if (this.#deaths[index]) this.#deaths[index].isDead = true;
+    void this.limiters[index]?.close();
+    this.#deaths[index] = dead;
+    this.#incarnations += 1;
+    const identity = {
+      host: hostId(nameOf(index)),
+      incarnation: incarnation(String(this.#incarnations)),
+    };
+    const limiter = new Limiter({
+      clock: {
+        now: () => this.clock.now(),
+        wallNow: () => this.clock.wallNow(),
+        sleep: milliseconds => this.clock.sleep(milliseconds),
+      },
+      transport: this.#transportOf(identity, dead),
+      self: identity.host,
+      incarnation: identity.incarnation,
+      failureDomain: failureDomainId(members[index].failureDomain),
+      configuration: () => this.configuration,
+      holdersPerDomain: this.holdersPerDomain,
+    });
+    this.limiters[index] = limiter;
+    this.#network.attach(identity.host, body => ({
+      $case: 'limit',
+      value: limiter.handle(body.value),
+    }));
+  }
+
+  async close() {
+    await this.clock.runUntil(
+      Promise.all(this.limiters.map(limiter => limiter.close())),
+    );
+  }
+
+  #transportOf(identity, dead) {
+    const transport = this.#network.transportOf(identity);
+    return {
+      exchange: (host, body, timeout) => {
+        if (dead.isDead) return new Promise(() => {});
+        this.messages += 1;
+        return transport.exchange(host, body, timeout);
+      },
+    };
+  }
+
+  #deliver(from, to) {
+    const isCut = (from === this.cutDomain) !== (to === this.cutDomain);
+    return {
+      ...perfectDelivery,
+      isDropped: isCut,
+      delayMilliseconds:
+        from === to ? insideDomainMilliseconds : betweenDomainsMilliseconds,
+    };
+  }
+}
+
+/** Hosts that each have a fixed share and never ask another one. */
+export class FixedShareFleet {
+  clock = new VirtualClock();
+  messages = 0;
+  cutDomain = undefined;
+  #buckets = [];
+
+  constructor(accounts) {
+    this.accounts = accounts;
+    for (let index = 0; index < hostCount; index += 1) this.replace(index);
+  }
+
+  async admit(index, account, tokens) {
+    const bucket = this.#buckets[index].get(account);
+    return chargeWhole(bucket, tokens, this.clock);
+  }
+
+  replace(index) {
+    this.#buckets[index] = new Map(
+      this.accounts.map(({name, rate, burst}) => [
+        name,
+        emptyBucket(rate / hostCount, burst / hostCount, this.clock.now()),
+      ]),
+    );
+  }
+
+  async close() {}
+}
+
+/** One bucket for all, which nothing cuts off and nothing replaces. */
+export class CentralFleet {
+  clock = new VirtualClock();
+  messages = 0;
+  cutDomain = undefined;
+
+  constructor(accounts) {
+    this.buckets = new Map(
+      accounts.map(({name, rate, burst}) => [
+        name,
+        emptyBucket(rate, burst, 0),
+      ]),
+    );
+  }
+
+  async admit(_index, account, tokens) {
+    return chargeWhole(this.buckets.get(account), tokens, this.clock);
+  }
+
+  replace() {}
+
+  async close() {}
+}
+
+function emptyBucket(rate, burst, now) {
+  return new TokenBucket(
+    {tokensPerSecond: rate, capacityTokens: burst},
+    {levelTokens: 0, refillsFrom: now},
+  );
+}
+
+function chargeWhole(bucket, tokens, clock) {
+  if (bucket.available(clock.now()) < tokens) return {isOk: false};
+  const {mark} = bucket.charge(tokens, clock.now());
+  const settle = used => bucket.refund(mark, tokens - used, clock.now());
+  return {isOk: true, value: {settle}};
+}
--- a/packages/coordination/src/limits/account-gate.ts
+++ b/packages/coordination/src/limits/account-gate.ts
@@ -141,7 +141,9 @@
     if (missing <= 0 || ended.aborted) return;
     const spare = state.recentlyBorrowed(now) * spareFraction;
     state.countBorrowed(missing, now);
-    await collector.collect(state, missing, spare);
+    const smallest = Math.min(...batch.map(waiting => waiting.tokens));
+    const useful = Math.max(0, smallest - atHand);
+    await collector.collect(state, missing, useful, spare);
   }
 
   private decide(waiting: WaitingRequest): void {
--- a/packages/coordination/src/limits/account-state.ts
+++ b/packages/coordination/src/limits/account-state.ts
@@ -4,6 +4,8 @@
 import type {AccountId, FailureDomainId, HostId} from '../ids.js';
 import type {Admission, RateRefusal} from './admission.js';
 import {BorrowedTokens} from './borrowed-tokens.js';
+import {KnownHolder} from './known-holder.js';
+import type {AccountLimits} from './known-holder.js';
 import type {HolderShare} from './shares.js';
 
 /** A request that waits for tokens. */
@@ -14,13 +16,6 @@
   isAnswered: boolean;
 }
 
-/** A holder as the borrower knows it. */
-export interface KnownHolder {
-  readonly host: HostId;
-  readonly isNear: boolean;
-  notAskedBefore: number;
-}
-
 /** The shares of one account and what it borrowed. */
 export class AccountState {
   readonly borrowed = new BorrowedTokens();
@@ -40,17 +35,22 @@
     shares: readonly HolderShare[],
     self: HostId,
     nearDomain: FailureDomainId,
+    limits: AccountLimits,
   ): void {
     this.generation += 1;
     this.isOwnHolder = shares.some(share => share.host === self);
     this.totalFraction = shares.reduce((sum, share) => sum + share.fraction, 0);
     this.holders = shares
       .filter(share => share.host !== self)
-      .map(share => ({
-        host: share.host,
-        isNear: share.failureDomain === nearDomain,
-        notAskedBefore: -Infinity,
-      }));
+      .map(
+        share =>
+          new KnownHolder(
+            share.host,
+            share.failureDomain === nearDomain,
+            share.fraction,
+            limits,
+          ),
+      );
   }
 
   /** Counts tokens that had to be borrowed. */
--- a/packages/coordination/src/limits/bucket-holder.ts
+++ b/packages/coordination/src/limits/bucket-holder.ts
@@ -35,7 +35,12 @@
   usedAt: number;
 }
 
-const nothing: LimitReply = {tokens: 0, grantId: ''};
+/** The reply of a holder that has nothing for the asker. */
+export const nothingGranted: LimitReply = {
+  tokens: 0,
+  grantId: '',
+  levelTokens: 0,
+};
 
 /** Holds this host's shares of all client accounts. */
 export class BucketHolder implements PeerHandler<LimitRequest, LimitReply> {
@@ -71,7 +76,7 @@
 
   handle(request: LimitRequest): LimitReply {
     const {action} = request;
-    if (action === undefined) return nothing;
+    if (action === undefined) return nothingGranted;
     switch (action.$case) {
       case 'grant':
         return this.grant(action.value);
@@ -153,26 +158,27 @@
 
   private grant(request: GrantRequest): LimitReply {
     const {tokens, spareTokens, lifetimeMilliseconds} = request;
-    if (!isAmount(tokens) || !isAmount(spareTokens)) return nothing;
-    if (!isAmount(lifetimeMilliseconds)) return nothing;
-    if (lifetimeMilliseconds > maximumLifetimeMilliseconds) return nothing;
+    if (!isAmount(tokens) || !isAmount(spareTokens)) return nothingGranted;
+    if (!isAmount(lifetimeMilliseconds)) return nothingGranted;
+    if (lifetimeMilliseconds > maximumLifetimeMilliseconds)
+      return nothingGranted;
     const bucket = this.bucketOf(accountId(request.account));
-    if (bucket === undefined) return nothing;
+    if (bucket === undefined) return nothingGranted;
+    const now = this.parts.clock.now();
     this.grantCount += 1;
     const grant = bucket.grant(
       `${this.parts.incarnation}/${this.grantCount}`,
       tokens,
       spareTokens,
       lifetimeMilliseconds,
-      this.parts.clock.now(),
+      now,
     );
-    return grant.tokens > 0
-      ? {tokens: grant.tokens, grantId: grant.id}
-      : nothing;
+    const levelTokens = bucket.available(now);
+    return {tokens: grant.tokens, grantId: grant.id, levelTokens};
   }
 
   private takeBack(request: GrantReturn): LimitReply {
-    if (!isAmount(request.tokens)) return nothing;
+    if (!isAmount(request.tokens)) return nothingGranted;
     this.applyConfiguration();
     const held = this.buckets.get(accountId(request.account));
     const tokens = held?.bucket.takeBack(
@@ -181,7 +187,8 @@
       request.tokens,
       this.parts.clock.now(),
     );
-    return {tokens: tokens ?? 0, grantId: request.grantId};
+    const levelTokens = held?.bucket.available(this.parts.clock.now()) ?? 0;
+    return {tokens: tokens ?? 0, grantId: request.grantId, levelTokens};
   }
 }
 
--- a/packages/coordination/src/limits/constants.ts
+++ b/packages/coordination/src/limits/constants.ts
@@ -21,8 +21,8 @@
 /** How long a holder that gave no answer is not asked. */
 export const suspectMilliseconds = 1_000;
 
-/** How long a holder that had too little is not asked. */
-export const exhaustedMilliseconds = 5;
+/** How long what a holder said of its level is taken for true. */
+export const freshMilliseconds = 50;
 
 /** Time between two looks for grants that are about to expire. */
 export const returnIntervalMilliseconds = 50;
--- a/packages/coordination/src/limits/grant-collector.ts
+++ b/packages/coordination/src/limits/grant-collector.ts
@@ -4,15 +4,17 @@
 import type {LimitRequest} from '../generated/messages/persimmonwick/limits.js';
 import type {AccountId, HostId} from '../ids.js';
 import type {PeerTransport} from '../peers/transport.js';
-import type {AccountState, KnownHolder} from './account-state.js';
+import type {AccountState} from './account-state.js';
+import {planAsks, potentialOf, roundingError} from './ask-plan.js';
+import type {PlannedAsk} from './ask-plan.js';
 import type {BorrowedGrant} from './borrowed-tokens.js';
 import {
   collectTimeoutMilliseconds,
   exchangeTimeoutMilliseconds,
-  exhaustedMilliseconds,
   grantLifetimeMilliseconds,
   suspectMilliseconds,
 } from './constants.js';
+import type {KnownHolder} from './known-holder.js';
 
 const maximumRounds = 5;
 
@@ -28,32 +30,34 @@
   ) {}
 
   /**
-   * Collects at most `tokens`, first from holders of the own failure domain and
-   * then from the others, each asked for an even part of what is missing.
-   * `spareTokens` are asked of the own failure domain only.
+   * Collects at most `tokens`, as long as `usefulTokens` may come together, the
+   * smallest sum that helps. `spareTokens` are asked of the own failure domain
+   * only.
    */
   async collect(
     state: AccountState,
     tokens: number,
+    usefulTokens: number,
     spareTokens: number,
   ): Promise<void> {
     const deadline = this.clock.now() + collectTimeoutMilliseconds;
-    let missing = tokens;
-    let spare = spareTokens;
-    for (let round = 0; round < maximumRounds && missing > 0; round += 1) {
+    let collected = 0;
+    for (let round = 0; round < maximumRounds; round += 1) {
       const now = this.clock.now();
-      if (now >= deadline) return;
-      const asked = this.chooseHolders(state, now);
-      if (asked.length === 0) return;
-      const part = missing / asked.length;
-      const sparePart = asked[0]!.isNear ? spare / asked.length : 0;
+      const missing = tokens - collected;
+      // What rounding leaves over is not worth another round.
+      if (now >= deadline || missing <= tokens * roundingError) return;
+      const holders = this.answeringHolders(state, now);
+      const wanted = collected < usefulTokens ? usefulTokens : tokens;
+      const possible = collected + potentialOf(holders, now);
+      if (possible < wanted * (1 - roundingError)) return;
+      const asks = planAsks(holders, missing, now);
+      if (asks.length === 0) return;
+      const spare = round === 0 ? spareTokens / asks.length : 0;
       const given = await Promise.all(
-        asked.map(holder => this.ask(state, holder, part, sparePart)),
+        asks.map(ask => this.ask(state, ask, ask.holder.isNear ? spare : 0)),
       );
-      missing -= given.reduce((sum, one) => sum + one, 0);
-      // What rounding leaves over is not worth another round.
-      if (missing < tokens * Number.EPSILON * 64) return;
-      spare = 0;
+      collected += given.reduce((sum, one) => sum + one, 0);
     }
   }
 
@@ -87,21 +91,16 @@
     await Promise.all(this.returns);
   }
 
-  private chooseHolders(state: AccountState, now: number): KnownHolder[] {
-    const able = state.holders.filter(
-      holder =>
-        holder.notAskedBefore <= now &&
-        (this.suspects.get(holder.host) ?? -Infinity) <= now,
+  private answeringHolders(state: AccountState, now: number): KnownHolder[] {
+    return state.holders.filter(
+      ({host}) => (this.suspects.get(host) ?? -Infinity) <= now,
     );
-    const near = able.filter(holder => holder.isNear);
-    return near.length > 0 ? near : able;
   }
 
   /** Tokens of the part that the holder granted, without spare ones. */
   private async ask(
     state: AccountState,
-    holder: KnownHolder,
-    tokens: number,
+    {holder, tokens}: PlannedAsk,
     spareTokens: number,
   ): Promise<number> {
     const askedAt = this.clock.now();
@@ -124,8 +123,7 @@
     }
     this.suspects.delete(holder.host);
     const reply = answer.value.value;
-    if (!(reply.tokens >= tokens))
-      holder.notAskedBefore = now + exhaustedMilliseconds;
+    holder.learn(reply.levelTokens, now);
     if (!(reply.tokens > 0 && reply.tokens <= tokens + spareTokens)) return 0;
     const grant: BorrowedGrant = {
       holder: holder.host,
--- a/packages/coordination/src/limits/limiter.ts
+++ b/packages/coordination/src/limits/limiter.ts
@@ -18,7 +18,7 @@
 import {AccountState} from './account-state.js';
 import {InvalidTokensError, refusal} from './admission.js';
 import type {Admission, RateRefusal} from './admission.js';
-import {BucketHolder} from './bucket-holder.js';
+import {BucketHolder, nothingGranted} from './bucket-holder.js';
 import {
   defaultHoldersPerDomain,
   idleMilliseconds,
@@ -96,7 +96,7 @@
 
   /** Answers another host that asks for tokens or gives them back. */
   handle(request: LimitRequest): LimitReply {
-    if (this.ended.signal.aborted) return {tokens: 0, grantId: ''};
+    if (this.ended.signal.aborted) return nothingGranted;
     return this.holder.handle(request);
   }
 
@@ -146,7 +146,11 @@
       state.account,
       this.holdersPerDomain,
     );
-    state.setShares(shares, self, failureDomain);
+    const spec = this.seen?.accounts.get(state.account)?.spec;
+    state.setShares(shares, self, failureDomain, {
+      tokensPerSecond: spec?.rateTokensPerSecond ?? 0,
+      burstTokens: spec?.burstTokens ?? 0,
+    });
   }
 
   /** Applies changes that no request brought up, and releases memory. */
--- a/packages/coordination/src/limits/token-bucket.ts
+++ b/packages/coordination/src/limits/token-bucket.ts
@@ -31,7 +31,8 @@
   readonly forgottenAt: number;
   /** Moment of the expiry in the history; absent before. */
   expiredMark: number | undefined;
-  returnNumbers: number[];
+  /** Absent until the first return. */
+  returnNumbers: number[] | undefined;
 }
 
 /** A token bucket that lends. All times are those of the holder's own clock. */
@@ -109,7 +110,7 @@
       expiresAt: now + holdingMilliseconds(lifetimeMilliseconds),
       forgottenAt: now + grantMemoryMilliseconds,
       expiredMark: undefined,
-      returnNumbers: [],
+      returnNumbers: undefined,
     };
     this.level -= given;
     this.outstanding += given;
@@ -127,9 +128,9 @@
   ): number {
     this.advance(now);
     const record = this.records.get(id);
-    if (record === undefined || record.returnNumbers.includes(returnNumber))
+    if (record === undefined || record.returnNumbers?.includes(returnNumber))
       return 0;
-    record.returnNumbers.push(returnNumber);
+    (record.returnNumbers ??= []).push(returnNumber);
     const returned = Math.min(tokens, record.unreturnedTokens);
     record.unreturnedTokens -= returned;
     if (record.expiredMark !== undefined)
--- a/packages/coordination/test/limits-checker.test.ts
+++ b/packages/coordination/test/limits-checker.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {TokenBucket} from '../src/index.js';
+import {BorrowedTokens} from '../src/limits/borrowed-tokens.js';
 import {ShareEpochs} from '../src/limits/share-epochs.js';
 import {ScheduleRun, scheduleArbitrary} from './tools/limit-schedule.js';
 
@@ -15,7 +16,7 @@
   });
   const details = await fc.check(property, {
     seed,
-    numRuns: 1_000,
+    numRuns: 5_000,
     endOnFailure: true,
   });
   return details.failed;
@@ -72,3 +73,31 @@
     ),
   );
 });
+
+test.serial('grants that never expire at the borrower are caught', async t => {
+  const {add} = BorrowedTokens.prototype;
+  const never = {expiresAt: Infinity, wallExpiresAt: Infinity};
+  t.true(
+    await whileReplaced(
+      BorrowedTokens.prototype,
+      'add',
+      function (this: BorrowedTokens, grant) {
+        add.call(this, {...grant, ...never});
+      },
+    ),
+  );
+});
+
+test.serial('a larger share that adds tokens is caught', async t => {
+  const {reconfigure} = TokenBucket.prototype;
+  t.true(
+    await whileReplaced(
+      TokenBucket.prototype,
+      'reconfigure',
+      function (this: TokenBucket, share, now) {
+        reconfigure.call(this, share, now);
+        (this as unknown as {level: number}).level = share.capacityTokens;
+      },
+    ),
+  );
+});
--- a/packages/coordination/test/tools/limit-schedule.ts
+++ b/packages/coordination/test/tools/limit-schedule.ts
@@ -69,7 +69,7 @@
   afterMilliseconds: fc.oneof(
     {weight: 3, arbitrary: fc.integer({min: 0, max: 20})},
     {weight: 2, arbitrary: fc.integer({min: 0, max: 600})},
-    {weight: 1, arbitrary: fc.integer({min: 0, max: 3_000})},
+    {weight: 2, arbitrary: fc.integer({min: 0, max: 3_000})},
   ),
   host: fc.nat({max: hostCount - 1}),
 };
@@ -80,14 +80,14 @@
     arbitrary: fc.record({
       ...timing,
       kind: fc.constant('admit' as const),
-      tokens: fc.integer({min: 1, max: 60}),
+      tokens: fc.integer({min: 1, max: 40}),
       usedPercent: fc.constantFrom(0, 10, 50, 100),
       settleMilliseconds: fc.integer({min: 0, max: 2_000}),
-      copies: fc.integer({min: 1, max: 4}),
+      copies: fc.integer({min: 1, max: 10}),
     }),
   },
   {
-    weight: 1,
+    weight: 3,
     arbitrary: fc.record({...timing, kind: fc.constant('restart' as const)}),
   },
   {
@@ -124,8 +124,8 @@
     arbitrary: fc.record({
       ...timing,
       kind: fc.constant('limits' as const),
-      rate: fc.constantFrom(20, 60, 100),
-      burst: fc.constantFrom(20, 60, 120),
+      rate: fc.constantFrom(5, 20, 60),
+      burst: fc.constantFrom(30, 100, 200),
     }),
   },
   {
@@ -148,8 +148,8 @@
   private readonly random: RandomSource;
   private readonly background: Promise<void>[] = [];
   private cutDomain: string | undefined;
-  private rate = 60;
-  private burst = 60;
+  private rate = 20;
+  private burst = 100;
   private members = firstList;
   private previousMembers: Member[] | undefined;
   private published: Configuration;
@@ -168,7 +168,7 @@
 
   async run(): Promise<void> {
     const {clock} = this.fleet;
-    await clock.advance(randomBelow(this.random, 4_000));
+    await clock.advance(randomBelow(this.random, 10_000));
     for (const step of this.schedule.steps) {
       await clock.advance(step.afterMilliseconds);
       this.act(step, this.fleet.hosts[step.host]!);
@@ -314,13 +314,15 @@
       this.cutDomain !== undefined &&
       (domainOf(from) === this.cutDomain) !== (domainOf(to) === this.cutDomain);
     const isSlow = randomBelow(this.random, 10) === 0;
-    const isDoubled = randomBelow(this.random, 5) === 0;
+    const isDoubled = randomBelow(this.random, 2) === 0;
     return {
       ...perfectDelivery,
       isDropped: isCut || randomBelow(this.random, 20) === 0,
       delayMilliseconds: isSlow ? randomBelow(this.random, 60) : 1.5,
       copyDelaysMilliseconds:
-        isDoubled && !isCut ? [randomBelow(this.random, 2_000)] : [],
+        isDoubled && !isCut
+          ? [randomBelow(this.random, isSlow ? 2_000 : 50)]
+          : [],
     };
   }
 }
