--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -116,6 +116,7 @@
       self: self.host,
       configuration,
     });
+    this.store.subscribe(() => this.limiter.refresh());
     this.claims = new Claims({
       ...parts,
       membership: () => configuration().membership?.spec,
--- a/packages/daemon/test/peers/grpc.test.ts
+++ b/packages/daemon/test/peers/grpc.test.ts
@@ -39,6 +39,11 @@
     },
   },
 });
+const granted = (tokens: number) => ({
+  tokens,
+  grantId: '',
+  levelTokens: 0,
+});
 
 async function runServer(
   t: ExecutionContext,
@@ -86,7 +91,7 @@
       limit: {
         handle: (request, from) => {
           seen.push(request, from);
-          return {tokens: 7, grantId: ''};
+          return granted(7);
         },
       },
     },
@@ -98,7 +103,7 @@
   const answer = await ask(transport);
   t.deepEqual(answer.unwrapOr(undefined as never), {
     $case: 'limit',
-    value: {tokens: 7, grantId: ''},
+    value: granted(7),
   });
   t.deepEqual(seen, [limit('batinah').value, north]);
   t.deepEqual(replies, [south, 5n]);
@@ -126,7 +131,7 @@
   let calls = 0;
   const server = await runServer(t, {
     security: await authority.issue(south.host),
-    handlers: {limit: {handle: () => ({tokens: (calls += 1), grantId: ''})}},
+    handlers: {limit: {handle: () => granted((calls += 1))}},
   });
   const own = await authority.issue(north.host);
   const other = await foreign.issue(north.host);
@@ -221,7 +226,7 @@
       limit: {
         handle: () => {
           calls += 1;
-          return calls === 1 ? {tokens: 7, grantId: ''} : new Promise<never>(() => {});
+          return calls === 1 ? granted(7) : new Promise<never>(() => {});
         },
       },
     },
@@ -308,7 +313,7 @@
         handle: async () => {
           entered.open();
           await release.opened;
-          return {tokens: 1, grantId: ''};
+          return granted(1);
         },
       },
     },
@@ -339,7 +344,7 @@
 test('oversize or malformed bytes at the server', async t => {
   let calls = 0;
   const server = await runServer(t, {
-    handlers: {limit: {handle: () => ({tokens: (calls += 1), grantId: ''})}},
+    handlers: {limit: {handle: () => granted((calls += 1))}},
   });
   const client = new Client(server.address, credentials.createInsecure());
   t.teardown(() => client.close());
--- a/packages/standins/src/sample-fleet.ts
+++ b/packages/standins/src/sample-fleet.ts
@@ -26,7 +26,7 @@
 }
 
 const sampleAccounts = ['batinah', 'lembaga'] as const;
-const rateTokensPerSecond = 100_000;
+const rateTokensPerSecond = 1_000_000;
 const burstTokens = 200_000;
 const claimRetentionMilliseconds = 3_000;
 
