Report a host as ready when its limits fill

Cause: a fresh host refused everything for 1.3 s, since its buckets stay empty while grants of its former incarnation may be in use. Conclusion: a host takes requests only when it can admit them.

--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -90,9 +90,10 @@
   private readonly keys: KeyGuard;
   private readonly completions: Completions;
   private readonly calls: ServiceCalls;
+  private hasStarted = false;
 
   /** Must be made before the host answers its first peer. */
-  constructor(parts: HostParts) {
+  constructor(private readonly parts: HostParts) {
     const {clock, self, transport} = parts;
     const observer = parts.observer ?? {};
     this.store = new ConfigurationStore({
@@ -150,12 +151,22 @@
     return this.store.current;
   }
 
-  /** Starts all tasks; resolves when a configuration is in force. */
-  async start(): Promise<boolean> {
+  /** True while this host takes requests. */
+  get isReady(): boolean {
+    return this.hasStarted;
+  }
+
+  /**
+   * Starts all tasks; resolves when a configuration is in force and the own
+   * shares of limits have begun to fill.
+   */
+  async start(): Promise<void> {
+    const {clock} = this.parts;
     this.sweeper.start();
-    const isReady = await this.distributor.start();
+    if (!(await this.distributor.start())) return;
     void this.claims.recover();
-    return isReady;
+    await clock.sleep(this.limiter.fillsFrom - clock.now());
+    this.hasStarted = true;
   }
 
   /** Runs a completion; its account and route were checked. */
--- a/packages/coordination/src/limits/bucket-holder.ts
+++ b/packages/coordination/src/limits/bucket-holder.ts
@@ -55,6 +55,11 @@
     this.startedAt = parts.clock.now();
   }
 
+  /** Before this, grants of this host's former incarnation may be in use. */
+  get fillsFrom(): number {
+    return this.startedAt + maximumHoldingMilliseconds;
+  }
+
   /** Number of buckets in memory. */
   get size(): number {
     return this.buckets.size;
@@ -95,9 +100,7 @@
     if (previous !== undefined) this.applyAccountChanges(previous, next, now);
     if (previous?.membership === next.membership && previous !== undefined)
       return;
-    // Grants of this host's former incarnation may still be in use.
-    const refillsFrom = this.startedAt + maximumHoldingMilliseconds;
-    this.epochs.add(next.membership, Math.max(now, refillsFrom));
+    this.epochs.add(next.membership, Math.max(now, this.fillsFrom));
     for (const [account, held] of this.buckets) {
       const document = next.accounts.get(account);
       if (document === undefined) continue;
--- a/packages/coordination/src/limits/limiter.ts
+++ b/packages/coordination/src/limits/limiter.ts
@@ -94,6 +94,11 @@
     }
   }
 
+  /** Time on the own clock from which the own buckets fill. */
+  get fillsFrom(): number {
+    return this.holder.fillsFrom;
+  }
+
   /** Buckets fill from when a membership is first seen: see it at once. */
   refresh(): void {
     this.applyConfiguration();
--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -16,7 +16,7 @@
 
 const notReadyFailure: RequestFailure = {
   code: 'not-ready',
-  message: 'the host has no configuration yet',
+  message: 'the host has just started',
   ran: 'not-run',
   retryAfterMilliseconds: 1000,
 };
@@ -30,8 +30,7 @@
   fastify.addHook('onRequest', async (request, reply) => {
     const record = startRecord(request, reply, parts);
     if (parts.gate.isDraining) return sendFailure(reply, drainingFailure);
-    if (parts.configuration().version === 0n)
-      return sendFailure(reply, notReadyFailure);
+    if (!parts.host.isReady) return sendFailure(reply, notReadyFailure);
     parts.gate.enter(record);
     return undefined;
   });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -119,7 +119,7 @@
   const registry = createRegistry(metrics, () => ({
     inFlight: gate.inFlight,
     configurationVersion: configuration().version,
-    isReady: isReady({configuration, gate}),
+    isReady: isReady({host, gate}),
     isDraining: gate.isDraining,
   }));
   const operators = closables.add(
@@ -127,6 +127,7 @@
       {
         self,
         failureDomain: settings.failureDomain,
+        host,
         configuration,
         gate,
         metrics,
@@ -158,7 +159,7 @@
   log.write('daemonStarted', {...self, ...addresses});
   return {
     addresses,
-    ready: ready.then(() => undefined),
+    ready,
     startDraining,
     async close() {
       startDraining();
--- a/packages/daemon/src/operators/operator-parts.ts
+++ b/packages/daemon/src/operators/operator-parts.ts
@@ -1,6 +1,10 @@
 /** What the operators' server shows and does. */
 
-import type {Configuration, PeerIdentity} from '@persimmonwick/coordination';
+import type {
+  Configuration,
+  Host,
+  PeerIdentity,
+} from '@persimmonwick/coordination';
 import type {Registry} from 'prom-client';
 import type {RequestGate} from '../callers/request-gate.js';
 import type {RequestMetrics} from './request-metrics.js';
@@ -23,6 +27,7 @@
 export interface OperatorParts {
   readonly self: PeerIdentity;
   readonly failureDomain: string;
+  readonly host: Pick<Host, 'isReady'>;
   readonly configuration: () => Configuration;
   readonly gate: RequestGate;
   readonly metrics: RequestMetrics;
@@ -37,8 +42,6 @@
 export const operatorPartsToken = Symbol('OperatorParts');
 
 /** True when the host takes requests. */
-export function isReady(
-  parts: Pick<OperatorParts, 'configuration' | 'gate'>,
-): boolean {
-  return parts.configuration().version > 0n && !parts.gate.isDraining;
+export function isReady(parts: Pick<OperatorParts, 'host' | 'gate'>): boolean {
+  return parts.host.isReady && !parts.gate.isDraining;
 }
