Keep a question open to both watchers of a failure domain

Change: one task for each watcher, waits of 15 s, a question ends when its peer looks gone; gateways of the fleet view are other hosts than the watchers. The test tool now breaks connections of a killed process, as the transport does; hosts that are lost without that have two tests of their own.

--- /dev/null
+++ b/packages/coordination/src/configuration/choose-peer.ts
@@ -0,0 +1,63 @@
+/** Which peer a host keeps a question open to. */
+
+import type {FailureDomainId, HostId} from '../ids.js';
+import {hostId} from '../ids.js';
+import type {Configuration} from './configuration.js';
+import {domainsOf, membersOf, watchersOf} from './watcher-choice.js';
+
+/** What the choice depends on. */
+export interface PeerChoice {
+  readonly configuration: Configuration;
+  readonly self: HostId;
+  readonly failureDomain: FailureDomainId;
+  readonly seeds: readonly HostId[];
+  readonly isLive: (host: HostId) => boolean;
+  readonly areWatchersSilent: boolean;
+}
+
+/**
+ * The peer of one of several open questions: a watcher of the failure domain,
+ * or any peer in every other round while no watcher answers.
+ */
+export function choosePeer(
+  choice: PeerChoice,
+  slot: number,
+  round: number,
+): HostId | undefined {
+  const {configuration, failureDomain, isLive, seeds, self} = choice;
+  if (configuration.membership === undefined)
+    return pickOther(seeds, self, slot + round);
+  const watchers = watchersOf(configuration, failureDomain, isLive);
+  if (watchers.includes(self)) return chooseRemotePeer(choice, slot, round);
+  const isSilent = choice.areWatchersSilent;
+  if (watchers[slot] !== undefined && !(isSilent && round % 2 === 1))
+    return watchers[slot];
+  if (!isSilent) return undefined;
+  const members = membersOf(configuration).map(each => hostId(each.host));
+  return pickOther(members, self, slot + round);
+}
+
+/**
+ * A watcher asks one watcher of each other failure domain, in case its own
+ * reader of the platform is behind or down.
+ */
+function chooseRemotePeer(
+  {configuration, failureDomain, isLive}: PeerChoice,
+  slot: number,
+  round: number,
+): HostId | undefined {
+  const domains = domainsOf(configuration);
+  const domain = domains.filter(each => each !== failureDomain)[slot];
+  if (domain === undefined) return undefined;
+  const watchers = watchersOf(configuration, domain, isLive);
+  return watchers[round % watchers.length];
+}
+
+function pickOther(
+  hosts: readonly HostId[],
+  self: HostId,
+  at: number,
+): HostId | undefined {
+  const others = hosts.filter(host => host !== self);
+  return others[at % others.length];
+}
--- a/packages/coordination/src/configuration/configuration-distributor.ts
+++ b/packages/coordination/src/configuration/configuration-distributor.ts
@@ -4,28 +4,28 @@
  * moves forward only.
  */
 
+import {setMaxListeners} from 'node:events';
 import {untilAborted} from '../abort.js';
 import type {PauseDetector} from '../fleet/pause-detector.js';
 import type {FailureDomainId, HostId} from '../ids.js';
-import {hostId} from '../ids.js';
-import type {PeerTransport} from '../peers/transport.js';
 import type {RandomSource} from '../random.js';
 import {randomBelow} from '../random.js';
 import type {DistributionTiming} from './distribution-timing.js';
 import {defaultDistributionTiming} from './distribution-timing.js';
 import {PlatformReader} from './platform-reader.js';
 import type {PlatformReaderParts} from './platform-reader.js';
-import {pullConfiguration} from './pull-configuration.js';
-import {domainsOf, membersOf, watchersOf} from './watcher-choice.js';
+import {PeerPuller} from './peer-puller.js';
+import type {PeerPullerParts} from './peer-puller.js';
+import {choosePeer} from './choose-peer.js';
+import {domainsOf, watchersOf} from './watcher-choice.js';
 
-export interface ConfigurationDistributorParts extends PlatformReaderParts {
+export interface ConfigurationDistributorParts
+  extends PlatformReaderParts, PeerPullerParts {
   readonly random: RandomSource;
   readonly self: HostId;
   readonly failureDomain: FailureDomainId;
-  readonly transport: PeerTransport;
   /** Hosts to ask before a membership is known. */
   readonly seeds: readonly HostId[];
-  readonly isLikelyLive: (host: HostId) => boolean;
   /** After a pause the view is refreshed before it counts as fresh. */
   readonly pauses?: PauseDetector;
   readonly timing?: Partial<DistributionTiming>;
@@ -34,6 +34,12 @@
 /** Peers that a starting host asks before it reads the platform. */
 const startPeers = 4;
 
+/**
+ * Questions to peers that are open at once: enough for one to each watcher of
+ * the own failure domain, or to one watcher of each other domain.
+ */
+const openQuestions = 8;
+
 /** Time between two looks at whether this host has to watch. */
 const turnMilliseconds = 500;
 
@@ -42,16 +48,17 @@
   private readonly closing = new AbortController();
   private readonly unsubscribe: () => void;
   private readonly reader: PlatformReader;
-  private readonly pulling = new Set<HostId>();
+  private readonly puller: PeerPuller;
   private tasks: Promise<void>[] = [];
   private refreshing: Promise<void> | undefined;
   private fallbackAt = Infinity;
-  private round = 0;
 
   constructor(private readonly parts: ConfigurationDistributorParts) {
     this.timing = {...defaultDistributionTiming, ...parts.timing};
     this.unsubscribe =
       parts.pauses?.subscribe(() => void this.refresh()) ?? (() => {});
+    this.puller = new PeerPuller(parts, peer => this.noteAnswer(peer));
+    setMaxListeners(2 * openQuestions + 8, this.closing.signal);
     this.reader = new PlatformReader(
       parts,
       this.timing.platformGraceMilliseconds,
@@ -68,7 +75,9 @@
     const asked = this.askPeersAtStart();
     this.tasks = [
       asked.then(() => this.watchPlatform()),
-      asked.then(() => this.followPeers()),
+      ...Array.from({length: openQuestions}, (_, slot) =>
+        asked.then(() => this.followPeer(slot)),
+      ),
     ];
     await asked;
     const {store} = this.parts;
@@ -91,7 +100,7 @@
   /** Reads from `host` at once when it is known to have a newer version. */
   noteVersion(version: bigint, host: HostId): void {
     if (this.parts.store.current.version >= version) return;
-    if (!this.pulling.has(host)) void this.pull(host, 0);
+    if (!this.puller.isAsking(host)) void this.ask(host);
   }
 
   /**
@@ -105,7 +114,7 @@
   ): Promise<boolean> {
     const {store} = this.parts;
     if (store.current.version >= version) return true;
-    void this.pull(host, 0);
+    void this.ask(host);
     return store.waitForVersion(version, deadline, this.closing.signal);
   }
 
@@ -132,7 +141,7 @@
     const peers = watchers.length === 0 ? seeds : watchers;
     const questions = [...new Set(peers)]
       .filter(peer => peer !== self)
-      .map(peer => this.pull(peer, 0));
+      .map(peer => this.ask(peer));
     const answers = Promise.all([...questions, this.reader.read(0, signal)]);
     const refreshing = untilAborted(answers, signal).then(() => undefined);
     this.refreshing = refreshing;
@@ -140,14 +149,16 @@
     if (this.refreshing === refreshing) this.refreshing = undefined;
   }
 
+  private ask(peer: HostId): Promise<boolean> {
+    return this.puller.pull(peer, 0, this.closing.signal);
+  }
+
   private async askPeersAtStart(): Promise<void> {
     const {random, seeds, self} = this.parts;
     const peers = seeds.filter(seed => seed !== self);
     const first = randomBelow(random, Math.max(1, peers.length));
     const order = [...peers.slice(first), ...peers.slice(0, first)];
-    await Promise.all(
-      order.slice(0, startPeers).map(peer => this.pull(peer, 0)),
-    );
+    await Promise.all(order.slice(0, startPeers).map(peer => this.ask(peer)));
   }
 
   private async watchPlatform(): Promise<void> {
@@ -158,7 +169,7 @@
       signal,
     );
     while (!signal.aborted) {
-      if (!this.isWatcher && clock.now() < this.fallbackAt) {
+      if (!this.isWatcher && !this.areWatchersSilent()) {
         await clock.sleep(turnMilliseconds, signal);
         continue;
       }
@@ -170,71 +181,66 @@
     }
   }
 
+  private noteAnswer(peer: HostId): void {
+    if (this.watchersIn(this.parts.failureDomain).includes(peer))
+      this.deferFallback(this.timing.watcherSilenceMilliseconds);
+  }
+
   /** Puts the next read by a host that is no watcher off, with jitter. */
   private deferFallback(milliseconds: number): void {
     const {clock, random} = this.parts;
     this.fallbackAt = clock.now() + milliseconds * (1 + random.next());
   }
 
-  private async followPeers(): Promise<void> {
+  /**
+   * Keeps one question open. There is one task for each watcher of the domain,
+   * so that one that stands still holds nobody back.
+   */
+  private async followPeer(slot: number): Promise<void> {
     const {clock} = this.parts;
     const {signal} = this.closing;
-    while (!signal.aborted) {
-      const peers = this.peersOfRound();
-      const answers = await Promise.all(
-        peers.map(peer => this.pull(peer, this.timing.peerWaitMilliseconds)),
-      );
-      if (peers.length === 0) await clock.sleep(turnMilliseconds, signal);
-      else if (!answers.some(Boolean)) await this.pauseBeforeRetry();
+    for (let round = 0; !signal.aborted; round += 1) {
+      const peer = this.peerOf(slot, round);
+      if (peer === undefined) {
+        await clock.sleep(turnMilliseconds, signal);
+        continue;
+      }
+      const wait = this.timing.peerWaitMilliseconds;
+      if (!(await this.puller.pullWhileLive(peer, wait, signal)))
+        await this.pauseBeforeRetry();
     }
   }
 
-  /**
-   * Others ask the watchers of their failure domain in turn; a watcher asks one
-   * watcher of each other domain, in case its own reader of the platform is
-   * behind or down. Without watchers that answer any member will do.
-   */
-  private peersOfRound(): HostId[] {
-    const {clock, failureDomain, seeds, self, store} = this.parts;
-    this.round += 1;
-    const pick = (hosts: readonly HostId[]) => {
-      const others = hosts.filter(host => host !== self);
-      const picked = others[this.round % others.length];
-      return picked === undefined ? [] : [picked];
+  private peerOf(slot: number, round: number): HostId | undefined {
+    const {failureDomain, seeds, self, store} = this.parts;
+    const choice = {
+      configuration: store.current,
+      self,
+      failureDomain,
+      seeds,
+      isLive: (host: HostId) => this.isLive(host),
+      areWatchersSilent: this.areWatchersSilent(),
     };
-    if (store.current.membership === undefined) return pick(seeds);
-    if (this.isWatcher)
-      return domainsOf(store.current)
-        .filter(domain => domain !== failureDomain)
-        .flatMap(domain => pick(this.watchersIn(domain)));
-    const watchers = pick(this.watchersIn(failureDomain));
-    if (watchers.length > 0 && clock.now() < this.fallbackAt) return watchers;
-    const members = membersOf(store.current).map(each => hostId(each.host));
-    return [...watchers, ...pick(members)];
+    return choosePeer(choice, slot, round);
+  }
+
+  private isLive(host: HostId): boolean {
+    return host === this.parts.self || this.parts.isLikelyLive(host);
   }
 
   private watchersIn(domain: FailureDomainId): HostId[] {
-    const {self, store, isLikelyLive} = this.parts;
-    const isLive = (host: HostId) => host === self || isLikelyLive(host);
-    return watchersOf(store.current, domain, isLive);
-  }
-
-  /** True when the peer answered and is not behind. */
-  private async pull(peer: HostId, waitMilliseconds: number): Promise<boolean> {
-    const {failureDomain, store, transport} = this.parts;
-    const {version} = store.current;
-    this.pulling.add(peer);
-    const answer = await untilAborted(
-      pullConfiguration(transport, peer, version, waitMilliseconds),
-      this.closing.signal,
+    return watchersOf(this.parts.store.current, domain, host =>
+      this.isLive(host),
+    );
+  }
+
+  /** True while no watcher of the domain answers or holds a question open. */
+  private areWatchersSilent(): boolean {
+    const watchers = this.watchersIn(this.parts.failureDomain);
+    return (
+      this.parts.clock.now() >= this.fallbackAt &&
+      !watchers.some(host => this.puller.isHeldBy(host))
     );
-    this.pulling.delete(peer);
-    if (answer === undefined || answer.isErr) return false;
-    if (this.watchersIn(failureDomain).includes(peer))
-      this.deferFallback(this.timing.watcherSilenceMilliseconds);
-    const outcome = store.apply(answer.value, {kind: 'peer', host: peer});
-    if (outcome.kind === 'refused' || outcome.kind === 'gap') return false;
-    return answer.value.to >= version;
   }
 
   private async pauseBeforeRetry(): Promise<void> {
--- a/packages/coordination/src/configuration/distribution-timing.ts
+++ b/packages/coordination/src/configuration/distribution-timing.ts
@@ -12,20 +12,20 @@
   readonly retryMaximumMilliseconds: number;
   /** First reads of the platform are spread over this time. */
   readonly firstReadSpreadMilliseconds: number;
-  /** A host that no watcher answered for this long watches by itself. */
+  /** A host whose watchers all failed for this long reads by itself. */
   readonly watcherSilenceMilliseconds: number;
-  /** Time between two such watches: at least this and at most twice this. */
+  /** Time between two such reads: at least this and at most twice this. */
   readonly fallbackIntervalMilliseconds: number;
 }
 
 export const defaultDistributionTiming: DistributionTiming = {
   platformWaitMilliseconds: 20_000,
   platformGraceMilliseconds: 2000,
-  peerWaitMilliseconds: 3000,
+  peerWaitMilliseconds: 15_000,
   retryMinimumMilliseconds: 300,
   retryMaximumMilliseconds: 900,
   firstReadSpreadMilliseconds: 1000,
-  watcherSilenceMilliseconds: 5000,
+  watcherSilenceMilliseconds: 3000,
   fallbackIntervalMilliseconds: 2000,
 };
 
--- a/packages/coordination/src/fleet/fleet-view.ts
+++ b/packages/coordination/src/fleet/fleet-view.ts
@@ -41,7 +41,7 @@
   readonly reconnect: (host: HostId) => Promise<void>;
 }
 
-const heartbeatMilliseconds = 2000;
+const heartbeatMilliseconds = 3000;
 const answerMilliseconds = 500;
 const reconnectMilliseconds = 500;
 /** Time that a suspect has to be heard of again. */
@@ -49,7 +49,7 @@
 /** A probe that took this much longer than it may shows a pause. */
 const pauseSlackMilliseconds = 500;
 /** Links to other failure domains are used once in so many rounds. */
-const remoteRounds = 2;
+const remoteRounds = 3;
 
 /** What is assumed of a host that nobody has told of. */
 const unknownHost = {status: Status.STATUS_LIVE, revision: 0};
--- a/packages/coordination/src/fleet/heartbeat-peers.ts
+++ b/packages/coordination/src/fleet/heartbeat-peers.ts
@@ -1,5 +1,6 @@
 /** To whom a host sends heartbeats. */
 
+import {watchersForEachDomain} from '../configuration/distribution-timing.js';
 import type {Member} from '../generated/documents.js';
 import type {HostId} from '../ids.js';
 import {hostId} from '../ids.js';
@@ -68,10 +69,14 @@
   isUsable: (host: HostId) => boolean,
 ): HostId[] {
   const hosts = hostsOf(members, domain);
-  const ranked = rankByRendezvous(`gateway ${domain}`, hosts, host => host);
+  const ranked = rankByRendezvous(`watch ${domain}`, hosts, host => host);
   const usable = ranked.filter(isUsable);
   const chosen = usable.length > 0 ? usable : ranked;
-  return chosen.slice(0, gatewaysForEachDomain);
+  // Watchers of the configuration carry enough: the next ones are taken.
+  return [
+    ...chosen.slice(watchersForEachDomain),
+    ...chosen.slice(0, watchersForEachDomain),
+  ].slice(0, gatewaysForEachDomain);
 }
 
 function hostsOf(members: readonly Member[], domain: string): HostId[] {
--- a/packages/coordination/test/configuration-distribution.test.ts
+++ b/packages/coordination/test/configuration-distribution.test.ts
@@ -237,3 +237,23 @@
   for (const each of paused) each.clock.resume();
   await fleet.close();
 });
+
+test('lost watchers are replaced when they look dead', async t => {
+  const fleet = await startNine(16);
+  const lost = watchers(fleet).filter(each => each.domain === 'd0');
+  for (const {host} of lost) await fleet.stop(host, false);
+  const version = fleet.platform.publish(account('b'));
+  await fleet.clock.advance(5000);
+  for (const {host} of lost) fleet.doubted.add(host);
+  t.true((await fleet.timeUntil(version, 30_000)) < 2000);
+  await fleet.close();
+});
+
+test('lost watchers hold nobody back for ever', async t => {
+  const fleet = await startNine(17);
+  const lost = watchers(fleet).filter(each => each.domain === 'd0');
+  for (const {host} of lost) await fleet.stop(host, false);
+  const version = fleet.platform.publish(account('b'));
+  t.true((await fleet.timeUntil(version, 60_000)) < 30_000);
+  await fleet.close();
+});
--- a/packages/coordination/test/tools/virtual-hosts.ts
+++ b/packages/coordination/test/tools/virtual-hosts.ts
@@ -1,5 +1,6 @@
 /** Hosts that share a configuration over an in-memory network. */
 
+import {Result} from 'true-myth';
 import {
   ConfigurationDistributor,
   ConfigurationHandler,
@@ -15,6 +16,9 @@
 import type {
   Delivery,
   HostId,
+  PeerError,
+  PeerReplyBody,
+  PeerTransport,
   PlatformSource,
   RefusedVersion,
 } from '../../src/index.js';
@@ -42,6 +46,9 @@
   readonly hosts = new Map<HostId, VirtualHost>();
   /** Pairs of hosts that lose every message between them. */
   isCut: (from: HostId, to: HostId) => boolean = () => false;
+  /** Hosts that look dead to all others. */
+  readonly doubted = new Set<HostId>();
+  private readonly onStop = new Map<HostId, Array<() => void>>();
   private starts = 0;
 
   constructor(
@@ -108,9 +115,13 @@
       failureDomain: failureDomainId(this.domainOf(host)),
       store,
       platform: {watch: whileRunning(clock, platform.watch)},
-      transport: {exchange: whileRunning(clock, transport.exchange)},
+      transport: {
+        exchange: whileRunning(clock, (to, body, timeout) =>
+          this.untilStopped(to, transport.exchange(to, body, timeout)),
+        ),
+      },
       seeds: this.names.slice(0, 3),
-      isLikelyLive: () => true,
+      isLikelyLive: other => !this.doubted.has(other),
     });
     const domain = this.domainOf(host);
     const started = {
@@ -133,8 +144,12 @@
     return this.names.map(host => this.start(host));
   }
 
-  async stop(host: HostId): Promise<void> {
+  async stop(host: HostId, breaksConnections = true): Promise<void> {
     this.network.detach(host);
+    if (breaksConnections)
+      for (const breakConnection of this.onStop.get(host) ?? [])
+        breakConnection();
+    this.onStop.delete(host);
     const {distributor, pauses} = this.hosts.get(host)!;
     await Promise.all([distributor.close(), pauses.close()]);
     this.hosts.delete(host);
@@ -144,6 +159,23 @@
     await Promise.all([...this.hosts.keys()].map(host => this.stop(host)));
   }
 
+  /** A process that is killed breaks its connections at once. */
+  private untilStopped(
+    host: HostId,
+    answer: ReturnType<PeerTransport['exchange']>,
+  ): ReturnType<PeerTransport['exchange']> {
+    const broken = new Promise<void>(resolve => {
+      const waiting = this.onStop.get(host) ?? [];
+      this.onStop.set(host, [...waiting, resolve]);
+    });
+    return Promise.race([
+      answer,
+      broken.then(() =>
+        Result.err<PeerReplyBody, PeerError>({kind: 'timeout', host}),
+      ),
+    ]);
+  }
+
   /** Versions in force, each once. */
   get versionsInForce(): bigint[] {
     const versions = [...this.hosts.values()].map(
