--- a/packages/coordination/src/configuration/choose-peer.ts
+++ b/packages/coordination/src/configuration/choose-peer.ts
@@ -1,13 +1,11 @@
 /** Which peer a host keeps a question open to. */
 
 import type {FailureDomainId, HostId} from '../ids.js';
-import {hostId} from '../ids.js';
-import type {Configuration} from './configuration.js';
-import {domainsOf, membersOf, watchersOf} from './watcher-choice.js';
+import type {WatcherOrder} from './watcher-choice.js';
 
 /** What the choice depends on. */
 export interface PeerChoice {
-  readonly configuration: Configuration;
+  readonly order: WatcherOrder;
   readonly self: HostId;
   readonly failureDomain: FailureDomainId;
   readonly seeds: readonly HostId[];
@@ -24,17 +22,15 @@
   slot: number,
   round: number,
 ): HostId | undefined {
-  const {configuration, failureDomain, isLive, seeds, self} = choice;
-  if (configuration.membership === undefined)
-    return pickOther(seeds, self, slot + round);
-  const watchers = watchersOf(configuration, failureDomain, isLive);
+  const {failureDomain, isLive, order, seeds, self} = choice;
+  if (order.document === undefined) return pickOther(seeds, self, slot + round);
+  const watchers = order.watchersOf(failureDomain, isLive);
   if (watchers.includes(self)) return chooseRemotePeer(choice, slot, round);
   const isSilent = choice.areWatchersSilent;
   if (watchers[slot] !== undefined && !(isSilent && round % 2 === 1))
     return watchers[slot];
   if (!isSilent) return undefined;
-  const members = membersOf(configuration).map(each => hostId(each.host));
-  return pickOther(members, self, slot + round);
+  return pickOther(order.hosts, self, slot + round);
 }
 
 /**
@@ -42,14 +38,14 @@
  * reader of the platform is behind or down.
  */
 function chooseRemotePeer(
-  {configuration, failureDomain, isLive}: PeerChoice,
+  {failureDomain, isLive, order}: PeerChoice,
   slot: number,
   round: number,
 ): HostId | undefined {
-  const domains = domainsOf(configuration);
-  const domain = domains.filter(each => each !== failureDomain)[slot];
+  const others = order.domains.filter(each => each !== failureDomain);
+  const domain = others[slot];
   if (domain === undefined) return undefined;
-  const watchers = watchersOf(configuration, domain, isLive);
+  const watchers = order.watchersOf(domain, isLive);
   return watchers[round % watchers.length];
 }
 
--- a/packages/coordination/src/configuration/configuration-distributor.ts
+++ b/packages/coordination/src/configuration/configuration-distributor.ts
@@ -6,30 +6,15 @@
 
 import {setMaxListeners} from 'node:events';
 import {untilAborted} from '../abort.js';
-import type {PauseDetector} from '../fleet/pause-detector.js';
 import type {FailureDomainId, HostId} from '../ids.js';
-import type {RandomSource} from '../random.js';
 import {randomBelow} from '../random.js';
 import type {DistributionTiming} from './distribution-timing.js';
 import {defaultDistributionTiming} from './distribution-timing.js';
 import {PlatformReader} from './platform-reader.js';
-import type {PlatformReaderParts} from './platform-reader.js';
+import type {ConfigurationDistributorParts} from './distributor-parts.js';
 import {PeerPuller} from './peer-puller.js';
-import type {PeerPullerParts} from './peer-puller.js';
 import {choosePeer} from './choose-peer.js';
-import {domainsOf, watchersOf} from './watcher-choice.js';
-
-export interface ConfigurationDistributorParts
-  extends PlatformReaderParts, PeerPullerParts {
-  readonly random: RandomSource;
-  readonly self: HostId;
-  readonly failureDomain: FailureDomainId;
-  /** Hosts to ask before a membership is known. */
-  readonly seeds: readonly HostId[];
-  /** After a pause the view is refreshed before it counts as fresh. */
-  readonly pauses?: PauseDetector;
-  readonly timing?: Partial<DistributionTiming>;
-}
+import {WatcherOrder} from './watcher-choice.js';
 
 /** Peers that a starting host asks before it reads the platform. */
 const startPeers = 4;
@@ -50,6 +35,7 @@
   private readonly reader: PlatformReader;
   private readonly puller: PeerPuller;
   private tasks: Promise<void>[] = [];
+  private knownOrder = new WatcherOrder(undefined);
   private refreshing: Promise<void> | undefined;
   private fallbackAt = Infinity;
 
@@ -133,10 +119,10 @@
    * host goes on with what it has, like any host that is cut off.
    */
   async refresh(): Promise<void> {
-    const {failureDomain, seeds, self, store} = this.parts;
+    const {failureDomain, seeds, self} = this.parts;
     const {signal} = this.closing;
-    const watchers = [failureDomain, ...domainsOf(store.current)].flatMap(
-      domain => this.watchersIn(domain),
+    const watchers = [failureDomain, ...this.order.domains].flatMap(domain =>
+      this.watchersIn(domain),
     );
     const peers = watchers.length === 0 ? seeds : watchers;
     const questions = [...new Set(peers)]
@@ -212,9 +198,9 @@
   }
 
   private peerOf(slot: number, round: number): HostId | undefined {
-    const {failureDomain, seeds, self, store} = this.parts;
+    const {failureDomain, seeds, self} = this.parts;
     const choice = {
-      configuration: store.current,
+      order: this.order,
       self,
       failureDomain,
       seeds,
@@ -229,9 +215,14 @@
   }
 
   private watchersIn(domain: FailureDomainId): HostId[] {
-    return watchersOf(this.parts.store.current, domain, host =>
-      this.isLive(host),
-    );
+    return this.order.watchersOf(domain, host => this.isLive(host));
+  }
+
+  private get order(): WatcherOrder {
+    const {membership} = this.parts.store.current;
+    if (this.knownOrder.document !== membership)
+      this.knownOrder = new WatcherOrder(membership);
+    return this.knownOrder;
   }
 
   /** True while no watcher of the domain answers or holds a question open. */
--- /dev/null
+++ b/packages/coordination/src/configuration/distributor-parts.ts
@@ -0,0 +1,20 @@
+/** What a distributor of configuration works with. */
+
+import type {PauseDetector} from '../fleet/pause-detector.js';
+import type {FailureDomainId, HostId} from '../ids.js';
+import type {RandomSource} from '../random.js';
+import type {DistributionTiming} from './distribution-timing.js';
+import type {PeerPullerParts} from './peer-puller.js';
+import type {PlatformReaderParts} from './platform-reader.js';
+
+export interface ConfigurationDistributorParts
+  extends PlatformReaderParts, PeerPullerParts {
+  readonly random: RandomSource;
+  readonly self: HostId;
+  readonly failureDomain: FailureDomainId;
+  /** Hosts to ask before a membership is known. */
+  readonly seeds: readonly HostId[];
+  /** After a pause the view is refreshed before it counts as fresh. */
+  readonly pauses?: PauseDetector;
+  readonly timing?: Partial<DistributionTiming>;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -76,7 +76,7 @@
 } from './configuration/configuration-store.js';
 export {ConfigurationHandler} from './configuration/configuration-handler.js';
 export {ConfigurationDistributor} from './configuration/configuration-distributor.js';
-export type {ConfigurationDistributorParts} from './configuration/configuration-distributor.js';
+export type {ConfigurationDistributorParts} from './configuration/distributor-parts.js';
 export type {DistributionTiming} from './configuration/distribution-timing.js';
 export {
   findConfigurationWarnings,
