Play recorded traces through real hosts on virtual time

Cause: outcomes were stated; nothing played them. Change: hosts with pauses, kills, cuts and drains on virtual time, callers that record what they saw, comparison with the stated outcomes and the invariants.

--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -18,6 +18,8 @@
 import type {RefusedVersion} from '../configuration/configuration-store.js';
 import {KeyGuard} from '../configuration/key-guard.js';
 import type {AccountId, FailureDomainId, HostId} from '../ids.js';
+import {FleetView} from '../fleet/fleet-view.js';
+import {PauseDetector} from '../fleet/pause-detector.js';
 import {Limiter} from '../limits/limiter.js';
 import {OwnedAttempts} from '../ownership/owned-attempts.js';
 import {OwnershipHandler} from '../ownership/ownership-handler.js';
@@ -66,6 +68,8 @@
   readonly self: PeerIdentity;
   readonly failureDomain: FailureDomainId;
   readonly transport: PeerTransport;
+  /** Drops the connection to a host and opens another one. */
+  readonly reconnect: (host: HostId) => Promise<void>;
   readonly platform: PlatformSource;
   /** Hosts to ask before a membership is known. */
   readonly seeds: readonly HostId[];
@@ -80,12 +84,14 @@
 export class Host {
   readonly store: ConfigurationStore;
   readonly distributor: ConfigurationDistributor;
+  readonly fleet: FleetView;
   readonly limiter: Limiter;
   readonly claims: Claims;
   readonly runner: CompletionRunner;
   readonly configurationHandler: ConfigurationHandler;
   private readonly owned = new OwnedAttempts();
   readonly ownership: OwnershipHandler;
+  private readonly pauses: PauseDetector;
   private readonly sweeper: Sweeper;
   private readonly keys: KeyGuard;
   private readonly completions: Completions;
@@ -102,7 +108,9 @@
       onRefused: observer.configurationRefused,
     });
     const configuration = () => this.store.current;
-    const isLikelyLive = () => true;
+    this.pauses = new PauseDetector({clock});
+    this.fleet = new FleetView({...parts, configuration, pauses: this.pauses});
+    const isLikelyLive = (host: HostId) => this.fleet.isLikelyLive(host);
     this.configurationHandler = new ConfigurationHandler(this.store, clock);
     this.distributor = new ConfigurationDistributor({
       ...parts,
@@ -110,6 +118,7 @@
       store: this.store,
       isLikelyLive,
       onPlatformError: observer.platformFailed,
+      pauses: this.pauses,
     });
     this.limiter = new Limiter({
       ...parts,
@@ -151,6 +160,13 @@
     return this.store.current;
   }
 
+  /** The same, but after a pause of the process only once it was refreshed. */
+  async freshConfiguration(): Promise<Configuration> {
+    this.pauses.check();
+    if (!this.distributor.isFresh) await this.distributor.whenFresh();
+    return this.store.current;
+  }
+
   /** True while this host takes requests. */
   get isReady(): boolean {
     return this.hasStarted;
@@ -162,6 +178,8 @@
    */
   async start(): Promise<void> {
     const {clock} = this.parts;
+    this.pauses.start();
+    this.fleet.start();
     this.sweeper.start();
     if (!(await this.distributor.start())) return;
     void this.claims.recover();
@@ -209,6 +227,7 @@
           value: await this.ownership.handle(body.value),
         };
       case 'fleet':
+        return {$case: 'fleet', value: this.fleet.handle(body.value, from)};
       case 'lease':
         return undefined;
     }
@@ -216,11 +235,14 @@
 
   /** Ends all tasks, after what this host owes to others is done. */
   async close(signal?: AbortSignal): Promise<void> {
+    await this.fleet.leave();
     await this.runner.close();
     await this.claims.close(signal);
     await this.limiter.close();
     await this.sweeper.close();
     await this.distributor.close();
+    await this.fleet.close();
+    await this.pauses.close();
     this.keys.close();
   }
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -223,3 +223,5 @@
   HostHintReaderParts,
   HostHintSource,
 } from './fleet/host-hints.js';
+export {replayTrace} from './replay/replay.js';
+export type {Mismatch, ReplayResult} from './replay/replay.js';
--- a/packages/coordination/src/simulation/in-memory-network.ts
+++ b/packages/coordination/src/simulation/in-memory-network.ts
@@ -25,11 +25,11 @@
 /** Decides about each message from one host to another. */
 export type DeliveryPolicy = (from: HostId, to: HostId) => Delivery;
 
-/** Answers all requests that reach a host. */
+/** Answers all requests that reach a host; undefined gives no answer. */
 export type PeerDispatcher = (
   body: PeerRequestBody,
   from: PeerIdentity,
-) => Promise<PeerReplyBody> | PeerReplyBody;
+) => Promise<PeerReplyBody | undefined> | PeerReplyBody;
 
 /** Delivers every message at once. */
 export const perfectDelivery: Delivery = {
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -75,7 +75,7 @@
   @HttpCode(okStatus)
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const call = callRecordOf(request);
-    const configuration = this.parts.configuration();
+    const configuration = await this.parts.host.freshConfiguration();
     const authorization = headerValues(request, 'authorization');
     const account = authenticate(configuration, authorization);
     if (account.isErr) return sendFailure(reply, account.error);
--- a/packages/daemon/src/callers/services.controller.ts
+++ b/packages/daemon/src/callers/services.controller.ts
@@ -19,7 +19,7 @@
   @All('*')
   async forward(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const record = callRecordOf(request);
-    const configuration = this.parts.configuration();
+    const configuration = await this.parts.host.freshConfiguration();
     const account = authenticate(
       configuration,
       headerValues(request, 'authorization'),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,10 +9,7 @@
   seededRandom,
   systemClock,
 } from '@persimmonwick/coordination';
-import type {
-  CompleteSettings,
-  PeerTransport,
-} from '@persimmonwick/coordination';
+import type {CompleteSettings} from '@persimmonwick/coordination';
 import {v4 as makeUuid, v7 as makeOrderedUuid} from 'uuid';
 import {startCallerServer} from './callers/caller-server.js';
 import {RequestGate} from './callers/request-gate.js';
@@ -25,6 +22,7 @@
 import {RequestMetrics} from './operators/request-metrics.js';
 import {loadPeerSecurity} from './peers/index.js';
 import {startPeers} from './peers/start-peers.js';
+import type {PeerLinks} from './peers/start-peers.js';
 import {
   createPlatformClient,
   createRotatingSource,
@@ -84,13 +82,13 @@
   const sender = closables.add(new HttpServiceSender(requestMilliseconds));
   const gate = new RequestGate(clock);
   const metrics = new RequestMetrics(clock);
-  const makeHost = (transport: PeerTransport) =>
+  const makeHost = (links: PeerLinks) =>
     new Host({
       clock,
       random: seededRandom(randomInt(2 ** 31)),
       self,
       failureDomain: failureDomainId(settings.failureDomain),
-      transport,
+      ...links,
       platform: createRotatingSource(
         settings.platform.addresses.map(createPlatformClient),
       ),
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -18,6 +18,13 @@
 import type {PeerHandlers} from './peer-server.js';
 import type {PeerSecurity} from './peer-security.js';
 
+/** The ways to other hosts. */
+export interface PeerLinks {
+  readonly transport: PeerTransport;
+  /** Drops the connection to a host and opens another one. */
+  readonly reconnect: (host: HostId) => Promise<void>;
+}
+
 /** What the connections between hosts work with. */
 export interface PeerParts {
   readonly settings: CompleteSettings;
@@ -25,7 +32,7 @@
   readonly self: PeerIdentity;
   readonly log: EventLog;
   /** Makes the host that answers others, given the way to them. */
-  readonly makeHost: (transport: PeerTransport) => Host;
+  readonly makeHost: (links: PeerLinks) => Host;
 }
 
 /** Connections between hosts that are open. */
@@ -51,7 +58,10 @@
     incarnations,
     configurationVersion,
   });
-  const host = makeHost(withSeeds(transport));
+  const host = makeHost({
+    transport: withSeeds(transport),
+    reconnect: async id => transport.reconnect(id),
+  });
   const server = new PeerServer({
     address: settings.listen.peers,
     security,
@@ -90,6 +100,7 @@
     configuration: host.configurationHandler,
     limit: host.limiter,
     claim: host.claims,
+    fleet: host.fleet,
     ownership: host.ownership,
   };
 }
