--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -68,6 +68,7 @@
 export {TokenBucket} from './limits/token-bucket.js';
 export type {
   BucketGrant,
+  GrantWish,
   BucketShare,
   BucketStart,
 } from './limits/token-bucket.js';
--- a/packages/coordination/src/limits/account-gate.ts
+++ b/packages/coordination/src/limits/account-gate.ts
@@ -11,6 +11,8 @@
 import type {BucketHolder} from './bucket-holder.js';
 import {ChargedAdmission} from './charged-admission.js';
 import {
+  overloadMemoryMilliseconds,
+  refillWaitMilliseconds,
   returnAheadMilliseconds,
   returnIntervalMilliseconds,
 } from './constants.js';
@@ -40,6 +42,7 @@
   private waiting: WaitingRequest[] = [];
   private isServing = false;
   private isReturning = false;
+  private refusedAt = -Infinity;
 
   constructor(
     readonly state: AccountState,
@@ -92,7 +95,7 @@
       refundOwn: unused =>
         bucket!.refund(charge!.mark, unused, this.parts.clock.now()),
       giveBack: ({grant}, unused) =>
-        this.parts.collector.giveBack(this.state.account, grant, unused),
+        this.parts.collector.giveBack(this.state, grant, unused),
     });
   }
 
@@ -123,14 +126,40 @@
     while (this.waiting.length > 0) {
       const batch = this.waiting;
       this.waiting = [];
-      await this.collectFor(batch.filter(waiting => !waiting.isAnswered));
-      for (const waiting of batch) this.decide(waiting);
+      const left = await this.serveBatch(batch);
+      for (const waiting of await this.retryAfterRefill(left))
+        this.refuse(waiting);
+      // What was collected in vain goes back at once.
+      if (left.length > 0) this.giveBackAll();
     }
     this.isServing = false;
     if (!this.state.borrowed.isEmpty && !this.isReturning)
       await this.returnInTime();
   }
 
+  /** Gives the requests for which there were too few tokens. */
+  private async serveBatch(
+    batch: readonly WaitingRequest[],
+  ): Promise<WaitingRequest[]> {
+    const unanswered = batch.filter(waiting => !waiting.isAnswered);
+    await this.collectFor(unanswered);
+    return unanswered.filter(waiting => !this.decide(waiting));
+  }
+
+  /** An account that stays above its rate gains nothing by waiting. */
+  private async retryAfterRefill(
+    left: WaitingRequest[],
+  ): Promise<WaitingRequest[]> {
+    const {clock, ended} = this.parts;
+    const milliseconds = this.refillMilliseconds(left);
+    const isOverloaded =
+      clock.now() - this.refusedAt < overloadMemoryMilliseconds;
+    if (isOverloaded || milliseconds > refillWaitMilliseconds) return left;
+    this.giveBackAll();
+    await clock.sleep(milliseconds, ended);
+    return this.serveBatch(left);
+  }
+
   private async collectFor(batch: readonly WaitingRequest[]): Promise<void> {
     const {collector, ended} = this.parts;
     const {state} = this;
@@ -146,8 +175,9 @@
     await collector.collect(state, missing, useful, spare);
   }
 
-  private decide(waiting: WaitingRequest): void {
-    if (waiting.isAnswered) return;
+  /** False when there are too few tokens. */
+  private decide(waiting: WaitingRequest): boolean {
+    if (waiting.isAnswered) return true;
     const document = this.parts.documentOf(this.state);
     if (this.parts.ended.aborted) {
       waiting.answer(Result.err(refusal('closed')));
@@ -157,26 +187,33 @@
       waiting.answer(Result.err(refusal('larger-than-burst')));
     } else {
       const admission = this.chargeAtHand(waiting.tokens);
-      if (admission === undefined) this.refuse(waiting, document);
-      else waiting.answer(Result.ok(admission));
+      if (admission === undefined) return false;
+      waiting.answer(Result.ok(admission));
     }
+    return true;
   }
 
-  /** What was collected in vain goes back at once. */
-  private refuse(
-    waiting: WaitingRequest,
-    document: ClientAccountDocument,
-  ): void {
-    const atHand = this.tokensAtHand();
-    const rate = document.spec.rateTokensPerSecond * this.state.totalFraction;
-    const retryAfterMilliseconds =
-      rate > 0 ? Math.ceil(((waiting.tokens - atHand) / rate) * 1_000) : 0;
-    if (this.waiting.length === 0) this.giveBackAll();
+  private refuse(waiting: WaitingRequest): void {
+    this.refusedAt = this.parts.clock.now();
+    const milliseconds = this.refillMilliseconds([waiting]);
+    const retryAfterMilliseconds = Number.isFinite(milliseconds)
+      ? milliseconds
+      : 0;
     waiting.answer(
       Result.err({reason: 'rate-exceeded', retryAfterMilliseconds}),
     );
   }
 
+  /** Time until the first of `requests` can be served; endless for none. */
+  private refillMilliseconds(requests: readonly WaitingRequest[]): number {
+    const [first] = requests;
+    const spec = this.parts.documentOf(this.state)?.spec;
+    const rate = (spec?.rateTokensPerSecond ?? 0) * this.state.totalFraction;
+    if (first === undefined || rate === 0) return Infinity;
+    const missing = first.tokens - this.tokensAtHand();
+    return Math.max(1, Math.ceil((missing / rate) * 1_000));
+  }
+
   private tokensAtHand(): number {
     const at = readInstant(this.parts.clock);
     const ownTokens = this.ownBucket()?.available(at.now) ?? 0;
@@ -201,6 +238,6 @@
 
   private giveBackExpiring(time: number): void {
     for (const grant of this.state.borrowed.removeExpiring(time))
-      this.parts.collector.giveBack(this.state.account, grant, grant.tokens);
+      this.parts.collector.giveBack(this.state, grant, grant.tokens);
   }
 }
--- a/packages/coordination/src/limits/account-state.ts
+++ b/packages/coordination/src/limits/account-state.ts
@@ -53,6 +53,11 @@
       );
   }
 
+  /** The holder as known here; absent when it is none any more. */
+  holderAt(host: HostId): KnownHolder | undefined {
+    return this.holders.find(holder => holder.host === host);
+  }
+
   /** Counts tokens that had to be borrowed. */
   countBorrowed(tokens: number, now: number): void {
     this.flowTokens = this.recentlyBorrowed(now) + tokens;
--- a/packages/coordination/src/limits/bucket-holder.ts
+++ b/packages/coordination/src/limits/bucket-holder.ts
@@ -40,6 +40,7 @@
   tokens: 0,
   grantId: '',
   levelTokens: 0,
+  lifetimeMilliseconds: 0,
 };
 
 /** Holds this host's shares of all client accounts. */
@@ -157,41 +158,42 @@
   }
 
   private grant(request: GrantRequest): LimitReply {
-    const {tokens, spareTokens, lifetimeMilliseconds} = request;
-    if (!isAmount(tokens) || !isAmount(spareTokens)) return nothingGranted;
-    if (!isAmount(lifetimeMilliseconds)) return nothingGranted;
-    if (lifetimeMilliseconds > maximumLifetimeMilliseconds)
-      return nothingGranted;
+    if (!isGrantRequest(request)) return nothingGranted;
     const bucket = this.bucketOf(accountId(request.account));
     if (bucket === undefined) return nothingGranted;
     const now = this.parts.clock.now();
     this.grantCount += 1;
-    const grant = bucket.grant(
-      `${this.parts.incarnation}/${this.grantCount}`,
-      tokens,
-      spareTokens,
-      lifetimeMilliseconds,
-      now,
-    );
-    const levelTokens = bucket.available(now);
-    return {tokens: grant.tokens, grantId: grant.id, levelTokens};
+    const grantId = `${this.parts.incarnation}/${this.grantCount}`;
+    const grant = bucket.grant({...request, id: grantId}, now);
+    return {...grant, grantId, levelTokens: bucket.available(now)};
   }
 
   private takeBack(request: GrantReturn): LimitReply {
     if (!isAmount(request.tokens)) return nothingGranted;
     this.applyConfiguration();
     const held = this.buckets.get(accountId(request.account));
-    const tokens = held?.bucket.takeBack(
-      request.grantId,
-      request.returnNumber,
-      request.tokens,
-      this.parts.clock.now(),
-    );
-    const levelTokens = held?.bucket.available(this.parts.clock.now()) ?? 0;
-    return {tokens: tokens ?? 0, grantId: request.grantId, levelTokens};
+    if (held === undefined) return nothingGranted;
+    const {bucket} = held;
+    const now = this.parts.clock.now();
+    const {grantId, returnNumber} = request;
+    const tokens = bucket.takeBack(grantId, returnNumber, request.tokens, now);
+    const levelTokens = bucket.available(now);
+    return {...nothingGranted, tokens, grantId, levelTokens};
   }
 }
 
+function isGrantRequest(request: GrantRequest): boolean {
+  const {lifetimeMilliseconds, spareLifetimeMilliseconds} = request;
+  return (
+    isAmount(request.tokens) &&
+    isAmount(request.spareTokens) &&
+    isAmount(lifetimeMilliseconds) &&
+    isAmount(spareLifetimeMilliseconds) &&
+    lifetimeMilliseconds <= maximumLifetimeMilliseconds &&
+    spareLifetimeMilliseconds <= maximumLifetimeMilliseconds
+  );
+}
+
 /** Also false for what is not a number. */
 function isAmount(value: number): boolean {
   return Number.isFinite(value) && value >= 0;
--- a/packages/coordination/src/limits/grant-collector.ts
+++ b/packages/coordination/src/limits/grant-collector.ts
@@ -1,33 +1,39 @@
 /** Asks the holders of an account for tokens, and gives grants back. */
 
 import type {Clock} from '../clock.js';
-import type {LimitRequest} from '../generated/messages/persimmonwick/limits.js';
-import type {AccountId, HostId} from '../ids.js';
+import type {
+  LimitReply,
+  LimitRequest,
+} from '../generated/messages/persimmonwick/limits.js';
+import type {HostId} from '../ids.js';
 import type {PeerTransport} from '../peers/transport.js';
 import type {AccountState} from './account-state.js';
 import {planAsks, potentialOf, roundingError} from './ask-plan.js';
 import type {PlannedAsk} from './ask-plan.js';
-import type {BorrowedGrant} from './borrowed-tokens.js';
+import {readInstant} from './borrowed-tokens.js';
+import type {BorrowedGrant, Instant} from './borrowed-tokens.js';
 import {
   collectTimeoutMilliseconds,
   exchangeTimeoutMilliseconds,
   grantLifetimeMilliseconds,
-  suspectMilliseconds,
+  spareLifetimeMilliseconds,
 } from './constants.js';
 import type {KnownHolder} from './known-holder.js';
+import {PeerSuspicion} from './peer-suspicion.js';
 
 const maximumRounds = 5;
 
 /** Collects grants for one host. */
 export class GrantCollector {
   private readonly returns = new Set<Promise<void>>();
-  /** Holders that gave no answer, with the time until they are left alone. */
-  private readonly suspects = new Map<HostId, number>();
+  private readonly suspicion: PeerSuspicion;
 
   constructor(
     private readonly clock: Clock,
     private readonly transport: PeerTransport,
-  ) {}
+  ) {
+    this.suspicion = new PeerSuspicion(clock, host => this.probe(host));
+  }
 
   /**
    * Collects at most `tokens`, as long as `usefulTokens` may come together, the
@@ -47,7 +53,7 @@
       const missing = tokens - collected;
       // What rounding leaves over is not worth another round.
       if (now >= deadline || missing <= tokens * roundingError) return;
-      const holders = this.answeringHolders(state, now);
+      const holders = this.answeringHolders(state);
       const wanted = collected < usefulTokens ? usefulTokens : tokens;
       const possible = collected + potentialOf(holders, now);
       if (possible < wanted * (1 - roundingError)) return;
@@ -62,39 +68,46 @@
   }
 
   /** Gives back a part of a grant; a lost message only loses the tokens. */
-  giveBack(account: AccountId, grant: BorrowedGrant, tokens: number): void {
+  giveBack(state: AccountState, grant: BorrowedGrant, tokens: number): void {
     if (tokens <= 0) return;
+    const sent = this.sendReturn(state, grant, tokens).then(() => {
+      this.returns.delete(sent);
+    });
+    this.returns.add(sent);
+  }
+
+  /** Waits until every return was answered or timed out. */
+  async drain(): Promise<void> {
+    await Promise.all(this.returns);
+  }
+
+  private async sendReturn(
+    state: AccountState,
+    grant: BorrowedGrant,
+    tokens: number,
+  ): Promise<void> {
     grant.returnCount += 1;
-    const action: LimitRequest['action'] = {
+    const reply = await this.exchange(grant.holder, {
       $case: 'return',
       value: {
-        account,
+        account: state.account,
         tokens,
         grantId: grant.id,
         returnNumber: grant.returnCount,
       },
-    };
-    const sent = this.transport
-      .exchange(
-        grant.holder,
-        {$case: 'limit', value: {action}},
-        exchangeTimeoutMilliseconds,
-      )
-      .then(() => {
-        this.returns.delete(sent);
-      });
-    this.returns.add(sent);
+    });
+    if (reply === undefined) return;
+    state.holderAt(grant.holder)?.learn(reply.levelTokens, this.clock.now());
   }
 
-  /** Waits until every return was answered or timed out. */
-  async drain(): Promise<void> {
-    await Promise.all(this.returns);
+  private answeringHolders(state: AccountState): KnownHolder[] {
+    return state.holders.filter(({host}) => !this.suspicion.isSuspected(host));
   }
 
-  private answeringHolders(state: AccountState, now: number): KnownHolder[] {
-    return state.holders.filter(
-      ({host}) => (this.suspects.get(host) ?? -Infinity) <= now,
-    );
+  private async probe(host: HostId): Promise<boolean> {
+    const nothing = {tokens: 0, spareTokens: 0, account: '', ...lifetimes};
+    const reply = await this.exchange(host, {$case: 'grant', value: nothing});
+    return reply !== undefined;
   }
 
   /** Tokens of the part that the holder granted, without spare ones. */
@@ -103,41 +116,61 @@
     {holder, tokens}: PlannedAsk,
     spareTokens: number,
   ): Promise<number> {
-    const askedAt = this.clock.now();
-    const wallAskedAt = this.clock.wallNow();
-    const lifetimeMilliseconds = grantLifetimeMilliseconds;
+    const asked = readInstant(this.clock);
     const {account, generation} = state;
-    const action: LimitRequest['action'] = {
+    const reply = await this.exchange(holder.host, {
       $case: 'grant',
-      value: {account, tokens, spareTokens, lifetimeMilliseconds},
-    };
-    const answer = await this.transport.exchange(
-      holder.host,
-      {$case: 'limit', value: {action}},
-      exchangeTimeoutMilliseconds,
-    );
-    const now = this.clock.now();
-    if (answer.isErr || answer.value.$case !== 'limit') {
-      this.suspects.set(holder.host, now + suspectMilliseconds);
+      value: {account, tokens, spareTokens, ...lifetimes},
+    });
+    if (reply === undefined) {
+      this.suspicion.suspect(holder.host);
       return 0;
     }
-    this.suspects.delete(holder.host);
-    const reply = answer.value.value;
-    holder.learn(reply.levelTokens, now);
+    holder.learn(reply.levelTokens, this.clock.now());
     if (!(reply.tokens > 0 && reply.tokens <= tokens + spareTokens)) return 0;
-    const grant: BorrowedGrant = {
-      holder: holder.host,
-      id: reply.grantId,
-      expiresAt: askedAt + lifetimeMilliseconds,
-      wallExpiresAt: wallAskedAt + lifetimeMilliseconds,
-      tokens: reply.tokens,
-      returnCount: 0,
-    };
+    const grant = borrowedGrant(holder.host, reply, asked);
     if (state.generation !== generation) {
-      this.giveBack(account, grant, grant.tokens);
+      this.giveBack(state, grant, grant.tokens);
       return 0;
     }
     state.borrowed.add(grant);
     return Math.min(tokens, reply.tokens);
   }
+
+  private async exchange(
+    host: HostId,
+    action: NonNullable<LimitRequest['action']>,
+  ): Promise<LimitReply | undefined> {
+    const answer = await this.transport.exchange(
+      host,
+      {$case: 'limit', value: {action}},
+      exchangeTimeoutMilliseconds,
+    );
+    if (answer.isErr || answer.value.$case !== 'limit') return undefined;
+    return answer.value.value;
+  }
+}
+
+const lifetimes = {
+  lifetimeMilliseconds: grantLifetimeMilliseconds,
+  spareLifetimeMilliseconds,
+};
+
+function borrowedGrant(
+  holder: HostId,
+  reply: LimitReply,
+  asked: Instant,
+): BorrowedGrant {
+  const lifetime = Math.min(
+    reply.lifetimeMilliseconds,
+    spareLifetimeMilliseconds,
+  );
+  return {
+    holder,
+    id: reply.grantId,
+    expiresAt: asked.now + lifetime,
+    wallExpiresAt: asked.wallNow + lifetime,
+    tokens: reply.tokens,
+    returnCount: 0,
+  };
 }
--- a/packages/coordination/src/limits/token-bucket.ts
+++ b/packages/coordination/src/limits/token-bucket.ts
@@ -14,8 +14,20 @@
 
 /** What a bucket gave out. */
 export interface BucketGrant {
+  readonly tokens: number;
+  /** Counted by the borrower from before it asked. */
+  readonly lifetimeMilliseconds: number;
+}
+
+/** What a borrower asks for. */
+export interface GrantWish {
+  /** Tells the grants of this bucket's holder apart. */
   readonly id: string;
   readonly tokens: number;
+  readonly lifetimeMilliseconds: number;
+  /** Asked for besides; only granted while the bucket stays half full. */
+  readonly spareTokens: number;
+  readonly spareLifetimeMilliseconds: number;
 }
 
 /** Where a bucket starts. */
@@ -45,7 +57,8 @@
   private readonly history = new PeakHistory();
   /** Grants that have not expired, by expiry. */
   private readonly unexpired: GrantRecord[] = [];
-  private readonly records = new Map<string, GrantRecord>();
+  /** Absent until the first grant. */
+  private records: Map<string, GrantRecord> | undefined;
 
   constructor(share: BucketShare, start: BucketStart) {
     this.tokensPerMillisecond = share.tokensPerSecond / 1_000;
@@ -92,31 +105,17 @@
     return credited;
   }
 
-  /** Lends at most `tokens`, and of `spareTokens` what half a bucket spares. */
-  grant(
-    id: string,
-    tokens: number,
-    spareTokens: number,
-    lifetimeMilliseconds: number,
-    now: number,
-  ): BucketGrant {
+  /** Lends at most what is wished for. */
+  grant(wish: GrantWish, now: number): BucketGrant {
     this.advance(now);
-    const wanted = Math.min(this.level, tokens);
-    const spare = Math.max(0, this.level - wanted - this.capacity / 2);
-    const given = wanted + Math.min(spare, spareTokens);
-    if (given <= 0) return {id, tokens: 0};
-    const record: GrantRecord = {
-      unreturnedTokens: given,
-      expiresAt: now + holdingMilliseconds(lifetimeMilliseconds),
-      forgottenAt: now + grantMemoryMilliseconds,
-      expiredMark: undefined,
-      returnNumbers: undefined,
-    };
-    this.level -= given;
-    this.outstanding += given;
-    this.records.set(id, record);
-    this.insertUnexpired(record);
-    return {id, tokens: given};
+    const wanted = Math.min(this.level, wish.tokens);
+    const plenty = Math.max(0, this.level - wanted - this.capacity / 2);
+    const spare = Math.min(plenty, wish.spareTokens);
+    const lifetimeMilliseconds =
+      spare > 0 ? wish.spareLifetimeMilliseconds : wish.lifetimeMilliseconds;
+    const given = wanted + spare;
+    if (given > 0) this.lend(wish.id, given, lifetimeMilliseconds, now);
+    return {tokens: given, lifetimeMilliseconds};
   }
 
   /** Takes back a part of a grant; gives the tokens credited. */
@@ -127,7 +126,7 @@
     now: number,
   ): number {
     this.advance(now);
-    const record = this.records.get(id);
+    const record = this.records?.get(id);
     if (record === undefined || record.returnNumbers?.includes(returnNumber))
       return 0;
     (record.returnNumbers ??= []).push(returnNumber);
@@ -160,6 +159,25 @@
     this.history.record(this.total());
   }
 
+  private lend(
+    id: string,
+    given: number,
+    lifetimeMilliseconds: number,
+    now: number,
+  ): void {
+    const record: GrantRecord = {
+      unreturnedTokens: given,
+      expiresAt: now + holdingMilliseconds(lifetimeMilliseconds),
+      forgottenAt: now + grantMemoryMilliseconds,
+      expiredMark: undefined,
+      returnNumbers: undefined,
+    };
+    this.level -= given;
+    this.outstanding += given;
+    (this.records ??= new Map<string, GrantRecord>()).set(id, record);
+    this.insertUnexpired(record);
+  }
+
   private advance(now: number): void {
     while (this.unexpired.length > 0 && this.unexpired[0]!.expiresAt <= now) {
       const record = this.unexpired.shift()!;
@@ -185,11 +203,12 @@
   }
 
   private forgetOldGrants(now: number): void {
-    if (this.records.size === 0) return;
+    if (this.records === undefined) return;
     for (const [id, record] of this.records) {
       if (record.forgottenAt > now) return;
       this.records.delete(id);
     }
+    this.records = undefined;
   }
 
   private insertUnexpired(record: GrantRecord): void {
--- a/packages/coordination/test/limits-checker.test.ts
+++ b/packages/coordination/test/limits-checker.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {TokenBucket} from '../src/index.js';
+import type {BorrowedGrant} from '../src/limits/borrowed-tokens.js';
 import {BorrowedTokens} from '../src/limits/borrowed-tokens.js';
 import {ShareEpochs} from '../src/limits/share-epochs.js';
 import {ScheduleRun, scheduleArbitrary} from './tools/limit-schedule.js';
@@ -74,15 +75,14 @@
   );
 });
 
-test.serial('grants that never expire at the borrower are caught', async t => {
-  const {add} = BorrowedTokens.prototype;
-  const never = {expiresAt: Infinity, wallExpiresAt: Infinity};
+test.serial('grants that are given back and used are caught', async t => {
   t.true(
     await whileReplaced(
       BorrowedTokens.prototype,
-      'add',
-      function (this: BorrowedTokens, grant) {
-        add.call(this, {...grant, ...never});
+      'removeExpiring',
+      function (this: BorrowedTokens, time) {
+        const {grants} = this as unknown as {grants: BorrowedGrant[]};
+        return grants.filter(grant => grant.expiresAt <= time);
       },
     ),
   );
--- a/packages/coordination/test/limits.test.ts
+++ b/packages/coordination/test/limits.test.ts
@@ -6,8 +6,11 @@
   accountId,
   emptyConfiguration,
   holderShares,
+  hostId,
   perfectDelivery,
 } from '../src/index.js';
+import type {BucketGrant} from '../src/index.js';
+import {BorrowedTokens} from '../src/limits/borrowed-tokens.js';
 import {PeakHistory} from '../src/limits/peak-history.js';
 import {
   LimitFleet,
@@ -20,11 +23,26 @@
 const emptyStart = {levelTokens: 0, refillsFrom: 0};
 const fullStart = {levelTokens: 100, refillsFrom: 0};
 
-async function filledFleet(rate = 100, burst = 90): Promise<LimitFleet> {
+function lend(
+  bucket: TokenBucket,
+  id: string,
+  tokens: number,
+  spareTokens: number,
+): BucketGrant {
+  const lifetimes = {
+    lifetimeMilliseconds: 100,
+    spareLifetimeMilliseconds: 100,
+  };
+  return bucket.grant({id, tokens, spareTokens, ...lifetimes}, 0);
+}
+
+async function filledFleet(holdersPerDomain?: number): Promise<LimitFleet> {
   const members = membersOf(3, 3);
   const fleet = new LimitFleet(
     members,
-    limitConfiguration(1, rate, burst, members),
+    limitConfiguration(1, 100, 90, members),
+    () => 1,
+    holdersPerDomain,
   );
   fleet.network.policy = () => ({...perfectDelivery, delayMilliseconds: 1.5});
   await fleet.clock.advance(10_000);
@@ -65,20 +83,20 @@
 
 test('lent tokens leave no room until they expire', t => {
   const bucket = new TokenBucket(share, fullStart);
-  t.is(bucket.grant('a', 60, 0, 100, 0).tokens, 60);
+  t.is(lend(bucket, 'a', 60, 0).tokens, 60);
   t.is(bucket.available(149), 40);
   t.is(bucket.available(1_150), 50);
 });
 
 test('spare tokens are only lent above half a bucket', t => {
   const bucket = new TokenBucket(share, fullStart);
-  t.is(bucket.grant('a', 20, 100, 100, 0).tokens, 50);
-  t.is(bucket.grant('b', 20, 100, 100, 0).tokens, 20);
+  t.is(lend(bucket, 'a', 20, 100).tokens, 50);
+  t.is(lend(bucket, 'b', 20, 100).tokens, 20);
 });
 
 test('a return counts once', t => {
   const bucket = new TokenBucket(share, fullStart);
-  bucket.grant('a', 60, 0, 100, 0);
+  lend(bucket, 'a', 60, 0);
   t.is(bucket.takeBack('a', 1, 20, 10), 20);
   t.is(bucket.takeBack('a', 1, 20, 10), 0);
   t.is(bucket.takeBack('a', 2, 60, 10), 40);
@@ -87,11 +105,22 @@
 
 test('a return after the expiry is credited like a refund', t => {
   const bucket = new TokenBucket(share, fullStart);
-  bucket.grant('a', 60, 0, 100, 0);
+  lend(bucket, 'a', 60, 0);
   t.is(bucket.takeBack('a', 1, 30, 1_150), 30);
   t.is(bucket.takeBack('a', 2, 30, 90_000), 0);
 });
 
+test('a grant is used until either clock says that it expired', t => {
+  const borrowed = new BorrowedTokens();
+  const lot = {holder: hostId('host-0'), id: 'a', tokens: 10, returnCount: 0};
+  borrowed.add({...lot, expiresAt: 100, wallExpiresAt: 5_100});
+  t.is(borrowed.available({now: 99, wallNow: 5_099}), 10);
+  t.is(borrowed.available({now: 100, wallNow: 5_050}), 0);
+  t.is(borrowed.available({now: 50, wallNow: 5_100}), 0);
+  t.deepEqual(borrowed.take(10, {now: 50, wallNow: 5_100}), []);
+  t.true(borrowed.isEmpty);
+});
+
 test('another share adds no tokens', t => {
   const bucket = new TokenBucket(share, fullStart);
   const {mark} = bucket.charge(50, 0);
@@ -199,7 +228,7 @@
 });
 
 test('a cut host serves its own share without asking twice', async t => {
-  const fleet = await filledFleet();
+  const fleet = await filledFleet(3);
   const here = fleet.hosts[0]!;
   fleet.network.policy = () => ({...perfectDelivery, isDropped: true});
   const own = await fleet.clock.runUntil(here.limiter.admit(account, 5));
@@ -212,6 +241,19 @@
   await fleet.close();
 });
 
+test('a request waits for a refill that comes soon', async t => {
+  const fleet = await filledFleet();
+  const {limiter} = fleet.hosts[4]!;
+  await fleet.clock.runUntil(limiter.admit(account, 90));
+  await fleet.clock.advance(400);
+  const asked = fleet.clock.now();
+  const soon = await fleet.clock.runUntil(limiter.admit(account, 34));
+  t.true(soon.isOk);
+  t.true(fleet.clock.now() - asked > 10);
+  t.true(fleet.clock.now() - asked <= 150);
+  await fleet.close();
+});
+
 test('refusals say why', async t => {
   const fleet = await filledFleet();
   const {limiter} = fleet.hosts[0]!;
