--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -72,5 +72,6 @@
   BucketShare,
   BucketStart,
 } from './limits/token-bucket.js';
+export type {LimiterCounters} from './limits/limiter-counters.js';
 export {holderShares} from './limits/shares.js';
 export type {HolderShare} from './limits/shares.js';
--- a/packages/coordination/src/limits/account-gate.ts
+++ b/packages/coordination/src/limits/account-gate.ts
@@ -5,11 +5,10 @@
 import type {ClientAccountDocument} from '../generated/documents.js';
 import type {AccountState} from './account-state.js';
 import type {WaitingRequest} from './account-state.js';
+import {AccountTokens} from './account-tokens.js';
 import {refusal} from './admission.js';
 import type {Admission, RateRefusal} from './admission.js';
-import {readInstant} from './borrowed-tokens.js';
 import type {BucketHolder} from './bucket-holder.js';
-import {ChargedAdmission} from './charged-admission.js';
 import {
   overloadMemoryMilliseconds,
   refillWaitMilliseconds,
@@ -17,14 +16,11 @@
   returnIntervalMilliseconds,
 } from './constants.js';
 import type {GrantCollector} from './grant-collector.js';
-import type {TokenBucket} from './token-bucket.js';
+import type {WritableLimiterCounters} from './limiter-counters.js';
 
 /** Part of the tokens borrowed lately that is asked for ahead. */
 const spareFraction = 0.3;
 
-/** Makes a request of the whole burst fit shares that were rounded. */
-const roundingFactor = 1 - 1e-12;
-
 /** What the gates of one host share. */
 export interface AccountGateParts {
   readonly clock: Clock;
@@ -35,10 +31,12 @@
     state: AccountState,
   ) => ClientAccountDocument | undefined;
   readonly ended: AbortSignal;
+  readonly counters: WritableLimiterCounters;
 }
 
 /** The gate of one account. */
 export class AccountGate {
+  private readonly tokens: AccountTokens;
   private waiting: WaitingRequest[] = [];
   private isServing = false;
   private serving: Promise<void> | undefined;
@@ -48,7 +46,10 @@
   constructor(
     readonly state: AccountState,
     private readonly parts: AccountGateParts,
-  ) {}
+  ) {
+    const {clock, holder, collector} = parts;
+    this.tokens = new AccountTokens(state, clock, holder, collector);
+  }
 
   /** True when nothing waits and nothing is borrowed. */
   get isIdle(): boolean {
@@ -61,15 +62,18 @@
   ): Promise<Result<Admission, RateRefusal>> {
     this.state.usedAt = this.parts.clock.now();
     if (!this.isServing) {
-      const admission = this.chargeAtHand(tokens);
-      if (admission !== undefined) return Promise.resolve(Result.ok(admission));
+      const admission = this.tokens.charge(tokens);
+      if (admission !== undefined) {
+        this.parts.counters.admittedAtHand += 1;
+        return Promise.resolve(Result.ok(admission));
+      }
     }
     return this.wait(tokens, signal);
   }
 
   /** Gives back all that is borrowed and not used. */
   giveBackAll(): void {
-    this.giveBackExpiring(Infinity);
+    this.tokens.giveBackExpiring(Infinity);
   }
 
   /** Refuses all that waits and gives back all that is borrowed. */
@@ -81,27 +85,6 @@
     this.giveBackAll();
   }
 
-  /** Charges own and borrowed tokens, the whole of `tokens` or nothing. */
-  private chargeAtHand(tokens: number): Admission | undefined {
-    // One reading for all, so that nothing expires between look and charge.
-    const at = readInstant(this.parts.clock);
-    const {borrowed} = this.state;
-    const bucket = this.ownBucket();
-    const borrowedTokens = borrowed.available(at);
-    const ownTokens = bucket?.available(at.now) ?? 0;
-    if (borrowedTokens + ownTokens < tokens * roundingFactor) return undefined;
-    const borrowedParts = borrowed.take(tokens, at);
-    const missing = Math.max(0, tokens - borrowedTokens);
-    const charge = bucket?.charge(missing, at.now);
-    return new ChargedAdmission(tokens, borrowedParts, {
-      ownTokens: charge?.tokens ?? 0,
-      refundOwn: unused =>
-        bucket!.refund(charge!.mark, unused, this.parts.clock.now()),
-      giveBack: ({grant}, unused) =>
-        this.parts.collector.giveBack(this.state, grant, unused),
-    });
-  }
-
   private wait(
     tokens: number,
     signal: AbortSignal | undefined,
@@ -113,6 +96,7 @@
         answer: result => {
           if (waiting.isAnswered) return;
           waiting.isAnswered = true;
+          this.count(result);
           signal?.removeEventListener('abort', cancel);
           resolve(result);
         },
@@ -124,6 +108,12 @@
     });
   }
 
+  private count(result: Result<Admission, RateRefusal>): void {
+    const {counters} = this.parts;
+    if (result.isOk) counters.admittedAfterWait += 1;
+    else counters.refused[result.error.reason] += 1;
+  }
+
   private async serve(): Promise<void> {
     this.isServing = true;
     while (this.waiting.length > 0) {
@@ -167,7 +157,7 @@
     const {collector, ended} = this.parts;
     const {state} = this;
     const now = this.parts.clock.now();
-    const atHand = this.tokensAtHand();
+    const atHand = this.tokens.available();
     const needed = batch.reduce((sum, waiting) => sum + waiting.tokens, 0);
     const missing = needed - atHand;
     if (missing <= 0 || ended.aborted) return;
@@ -189,7 +179,7 @@
     } else if (waiting.tokens > document.spec.burstTokens) {
       waiting.answer(Result.err(refusal('larger-than-burst')));
     } else {
-      const admission = this.chargeAtHand(waiting.tokens);
+      const admission = this.tokens.charge(waiting.tokens);
       if (admission === undefined) return false;
       waiting.answer(Result.ok(admission));
     }
@@ -213,34 +203,18 @@
     const spec = this.parts.documentOf(this.state)?.spec;
     const rate = (spec?.rateTokensPerSecond ?? 0) * this.state.totalFraction;
     if (first === undefined || rate === 0) return Infinity;
-    const missing = first.tokens - this.tokensAtHand();
+    const missing = first.tokens - this.tokens.available();
     return Math.max(1, Math.ceil((missing / rate) * 1_000));
   }
 
-  private tokensAtHand(): number {
-    const at = readInstant(this.parts.clock);
-    const ownTokens = this.ownBucket()?.available(at.now) ?? 0;
-    return ownTokens + this.state.borrowed.available(at);
-  }
-
-  private ownBucket(): TokenBucket | undefined {
-    if (!this.state.isOwnHolder) return undefined;
-    return this.parts.holder.bucketOf(this.state.account);
-  }
-
   /** Gives grants back before they expire, until none is left. */
   private async returnInTime(): Promise<void> {
     const {clock, ended} = this.parts;
     this.isReturning = true;
     while (!this.state.borrowed.isEmpty && !ended.aborted) {
       await clock.sleep(returnIntervalMilliseconds, ended);
-      this.giveBackExpiring(clock.now() + returnAheadMilliseconds);
+      this.tokens.giveBackExpiring(clock.now() + returnAheadMilliseconds);
     }
     this.isReturning = false;
   }
-
-  private giveBackExpiring(time: number): void {
-    for (const grant of this.state.borrowed.removeExpiring(time))
-      this.parts.collector.giveBack(this.state, grant, grant.tokens);
-  }
 }
--- a/packages/coordination/src/limits/grant-collector.ts
+++ b/packages/coordination/src/limits/grant-collector.ts
@@ -19,6 +19,7 @@
   spareLifetimeMilliseconds,
 } from './constants.js';
 import type {KnownHolder} from './known-holder.js';
+import type {WritableLimiterCounters} from './limiter-counters.js';
 import {PeerSuspicion} from './peer-suspicion.js';
 
 const maximumRounds = 5;
@@ -31,6 +32,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly transport: PeerTransport,
+    private readonly counters: WritableLimiterCounters,
   ) {
     this.suspicion = new PeerSuspicion(clock, host => this.probe(host));
   }
@@ -141,13 +143,16 @@
     host: HostId,
     action: NonNullable<LimitRequest['action']>,
   ): Promise<LimitReply | undefined> {
+    this.counters.exchanges += 1;
     const answer = await this.transport.exchange(
       host,
       {$case: 'limit', value: {action}},
       exchangeTimeoutMilliseconds,
     );
-    if (answer.isErr || answer.value.$case !== 'limit') return undefined;
-    return answer.value.value;
+    if (answer.isOk && answer.value.$case === 'limit')
+      return answer.value.value;
+    this.counters.failedExchanges += 1;
+    return undefined;
   }
 }
 
--- a/packages/coordination/src/limits/limiter.ts
+++ b/packages/coordination/src/limits/limiter.ts
@@ -25,6 +25,8 @@
   upkeepMilliseconds,
 } from './constants.js';
 import {GrantCollector} from './grant-collector.js';
+import {newLimiterCounters} from './limiter-counters.js';
+import type {LimiterCounters} from './limiter-counters.js';
 import {holderShares} from './shares.js';
 
 /** What a limiter is made of. */
@@ -42,6 +44,7 @@
 
 /** The limiter of one host: holder, borrower and gate. */
 export class Limiter implements PeerHandler<LimitRequest, LimitReply> {
+  private readonly counted = newLimiterCounters();
   private readonly holder: BucketHolder;
   private readonly collector: GrantCollector;
   private readonly gateParts: AccountGateParts;
@@ -57,17 +60,23 @@
       ...parts,
       holdersPerDomain: this.holdersPerDomain,
     });
-    this.collector = new GrantCollector(clock, transport);
+    this.collector = new GrantCollector(clock, transport, this.counted);
     this.gateParts = {
       clock,
       holder: this.holder,
       collector: this.collector,
       documentOf: state => this.documentOf(state.account),
       ended: this.ended.signal,
+      counters: this.counted,
     };
     void this.keepUp();
   }
 
+  /** What was counted since the start. */
+  get counters(): LimiterCounters {
+    return this.counted;
+  }
+
   /** Accounts that occupy memory: as borrower and as holder. */
   get accountsInMemory(): {readonly borrowed: number; readonly held: number} {
     return {borrowed: this.gates.size, held: this.holder.size};
@@ -108,11 +117,12 @@
   ): Promise<Result<Admission, RateRefusal>> {
     if (!(Number.isFinite(tokens) && tokens >= 0))
       return Promise.reject(new InvalidTokensError(tokens));
-    if (this.ended.signal.aborted) return refuse('closed');
-    if (signal?.aborted) return refuse('cancelled');
+    if (this.ended.signal.aborted) return this.refuse('closed');
+    if (signal?.aborted) return this.refuse('cancelled');
     const document = this.documentOf(account);
-    if (document === undefined) return refuse('unknown-account');
-    if (tokens > document.spec.burstTokens) return refuse('larger-than-burst');
+    if (document === undefined) return this.refuse('unknown-account');
+    if (tokens > document.spec.burstTokens)
+      return this.refuse('larger-than-burst');
     return this.gateOf(account).admit(tokens, signal);
   }
 
@@ -166,8 +176,11 @@
       await this.parts.clock.sleep(upkeepMilliseconds, signal);
     }
   }
-}
 
-function refuse(reason: RateRefusal['reason']) {
-  return Promise.resolve(Result.err<Admission, RateRefusal>(refusal(reason)));
+  private refuse(
+    reason: RateRefusal['reason'],
+  ): Promise<Result<Admission, RateRefusal>> {
+    this.counted.refused[reason] += 1;
+    return Promise.resolve(Result.err(refusal(reason)));
+  }
 }
--- a/packages/coordination/test/limits.test.ts
+++ b/packages/coordination/test/limits.test.ts
@@ -174,6 +174,9 @@
   const second = await fleet.clock.runUntil(limiter.admit(account, 20));
   t.is(second.isErr && second.error.reason, 'rate-exceeded');
   t.true(second.isErr && second.error.retryAfterMilliseconds > 100);
+  const {admittedAfterWait, refused, exchanges} = limiter.counters;
+  t.deepEqual([admittedAfterWait, refused['rate-exceeded']], [1, 1]);
+  t.true(exchanges > 0);
   await fleet.close();
 });
 
@@ -292,6 +295,13 @@
   await fleet.close();
   t.is(await interrupted, 'closed');
   t.is(await reasonOf(account, 1), 'closed');
+  t.deepEqual(limiter.counters.refused, {
+    'unknown-account': 1,
+    'larger-than-burst': 1,
+    'rate-exceeded': 0,
+    cancelled: 2,
+    closed: 2,
+  });
 });
 
 test('an account without configuration is unknown', async t => {
