--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -163,9 +163,11 @@
 export {TokenBucket} from './limits/token-bucket.js';
 export type {
   BucketGrant,
+  GrantWish,
   BucketShare,
   BucketStart,
 } from './limits/token-bucket.js';
+export type {LimiterCounters} from './limits/limiter-counters.js';
 export {holderShares} from './limits/shares.js';
 export type {HolderShare} from './limits/shares.js';
 export {Claims} from './claims/claims.js';
--- a/packages/coordination/src/limits/account-gate.ts
+++ b/packages/coordination/src/limits/account-gate.ts
@@ -5,24 +5,22 @@
 import type {ClientAccountDocument} from '../generated/documents.js';
 import type {AccountState} from './account-state.js';
 import type {WaitingRequest} from './account-state.js';
+import {AccountTokens} from './account-tokens.js';
 import {refusal} from './admission.js';
 import type {Admission, RateRefusal} from './admission.js';
-import {readInstant} from './borrowed-tokens.js';
 import type {BucketHolder} from './bucket-holder.js';
-import {ChargedAdmission} from './charged-admission.js';
 import {
+  overloadMemoryMilliseconds,
+  refillWaitMilliseconds,
   returnAheadMilliseconds,
   returnIntervalMilliseconds,
 } from './constants.js';
 import type {GrantCollector} from './grant-collector.js';
-import type {TokenBucket} from './token-bucket.js';
+import type {WritableLimiterCounters} from './limiter-counters.js';
 
 /** Part of the tokens borrowed lately that is asked for ahead. */
 const spareFraction = 0.3;
 
-/** Makes a request of the whole burst fit shares that were rounded. */
-const roundingFactor = 1 - 1e-12;
-
 /** What the gates of one host share. */
 export interface AccountGateParts {
   readonly clock: Clock;
@@ -33,18 +31,25 @@
     state: AccountState,
   ) => ClientAccountDocument | undefined;
   readonly ended: AbortSignal;
+  readonly counters: WritableLimiterCounters;
 }
 
 /** The gate of one account. */
 export class AccountGate {
+  private readonly tokens: AccountTokens;
   private waiting: WaitingRequest[] = [];
   private isServing = false;
+  private serving: Promise<void> | undefined;
   private isReturning = false;
+  private refusedAt = -Infinity;
 
   constructor(
     readonly state: AccountState,
     private readonly parts: AccountGateParts,
-  ) {}
+  ) {
+    const {clock, holder, collector} = parts;
+    this.tokens = new AccountTokens(state, clock, holder, collector);
+  }
 
   /** True when nothing waits and nothing is borrowed. */
   get isIdle(): boolean {
@@ -57,45 +62,29 @@
   ): Promise<Result<Admission, RateRefusal>> {
     this.state.usedAt = this.parts.clock.now();
     if (!this.isServing) {
-      const admission = this.chargeAtHand(tokens);
-      if (admission !== undefined) return Promise.resolve(Result.ok(admission));
+      const admission = this.tokens.charge(tokens);
+      if (admission !== undefined) {
+        this.parts.counters.admittedAtHand += 1;
+        return Promise.resolve(Result.ok(admission));
+      }
     }
     return this.wait(tokens, signal);
   }
 
   /** Gives back all that is borrowed and not used. */
   giveBackAll(): void {
-    this.giveBackExpiring(Infinity);
+    this.tokens.giveBackExpiring(Infinity);
   }
 
   /** Refuses all that waits and gives back all that is borrowed. */
-  close(): void {
+  async close(): Promise<void> {
     for (const waiting of this.waiting.splice(0))
       waiting.answer(Result.err(refusal('closed')));
+    // Grants that are under way go back as well.
+    await this.serving;
     this.giveBackAll();
   }
 
-  /** Charges own and borrowed tokens, the whole of `tokens` or nothing. */
-  private chargeAtHand(tokens: number): Admission | undefined {
-    // One reading for all, so that nothing expires between look and charge.
-    const at = readInstant(this.parts.clock);
-    const {borrowed} = this.state;
-    const bucket = this.ownBucket();
-    const borrowedTokens = borrowed.available(at);
-    const ownTokens = bucket?.available(at.now) ?? 0;
-    if (borrowedTokens + ownTokens < tokens * roundingFactor) return undefined;
-    const borrowedParts = borrowed.take(tokens, at);
-    const missing = Math.max(0, tokens - borrowedTokens);
-    const charge = bucket?.charge(missing, at.now);
-    return new ChargedAdmission(tokens, borrowedParts, {
-      ownTokens: charge?.tokens ?? 0,
-      refundOwn: unused =>
-        bucket!.refund(charge!.mark, unused, this.parts.clock.now()),
-      giveBack: ({grant}, unused) =>
-        this.parts.collector.giveBack(this.state.account, grant, unused),
-    });
-  }
-
   private wait(
     tokens: number,
     signal: AbortSignal | undefined,
@@ -107,6 +96,7 @@
         answer: result => {
           if (waiting.isAnswered) return;
           waiting.isAnswered = true;
+          this.count(result);
           signal?.removeEventListener('abort', cancel);
           resolve(result);
         },
@@ -114,28 +104,60 @@
       const cancel = () => waiting.answer(Result.err(refusal('cancelled')));
       signal?.addEventListener('abort', cancel, {once: true});
       this.waiting.push(waiting);
-      if (!this.isServing) void this.serve();
+      if (!this.isServing) this.serving = this.serve();
     });
   }
 
+  private count(result: Result<Admission, RateRefusal>): void {
+    const {counters} = this.parts;
+    if (result.isOk) counters.admittedAfterWait += 1;
+    else counters.refused[result.error.reason] += 1;
+  }
+
   private async serve(): Promise<void> {
     this.isServing = true;
     while (this.waiting.length > 0) {
       const batch = this.waiting;
       this.waiting = [];
-      await this.collectFor(batch.filter(waiting => !waiting.isAnswered));
-      for (const waiting of batch) this.decide(waiting);
+      const left = await this.serveBatch(batch);
+      for (const waiting of await this.retryAfterRefill(left))
+        this.refuse(waiting);
+      // What was collected in vain goes back at once.
+      if (left.length > 0) this.giveBackAll();
     }
     this.isServing = false;
     if (!this.state.borrowed.isEmpty && !this.isReturning)
-      await this.returnInTime();
+      void this.returnInTime();
+  }
+
+  /** Gives the requests for which there were too few tokens. */
+  private async serveBatch(
+    batch: readonly WaitingRequest[],
+  ): Promise<WaitingRequest[]> {
+    const unanswered = batch.filter(waiting => !waiting.isAnswered);
+    await this.collectFor(unanswered);
+    return unanswered.filter(waiting => !this.decide(waiting));
+  }
+
+  /** An account that stays above its rate gains nothing by waiting. */
+  private async retryAfterRefill(
+    left: WaitingRequest[],
+  ): Promise<WaitingRequest[]> {
+    const {clock, ended} = this.parts;
+    const milliseconds = this.refillMilliseconds(left);
+    const isOverloaded =
+      clock.now() - this.refusedAt < overloadMemoryMilliseconds;
+    if (isOverloaded || milliseconds > refillWaitMilliseconds) return left;
+    this.giveBackAll();
+    await clock.sleep(milliseconds, ended);
+    return this.serveBatch(left);
   }
 
   private async collectFor(batch: readonly WaitingRequest[]): Promise<void> {
     const {collector, ended} = this.parts;
     const {state} = this;
     const now = this.parts.clock.now();
-    const atHand = this.tokensAtHand();
+    const atHand = this.tokens.available();
     const needed = batch.reduce((sum, waiting) => sum + waiting.tokens, 0);
     const missing = needed - atHand;
     if (missing <= 0 || ended.aborted) return;
@@ -146,8 +168,9 @@
     await collector.collect(state, missing, useful, spare);
   }
 
-  private decide(waiting: WaitingRequest): void {
-    if (waiting.isAnswered) return;
+  /** False when there are too few tokens. */
+  private decide(waiting: WaitingRequest): boolean {
+    if (waiting.isAnswered) return true;
     const document = this.parts.documentOf(this.state);
     if (this.parts.ended.aborted) {
       waiting.answer(Result.err(refusal('closed')));
@@ -156,36 +179,32 @@
     } else if (waiting.tokens > document.spec.burstTokens) {
       waiting.answer(Result.err(refusal('larger-than-burst')));
     } else {
-      const admission = this.chargeAtHand(waiting.tokens);
-      if (admission === undefined) this.refuse(waiting, document);
-      else waiting.answer(Result.ok(admission));
+      const admission = this.tokens.charge(waiting.tokens);
+      if (admission === undefined) return false;
+      waiting.answer(Result.ok(admission));
     }
+    return true;
   }
 
-  /** What was collected in vain goes back at once. */
-  private refuse(
-    waiting: WaitingRequest,
-    document: ClientAccountDocument,
-  ): void {
-    const atHand = this.tokensAtHand();
-    const rate = document.spec.rateTokensPerSecond * this.state.totalFraction;
-    const retryAfterMilliseconds =
-      rate > 0 ? Math.ceil(((waiting.tokens - atHand) / rate) * 1_000) : 0;
-    if (this.waiting.length === 0) this.giveBackAll();
+  private refuse(waiting: WaitingRequest): void {
+    this.refusedAt = this.parts.clock.now();
+    const milliseconds = this.refillMilliseconds([waiting]);
+    const retryAfterMilliseconds = Number.isFinite(milliseconds)
+      ? milliseconds
+      : 0;
     waiting.answer(
       Result.err({reason: 'rate-exceeded', retryAfterMilliseconds}),
     );
   }
 
-  private tokensAtHand(): number {
-    const at = readInstant(this.parts.clock);
-    const ownTokens = this.ownBucket()?.available(at.now) ?? 0;
-    return ownTokens + this.state.borrowed.available(at);
-  }
-
-  private ownBucket(): TokenBucket | undefined {
-    if (!this.state.isOwnHolder) return undefined;
-    return this.parts.holder.bucketOf(this.state.account);
+  /** Time until the first of `requests` can be served; endless for none. */
+  private refillMilliseconds(requests: readonly WaitingRequest[]): number {
+    const [first] = requests;
+    const spec = this.parts.documentOf(this.state)?.spec;
+    const rate = (spec?.rateTokensPerSecond ?? 0) * this.state.totalFraction;
+    if (first === undefined || rate === 0) return Infinity;
+    const missing = first.tokens - this.tokens.available();
+    return Math.max(1, Math.ceil((missing / rate) * 1_000));
   }
 
   /** Gives grants back before they expire, until none is left. */
@@ -194,13 +213,8 @@
     this.isReturning = true;
     while (!this.state.borrowed.isEmpty && !ended.aborted) {
       await clock.sleep(returnIntervalMilliseconds, ended);
-      this.giveBackExpiring(clock.now() + returnAheadMilliseconds);
+      this.tokens.giveBackExpiring(clock.now() + returnAheadMilliseconds);
     }
     this.isReturning = false;
   }
-
-  private giveBackExpiring(time: number): void {
-    for (const grant of this.state.borrowed.removeExpiring(time))
-      this.parts.collector.giveBack(this.state.account, grant, grant.tokens);
-  }
 }
--- a/packages/coordination/src/limits/bucket-holder.ts
+++ b/packages/coordination/src/limits/bucket-holder.ts
@@ -1,5 +1,6 @@
 /** The buckets that this host holds, and the handler for those who ask. */
 
+import xxhash from 'xxhash-wasm';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {ClientAccountDocument} from '../generated/documents.js';
@@ -30,6 +31,8 @@
   readonly holdersPerDomain: number;
 }
 
+const {h64} = await xxhash();
+
 interface HeldBucket {
   readonly bucket: TokenBucket;
   usedAt: number;
@@ -40,6 +43,7 @@
   tokens: 0,
   grantId: '',
   levelTokens: 0,
+  lifetimeMilliseconds: 0,
 };
 
 /** Holds this host's shares of all client accounts. */
@@ -49,10 +53,13 @@
   private readonly startedAt: number;
   private seen: Configuration | undefined;
   private grantCount = 0;
+  /** Tells grants of one start of this host from those of another. */
+  private readonly idPrefix: string;
 
   constructor(private readonly parts: BucketHolderParts) {
     this.epochs = new ShareEpochs(parts.self, parts.holdersPerDomain);
     this.startedAt = parts.clock.now();
+    this.idPrefix = shortDigest(parts.incarnation);
   }
 
   /** Before this, grants of this host's former incarnation may be in use. */
@@ -160,41 +167,46 @@
   }
 
   private grant(request: GrantRequest): LimitReply {
-    const {tokens, spareTokens, lifetimeMilliseconds} = request;
-    if (!isAmount(tokens) || !isAmount(spareTokens)) return nothingGranted;
-    if (!isAmount(lifetimeMilliseconds)) return nothingGranted;
-    if (lifetimeMilliseconds > maximumLifetimeMilliseconds)
-      return nothingGranted;
+    if (!isGrantRequest(request)) return nothingGranted;
     const bucket = this.bucketOf(accountId(request.account));
     if (bucket === undefined) return nothingGranted;
     const now = this.parts.clock.now();
     this.grantCount += 1;
-    const grant = bucket.grant(
-      `${this.parts.incarnation}/${this.grantCount}`,
-      tokens,
-      spareTokens,
-      lifetimeMilliseconds,
-      now,
-    );
-    const levelTokens = bucket.available(now);
-    return {tokens: grant.tokens, grantId: grant.id, levelTokens};
+    const grantId = `${this.idPrefix}/${this.grantCount.toString(36)}`;
+    const grant = bucket.grant({...request, id: grantId}, now);
+    return {...grant, grantId, levelTokens: bucket.available(now)};
   }
 
   private takeBack(request: GrantReturn): LimitReply {
     if (!isAmount(request.tokens)) return nothingGranted;
     this.applyConfiguration();
     const held = this.buckets.get(accountId(request.account));
-    const tokens = held?.bucket.takeBack(
-      request.grantId,
-      request.returnNumber,
-      request.tokens,
-      this.parts.clock.now(),
-    );
-    const levelTokens = held?.bucket.available(this.parts.clock.now()) ?? 0;
-    return {tokens: tokens ?? 0, grantId: request.grantId, levelTokens};
+    if (held === undefined) return nothingGranted;
+    const {bucket} = held;
+    const now = this.parts.clock.now();
+    const {grantId, returnNumber} = request;
+    const tokens = bucket.takeBack(grantId, returnNumber, request.tokens, now);
+    const levelTokens = bucket.available(now);
+    return {...nothingGranted, tokens, levelTokens};
   }
 }
 
+function shortDigest(text: string): string {
+  return h64(text).toString(36);
+}
+
+function isGrantRequest(request: GrantRequest): boolean {
+  const {lifetimeMilliseconds, spareLifetimeMilliseconds} = request;
+  return (
+    isAmount(request.tokens) &&
+    isAmount(request.spareTokens) &&
+    isAmount(lifetimeMilliseconds) &&
+    isAmount(spareLifetimeMilliseconds) &&
+    lifetimeMilliseconds <= maximumLifetimeMilliseconds &&
+    spareLifetimeMilliseconds <= maximumLifetimeMilliseconds
+  );
+}
+
 /** Also false for what is not a number. */
 function isAmount(value: number): boolean {
   return Number.isFinite(value) && value >= 0;
