Order upstreams under leases with fencing numbers

Cause: two hosts that each believe they steer an upstream could order it about in turn; nothing on disk tells an old order from a new one. Change: leases at a majority of witnesses, fencing numbers from the highest witnessed one and the wall clock, and an order issuer that waits out old orders where an upstream ignores the numbers.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -99,3 +99,19 @@
   ClaimReply,
   ClaimRequest,
 } from './generated/messages/persimmonwick/claims.js';
+export {LeaseManager} from './leases/lease-manager.js';
+export type {
+  Lease,
+  LeaseManagerParts,
+  LeaseRefusal,
+} from './leases/lease-manager.js';
+export {LeaseWitness} from './leases/lease-witness.js';
+export type {LeaseWitnessParts} from './leases/lease-witness.js';
+export {defaultMessageLifetimeMilliseconds} from './leases/lease-timing.js';
+export {OrderIssuer} from './leases/order-issuer.js';
+export type {
+  EngineState,
+  OrderIssuerParts,
+  OrderRefusal,
+  OrderReport,
+} from './leases/order-issuer.js';
--- /dev/null
+++ b/packages/coordination/test/claims-schedules.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {runSchedule, schedules} from './tools/claim-schedule.js';
+
+const seed = 20260104;
+const numRuns = 3000;
+
+test('every key runs at most once', async t => {
+  t.timeout(140_000);
+  const totals = {runs: 0, replays: 0, refusals: 0};
+  await fc.assert(
+    fc.asyncProperty(schedules, async schedule => {
+      const report = await runSchedule(schedule);
+      totals.runs += report.runs;
+      totals.replays += report.replays;
+      totals.refusals += report.refusals;
+      return report.faults.length === 0;
+    }),
+    {seed, numRuns},
+  );
+  t.log(`seed ${seed}, ${numRuns} schedules: ${JSON.stringify(totals)}`);
+  t.true(totals.runs > numRuns / 2 && totals.replays > numRuns / 10);
+});
+
+test('a witness that forgets and votes is found out', async t => {
+  t.timeout(140_000);
+  const details = await fc.check(
+    fc.asyncProperty(schedules, async schedule => {
+      const report = await runSchedule(schedule, true);
+      return report.faults.length === 0;
+    }),
+    {seed, numRuns, endOnFailure: true},
+  );
+  t.true(details.failed);
+  t.log(`seed ${seed}: found in schedule ${details.numRuns}`);
+});
