--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -227,3 +227,19 @@
 } from './fleet/host-hints.js';
 export {replayTrace} from './replay/replay.js';
 export type {Mismatch, ReplayResult} from './replay/replay.js';
+export {LeaseManager} from './leases/lease-manager.js';
+export type {
+  Lease,
+  LeaseManagerParts,
+  LeaseRefusal,
+} from './leases/lease-manager.js';
+export {LeaseWitness} from './leases/lease-witness.js';
+export type {LeaseWitnessParts} from './leases/lease-witness.js';
+export {defaultMessageLifetimeMilliseconds} from './leases/lease-timing.js';
+export {OrderIssuer} from './leases/order-issuer.js';
+export type {
+  EngineState,
+  OrderIssuerParts,
+  OrderRefusal,
+  OrderReport,
+} from './leases/order-issuer.js';
