--- a/packages/coordination/src/configuration/distribution-timing.ts
+++ b/packages/coordination/src/configuration/distribution-timing.ts
@@ -21,7 +21,7 @@
 export const defaultDistributionTiming: DistributionTiming = {
   platformWaitMilliseconds: 20_000,
   platformGraceMilliseconds: 2000,
-  peerWaitMilliseconds: 15_000,
+  peerWaitMilliseconds: 30_000,
   retryMinimumMilliseconds: 300,
   retryMaximumMilliseconds: 900,
   firstReadSpreadMilliseconds: 1000,
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -88,11 +88,8 @@
 export {OwnedAttempts} from './ownership/owned-attempts.js';
 export {OwnershipHandler} from './ownership/ownership-handler.js';
 export {Sweeper} from './ownership/sweeper.js';
-export type {
-  SweeperParts,
-  SweepReason,
-  SweptEngine,
-} from './ownership/sweeper.js';
+export type {SweeperParts, SweepReason} from './ownership/sweeper.js';
+export type {SweptEngine} from './ownership/holdings.js';
 export {PauseDetector} from './fleet/pause-detector.js';
 export type {
   PauseDetectorParts,
--- a/packages/coordination/src/ownership/owner-silence.ts
+++ b/packages/coordination/src/ownership/owner-silence.ts
@@ -30,6 +30,11 @@
     else silence.failedQuestions += 1;
   }
 
+  /** True when the last question to `owner` failed. */
+  has(owner: RequestOwner): boolean {
+    return this.silences.has(nameOf(owner));
+  }
+
   /** True when the owner had its time and its chances to answer. */
   isOver(owner: RequestOwner): boolean {
     const silence = this.silences.get(nameOf(owner));
--- a/packages/coordination/src/ownership/ownership-timing.ts
+++ b/packages/coordination/src/ownership/ownership-timing.ts
@@ -12,6 +12,9 @@
 /** Time between two sweeps. */
 export const sweepIntervalMilliseconds = 3000;
 
+/** Owners that are asked in one sweep although nothing speaks against them. */
+export const questionsForEachSweep = 4;
+
 /** Younger attempts are left alone: most end before a sweep is worth it. */
 export const minimumAgeMilliseconds = 2000;
 
--- a/packages/coordination/src/ownership/sweeper.ts
+++ b/packages/coordination/src/ownership/sweeper.ts
@@ -8,19 +8,18 @@
 import {upstreamsOfPool} from '../configuration/configuration.js';
 import {membersOf} from '../configuration/watcher-choice.js';
 import type {UpstreamDocument} from '../generated/documents.js';
-import type {FailureDomainId, HostId} from '../ids.js';
+import type {FailureDomainId, HostId, Incarnation} from '../ids.js';
 import {hostId} from '../ids.js';
 import type {PeerIdentity, PeerTransport} from '../peers/transport.js';
 import type {RandomSource} from '../random.js';
 import {rankByRendezvous} from '../rendezvous.js';
-import type {
-  Engine,
-  RequestOwner,
-  RunningAttempt,
-} from '../upstreams/engine.js';
+import type {RequestOwner, RunningAttempt} from '../upstreams/engine.js';
 import {askOwner, readAnswer} from './ask-owner.js';
 import type {OwnerAnswer} from './ask-owner.js';
+import {groupByOwner} from './holdings.js';
+import type {FoundAttempt, Holding, SweptEngine} from './holdings.js';
 import type {OwnedAttempts} from './owned-attempts.js';
+import {QuestionPlan} from './question-plan.js';
 import {OwnerSilence, nameOf} from './owner-silence.js';
 import {
   engineAnswerMilliseconds,
@@ -31,9 +30,6 @@
   sweepIntervalMilliseconds,
 } from './ownership-timing.js';
 
-/** What the sweep needs of an engine. */
-export type SweptEngine = Pick<Engine, 'id' | 'running' | 'cancel'>;
-
 /** Why an attempt was cancelled. */
 export type SweepReason = 'disowned' | 'owner-replaced' | 'owner-silent';
 
@@ -47,6 +43,8 @@
   readonly transport: PeerTransport;
   readonly owned: OwnedAttempts;
   readonly isLikelyLive: (host: HostId) => boolean;
+  /** The newest process of a host, where known; speeds the sweep up. */
+  readonly incarnationOf?: (host: HostId) => Incarnation | undefined;
   readonly onCancelled?: (
     attempt: RunningAttempt,
     engine: SweptEngine,
@@ -54,24 +52,13 @@
   ) => void;
 }
 
-/** An attempt and the engine that lists it. */
-interface FoundAttempt {
-  readonly engine: SweptEngine;
-  readonly attempt: RunningAttempt;
-}
-
-/** All that one owner holds. */
-interface Holding {
-  readonly owner: RequestOwner;
-  readonly found: FoundAttempt[];
-}
-
 /** Other hosts that are asked to reach an owner that does not answer. */
 const relayCount = 2;
 
 export class Sweeper {
   private readonly closing = new AbortController();
   private readonly silence: OwnerSilence;
+  private readonly plan = new QuestionPlan();
   private task: Promise<void> | undefined;
 
   constructor(private readonly parts: SweeperParts) {
@@ -108,7 +95,27 @@
     );
     const holdings = groupByOwner(listed.flat());
     this.silence.keepOnly(holdings.map(holding => holding.owner));
-    await Promise.all(holdings.map(holding => this.settle(holding)));
+    const owners = this.plan.choose(
+      holdings.map(holding => holding.owner),
+      owner => this.isUrgent(owner),
+    );
+    await Promise.all(
+      holdings
+        .filter(holding => owners.includes(holding.owner))
+        .map(holding => this.settle(holding)),
+    );
+  }
+
+  /** True for owners that seem gone, and for this host, which costs nothing. */
+  private isUrgent(owner: RequestOwner): boolean {
+    const {incarnationOf, isLikelyLive, self} = this.parts;
+    const newest = incarnationOf?.(owner.host) ?? owner.incarnation;
+    return (
+      owner.host === self.host ||
+      this.silence.has(owner) ||
+      !isLikelyLive(owner.host) ||
+      newest !== owner.incarnation
+    );
   }
 
   /** Model engines of the failure domain for which this host ranks first. */
@@ -230,14 +237,3 @@
     return answer;
   }
 }
-
-function groupByOwner(found: readonly FoundAttempt[]): Holding[] {
-  const holdings = new Map<string, Holding>();
-  for (const each of found) {
-    const {owner} = each.attempt;
-    const holding = holdings.get(nameOf(owner)) ?? {owner, found: []};
-    holding.found.push(each);
-    holdings.set(nameOf(owner), holding);
-  }
-  return [...holdings.values()];
-}
--- a/packages/coordination/test/ownership.test.ts
+++ b/packages/coordination/test/ownership.test.ts
@@ -23,6 +23,7 @@
   SweepReason,
   SweptEngine,
 } from '../src/index.js';
+import {QuestionPlan} from '../src/ownership/question-plan.js';
 import {upstream} from './tools/documents.js';
 import {PausableClock} from './tools/pausable-clock.js';
 
@@ -267,3 +268,18 @@
   await fleet.clock.advance(60_000);
   t.is(fleet.held('lost'), 20);
 });
+
+test('questions to quiet owners are bounded and reach all', async t => {
+  const plan = new QuestionPlan();
+  const owners = Array.from({length: 36}, (_, at) => ({
+    host: hostId(`h${at}`),
+    incarnation: incarnation(`i${at}`),
+  }));
+  const asked = new Set<string>();
+  for (let sweep = 0; sweep < 9; sweep += 1) {
+    const chosen = plan.choose(owners, owner => owner === owners[3]);
+    t.true(chosen.length <= 5 && chosen.includes(owners[3]!));
+    for (const owner of chosen) asked.add(owner.host);
+  }
+  t.is(asked.size, 36);
+});
