--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -211,6 +211,8 @@
 export {Host} from './host/host.js';
 export type {HostObserver, HostParts} from './host/host.js';
 export type {AdmittedCompletion} from './host/completions.js';
+export type {SweeperParts, SweepReason} from './ownership/sweeper.js';
+export type {SweptEngine} from './ownership/holdings.js';
 export {PauseDetector} from './fleet/pause-detector.js';
 export type {
   PauseDetectorParts,
