--- a/eslint.config.js
+++ b/eslint.config.js
@@ -36,7 +36,13 @@
   {
     files: ['**/*.mjs'],
     languageOptions: {
-      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        URL: 'readonly',
+        AbortController: 'readonly',
+        performance: 'readonly',
+      },
     },
   },
 );
--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -55,8 +55,10 @@
 }
 
 const queueBounds: QueueBounds = {perAccount: 1_024, total: 4_096};
-/** Left for what an estimate cannot know. */
-const targetMarginMilliseconds = 100;
+/** Left for prefill and transfer while a request still waits. */
+const targetMarginMilliseconds = 250;
+/** Left for work of other hosts that no report shows yet. */
+const placementMarginMilliseconds = 150;
 const leastRetryMilliseconds = 250;
 /** Lanes beyond this number are forgotten when nothing waits in them. */
 const maximumIdleLanes = 64;
@@ -166,7 +168,8 @@
       this.parts.clock.now() +
         prefillMilliseconds +
         transferMilliseconds +
-        2 * step >
+        2 * step +
+        placementMarginMilliseconds >
       waiting.firstTokenBy
     );
   }
--- a/packages/coordination/src/placement/fair-queue.ts
+++ b/packages/coordination/src/placement/fair-queue.ts
@@ -28,6 +28,8 @@
 export const deferrableShare = 0.1;
 /** Cost that targeted work may take ahead of its account's fair share. */
 const leadTokens = 40_000;
+/** Cost that an idle account may save up, so that its bursts are served. */
+const creditTokens = 10_000;
 
 interface AccountLine<Item> {
   readonly account: AccountId;
@@ -60,10 +62,9 @@
     const line = this.lineOf(item);
     if (lengthOf(line) >= this.bounds.perAccount) return false;
     if (this.size >= this.bounds.total) return false;
-    // An account that had nothing queued gains no claim from its idle time.
-    if (lengthOf(line) === 0)
-      line.servedUntil = Math.max(line.servedUntil, this.virtualTime);
     line.weight = item.weight;
+    if (lengthOf(line) === 0)
+      line.servedUntil = Math.max(line.servedUntil, this.creditedTime(line));
     line[item.service].push(item);
     this.size += 1;
     return true;
@@ -102,7 +103,7 @@
   costAhead(account: AccountId, weight: number): number {
     const own = this.lines.get(account);
     const ownCost = sumCost(own?.targeted ?? []);
-    const since = Math.max(this.virtualTime, own?.servedUntil ?? 0);
+    const since = own?.servedUntil ?? this.virtualTime - creditTokens / weight;
     const until = since + ownCost / weight;
     let cost = ownCost;
     for (const line of this.lines.values()) {
@@ -160,6 +161,11 @@
       );
   }
 
+  /** Virtual time that an account with nothing queued starts from. */
+  private creditedTime({weight}: AccountLine<Item>): number {
+    return this.virtualTime - creditTokens / weight;
+  }
+
   private lineOf({account, weight}: Item): AccountLine<Item> {
     const known = this.lines.get(account);
     if (known !== undefined) return known;
@@ -168,7 +174,7 @@
       targeted: [],
       deferrable: [],
       weight,
-      servedUntil: this.virtualTime,
+      servedUntil: this.virtualTime - creditTokens / weight,
     };
     this.lines.set(account, line);
     return line;
@@ -177,7 +183,7 @@
   /** Forgets accounts that have nothing queued and no lead to work off. */
   private forgetIdle(): void {
     for (const [account, line] of this.lines)
-      if (lengthOf(line) === 0 && line.servedUntil <= this.virtualTime)
+      if (lengthOf(line) === 0 && line.servedUntil <= this.creditedTime(line))
         this.lines.delete(account);
   }
 }
