Wait for tokens that an engine makes again

Cause: after the loss of a decode engine the next one first makes the tokens that the caller already has; this silence was taken for a fault, so that good engines were closed and prefills repeated. The check of silence could also pause for a time that rounds to nothing and so never end. Change: no token is expected before that work can be done; pauses last at least a millisecond.

--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -149,11 +149,16 @@
     this.progress.isDecodeStarted = true;
     this.decodeStartedAt = clock.now();
     const firstOffset = this.progress.delivered;
+    const regenerating =
+      firstOffset === 0
+        ? 0
+        : this.parts.placer.decodeMilliseconds(decode, firstOffset);
     const tokens = readTokens(
       {
         clock,
         engine: decode.engine,
         silenceMilliseconds,
+        quietUntil: clock.now() + timeoutFactor * regenerating,
         onCheck: next => this.recordPace(decode, next),
       },
       {
--- a/packages/coordination/src/placement/token-stream.ts
+++ b/packages/coordination/src/placement/token-stream.ts
@@ -23,6 +23,11 @@
   readonly engine: Engine;
   /** Time without a token after which a connection is suspect. */
   readonly silenceMilliseconds: number;
+  /**
+   * Time until which no token is expected, because the engine first makes those
+   * again that the caller already has.
+   */
+  readonly quietUntil: number;
   /** Called at each check of a stream, with the index of its next token. */
   readonly onCheck: (nextOffset: number) => void;
 }
@@ -126,16 +131,20 @@
   }
 
   private async watch(): Promise<void> {
-    const {clock, silenceMilliseconds, onCheck} = this.parts;
+    const {clock, silenceMilliseconds, quietUntil, onCheck} = this.parts;
     const {signal} = this.scope;
     while (!signal.aborted) {
-      const waited = clock.now() - (this.waitingSince ?? clock.now());
-      if (waited >= silenceMilliseconds) {
+      const now = clock.now();
+      const since = this.waitingSince ?? now;
+      const suspectAt = Math.max(since + silenceMilliseconds, quietUntil);
+      if (now >= suspectAt) {
         this.isSilent = true;
         this.scope.abort();
         return;
       }
-      await clock.sleep(silenceMilliseconds - waited, signal);
+      // A pause that rounds to nothing would never end.
+      const pause = Math.min(silenceMilliseconds, suspectAt - now);
+      await clock.sleep(Math.max(1, pause), signal);
       onCheck(this.nextOffset);
     }
   }
--- a/packages/coordination/test/placement-failures.test.ts
+++ b/packages/coordination/test/placement-failures.test.ts
@@ -117,6 +117,17 @@
   t.true(isWhole(events));
 });
 
+test('an engine that makes tokens again is not taken for silent', async t => {
+  const {fleet, runner} = makeFleet();
+  const {events, done} = start(fleet, runner, {maximumTokens: 200});
+  await fleet.clock.advance(3_000);
+  fleet.engine(decodingEngine(fleet)).fail({kind: 'dead'});
+  await fleet.clock.runUntil(done);
+  t.true(isWhole(events, 200));
+  const computed = ['p1', 'p2'].map(name => fleet.engine(name).prefilledTokens);
+  t.is(computed[0]! + computed[1]!, 800);
+});
+
 test('failures until the deadline end with a typed failure', async t => {
   const {fleet, runner} = makeFleet();
   const {events, done} = start(fleet, runner, {timeoutMilliseconds: 3_000});
