--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -151,11 +151,6 @@
 export {OwnedAttempts} from './ownership/owned-attempts.js';
 export {OwnershipHandler} from './ownership/ownership-handler.js';
 export {Sweeper} from './ownership/sweeper.js';
-export type {
-  SweeperParts,
-  SweepReason,
-  SweptEngine,
-} from './ownership/sweeper.js';
 export {Limiter} from './limits/limiter.js';
 export type {LimiterParts} from './limits/limiter.js';
 export {InvalidTokensError} from './limits/admission.js';
@@ -245,3 +240,7 @@
   OrderRefusal,
   OrderReport,
 } from './leases/order-issuer.js';
+export {
+  LimitReply,
+  LimitRequest,
+} from './generated/messages/persimmonwick/limits.js';
--- a/packages/daemon/test/peers/grpc.test.ts
+++ b/packages/daemon/test/peers/grpc.test.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {Client, credentials, status} from '@grpc/grpc-js';
 import {
+  LimitReply,
   PeerRefusal_Code,
   hostId,
   incarnation,
@@ -35,14 +36,19 @@
   value: {
     action: {
       $case: 'grant',
-      value: {account, tokens: 7, spareTokens: 0, lifetimeMilliseconds: 100},
+      value: {
+        account,
+        tokens: 7,
+        spareTokens: 0,
+        lifetimeMilliseconds: 100,
+        spareLifetimeMilliseconds: 100,
+      },
     },
   },
 });
-const granted = (tokens: number) => ({
+const granted = (tokens: number): LimitReply => ({
+  ...LimitReply.decode(new Uint8Array()),
   tokens,
-  grantId: '',
-  levelTokens: 0,
 });
 
 async function runServer(
