Tell other tries at once that an outcome was lost

Cause: a try whose service never answered stayed 'running' at its host, so the next try waited for it until its own deadline; a request that has been given up on must get its answer at once. Change: the permit ends with a lost outcome; others are told 'unknown'. Conclusion: the owner's answer decides, not the caller's deadline.

--- a/packages/coordination/src/claims/claim-coordinator.ts
+++ b/packages/coordination/src/claims/claim-coordinator.ts
@@ -165,6 +165,12 @@
     return new ClaimPermit(this.parts.clock, attempt.expiresAt, {
       abandon: () => void this.abandon(attempt),
       record: outcome => this.record(attempt, outcome),
+      loseOutcome: () =>
+        this.registry.finish(
+          attempt.owner.attempt,
+          undefined,
+          attempt.view.retentionMilliseconds,
+        ),
     });
   }
 
--- a/packages/coordination/src/claims/claim-permit.ts
+++ b/packages/coordination/src/claims/claim-permit.ts
@@ -15,6 +15,7 @@
 export interface PermitEnds {
   abandon(): void;
   record(outcome: ClaimOutcome): Promise<number>;
+  loseOutcome(): void;
 }
 
 export class ClaimPermit {
@@ -51,6 +52,13 @@
     return this.ends.record(outcome);
   }
 
+  /** Ends a request that was sent and whose outcome never came. */
+  loseOutcome(): void {
+    if (this.state !== 'sent') return;
+    this.state = 'ended';
+    this.ends.loseOutcome();
+  }
+
   /** Gives the claim up before it was sent; does nothing afterwards. */
   abandon(): void {
     if (this.state !== 'ready') return;
--- a/packages/coordination/src/claims/owner-registry.ts
+++ b/packages/coordination/src/claims/owner-registry.ts
@@ -75,10 +75,13 @@
     );
   }
 
-  /** Notes the outcome of an attempt, and forgets it after the retention. */
+  /**
+   * Notes the outcome of an attempt, undefined for one that was lost, and
+   * forgets it after the retention.
+   */
   finish(
     attempt: string,
-    outcome: ClaimOutcome,
+    outcome: ClaimOutcome | undefined,
     retentionMilliseconds: number,
   ): void {
     const known = this.attempts.get(attempt);
--- a/packages/coordination/src/host/service-calls.ts
+++ b/packages/coordination/src/host/service-calls.ts
@@ -139,6 +139,7 @@
       return Result.ok(answer.value);
     }
     if (provesNotRun(answer.error)) permit.abandonUnrun();
+    else permit.loseOutcome();
     return Result.err(serviceFailure(answer.error));
   }
 
