--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -17,7 +17,7 @@
 import type {EventLog} from './log/logger.js';
 import {isReady} from './operators/operator-parts.js';
 import {startOperatorServer} from './operators/operator-server.js';
-import {createRegistry} from './operators/prometheus.js';
+import {MetricsPage, createRegistry} from './operators/prometheus.js';
 import {RequestMetrics} from './operators/request-metrics.js';
 import {loadPeerSecurity} from './peers/index.js';
 import {startPeers} from './peers/start-peers.js';
@@ -113,12 +113,14 @@
     gate.startDraining();
     log.write('daemonStopping', {inFlight: gate.inFlight});
   };
-  const registry = createRegistry(metrics, () => ({
-    inFlight: gate.inFlight,
-    configurationVersion: configuration().version,
-    isReady: isReady({configuration, gate}),
-    isDraining: gate.isDraining,
-  }));
+  const metricsPage = new MetricsPage(
+    createRegistry(metrics, () => ({
+      inFlight: gate.inFlight,
+      configurationVersion: configuration().version,
+      isReady: isReady({configuration, gate}),
+      isDraining: gate.isDraining,
+    })),
+  );
   const operators = closables.add(
     await startOperatorServer(
       {
@@ -127,7 +129,7 @@
         configuration,
         gate,
         metrics,
-        registry,
+        metricsPage,
         startDraining,
       },
       settings.listen.operators,
--- a/packages/daemon/src/operators/account-table.ts
+++ b/packages/daemon/src/operators/account-table.ts
@@ -26,7 +26,7 @@
   readonly classes: Map<ServiceClass, RequestStatistics>;
 }
 
-const defaultMaximumAccounts = 256;
+const defaultMaximumAccounts = 128;
 const idleMilliseconds = 60_000;
 
 export class AccountTable {
--- a/packages/daemon/src/operators/operator-parts.ts
+++ b/packages/daemon/src/operators/operator-parts.ts
@@ -1,8 +1,8 @@
 /** What the operators' server shows and does. */
 
 import type {Configuration, PeerIdentity} from '@persimmonwick/coordination';
-import type {Registry} from 'prom-client';
 import type {RequestGate} from '../callers/request-gate.js';
+import type {MetricsPage} from './prometheus.js';
 import type {RequestMetrics} from './request-metrics.js';
 
 /** What is known of a peer. */
@@ -26,7 +26,7 @@
   readonly configuration: () => Configuration;
   readonly gate: RequestGate;
   readonly metrics: RequestMetrics;
-  readonly registry: Registry;
+  readonly metricsPage: MetricsPage;
   /** Starts draining; the process goes on until it gets a signal. */
   readonly startDraining: () => void;
   readonly peers?: () => readonly PeerStatus[];
--- a/packages/daemon/src/operators/operators.controller.ts
+++ b/packages/daemon/src/operators/operators.controller.ts
@@ -35,9 +35,9 @@
 
   @Get('metrics')
   async metrics(@Res() reply: FastifyReply) {
-    const {registry} = this.parts;
-    const text = await registry.metrics();
-    return reply.type(registry.contentType).send(text);
+    const {metricsPage} = this.parts;
+    const text = await metricsPage.read();
+    return reply.type(metricsPage.contentType).send(text);
   }
 
   @Get('status')
--- a/packages/daemon/src/operators/prometheus.ts
+++ b/packages/daemon/src/operators/prometheus.ts
@@ -1,9 +1,11 @@
 /** The metrics in the text format of Prometheus. */
 
+import {setImmediate as yieldToLoop} from 'node:timers/promises';
 import {Counter, Gauge, Registry, collectDefaultMetrics} from 'prom-client';
+import type {AccountEntry} from './account-table.js';
 import type {RequestMetrics} from './request-metrics.js';
 import {requestPhases, shownPercentiles} from './request-statistics.js';
-import type {RequestStatistics} from './request-statistics.js';
+import type {RequestPhase, RequestStatistics} from './request-statistics.js';
 
 /** Figures of the whole host. */
 export interface HostGauges {
@@ -15,6 +17,25 @@
 
 const subjectLabels = ['account', 'class'] as const;
 const percent = 100;
+const groupSize = 64;
+
+/** The page of a registry; readers at the same time share one reading. */
+export class MetricsPage {
+  private reading: Promise<string> | undefined;
+
+  constructor(private readonly registry: Registry) {}
+
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  async read(): Promise<string> {
+    this.reading ??= this.registry.metrics().finally(() => {
+      this.reading = undefined;
+    });
+    return this.reading;
+  }
+}
 
 /** A registry whose values are read from `metrics` at each scrape. */
 export function createRegistry(
@@ -24,7 +45,7 @@
   const registry = new Registry();
   collectDefaultMetrics({register: registry});
   addHostGauges(registry, gauges);
-  addPhaseGauges(registry, metrics);
+  for (const phase of requestPhases) addPhaseMetrics(registry, metrics, phase);
   addCounters(registry, metrics);
   return registry;
 }
@@ -53,43 +74,55 @@
   );
 }
 
-function addPhaseGauges(registry: Registry, metrics: RequestMetrics): void {
+/** One pair of metrics for each phase, so that each is formatted apart. */
+function addPhaseMetrics(
+  registry: Registry,
+  metrics: RequestMetrics,
+  phase: RequestPhase,
+): void {
+  const name = `persimmonwick_${phase.replace('-', '_')}_milliseconds`;
   const quantiles = new Gauge({
-    name: 'persimmonwick_request_milliseconds',
-    help: 'Times of requests: quantiles by account, class and phase',
-    labelNames: [...subjectLabels, 'phase', 'quantile'],
+    name,
+    help: `Quantiles of ${phase} by account and class`,
+    labelNames: [...subjectLabels, 'quantile'],
     registers: [registry],
-    collect() {
-      this.reset();
-      for (const {account, serviceClass, statistics} of metrics.entries())
-        for (const phase of requestPhases) {
-          const {percentiles} = statistics.summarize(phase);
-          const labels = {account, class: serviceClass, phase};
+    async collect() {
+      quantiles.reset();
+      for (const group of groupsOf(metrics)) {
+        await yieldToLoop();
+        for (const {account, serviceClass, statistics} of group)
           for (const shown of shownPercentiles)
             quantiles.set(
-              {...labels, quantile: String(shown / percent)},
-              percentiles[`p${shown}`]!,
+              {account, class: serviceClass, quantile: String(shown / percent)},
+              statistics.percentile(phase, shown),
             );
-        }
+      }
     },
   });
   const counts = new Counter({
-    name: 'persimmonwick_request_times_total',
-    help: 'Times recorded by account, class and phase',
-    labelNames: [...subjectLabels, 'phase'],
+    name: `${name}_count`,
+    help: `Times recorded of ${phase} by account and class`,
+    labelNames: subjectLabels,
     registers: [registry],
-    collect() {
-      this.reset();
+    async collect() {
+      counts.reset();
+      await yieldToLoop();
       for (const {account, serviceClass, statistics} of metrics.entries())
-        for (const phase of requestPhases)
-          counts.inc(
-            {account, class: serviceClass, phase},
-            statistics.histograms[phase].totalCount,
-          );
+        counts.inc(
+          {account, class: serviceClass},
+          statistics.histograms[phase].totalCount,
+        );
     },
   });
 }
 
+/** Entries in groups that are small enough to handle without a pause. */
+function* groupsOf(metrics: RequestMetrics): Generator<AccountEntry[]> {
+  const entries = [...metrics.entries()];
+  for (let index = 0; index < entries.length; index += groupSize)
+    yield entries.slice(index, index + groupSize);
+}
+
 function addCounters(registry: Registry, metrics: RequestMetrics): void {
   const add = (
     name: string,
@@ -101,8 +134,9 @@
       help,
       labelNames: subjectLabels,
       registers: [registry],
-      collect() {
+      async collect() {
         counter.reset();
+        await yieldToLoop();
         for (const {account, serviceClass, statistics} of metrics.entries())
           counter.inc({account, class: serviceClass}, read(statistics));
       },
@@ -129,8 +163,9 @@
     help: 'Requests refused or failed; without account when it was not known',
     labelNames: [...subjectLabels, 'code'],
     registers: [registry],
-    collect() {
+    async collect() {
       failures.reset();
+      await yieldToLoop();
       for (const [code, count] of metrics.earlyFailures)
         failures.inc({account: '', class: '', code}, count);
       for (const {account, serviceClass, statistics} of metrics.entries())
--- a/packages/daemon/src/operators/request-statistics.ts
+++ b/packages/daemon/src/operators/request-statistics.ts
@@ -35,6 +35,13 @@
     'between-tokens': makeHistogram(),
     'whole-request': makeHistogram(),
   };
+  /** Sums are kept apart: the mean of a histogram is slow to compute. */
+  private readonly sums: Record<RequestPhase, number> = {
+    queueing: 0,
+    'first-token': 0,
+    'between-tokens': 0,
+    'whole-request': 0,
+  };
   finished = 0;
   goodput = 0;
   wastedPrefillTokens = 0;
@@ -46,6 +53,7 @@
     const bounded = Math.min(Math.max(milliseconds, 0), longestMilliseconds);
     const units = Math.round(bounded * unitsPerMillisecond);
     this.histograms[phase].recordValue(units);
+    this.sums[phase] += bounded;
   }
 
   countFailure(code: FailureCode): void {
@@ -54,8 +62,10 @@
 
   /** Adds all that `other` has seen. */
   add(other: RequestStatistics): void {
-    for (const phase of requestPhases)
+    for (const phase of requestPhases) {
       this.histograms[phase].add(other.histograms[phase]);
+      this.sums[phase] += other.sums[phase];
+    }
     this.finished += other.finished;
     this.goodput += other.goodput;
     this.wastedPrefillTokens += other.wastedPrefillTokens;
@@ -64,17 +74,23 @@
       this.failures.set(code, (this.failures.get(code) ?? 0) + count);
   }
 
+  /** Milliseconds below which `percentile` of the recorded times lie. */
+  percentile(phase: RequestPhase, percentile: number): number {
+    const units = this.histograms[phase].getValueAtPercentile(percentile);
+    return units / unitsPerMillisecond;
+  }
+
   summarize(phase: RequestPhase): PhaseSummary {
     const histogram = this.histograms[phase];
     const {totalCount} = histogram;
     return {
       count: totalCount,
-      mean: totalCount === 0 ? 0 : histogram.mean / unitsPerMillisecond,
+      mean: totalCount === 0 ? 0 : this.sums[phase] / totalCount,
       maximum: histogram.maxValue / unitsPerMillisecond,
       percentiles: Object.fromEntries(
         shownPercentiles.map(percentile => [
           `p${percentile}`,
-          histogram.getValueAtPercentile(percentile) / unitsPerMillisecond,
+          this.percentile(phase, percentile),
         ]),
       ),
     };
