--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,30 +1,22 @@
 /** One daemon: its parts, in the order in which they start. */
 
-import {randomInt} from 'node:crypto';
-import {
-  CompletionRunner,
-  hostId,
-  incarnation,
-  seededRandom,
-  systemClock,
-} from '@persimmonwick/coordination';
+import {CompletionRunner} from '@persimmonwick/coordination';
 import type {CompleteSettings} from '@persimmonwick/coordination';
-import {v4 as makeUuid, v7 as makeOrderedUuid} from 'uuid';
+import {v4 as makeUuid} from 'uuid';
 import {startCallerServer} from './callers/caller-server.js';
-import {RequestGate} from './callers/request-gate.js';
-import {ServiceForwarder} from './callers/service-forwarder.js';
 import {Closables} from './closables.js';
+import {createCore} from './daemon-core.js';
+import type {DaemonCore} from './daemon-core.js';
+import type {RunningServer} from './listen.js';
 import type {EventLog} from './log/logger.js';
 import {isReady} from './operators/operator-parts.js';
 import {startOperatorServer} from './operators/operator-server.js';
 import {MetricsPage, createRegistry} from './operators/prometheus.js';
-import {RequestMetrics} from './operators/request-metrics.js';
 import {loadPeerSecurity} from './peers/index.js';
+import type {PeerSecurity} from './peers/index.js';
 import {startPeers} from './peers/start-peers.js';
-import {ConfigurationWatcher} from './platform/configuration-watcher.js';
-import {createPlatformClient} from './platform/platform-client.js';
+import type {Peers} from './peers/start-peers.js';
 import {StartError} from './start-error.js';
-import {HttpEngineDirectory} from './upstreams/http-engine.js';
 
 /** A daemon that runs. */
 export interface Daemon {
@@ -49,57 +41,61 @@
   settings: CompleteSettings,
   log: EventLog,
 ): Promise<Daemon> {
+  const security = loadPeerSecurity(settings);
+  if (security.isErr) throw new StartError(security.error);
   const closables = new Closables();
+  const core = createCore(settings, log, closables);
   try {
-    return await startParts(settings, log, closables);
+    const peers = closables.add(await listenForPeers(core, security.value));
+    const operators = closables.add(await listenForOperators(core));
+    const callers = closables.add(await listenForCallers(core));
+    return announce(core, closables, {peers, operators, callers});
   } catch (error) {
     await closables.close();
     throw error;
   }
 }
 
-async function startParts(
-  settings: CompleteSettings,
-  log: EventLog,
-  closables: Closables,
-): Promise<Daemon> {
-  const security = loadPeerSecurity(settings);
-  if (security.isErr) throw new StartError(security.error);
-  const clock = systemClock;
-  const random = seededRandom(randomInt(2 ** 31));
-  const self = {
-    host: hostId(settings.host),
-    incarnation: incarnation(makeOrderedUuid()),
-  };
-  const {requestMilliseconds} = settings.limits;
-  const engines = closables.add(
-    new HttpEngineDirectory(settings.upstreamSilenceMilliseconds),
-  );
-  const services = closables.add(
-    new ServiceForwarder(random, requestMilliseconds),
-  );
-  const watcher = closables.add(
-    new ConfigurationWatcher(
-      createPlatformClient(settings.platform.addresses[0]),
-      clock,
-      log,
-      settings.platform.watchTimeoutMilliseconds,
-    ),
+function listenForPeers(
+  {settings, self, configuration, log}: DaemonCore,
+  security: PeerSecurity,
+): Promise<Peers> {
+  return startPeers({
+    settings,
+    security,
+    self,
+    configuration,
+    log,
+    handlers: {},
+  });
+}
+
+function listenForOperators(core: DaemonCore): Promise<RunningServer> {
+  const {settings, self, configuration, gate, metrics} = core;
+  const metricsPage = new MetricsPage(
+    createRegistry(metrics, () => ({
+      inFlight: gate.inFlight,
+      configurationVersion: configuration().version,
+      isReady: isReady({configuration, gate}),
+      isDraining: gate.isDraining,
+    })),
   );
-  watcher.start();
-  const configuration = () => watcher.current;
-  const gate = new RequestGate(clock);
-  const metrics = new RequestMetrics(clock);
-  const peers = closables.add(
-    await startPeers({
-      settings,
-      security: security.value,
+  return startOperatorServer(
+    {
       self,
+      failureDomain: settings.failureDomain,
       configuration,
-      log,
-      handlers: {},
-    }),
+      gate,
+      metrics,
+      metricsPage,
+      startDraining: () => startDraining(core),
+    },
+    settings.listen.operators,
   );
+}
+
+function listenForCallers(core: DaemonCore): Promise<RunningServer> {
+  const {clock, log, random, self, engines, services, configuration} = core;
   const runner = new CompletionRunner({
     clock,
     random,
@@ -108,63 +104,51 @@
     configuration,
     makeAttemptId: () => makeUuid(),
   });
-  const startDraining = () => {
-    if (gate.isDraining) return;
-    gate.startDraining();
-    log.write('daemonStopping', {inFlight: gate.inFlight});
-  };
-  const metricsPage = new MetricsPage(
-    createRegistry(metrics, () => ({
-      inFlight: gate.inFlight,
-      configurationVersion: configuration().version,
-      isReady: isReady({configuration, gate}),
-      isDraining: gate.isDraining,
-    })),
-  );
-  const operators = closables.add(
-    await startOperatorServer(
-      {
-        self,
-        failureDomain: settings.failureDomain,
-        configuration,
-        gate,
-        metrics,
-        metricsPage,
-        startDraining,
-      },
-      settings.listen.operators,
-    ),
-  );
-  const callers = closables.add(
-    await startCallerServer(
-      {
-        clock,
-        log,
-        configuration,
-        runner,
-        services,
-        gate,
-        observer: metrics,
-        requestMilliseconds,
-      },
-      settings,
-    ),
+  return startCallerServer(
+    {
+      clock,
+      log,
+      configuration,
+      runner,
+      services,
+      gate: core.gate,
+      observer: core.metrics,
+      requestMilliseconds: core.settings.limits.requestMilliseconds,
+    },
+    core.settings,
   );
+}
+
+function announce(
+  core: DaemonCore,
+  closables: Closables,
+  servers: Record<
+    'peers' | 'operators' | 'callers',
+    {readonly address: string}
+  >,
+): Daemon {
+  const {settings, log, self, watcher, gate} = core;
   const addresses = {
-    callers: callers.address,
-    operators: operators.address,
-    peers: peers.address,
+    callers: servers.callers.address,
+    operators: servers.operators.address,
+    peers: servers.peers.address,
   };
   log.write('daemonStarted', {...self, ...addresses});
   return {
     addresses,
     ready: watcher.ready,
-    startDraining,
+    startDraining: () => startDraining(core),
     async close() {
-      startDraining();
+      startDraining(core);
       const cutRequests = await gate.drain(settings.limits.drainMilliseconds);
       await closables.close();
       log.write('daemonStopped', {cutRequests});
     },
   };
 }
+
+function startDraining({gate, log}: DaemonCore): void {
+  if (gate.isDraining) return;
+  gate.startDraining();
+  log.write('daemonStopping', {inFlight: gate.inFlight});
+}
