End streams whose key is withdrawn; check TLS files against each other

Streams of a withdrawn key end with an error event unless their route lets them finish. A private key that does not belong to its certificate and an authority that is none are refused before any port opens. Refusals of peers are logged once a second for each code.

--- a/packages/daemon/src/callers/authenticate.ts
+++ b/packages/daemon/src/callers/authenticate.ts
@@ -16,11 +16,17 @@
   return createHash('sha256').update(key).digest('hex') as KeyHash;
 }
 
-/** The client account whose key came with a call; undefined without a key. */
+/** Whose key came with a call. */
+export interface CallerIdentity {
+  readonly account: AccountId;
+  readonly key: KeyHash;
+}
+
+/** The identity that a call's key proves; undefined without a key. */
 export function authenticate(
   configuration: Configuration,
   authorization: readonly string[],
-): Result<AccountId | undefined, RequestFailure> {
+): Result<CallerIdentity | undefined, RequestFailure> {
   if (authorization.length === 0) return Result.ok(undefined);
   const [scheme, key, ...rest] = authorization[0]!.split(' ');
   const isBearer = scheme?.toLowerCase() === 'bearer';
@@ -30,14 +36,15 @@
       message: 'send one Authorization header with a bearer key',
       ran: 'not-run',
     });
-  const account = configuration.accountOfKey.get(hashKey(key));
+  const hash = hashKey(key);
+  const account = configuration.accountOfKey.get(hash);
   if (account === undefined)
     return Result.err({
       code: 'unknown-key',
       message: 'the key is not known or was withdrawn',
       ran: 'not-run',
     });
-  return Result.ok(account);
+  return Result.ok({account, key: hash});
 }
 
 /** True when `account` may use `route`. */
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -4,6 +4,8 @@
 import type {
   AccountId,
   Clock,
+  Configuration,
+  KeyHash,
   RequestFailure,
   RequestId,
   Route,
@@ -24,7 +26,8 @@
 }
 
 /** Why a call ended before its answer was whole. */
-export type Interruption = 'caller-gone' | 'host-stopping' | 'time-limit';
+export type Interruption =
+  'caller-gone' | 'host-stopping' | 'time-limit' | 'key-withdrawn';
 
 /** What a call record works with. */
 export interface CallRecordParts {
@@ -45,6 +48,7 @@
   private account: AccountId | undefined;
   private route: Route | undefined;
   private failure: RequestFailure | undefined;
+  private key: KeyHash | undefined;
   /** Set as soon as account and route are known. */
   observation: RequestObservation | undefined;
 
@@ -72,6 +76,19 @@
     );
   }
 
+  /** Ends the call when `key` is withdrawn, unless its route says otherwise. */
+  bindToKey(key: KeyHash): void {
+    this.key = key;
+  }
+
+  /** Looks whether the call's key still belongs to its account. */
+  checkKey(configuration: Configuration): void {
+    if (this.key === undefined) return;
+    if (this.route?.spec.onKeyWithdrawal === 'finish-streams') return;
+    if (configuration.accountOfKey.get(this.key) === this.account) return;
+    this.interrupt('key-withdrawn');
+  }
+
   /**
    * Records why the call failed. After an interruption the failure of the
    * upstream is only its echo, unless it proves that the request did not run.
@@ -165,6 +182,12 @@
         message: 'the host stopped before the answer was whole',
         ran: 'unknown',
       };
+    case 'key-withdrawn':
+      return {
+        code: 'key-withdrawn',
+        message: 'the key was withdrawn before the answer was whole',
+        ran: 'unknown',
+      };
     case 'time-limit':
       return {
         code: 'upstream-timeout',
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -43,15 +43,16 @@
   @Get('models')
   listModels(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const configuration = this.parts.configuration();
-    const account = authenticate(
+    const caller = authenticate(
       configuration,
       headerValues(request, 'authorization'),
     );
-    if (account.isErr) return sendFailure(reply, account.error);
+    if (caller.isErr) return sendFailure(reply, caller.error);
+    const account = caller.value?.account;
     const routes = configuration.routes.filter(route =>
-      mayUseRoute(configuration, route, account.value),
+      mayUseRoute(configuration, route, account),
     );
-    if (routes.length === 0 && account.value === undefined)
+    if (routes.length === 0 && account === undefined)
       return sendFailure(reply, routeRefusal(undefined));
     const models = new Set(
       routes.flatMap(({spec}) =>
@@ -72,21 +73,19 @@
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const call = callRecordOf(request);
     const configuration = this.parts.configuration();
-    const account = authenticate(
+    const caller = authenticate(
       configuration,
       headerValues(request, 'authorization'),
     );
-    if (account.isErr) return sendFailure(reply, account.error);
+    if (caller.isErr) return sendFailure(reply, caller.error);
+    const account = caller.value?.account;
     const chat = parseChatRequest(request.body as Buffer | undefined);
     if (chat.isErr) return sendFailure(reply, chat.error);
-    const route = findModelRoute(
-      configuration,
-      chat.value.model,
-      account.value,
-    );
+    const route = findModelRoute(configuration, chat.value.model, account);
     if (route.isErr) return sendFailure(reply, route.error);
-    const owner = account.value ?? accountId('open');
+    const owner = account ?? accountId('open');
     call.assign(owner, route.value);
+    if (caller.value !== undefined) call.bindToKey(caller.value.key);
     const completion = this.describe(
       call.request,
       owner,
--- a/packages/daemon/src/callers/find-route.ts
+++ b/packages/daemon/src/callers/find-route.ts
@@ -15,9 +15,8 @@
   model: string,
   account: AccountId | undefined,
 ): Result<Route, RequestFailure> {
-  const routes = configuration.routes.filter(
-    ({spec}) =>
-      spec.target.kind === 'model' && spec.target.models.includes(model),
+  const routes = configuration.routes.filter(route =>
+    servesModel(route, model),
   );
   const usable = routes.find(route =>
     mayUseRoute(configuration, route, account),
@@ -39,7 +38,7 @@
   url: string,
   account: AccountId | undefined,
 ): Result<Route, RequestFailure> {
-  const path = url.split('?')[0]!;
+  const path = pathOf(url);
   if (isAmbiguousPath(path))
     return Result.err({
       code: 'invalid-request',
@@ -47,7 +46,7 @@
       ran: 'not-run',
     });
   const candidates = configuration.routes
-    .filter(route => hasPrefix(route, path))
+    .filter(route => servesPath(route, path))
     .sort((left, right) => prefixLength(right) - prefixLength(left));
   const route = candidates[0];
   if (route === undefined || !mayUseRoute(configuration, route, account)) {
@@ -75,7 +74,18 @@
   );
 }
 
-function hasPrefix(route: Route, path: string): boolean {
+/** The path of `url`, without its query. */
+export function pathOf(url: string): string {
+  return url.split('?')[0]!;
+}
+
+/** True when `route` leads to engines that serve `model`. */
+export function servesModel({spec}: Route, model: string): boolean {
+  return spec.target.kind === 'model' && spec.target.models.includes(model);
+}
+
+/** True when the path prefix of `route` covers `path`. */
+export function servesPath(route: Route, path: string): boolean {
   const {target} = route.spec;
   if (target.kind !== 'service') return false;
   const prefix = target.pathPrefix.replace(/\/$/, '');
--- a/packages/daemon/src/callers/request-gate.ts
+++ b/packages/daemon/src/callers/request-gate.ts
@@ -1,6 +1,6 @@
 /** Counts the calls in flight and lets no new ones in while the host drains. */
 
-import type {Clock} from '@persimmonwick/coordination';
+import type {Clock, Configuration} from '@persimmonwick/coordination';
 import type {CallRecord} from './call-record.js';
 
 const lastAnswerMilliseconds = 3000;
@@ -30,6 +30,11 @@
     this.checkEmptied();
   }
 
+  /** Ends the calls whose keys `configuration` no longer holds. */
+  checkKeys(configuration: Configuration): void {
+    for (const call of this.calls) call.checkKey(configuration);
+  }
+
   /** Refuses new calls from now on. */
   startDraining(): void {
     this.isClosed = true;
--- a/packages/daemon/src/callers/services.controller.ts
+++ b/packages/daemon/src/callers/services.controller.ts
@@ -21,19 +21,20 @@
   async forward(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const record = callRecordOf(request);
     const configuration = this.parts.configuration();
-    const account = authenticate(
+    const caller = authenticate(
       configuration,
       headerValues(request, 'authorization'),
     );
-    if (account.isErr) return sendFailure(reply, account.error);
-    const route = findServiceRoute(configuration, request.url, account.value);
+    if (caller.isErr) return sendFailure(reply, caller.error);
+    const account = caller.value?.account;
+    const route = findServiceRoute(configuration, request.url, account);
     if (route.isErr) return sendFailure(reply, route.error);
-    record.assign(account.value ?? accountId('open'), route.value);
+    record.assign(account ?? accountId('open'), route.value);
     const call: ServiceCall = {
       request: record.request,
       method: request.method,
       path: request.url,
-      headers: forwardedHeaders(request.headers, record.request, account.value),
+      headers: forwardedHeaders(request.headers, record.request, account),
       body: request.body as Buffer | undefined,
     };
     const answer = await this.parts.services.forward(
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -47,6 +47,7 @@
   const clock = systemClock;
   const random = seededRandom(randomInt(2 ** 31));
   const {limits, platform, upstreamSilenceMilliseconds} = settings;
+  const gate = new RequestGate(clock);
   const engines = closables.add(
     new HttpEngineDirectory(upstreamSilenceMilliseconds),
   );
@@ -59,6 +60,7 @@
       clock,
       log,
       platform.watchTimeoutMilliseconds,
+      configuration => gate.checkKeys(configuration),
     ),
   );
   watcher.start();
@@ -75,7 +77,7 @@
     services,
     watcher,
     configuration: () => watcher.current,
-    gate: new RequestGate(clock),
+    gate,
     metrics: new RequestMetrics(clock),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -57,7 +57,7 @@
 }
 
 function listenForPeers(
-  {settings, self, configuration, log}: DaemonCore,
+  {settings, self, configuration, log, clock}: DaemonCore,
   security: PeerSecurity,
 ): Promise<Peers> {
   return startPeers({
@@ -66,6 +66,7 @@
     self,
     configuration,
     log,
+    clock,
     handlers: {},
   });
 }
--- a/packages/daemon/src/operators/explain.ts
+++ b/packages/daemon/src/operators/explain.ts
@@ -10,7 +10,13 @@
   Upstream,
 } from '@persimmonwick/coordination';
 import {mayUseRoute} from '../callers/authenticate.js';
-import {findModelRoute, findServiceRoute} from '../callers/find-route.js';
+import {
+  findModelRoute,
+  findServiceRoute,
+  pathOf,
+  servesModel,
+  servesPath,
+} from '../callers/find-route.js';
 
 /** What an explanation is asked for. */
 export type ExplainedTarget =
@@ -85,15 +91,12 @@
 }
 
 function servesTarget(route: Route, target: ExplainedTarget): boolean {
-  const {spec} = route;
-  if (target.kind === 'model')
-    return (
-      spec.target.kind === 'model' && spec.target.models.includes(target.model)
-    );
-  if (spec.target.kind !== 'service') return false;
-  const prefix = spec.target.pathPrefix.replace(/\/$/, '');
-  const path = target.path.split('?')[0]!;
-  return path === prefix || path.startsWith(`${prefix}/`);
+  switch (target.kind) {
+    case 'model':
+      return servesModel(route, target.model);
+    case 'path':
+      return servesPath(route, pathOf(target.path));
+  }
 }
 
 function explainUpstreams(
--- a/packages/daemon/src/peers/peer-security.ts
+++ b/packages/daemon/src/peers/peer-security.ts
@@ -1,6 +1,6 @@
 /** Certificates of the connections between hosts. */
 
-import {X509Certificate} from 'node:crypto';
+import {X509Certificate, createPrivateKey} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {ServerCredentials, credentials} from '@grpc/grpc-js';
 import type {ChannelCredentials} from '@grpc/grpc-js';
@@ -46,29 +46,53 @@
   const key = read('keyFile');
   const authority = read('authorityFile');
   if (faults.length === 0)
-    faults.push(...findCertificateFaults(certificate, settings.host));
+    faults.push(
+      ...findAuthorityFaults(authority),
+      ...findCertificateFaults(certificate, key, settings.host),
+    );
   return faults.length > 0
     ? Result.err(faults)
     : Result.ok({kind: 'mutual-tls', certificate, key, authority});
 }
 
+function findAuthorityFaults(authority: Buffer): SettingsFault[] {
+  if (parseCertificate(authority) !== undefined) return [];
+  const path = '/peerSecurity/authorityFile';
+  return [{path, value: 'unreadable', expected: 'a certificate in PEM'}];
+}
+
 function findCertificateFaults(
-  certificate: Buffer,
+  pem: Buffer,
+  key: Buffer,
   host: string,
 ): SettingsFault[] {
   const path = '/peerSecurity/certificateFile';
+  const certificate = parseCertificate(pem);
+  if (certificate === undefined)
+    return [{path, value: 'unreadable', expected: 'a certificate in PEM'}];
+  const {subject} = certificate;
+  if (commonNameOf(subject) !== host) {
+    const expected = `a certificate with common name ${host}`;
+    return [{path, value: subject, expected}];
+  }
+  if (belongsTogether(certificate, key)) return [];
+  const expected = 'the private key of the certificate in PEM';
+  return [{path: '/peerSecurity/keyFile', value: 'another key', expected}];
+}
+
+function parseCertificate(pem: Buffer): X509Certificate | undefined {
   try {
-    const {subject} = new X509Certificate(certificate);
-    if (commonNameOf(subject) === host) return [];
-    return [
-      {
-        path,
-        value: subject,
-        expected: `a certificate with common name ${host}`,
-      },
-    ];
+    return new X509Certificate(pem);
   } catch {
-    return [{path, value: 'unreadable', expected: 'a certificate in PEM'}];
+    return undefined;
+  }
+}
+
+function belongsTogether(certificate: X509Certificate, key: Buffer): boolean {
+  try {
+    return certificate.checkPrivateKey(createPrivateKey(key));
+  } catch {
+    return false;
   }
 }
 
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -64,6 +64,8 @@
   private readonly server = new Server({
     'grpc.max_receive_message_length': maximumPeerMessageBytes,
     'grpc.max_send_message_length': maximumPeerMessageBytes,
+    'grpc.keepalive_time_ms': 30_000,
+    'grpc.keepalive_timeout_ms': 5000,
   });
   private readonly inWork = new Map<HostId, number>();
   private totalInWork = 0;
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -2,6 +2,7 @@
 
 import {PeerRefusal_Code, hostId} from '@persimmonwick/coordination';
 import type {
+  Clock,
   CompleteSettings,
   Configuration,
   HostId,
@@ -23,6 +24,7 @@
   readonly self: PeerIdentity;
   readonly configuration: () => Configuration;
   readonly log: EventLog;
+  readonly clock: Clock;
   readonly handlers: PeerHandlers;
 }
 
@@ -36,7 +38,7 @@
 
 /** Listens for other hosts and makes the transport towards them. */
 export async function startPeers(parts: PeerParts): Promise<Peers> {
-  const {settings, security, self, configuration, log, handlers} = parts;
+  const {settings, security, self, configuration, handlers} = parts;
   const incarnations = new IncarnationRegister();
   const configurationVersion = () => configuration().version;
   const memberOf = (host: HostId) => findMember(configuration(), host);
@@ -48,11 +50,7 @@
     incarnations,
     isKnownHost: host => memberOf(host) !== undefined,
     configurationVersion,
-    onRefusal: (host, code) =>
-      log.write('peerRefused', {
-        peer: host.slice(0, maximumLoggedLength),
-        code: PeerRefusal_Code[code] ?? String(code),
-      }),
+    onRefusal: createRefusalLogger(parts),
   });
   try {
     await server.listen();
@@ -79,6 +77,25 @@
 }
 
 const maximumLoggedLength = 64;
+const refusalLogMilliseconds = 1000;
+
+/** Writes one event for each code in a second, however many refusals. */
+function createRefusalLogger({
+  clock,
+  log,
+}: PeerParts): (host: string, code: PeerRefusal_Code) => void {
+  const writtenAt = new Map<PeerRefusal_Code, number>();
+  return (host, code) => {
+    const now = clock.now();
+    const last = writtenAt.get(code);
+    if (last !== undefined && now - last < refusalLogMilliseconds) return;
+    writtenAt.set(code, now);
+    log.write('peerRefused', {
+      peer: host.slice(0, maximumLoggedLength),
+      code: PeerRefusal_Code[code] ?? String(code),
+    });
+  };
+}
 
 /** The member of the present or the previous list. */
 function findMember(
--- a/packages/daemon/src/platform/configuration-watcher.ts
+++ b/packages/daemon/src/platform/configuration-watcher.ts
@@ -22,6 +22,7 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
     private readonly watchTimeoutMilliseconds: number,
+    private readonly onApplied: (configuration: Configuration) => void,
   ) {}
 
   /** The configuration in force. */
@@ -71,6 +72,7 @@
     }
     this.configuration = next.value;
     this.markReady();
+    this.onApplied(next.value);
     this.log.write('configurationApplied', {
       version: Number(page.to),
       documents: next.value.documents.size,
