Stream the answers of plain services

An answer was held in memory as a whole, whatever its size. It is passed on now as the caller reads it, with its length, so that a cut shows. A test's caller that never reads holds an upstream at less than the 64 MiB answer until its time limit.

--- a/packages/daemon/src/callers/service-forwarder.ts
+++ b/packages/daemon/src/callers/service-forwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards calls to plain services. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Readable} from 'node:stream';
 import {matchesSelector, upstreamsOfPool} from '@persimmonwick/coordination';
 import type {
   AccountId,
@@ -30,7 +31,8 @@
 export interface ServiceAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[]>>;
-  readonly body: Buffer;
+  /** Read no faster than it is passed on; must be read or destroyed. */
+  readonly body: Readable;
 }
 
 const passedRequestHeaders = [
@@ -45,7 +47,6 @@
 
 const droppedAnswerHeaders = new Set([
   'connection',
-  'content-length',
   'keep-alive',
   'transfer-encoding',
   'x-request-id',
@@ -119,7 +120,7 @@
       return Result.ok({
         status: answer.statusCode,
         headers: answerHeaders(answer.headers),
-        body: Buffer.from(await answer.body.arrayBuffer()),
+        body: answer.body,
       });
     } catch (error) {
       return Result.err(forwardFailure(error, signal));
--- a/packages/daemon/src/callers/services.controller.ts
+++ b/packages/daemon/src/callers/services.controller.ts
@@ -2,6 +2,7 @@
 
 import {All, Controller, Inject, Req, Res} from '@nestjs/common';
 import {accountId} from '@persimmonwick/coordination';
+import type {RequestFailure} from '@persimmonwick/coordination';
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import {daemonPartsToken} from '../daemon-parts.js';
 import type {DaemonParts} from '../daemon-parts.js';
@@ -13,6 +14,12 @@
 import type {ServiceCall} from './service-forwarder.js';
 import {forwardedHeaders} from './service-forwarder.js';
 
+const brokenAnswer: RequestFailure = {
+  code: 'upstream-failed',
+  message: 'the upstream broke off its answer',
+  ran: 'ran',
+};
+
 @Controller()
 export class ServicesController {
   constructor(@Inject(daemonPartsToken) private readonly parts: DaemonParts) {}
@@ -45,9 +52,10 @@
     );
     if (answer.isErr) return sendFailure(reply, answer.error);
     record.observation?.firstToken();
-    return reply
-      .code(answer.value.status)
-      .headers(answer.value.headers)
-      .send(answer.value.body);
+    const {status, headers, body} = answer.value;
+    // The answer has begun: all that is left is to cut it, which its length or
+    // its framing shows to the caller.
+    body.once('error', () => record.fail(brokenAnswer));
+    return reply.code(status).headers(headers).send(body);
   }
 }
