--- a/packages/daemon/src/callers/service-forwarder.ts
+++ b/packages/daemon/src/callers/service-forwarder.ts
@@ -48,8 +48,12 @@
 const droppedAnswerHeaders = new Set([
   'connection',
   'keep-alive',
+  'trailer',
   'transfer-encoding',
+  'upgrade',
   'x-request-id',
+  // Only this host says whether a request ran.
+  'x-persimmonwick-ran',
 ]);
 
 /** Headers that a service sees: never the caller's key. */
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -13,3 +13,5 @@
 export type {PeerArea, PeerHandlers, PeerServerOptions} from './peer-server.js';
 export {RetryBudget, withRetries} from './retries.js';
 export type {RetryOptions} from './retries.js';
+export {startPeers} from './start-peers.js';
+export type {PeerParts, Peers} from './start-peers.js';
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -33,6 +33,8 @@
   readonly address: string;
   readonly transport: GrpcPeerTransport;
   readonly incarnations: IncarnationRegister;
+  /** Drops what is kept of hosts that are no longer members. */
+  forgetOthers(): void;
   close(): Promise<void>;
 }
 
@@ -42,13 +44,14 @@
   const incarnations = new IncarnationRegister();
   const configurationVersion = () => configuration().version;
   const memberOf = (host: HostId) => findMember(configuration(), host);
+  const isKnownHost = (host: HostId) => memberOf(host) !== undefined;
   const server = new PeerServer({
     address: settings.listen.peers,
     security,
     self,
     handlers,
     incarnations,
-    isKnownHost: host => memberOf(host) !== undefined,
+    isKnownHost,
     configurationVersion,
     onRefusal: createRefusalLogger(parts),
   });
@@ -69,6 +72,10 @@
     address: server.address,
     transport,
     incarnations,
+    forgetOthers() {
+      incarnations.forgetUnless(isKnownHost);
+      transport.forgetUnless(isKnownHost);
+    },
     async close() {
       await transport.close();
       await server.close();
--- a/packages/daemon/test/callers/service-answers.test.ts
+++ b/packages/daemon/test/callers/service-answers.test.ts
@@ -51,6 +51,18 @@
   t.is(text.length, body.length);
 });
 
+test('service cannot say that a request did not run', async t => {
+  const run = await runWithService(t, (_request, reply) => {
+    reply.writeHead(503, {'x-persimmonwick-ran': 'not-run', 'x-own': 'kept'});
+    reply.end('busy');
+  });
+  const answer = await run.ask();
+  t.is(answer.statusCode, 503);
+  t.is(answer.headers['x-persimmonwick-ran'], undefined);
+  t.is(answer.headers['x-own'], 'kept');
+  t.is(await answer.body.text(), 'busy');
+});
+
 test('answers without a body', async t => {
   const run = await runWithService(t, (call, reply) => {
     if (call.method === 'HEAD') reply.setHeader('content-length', 7);
