--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -21,6 +21,12 @@
   retryAfterMilliseconds: 1000,
 };
 
+const missingHostFailure: RequestFailure = {
+  code: 'invalid-request',
+  message: 'HTTP/1.1 asks for a Host header',
+  ran: 'not-run',
+};
+
 /** Gives each call its record and turns calls away that can't be taken. */
 export function addCallHooks(
   fastify: FastifyInstance,
@@ -29,6 +35,7 @@
   fastify.decorateRequest('callRecord', null);
   fastify.addHook('onRequest', async (request, reply) => {
     const record = startRecord(request, reply, parts);
+    if (lacksHost(request)) return sendFailure(reply, missingHostFailure);
     if (parts.gate.isDraining) return sendFailure(reply, drainingFailure);
     if (parts.configuration().version === 0n)
       return sendFailure(reply, notReadyFailure);
@@ -54,3 +61,7 @@
   });
   return record;
 }
+
+function lacksHost({raw}: FastifyRequest): boolean {
+  return raw.httpVersion === '1.1' && raw.headers.host === undefined;
+}
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -13,7 +13,7 @@
 import {listenOn} from '../listen.js';
 import type {RunningServer} from '../listen.js';
 import {addCallHooks} from './call-hooks.js';
-import {answerClientError} from './client-error.js';
+import {answerClientError, refuseExpectation} from './client-error.js';
 import {CompletionsController} from './completions.controller.js';
 import {FailureFilter, frameworkFailure} from './failure-filter.js';
 import {sendFailure} from './failure-reply.js';
@@ -42,6 +42,9 @@
   application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
   addCallHooks(fastify, parts);
+  fastify.server.on('checkExpectation', (_request, reply) =>
+    parts.observer.refused(refuseExpectation(reply)),
+  );
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser('*', {parseAs: 'buffer'}, (_r, body, done) =>
     done(null, body),
@@ -71,6 +74,8 @@
       void sendFailure(reply, frameworkFailure(error));
     },
     http: {
+      // Node would answer without a body; the hook refuses such calls.
+      requireHostHeader: false,
       maxHeaderSize: limits.headerBytes,
       requestTimeout: slowSenderMilliseconds,
       headersTimeout: slowSenderMilliseconds,
--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -1,6 +1,7 @@
 /** Answers to what the HTTP parser refuses before a call exists. */
 
 import {STATUS_CODES} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {statusOf} from '@persimmonwick/coordination';
@@ -32,6 +33,22 @@
   return failure;
 }
 
+/** Refuses a call with an `Expect` header that nobody meets. */
+export function refuseExpectation(reply: ServerResponse): RequestFailure {
+  const failure: RequestFailure = {
+    code: 'invalid-request',
+    message: 'the Expect header asks for what this host does not do',
+    ran: 'not-run',
+  };
+  reply.writeHead(statusOf(failure.code), {
+    connection: 'close',
+    'content-type': 'application/json',
+    [runStateHeader]: failure.ran,
+  });
+  reply.end(JSON.stringify(failureBody(failure)));
+  return failure;
+}
+
 function clientFailure(code: string | undefined): RequestFailure {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
--- a/packages/daemon/test/callers/bad-input.test.ts
+++ b/packages/daemon/test/callers/bad-input.test.ts
@@ -126,6 +126,22 @@
   await isAlive(t, run);
 });
 
+test('no Host header and an unknown expectation', async t => {
+  const run = await runDaemon(t);
+  for (const header of ['', 'host: x\r\nexpect: miracles\r\n']) {
+    const answer = await sendRaw(
+      t,
+      run.daemon.addresses.callers,
+      `GET /orders/1 HTTP/1.1\r\n${header}authorization: ${authorization}\r\n` +
+        'connection: close\r\n\r\n',
+    );
+    t.regex(answer, /^HTTP\/1.1 400 /);
+    t.regex(answer, /x-persimmonwick-ran: not-run/);
+    t.true(answer.includes('"code":"invalid-request"'));
+  }
+  t.is(run.fleet.service.runs.length, 0);
+});
+
 test('two lengths of one body', async t => {
   const run = await runDaemon(t);
   const answer = await sendRaw(
