--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -128,7 +128,8 @@
     {readonly address: string}
   >,
 ): Daemon {
-  const {settings, log, self, watcher, gate} = core;
+  const {log, self, watcher} = core;
+  let closing: Promise<void> | undefined;
   const addresses = {
     callers: servers.callers.address,
     operators: servers.operators.address,
@@ -139,15 +140,21 @@
     addresses,
     ready: watcher.ready,
     startDraining: () => startDraining(core),
-    async close() {
-      startDraining(core);
-      const cutRequests = await gate.drain(settings.limits.drainMilliseconds);
-      await closables.close();
-      log.write('daemonStopped', {cutRequests});
+    close() {
+      closing ??= stop(core, closables);
+      return closing;
     },
   };
 }
 
+async function stop(core: DaemonCore, closables: Closables): Promise<void> {
+  const {settings, log, gate} = core;
+  startDraining(core);
+  const cutRequests = await gate.drain(settings.limits.drainMilliseconds);
+  await closables.close();
+  log.write('daemonStopped', {cutRequests});
+}
+
 function startDraining({gate, log}: DaemonCore): void {
   if (gate.isDraining) return;
   gate.startDraining();
--- a/packages/daemon/test/callers/draining.test.ts
+++ b/packages/daemon/test/callers/draining.test.ts
@@ -39,7 +39,8 @@
   const closing = run.daemon.close();
   const text = await stream.body.text();
   t.true(text.endsWith('data: [DONE]\n\n'));
-  await closing;
+  await Promise.all([closing, run.daemon.close()]);
+  t.is(run.log.eventsOf('daemonStopped').length, 1);
   t.is(run.log.eventsOf('daemonStopped')[0]!['cutRequests'], 0);
 });
 
