--- a/packages/coordination/src/host/service-calls.ts
+++ b/packages/coordination/src/host/service-calls.ts
@@ -12,6 +12,7 @@
 import type {Configuration, Upstream} from '../configuration/configuration.js';
 import type {ClaimOutcome} from '../generated/messages/persimmonwick/claims.js';
 import type {FailureDomainId} from '../ids.js';
+import {upstreamId} from '../ids.js';
 import type {Limiter} from '../limits/limiter.js';
 import type {RandomSource} from '../random.js';
 import type {RequestFailure} from '../requests/failure.js';
@@ -39,6 +40,8 @@
 
 type Answer = Result<ServiceAnswer, RequestFailure>;
 
+type WholeAnswer = Omit<ServiceAnswer, 'body'> & {readonly body: Uint8Array};
+
 const defaultCostTokens = 1;
 const maximumTries = 3;
 
@@ -133,16 +136,34 @@
           retryAfterMilliseconds: 1000,
         }),
       );
-    const answer = await this.send(upstream, call, neverAborted);
+    const answer = await this.sendWhole(upstream, call);
     if (answer.isOk) {
-      void permit.record(outcomeOf(answer.value));
-      return Result.ok(answer.value);
+      const {status, headers, body} = answer.value;
+      void permit.record(outcomeOf(status, headers, body));
+      return Result.ok({status, headers, body: [body]});
     }
     if (provesNotRun(answer.error)) permit.abandonUnrun();
     else permit.loseOutcome();
     return Result.err(serviceFailure(answer.error));
   }
 
+  /** Sends and reads the whole answer, which is the outcome to keep. */
+  private async sendWhole(
+    upstream: Upstream,
+    call: RoutedServiceCall,
+  ): Promise<Result<WholeAnswer, UpstreamError>> {
+    const answer = await this.send(upstream, call, neverAborted);
+    if (answer.isErr) return Result.err(answer.error);
+    try {
+      const chunks: Uint8Array[] = [];
+      for await (const chunk of answer.value.body) chunks.push(chunk);
+      return Result.ok({...answer.value, body: Buffer.concat(chunks)});
+    } catch {
+      const upstreamName = upstreamId(upstream.name);
+      return Result.err({kind: 'broken', upstream: upstreamName});
+    }
+  }
+
   private async send(
     upstream: Upstream,
     call: RoutedServiceCall,
@@ -158,9 +179,12 @@
     const answer = sender.send(upstream, call, ended.signal);
     void clock.sleep(call.deadline - clock.now(), ended.signal).then(end);
     const result = await answer;
-    signal.removeEventListener('abort', end);
-    end();
-    return result;
+    if (result.isErr) {
+      end();
+      return result;
+    }
+    const body = untilRead(result.value.body, end);
+    return Result.ok({...result.value, body});
   }
 
   private candidates(call: RoutedServiceCall): Upstream[] {
@@ -184,6 +208,18 @@
   ran: 'not-run',
 };
 
+/** Passes `body` on and calls `end` when its reader is done with it. */
+async function* untilRead(
+  body: ServiceAnswer['body'],
+  end: () => void,
+): AsyncGenerator<Uint8Array> {
+  try {
+    yield* body;
+  } finally {
+    end();
+  }
+}
+
 /** Of two failures of one call, the one that says less is known. */
 function worseOf(
   earlier: RequestFailure,
@@ -205,12 +241,16 @@
   };
 }
 
-function outcomeOf(answer: ServiceAnswer): ClaimOutcome {
-  const contentType = answer.headers['content-type'];
+function outcomeOf(
+  status: number,
+  headers: ServiceAnswer['headers'],
+  body: Uint8Array,
+): ClaimOutcome {
+  const contentType = headers['content-type'];
   return {
-    status: answer.status,
+    status,
     contentType: typeof contentType === 'string' ? contentType : '',
-    body: answer.body,
+    body,
     bodyOmitted: false,
   };
 }
@@ -222,6 +262,6 @@
       ...(outcome.contentType && {'content-type': outcome.contentType}),
       'idempotency-replayed': outcome.bodyOmitted ? 'without-body' : 'true',
     },
-    body: outcome.body,
+    body: [outcome.body],
   };
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -75,6 +75,9 @@
   hashKey,
   mayUseRoute,
   missingKey,
+  pathOf,
+  servesModel,
+  servesPath,
 } from './requests/authentication.js';
 export type {
   RoutedServiceCall,
--- a/packages/coordination/src/replay/trace-callers.ts
+++ b/packages/coordination/src/replay/trace-callers.ts
@@ -1,11 +1,13 @@
 /** The callers of a trace: they send, read, leave, and record what they saw. */
 
+import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
+import type {Configuration} from '../configuration/configuration.js';
 import type {Trace, TraceCall, TraceCompletion} from '../generated/trace.js';
 import type {Host} from '../host/host.js';
 import type {OnceKey} from '../invariants/run-event.js';
 import {accountId, requestId, routeId} from '../ids.js';
-import type {RequestId} from '../ids.js';
+import type {AccountId, RequestId} from '../ids.js';
 import {
   accountOfKey,
   findModelRoute,
@@ -110,7 +112,7 @@
     signal: AbortSignal,
   ): Promise<TraceAnswer> {
     const configuration = await host.freshConfiguration();
-    const account = accountOfKey(configuration, arrival.key);
+    const account = identify(configuration, arrival.key);
     if (account.isErr) return failed(account.error);
     const route = findServiceRoute(configuration, arrival.path, account.value);
     if (route.isErr) return failed(route.error);
@@ -138,7 +140,7 @@
     signal: AbortSignal,
   ): Promise<TraceAnswer> {
     const configuration = await host.freshConfiguration();
-    const account = accountOfKey(configuration, arrival.key);
+    const account = identify(configuration, arrival.key);
     if (account.isErr) return failed(account.error);
     const route = findModelRoute(configuration, traceModel, account.value);
     if (route.isErr) return failed(route.error);
@@ -221,3 +223,10 @@
     signal.addEventListener('abort', () => resolve(value), {once: true});
   });
 }
+
+/** The account of a key; undefined without a key. */
+function identify(configuration: Configuration, key: string | undefined) {
+  return key === undefined
+    ? Result.ok<AccountId | undefined, RequestFailure>(undefined)
+    : accountOfKey(configuration, key);
+}
--- a/packages/coordination/src/requests/authentication.ts
+++ b/packages/coordination/src/requests/authentication.ts
@@ -16,12 +16,11 @@
   return createHash('sha256').update(key).digest('hex') as KeyHash;
 }
 
-/** The client account of a key; undefined when no key came. */
+/** The client account of a key. */
 export function accountOfKey(
   configuration: Configuration,
-  key: string | undefined,
-): Result<AccountId | undefined, RequestFailure> {
-  if (key === undefined) return Result.ok(undefined);
+  key: string,
+): Result<AccountId, RequestFailure> {
   const account = configuration.accountOfKey.get(hashKey(key));
   if (account !== undefined) return Result.ok(account);
   return Result.err({
@@ -51,8 +50,7 @@
 ): Result<Route, RequestFailure> {
   const route = configuration.routes.find(
     candidate =>
-      candidate.spec.target.kind === 'model' &&
-      candidate.spec.target.models.includes(model) &&
+      servesModel(candidate, model) &&
       mayUseRoute(configuration, candidate, account),
   );
   if (route !== undefined) return Result.ok(route);
@@ -75,7 +73,7 @@
   url: string,
   account: AccountId | undefined,
 ): Result<Route, RequestFailure> {
-  const path = url.split('?')[0]!;
+  const path = pathOf(url);
   if (isAmbiguousPath(path))
     return Result.err({
       code: 'invalid-request',
@@ -83,10 +81,8 @@
       ran: 'not-run',
     });
   const [route] = configuration.routes
-    .filter(candidate => prefixLength(candidate, path) > 0)
-    .sort(
-      (left, right) => prefixLength(right, path) - prefixLength(left, path),
-    );
+    .filter(candidate => servesPath(candidate, path))
+    .sort((left, right) => prefixLength(right) - prefixLength(left));
   if (route !== undefined && mayUseRoute(configuration, route, account))
     return Result.ok(route);
   return Result.err(
@@ -121,11 +117,25 @@
   );
 }
 
-/** Length of the route's prefix when `path` lies under it, else zero. */
-function prefixLength(route: Route, path: string): number {
+/** The path of `url`, without its query. */
+export function pathOf(url: string): string {
+  return url.split('?')[0]!;
+}
+
+/** True when `route` leads to engines that serve `model`. */
+export function servesModel({spec}: Route, model: string): boolean {
+  return spec.target.kind === 'model' && spec.target.models.includes(model);
+}
+
+/** True when the path prefix of `route` covers `path`. */
+export function servesPath(route: Route, path: string): boolean {
   const {target} = route.spec;
-  if (target.kind !== 'service') return 0;
+  if (target.kind !== 'service') return false;
   const prefix = target.pathPrefix.replace(/\/$/, '');
-  const isUnder = path === prefix || path.startsWith(`${prefix}/`);
-  return isUnder ? prefix.length + 1 : 0;
+  return path === prefix || path.startsWith(`${prefix}/`);
+}
+
+function prefixLength(route: Route): number {
+  const {target} = route.spec;
+  return target.kind === 'service' ? target.pathPrefix.length : 0;
 }
--- a/packages/coordination/src/requests/service-call.ts
+++ b/packages/coordination/src/requests/service-call.ts
@@ -30,7 +30,8 @@
 export interface ServiceAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[]>>;
-  readonly body: Uint8Array;
+  /** Read once; a reader that is slow slows the upstream down. */
+  readonly body: AsyncIterable<Uint8Array> | readonly Uint8Array[];
 }
 
 /** Sends one call to one upstream, once. */
--- a/packages/coordination/src/simulation/model-service.ts
+++ b/packages/coordination/src/simulation/model-service.ts
@@ -40,7 +40,7 @@
     return Result.ok({
       status: createdStatus,
       headers: {'content-type': 'application/json'},
-      body,
+      body: [body],
     });
   }
 }
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -25,7 +25,7 @@
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import {daemonPartsToken} from '../daemon-parts.js';
 import type {DaemonParts} from '../daemon-parts.js';
-import {authenticate, keyHashOf} from './authenticate.js';
+import {authenticate} from './authenticate.js';
 import {headerValues} from './call-context.js';
 import {callRecordOf} from './call-record.js';
 import {
@@ -47,15 +47,16 @@
   @Get('models')
   listModels(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const configuration = this.parts.configuration();
-    const account = authenticate(
+    const caller = authenticate(
       configuration,
       headerValues(request, 'authorization'),
     );
-    if (account.isErr) return sendFailure(reply, account.error);
+    if (caller.isErr) return sendFailure(reply, caller.error);
+    const account = caller.value?.account;
     const routes = configuration.routes.filter(route =>
-      mayUseRoute(configuration, route, account.value),
+      mayUseRoute(configuration, route, account),
     );
-    if (routes.length === 0 && account.value === undefined)
+    if (routes.length === 0 && account === undefined)
       return sendFailure(reply, missingKey);
     const models = new Set(
       routes.flatMap(({spec}) =>
@@ -76,22 +77,22 @@
   async complete(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const call = callRecordOf(request);
     const configuration = await this.parts.host.freshConfiguration();
-    const authorization = headerValues(request, 'authorization');
-    const account = authenticate(configuration, authorization);
-    if (account.isErr) return sendFailure(reply, account.error);
-    const chat = parseChatRequest(request.body as Buffer | undefined);
-    if (chat.isErr) return sendFailure(reply, chat.error);
-    const route = findModelRoute(
+    const caller = authenticate(
       configuration,
-      chat.value.model,
-      account.value,
+      headerValues(request, 'authorization'),
     );
+    if (caller.isErr) return sendFailure(reply, caller.error);
+    const account = caller.value?.account;
+    const chat = parseChatRequest(request.body as Buffer | undefined);
+    if (chat.isErr) return sendFailure(reply, chat.error);
+    const route = findModelRoute(configuration, chat.value.model, account);
     if (route.isErr) return sendFailure(reply, route.error);
-    const owner = account.value ?? accountId('open');
+    const owner = account ?? accountId('open');
     call.assign(owner, route.value);
+    if (caller.value !== undefined) call.bindToKey(caller.value.key);
     const completion = {
       ...this.describe(call.request, owner, route.value, chat.value),
-      keyHash: account.value && keyHashOf(authorization),
+      keyHash: caller.value?.key,
     };
     const events = observeTokens(
       this.parts.host.complete(completion, call.signal),
--- /dev/null
+++ b/packages/daemon/src/daemon-core.ts
@@ -0,0 +1,66 @@
+/** The parts of a daemon that need no open port. */
+
+import {randomInt} from 'node:crypto';
+import {
+  hostId,
+  incarnation,
+  seededRandom,
+  systemClock,
+} from '@persimmonwick/coordination';
+import type {
+  Clock,
+  CompleteSettings,
+  PeerIdentity,
+  RandomSource,
+} from '@persimmonwick/coordination';
+import {v7 as makeOrderedUuid} from 'uuid';
+import {RequestGate} from './callers/request-gate.js';
+import type {Closables} from './closables.js';
+import type {EventLog} from './log/logger.js';
+import {RequestMetrics} from './operators/request-metrics.js';
+import {HttpEngineDirectory} from './upstreams/http-engine.js';
+import {HttpServiceSender} from './upstreams/http-service-sender.js';
+
+export interface DaemonCore {
+  readonly settings: CompleteSettings;
+  readonly log: EventLog;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly self: PeerIdentity;
+  readonly engines: HttpEngineDirectory;
+  readonly sender: HttpServiceSender;
+  readonly gate: RequestGate;
+  readonly metrics: RequestMetrics;
+}
+
+/** Makes the core. */
+export function createCore(
+  settings: CompleteSettings,
+  log: EventLog,
+  closables: Closables,
+): DaemonCore {
+  const clock = systemClock;
+  const random = seededRandom(randomInt(2 ** 31));
+  const {limits, upstreamSilenceMilliseconds} = settings;
+  const gate = new RequestGate(clock);
+  const engines = closables.add(
+    new HttpEngineDirectory(upstreamSilenceMilliseconds),
+  );
+  const sender = closables.add(
+    new HttpServiceSender(limits.requestMilliseconds),
+  );
+  return {
+    settings,
+    log,
+    clock,
+    random,
+    self: {
+      host: hostId(settings.host),
+      incarnation: incarnation(makeOrderedUuid()),
+    },
+    engines,
+    sender,
+    gate,
+    metrics: new RequestMetrics(clock),
+  };
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,35 +1,32 @@
 /** One daemon: its parts, in the order in which they start. */
 
-import {randomInt} from 'node:crypto';
 import {
   Host,
+  emptyConfiguration,
   failureDomainId,
   hostId,
-  incarnation,
-  seededRandom,
-  systemClock,
 } from '@persimmonwick/coordination';
 import type {CompleteSettings} from '@persimmonwick/coordination';
-import {v4 as makeUuid, v7 as makeOrderedUuid} from 'uuid';
+import {v4 as makeUuid} from 'uuid';
 import {startCallerServer} from './callers/caller-server.js';
-import {RequestGate} from './callers/request-gate.js';
 import {Closables} from './closables.js';
+import {createCore} from './daemon-core.js';
+import type {DaemonCore} from './daemon-core.js';
+import type {RunningServer} from './listen.js';
 import {createHostObserver} from './log/host-observer.js';
 import type {EventLog} from './log/logger.js';
 import {isReady} from './operators/operator-parts.js';
 import {startOperatorServer} from './operators/operator-server.js';
-import {createRegistry} from './operators/prometheus.js';
-import {RequestMetrics} from './operators/request-metrics.js';
+import {MetricsPage, createRegistry} from './operators/prometheus.js';
 import {loadPeerSecurity} from './peers/index.js';
 import {startPeers} from './peers/start-peers.js';
-import type {PeerLinks} from './peers/start-peers.js';
+import type {PeerHandlers, PeerSecurity} from './peers/index.js';
+import type {PeerLinks, Peers} from './peers/start-peers.js';
 import {
   createPlatformClient,
   createRotatingSource,
 } from './platform/platform-client.js';
 import {StartError} from './start-error.js';
-import {HttpEngineDirectory} from './upstreams/http-engine.js';
-import {HttpServiceSender} from './upstreams/http-service-sender.js';
 
 /** A daemon that runs. */
 export interface Daemon {
@@ -38,7 +35,7 @@
     readonly operators: string;
     readonly peers: string;
   };
-  /** Resolves when a first configuration is in force. */
+  /** Resolves when the host takes requests. */
   readonly ready: Promise<void>;
   /** Takes no new requests from now on. */
   startDraining(): void;
@@ -54,116 +51,154 @@
   settings: CompleteSettings,
   log: EventLog,
 ): Promise<Daemon> {
+  const security = loadPeerSecurity(settings);
+  if (security.isErr) throw new StartError(security.error);
   const closables = new Closables();
+  const core = createCore(settings, log, closables);
   try {
-    return await startParts(settings, log, closables);
+    const {host, peers} = await startHost(core, security.value);
+    closables.add(peers);
+    closables.add(host);
+    host.store.subscribe(configuration => {
+      core.gate.checkKeys(configuration);
+      peers.forgetOthers();
+    });
+    const operators = closables.add(await listenForOperators(core, host));
+    const callers = closables.add(await listenForCallers(core, host));
+    return announce(core, host, closables, {peers, operators, callers});
   } catch (error) {
     await closables.close();
     throw error;
   }
 }
 
-async function startParts(
-  settings: CompleteSettings,
-  log: EventLog,
-  closables: Closables,
-): Promise<Daemon> {
-  const security = loadPeerSecurity(settings);
-  if (security.isErr) throw new StartError(security.error);
-  const clock = systemClock;
-  const self = {
-    host: hostId(settings.host),
-    incarnation: incarnation(makeOrderedUuid()),
+async function startHost(
+  core: DaemonCore,
+  security: PeerSecurity,
+): Promise<{host: Host; peers: Peers}> {
+  let host: Host | undefined;
+  const peers = await startPeers({
+    ...core,
+    security,
+    configuration: () => host?.configuration ?? emptyConfiguration,
+    makeHandlers: links => {
+      host = makeHost(core, links);
+      return handlersOf(host);
+    },
+  });
+  return {host: host!, peers};
+}
+
+function handlersOf(host: Host): PeerHandlers {
+  return {
+    configuration: host.configurationHandler,
+    limit: host.limiter,
+    claim: host.claims,
+    fleet: host.fleet,
+    ownership: host.ownership,
   };
-  const {requestMilliseconds} = settings.limits;
-  const engines = closables.add(
-    new HttpEngineDirectory(settings.upstreamSilenceMilliseconds),
-  );
-  const sender = closables.add(new HttpServiceSender(requestMilliseconds));
-  const gate = new RequestGate(clock);
-  const metrics = new RequestMetrics(clock);
-  const makeHost = (links: PeerLinks) =>
-    new Host({
-      clock,
-      random: seededRandom(randomInt(2 ** 31)),
-      self,
-      failureDomain: failureDomainId(settings.failureDomain),
-      ...links,
-      platform: createRotatingSource(
-        settings.platform.addresses.map(createPlatformClient),
-      ),
-      seeds: settings.seeds.map(hostId),
-      engines,
-      sender,
-      makeAttemptId: () => makeUuid(),
-      observer: createHostObserver(log),
-    });
-  const {host, peers} = await startPeers({
-    settings,
-    security: security.value,
-    self,
-    log,
-    makeHost,
+}
+
+function makeHost(core: DaemonCore, links: PeerLinks): Host {
+  const {settings, log} = core;
+  const {addresses} = settings.platform;
+  return new Host({
+    ...core,
+    ...links,
+    failureDomain: failureDomainId(settings.failureDomain),
+    platform: createRotatingSource(addresses.map(createPlatformClient)),
+    seeds: settings.seeds.map(hostId),
+    makeAttemptId: () => makeUuid(),
+    observer: createHostObserver(log),
   });
-  closables.add(peers);
-  closables.add(host);
+}
+
+function listenForOperators(
+  core: DaemonCore,
+  host: Host,
+): Promise<RunningServer> {
+  const {settings, self, gate, metrics} = core;
   const configuration = () => host.configuration;
-  const ready = host.start();
-  const startDraining = () => {
-    if (gate.isDraining) return;
-    gate.startDraining();
-    log.write('daemonStopping', {inFlight: gate.inFlight});
-  };
-  const registry = createRegistry(metrics, () => ({
-    inFlight: gate.inFlight,
-    configurationVersion: configuration().version,
-    isReady: isReady({host, gate}),
-    isDraining: gate.isDraining,
-  }));
-  const operators = closables.add(
-    await startOperatorServer(
-      {
-        self,
-        failureDomain: settings.failureDomain,
-        host,
-        configuration,
-        gate,
-        metrics,
-        registry,
-        startDraining,
-      },
-      settings.listen.operators,
-    ),
+  const metricsPage = new MetricsPage(
+    createRegistry(metrics, () => ({
+      inFlight: gate.inFlight,
+      configurationVersion: configuration().version,
+      isReady: isReady({host, gate}),
+      isDraining: gate.isDraining,
+    })),
   );
-  const callers = closables.add(
-    await startCallerServer(
-      {
-        clock,
-        log,
-        configuration,
-        host,
-        gate,
-        observer: metrics,
-        requestMilliseconds,
-      },
-      settings,
-    ),
+  return startOperatorServer(
+    {
+      self,
+      failureDomain: settings.failureDomain,
+      host,
+      configuration,
+      gate,
+      metrics,
+      metricsPage,
+      startDraining: () => startDraining(core),
+    },
+    settings.listen.operators,
   );
+}
+
+function listenForCallers(
+  core: DaemonCore,
+  host: Host,
+): Promise<RunningServer> {
+  const {clock, log, gate, metrics, settings} = core;
+  return startCallerServer(
+    {
+      clock,
+      log,
+      host,
+      configuration: () => host.configuration,
+      gate,
+      observer: metrics,
+      requestMilliseconds: settings.limits.requestMilliseconds,
+    },
+    settings,
+  );
+}
+
+function announce(
+  core: DaemonCore,
+  host: Host,
+  closables: Closables,
+  servers: Record<
+    'peers' | 'operators' | 'callers',
+    {readonly address: string}
+  >,
+): Daemon {
+  const {log, self} = core;
+  let closing: Promise<void> | undefined;
   const addresses = {
-    callers: callers.address,
-    operators: operators.address,
-    peers: peers.address,
+    callers: servers.callers.address,
+    operators: servers.operators.address,
+    peers: servers.peers.address,
   };
   log.write('daemonStarted', {...self, ...addresses});
   return {
     addresses,
-    ready,
-    startDraining,
-    async close() {
-      startDraining();
-      const cutRequests = await gate.drain(settings.limits.drainMilliseconds);
-      await closables.close();
-      log.write('daemonStopped', {cutRequests});
+    ready: host.start(),
+    startDraining: () => startDraining(core),
+    close() {
+      closing ??= stop(core, closables);
+      return closing;
     },
   };
 }
+
+async function stop(core: DaemonCore, closables: Closables): Promise<void> {
+  const {settings, log, gate} = core;
+  startDraining(core);
+  const cutRequests = await gate.drain(settings.limits.drainMilliseconds);
+  await closables.close();
+  log.write('daemonStopped', {cutRequests});
+}
+
+function startDraining({gate, log}: DaemonCore): void {
+  if (gate.isDraining) return;
+  gate.startDraining();
+  log.write('daemonStopping', {inFlight: gate.inFlight});
+}
--- a/packages/daemon/src/operators/explain.ts
+++ b/packages/daemon/src/operators/explain.ts
@@ -5,6 +5,9 @@
   findServiceRoute,
   matchesSelector,
   mayUseRoute,
+  pathOf,
+  servesModel,
+  servesPath,
   upstreamsOfPool,
 } from '@persimmonwick/coordination';
 import type {
@@ -89,15 +92,12 @@
 }
 
 function servesTarget(route: Route, target: ExplainedTarget): boolean {
-  const {spec} = route;
-  if (target.kind === 'model')
-    return (
-      spec.target.kind === 'model' && spec.target.models.includes(target.model)
-    );
-  if (spec.target.kind !== 'service') return false;
-  const prefix = spec.target.pathPrefix.replace(/\/$/, '');
-  const path = target.path.split('?')[0]!;
-  return path === prefix || path.startsWith(`${prefix}/`);
+  switch (target.kind) {
+    case 'model':
+      return servesModel(route, target.model);
+    case 'path':
+      return servesPath(route, pathOf(target.path));
+  }
 }
 
 function explainUpstreams(
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -2,9 +2,9 @@
 
 import {PeerRefusal_Code, hostId} from '@persimmonwick/coordination';
 import type {
+  Clock,
   CompleteSettings,
   Configuration,
-  Host,
   HostId,
   Member,
   PeerIdentity,
@@ -30,9 +30,11 @@
   readonly settings: CompleteSettings;
   readonly security: PeerSecurity;
   readonly self: PeerIdentity;
+  readonly configuration: () => Configuration;
   readonly log: EventLog;
-  /** Makes the host that answers others, given the way to them. */
-  readonly makeHost: (links: PeerLinks) => Host;
+  readonly clock: Clock;
+  /** Makes what answers other hosts, given the ways to them. */
+  readonly makeHandlers: (links: PeerLinks) => PeerHandlers;
 }
 
 /** Connections between hosts that are open. */
@@ -40,17 +42,18 @@
   readonly address: string;
   readonly transport: GrpcPeerTransport;
   readonly incarnations: IncarnationRegister;
+  /** Drops what is kept of hosts that are no longer members. */
+  forgetOthers(): void;
   close(): Promise<void>;
 }
 
 /** Listens for other hosts and makes the transport towards them. */
-export async function startPeers(
-  parts: PeerParts,
-): Promise<{host: Host; peers: Peers}> {
-  const {settings, security, self, log, makeHost} = parts;
+export async function startPeers(parts: PeerParts): Promise<Peers> {
+  const {settings, security, self, configuration, makeHandlers} = parts;
   const incarnations = new IncarnationRegister();
-  const configurationVersion = () => host.configuration.version;
-  const memberOf = (id: HostId) => findMember(host.configuration, id);
+  const configurationVersion = () => configuration().version;
+  const memberOf = (host: HostId) => findMember(configuration(), host);
+  const isKnownHost = (host: HostId) => memberOf(host) !== undefined;
   const transport = new GrpcPeerTransport({
     self,
     security,
@@ -58,55 +61,62 @@
     incarnations,
     configurationVersion,
   });
-  const host = makeHost({
-    transport: withSeeds(transport),
-    reconnect: async id => transport.reconnect(id),
-  });
   const server = new PeerServer({
     address: settings.listen.peers,
     security,
     self,
-    handlers: handlersOf(host),
+    handlers: makeHandlers({
+      transport: withSeeds(transport),
+      reconnect: async host => transport.reconnect(host),
+    }),
     incarnations,
-    isKnownHost: host => memberOf(host) !== undefined,
+    isKnownHost,
     configurationVersion,
-    onRefusal: (host, code) =>
-      log.write('peerRefused', {
-        peer: host.slice(0, maximumLoggedLength),
-        code: PeerRefusal_Code[code] ?? String(code),
-      }),
+    onRefusal: createRefusalLogger(parts),
   });
+  const close = async () => {
+    await transport.close();
+    await server.close();
+  };
   try {
     await server.listen();
   } catch (error) {
-    await server.close();
-    await transport.close();
+    await close();
     throw StartError.ofAddress('/listen/peers', settings.listen.peers, error);
   }
-  const peers = {
+  return {
     address: server.address,
     transport,
     incarnations,
-    async close() {
-      await transport.close();
-      await server.close();
+    forgetOthers() {
+      incarnations.forgetUnless(isKnownHost);
+      transport.forgetUnless(isKnownHost);
     },
+    close,
   };
-  return {host, peers};
 }
 
-function handlersOf(host: Host): PeerHandlers {
-  return {
-    configuration: host.configurationHandler,
-    limit: host.limiter,
-    claim: host.claims,
-    fleet: host.fleet,
-    ownership: host.ownership,
+const maximumLoggedLength = 64;
+const refusalLogMilliseconds = 1000;
+
+/** Writes one event for each code in a second, however many refusals. */
+function createRefusalLogger({
+  clock,
+  log,
+}: PeerParts): (host: string, code: PeerRefusal_Code) => void {
+  const writtenAt = new Map<PeerRefusal_Code, number>();
+  return (host, code) => {
+    const now = clock.now();
+    const last = writtenAt.get(code);
+    if (last !== undefined && now - last < refusalLogMilliseconds) return;
+    writtenAt.set(code, now);
+    log.write('peerRefused', {
+      peer: host.slice(0, maximumLoggedLength),
+      code: PeerRefusal_Code[code] ?? String(code),
+    });
   };
 }
 
-const maximumLoggedLength = 64;
-
 /** The member of the present or the previous list. */
 function findMember(
   {membership}: Configuration,
--- a/packages/daemon/src/upstreams/http-service-sender.ts
+++ b/packages/daemon/src/upstreams/http-service-sender.ts
@@ -54,7 +54,7 @@
       return Result.ok({
         status: answer.statusCode,
         headers: answerHeaders(answer.headers),
-        body: Buffer.from(await answer.body.arrayBuffer()),
+        body: answer.body,
       });
     } catch (error) {
       return Result.err(errorOfHttp(error, upstreamId(upstream.name), signal));
