--- a/packages/coordination/test/configuration-distribution.test.ts
+++ b/packages/coordination/test/configuration-distribution.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {hostId} from '../src/index.js';
-import {account, accountsWithKeys, key} from './tools/documents.js';
+import {hostId, liveUpstreams} from '../src/index.js';
+import {account, accountsWithKeys, key, upstream} from './tools/documents.js';
 import {VirtualHosts} from './tools/virtual-hosts.js';
 
 /** Nine hosts in three failure domains that have the first version. */
@@ -257,3 +257,23 @@
   t.true((await fleet.timeUntil(version, 60_000)) < 30_000);
   await fleet.close();
 });
+
+test('a leaving upstream is known everywhere within three seconds', async t => {
+  const fleet = await startNine(18);
+  const pool = {
+    kind: 'Pool',
+    name: 'p',
+    spec: {role: 'service', upstreams: {}},
+  } as const;
+  fleet.platform.publish(upstream('u'), pool);
+  await fleet.clock.advance(3000);
+  const live = () =>
+    [...fleet.hosts.values()].map(
+      each => liveUpstreams(each.store.current, pool).length,
+    );
+  t.deepEqual(new Set(live()), new Set([1]));
+  fleet.platform.publish(upstream('u', 'd0', 'leaving'));
+  await fleet.clock.advance(3000);
+  t.deepEqual(new Set(live()), new Set([0]));
+  await fleet.close();
+});
