--- a/packages/coordination/test/limits.test.ts
+++ b/packages/coordination/test/limits.test.ts
@@ -257,6 +257,26 @@
   await fleet.close();
 });
 
+test('a restarted holder waits for grants of its former start', async t => {
+  const fleet = await filledFleet(3);
+  const holder = fleet.hosts[0]!;
+  const request = {account, tokens: 10, spareTokens: 0};
+  const value = {
+    ...request,
+    lifetimeMilliseconds: 1_000,
+    spareLifetimeMilliseconds: 1_000,
+  };
+  const granted = () =>
+    holder.limiter.handle({action: {$case: 'grant', value}}).tokens;
+  t.is(granted(), 10);
+  fleet.restart(holder);
+  await fleet.clock.advance(1_274);
+  t.is(granted(), 0);
+  await fleet.clock.advance(500);
+  t.true(granted() > 5);
+  await fleet.close();
+});
+
 test('a closing host gives back what it borrowed', async t => {
   const fleet = await filledFleet();
   const [leaving, staying] = [fleet.hosts[4]!, fleet.hosts[0]!];
