--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -126,7 +126,7 @@
       self: self.host,
       configuration,
     });
-    this.store.subscribe(() => this.limiter.refresh());
+    this.store.subscribe(() => this.limiter.applyConfiguration());
     this.claims = new Claims({
       ...parts,
       membership: () => configuration().membership?.spec,
--- a/packages/coordination/src/limits/limiter.ts
+++ b/packages/coordination/src/limits/limiter.ts
@@ -108,11 +108,6 @@
     return this.holder.fillsFrom;
   }
 
-  /** Buckets fill from when a membership is first seen: see it at once. */
-  refresh(): void {
-    this.applyConfiguration();
-  }
-
   /** Answers another host that asks for tokens or gives them back. */
   handle(request: LimitRequest): LimitReply {
     if (this.ended.signal.aborted) return nothingGranted;
