State how a permit must end

Cause: a permit that is neither recorded nor abandoned holds its key for good. Change: the comment of begin says so.

--- a/packages/coordination/src/claims/claim-coordinator.ts
+++ b/packages/coordination/src/claims/claim-coordinator.ts
@@ -77,6 +77,7 @@
   /**
    * Decides about one try of the request that `key` names. `deadline` is a
    * time of the own clock, until which the outcome of another try is awaited.
+   * The caller must end a permit by recording an outcome or abandoning it.
    */
   async begin(
     key: ClaimKey,
