--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -152,7 +152,7 @@
     const regenerating =
       firstOffset === 0
         ? 0
-        : this.parts.placer.decodeMilliseconds(decode, firstOffset);
+        : this.parts.placer.cost.decodeMilliseconds(decode, firstOffset);
     const tokens = readTokens(
       {
         clock,
@@ -198,7 +198,7 @@
     );
     const left = this.request.maximumTokens - next;
     this.placement.recordProgress(
-      this.parts.placer.decodeMilliseconds(decode, left),
+      this.parts.placer.cost.decodeMilliseconds(decode, left),
     );
   }
 
--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -152,7 +152,7 @@
       const again = [...this.full].find(state => !this.failed.has(state));
       this.full.clear();
       if (again === undefined) return false;
-      if (placer.mayTryAgain(this.request, again)) {
+      if (placer.candidates.isOpen(this.request, again)) {
         if (again !== this.placement.decode) this.placement.moveTo(again);
         return true;
       }
--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -10,9 +10,9 @@
 import type {RequestFailure} from '../requests/failure.js';
 import {AbortScope} from './abort-scope.js';
 import {FairQueue} from './fair-queue.js';
-import type {QueueBounds, QueueItem} from './fair-queue.js';
+import type {QueueBounds} from './fair-queue.js';
 import type {Placement} from './placement.js';
-import type {PlacementDemand, Placer} from './placer.js';
+import type {Placer} from './placer.js';
 import {
   deadlinePassed,
   noUpstream,
@@ -20,22 +20,18 @@
   targetUnreachable,
 } from './placement-failures.js';
 import {ServiceRate} from './service-rate.js';
-
-type Admission = Result<Placement, RequestFailure>;
-
-interface Waiting extends QueueItem {
-  readonly demand: PlacementDemand;
-  /** Time by which the first token is due; undefined without a target. */
-  readonly firstTokenBy: number | undefined;
-  readonly isRetry: boolean;
-  readonly settle: (admission: Admission) => void;
-}
+import {describeWaiting} from './waiting-request.js';
+import type {
+  Admission,
+  AdmissionTerms,
+  WaitingRequest,
+} from './waiting-request.js';
 
 interface Lane {
-  readonly queue: FairQueue<Waiting>;
+  readonly queue: FairQueue<WaitingRequest>;
   readonly rate: ServiceRate;
   /** Requests that lost their engine; they go first. */
-  readonly retries: Waiting[];
+  readonly retries: WaitingRequest[];
 }
 
 /** What a dispatcher works with. */
@@ -46,14 +42,6 @@
   readonly isReserving: boolean;
 }
 
-/** Says how a request enters the queue. */
-export interface AdmissionTerms {
-  readonly arrivedAt: number;
-  /** Tokens that the caller already has. */
-  readonly delivered: number;
-  readonly isRetry: boolean;
-}
-
 const queueBounds: QueueBounds = {perAccount: 1_024, total: 4_096};
 /** Left for prefill and transfer while a request still waits. */
 const targetMarginMilliseconds = 250;
@@ -83,11 +71,16 @@
     const settled = new AbortScope(signal);
     let admission: Admission | undefined;
     let wake = () => {};
-    const waiting = this.describe(demand, terms, result => {
-      admission ??= result;
-      settled.close();
-      wake();
-    });
+    const waiting = describeWaiting(
+      demand,
+      terms,
+      this.parts.configuration(),
+      result => {
+        admission ??= result;
+        settled.close();
+        wake();
+      },
+    );
     const refusal = this.enqueue(lane, waiting, terms);
     if (refusal !== undefined) settled.close();
     if (refusal !== undefined) return Result.err(refusal);
@@ -136,7 +129,7 @@
 
   private enqueue(
     lane: Lane,
-    waiting: Waiting,
+    waiting: WaitingRequest,
     terms: AdmissionTerms,
   ): RequestFailure | undefined {
     const {clock} = this.parts;
@@ -159,7 +152,7 @@
     return undefined;
   }
 
-  private isLate(waiting: Waiting, placement: Placement): boolean {
+  private isLate(waiting: WaitingRequest, placement: Placement): boolean {
     if (waiting.firstTokenBy === undefined || !this.parts.isReserving)
       return false;
     const {prefillMilliseconds, transferMilliseconds} = placement.estimate;
@@ -175,7 +168,7 @@
   }
 
   private async waitForTurn(
-    waiting: Waiting,
+    waiting: WaitingRequest,
     settled: AbortSignal,
     setWake: (wake: () => void) => void,
   ): Promise<void> {
@@ -187,7 +180,7 @@
   }
 
   /** Time after which `waiting` is refused. */
-  private latestStart(waiting: Waiting): number {
+  private latestStart(waiting: WaitingRequest): number {
     const now = this.parts.clock.now();
     const {request} = waiting.demand;
     const due =
@@ -197,7 +190,7 @@
             request.deadline,
             waiting.firstTokenBy - targetMarginMilliseconds,
           );
-    switch (this.parts.placer.availability(request)) {
+    switch (this.parts.placer.candidates.availability(request)) {
       case 'absent':
         return now;
       case 'open':
@@ -209,56 +202,29 @@
   }
 
   private lateFailure(
-    waiting: Waiting,
+    waiting: WaitingRequest,
     request: CompletionRequest,
   ): RequestFailure {
-    if (this.parts.placer.availability(request) !== 'open')
+    if (this.parts.placer.candidates.availability(request) !== 'open')
       return noUpstream(request.model);
     const isDue = this.parts.clock.now() >= request.deadline;
     if (waiting.firstTokenBy === undefined || isDue) return deadlinePassed();
     return targetUnreachable(leastRetryMilliseconds);
   }
 
-  private remove(lane: Lane, waiting: Waiting, isTurn = false): void {
+  private remove(lane: Lane, waiting: WaitingRequest, isTurn = false): void {
     const retry = lane.retries.indexOf(waiting);
     if (retry >= 0) lane.retries.splice(retry, 1);
     else if (isTurn) lane.queue.take();
     else lane.queue.remove(waiting);
   }
 
-  private describe(
-    demand: PlacementDemand,
-    terms: AdmissionTerms,
-    settle: Waiting['settle'],
-  ): Waiting {
-    const {request} = demand;
-    const {service} = request.route.spec;
-    const hasTarget = service?.kind === 'targeted' && !terms.isRetry;
-    return {
-      demand,
-      account: request.account,
-      service: service?.kind ?? 'targeted',
-      costTokens: Math.max(1, request.promptTokens + request.maximumTokens),
-      weight: this.weightOf(request),
-      firstTokenBy: hasTarget
-        ? terms.arrivedAt + service.firstTokenMilliseconds
-        : undefined,
-      isRetry: terms.isRetry,
-      settle,
-    };
-  }
-
-  private weightOf({account}: CompletionRequest): number {
-    const {accounts} = this.parts.configuration();
-    return Math.max(0.01, accounts.get(account)?.spec.weight ?? 1);
-  }
-
   private laneOf({model, route}: CompletionRequest): Lane {
     const key = `${model}\u0000${JSON.stringify(route.spec.target)}`;
     const known = this.lanes.get(key);
     if (known !== undefined) return known;
     const lane: Lane = {
-      queue: new FairQueue<Waiting>(queueBounds),
+      queue: new FairQueue<WaitingRequest>(queueBounds),
       rate: new ServiceRate(),
       retries: [],
     };
--- a/packages/coordination/src/placement/placer.ts
+++ b/packages/coordination/src/placement/placer.ts
@@ -4,18 +4,18 @@
  */
 
 import type {Clock} from '../clock.js';
-import type {Configuration, Upstream} from '../configuration/configuration.js';
-import {upstreamsOfPool} from '../configuration/configuration.js';
+import type {Configuration} from '../configuration/configuration.js';
 import type {FailureDomainId} from '../ids.js';
-import {matchesSelector} from '../labels.js';
 import type {RandomSource} from '../random.js';
 import {randomBelow} from '../random.js';
 import type {CompletionRequest} from '../requests/completion.js';
 import type {PromptBlocks} from './cache-view.js';
+import {EngineCandidates} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {EngineView} from './engine-view.js';
 import type {LinkView} from './link-view.js';
 import {Placement} from './placement.js';
+import {PlacementCost} from './placement-cost.js';
 import type {PlacementPolicy, SlotSharing} from './placement-policy.js';
 
 /** What a placer works with. */
@@ -48,9 +48,6 @@
   /** No engine that can be reached serves it. */
   | {readonly kind: 'none'};
 
-/** Whether any engine pair can serve a request. */
-export type Availability = 'open' | 'closed' | 'absent';
-
 interface PairChoice {
   readonly prefill: EngineState;
   readonly decode: EngineState;
@@ -61,15 +58,15 @@
 
 /** Work that may wait at a prefill engine before requests wait at the host. */
 const maximumPrefillBacklogMilliseconds = 150;
-/** Cost of a decode engine's fill, to spread work over equal engines. */
-const fillMilliseconds = 40;
-/** Cost of leaving the host's own failure domain. */
-const foreignDomainMilliseconds = 10;
-
 export class Placer {
+  readonly candidates: EngineCandidates;
+  readonly cost: PlacementCost;
   private turn = 0;
 
-  constructor(private readonly parts: PlacerParts) {}
+  constructor(private readonly parts: PlacerParts) {
+    this.candidates = new EngineCandidates(parts);
+    this.cost = new PlacementCost(parts);
+  }
 
   /** Measures a request before it is placed. */
   demandOf(request: CompletionRequest, delivered: number): PlacementDemand {
@@ -84,28 +81,14 @@
 
   /** Chooses and reserves. */
   place(demand: PlacementDemand): PlacementOutcome {
-    const prefills = this.openEngines(demand.request, 'prefill');
-    const decodes = this.openEngines(demand.request, 'decode');
+    const prefills = this.candidates.open(demand.request, 'prefill');
+    const decodes = this.candidates.open(demand.request, 'decode');
     if (prefills.length === 0 || decodes.length === 0) return {kind: 'none'};
     const choice = this.choose(demand, prefills, decodes);
     if (choice === undefined) return {kind: 'full'};
     return {kind: 'placed', placement: this.reserve(demand, choice)};
   }
 
-  /** Whether engines for `request` exist and have not failed. */
-  availability(request: CompletionRequest): Availability {
-    const {view, clock} = this.parts;
-    const configuration = this.parts.configuration();
-    const now = clock.now();
-    const roles = (['prefill', 'decode'] as const).map(role =>
-      allowedUpstreams(configuration, request, role),
-    );
-    if (roles.some(upstreams => upstreams.length === 0)) return 'absent';
-    const isOpen = (upstream: Upstream) =>
-      view.stateOf(upstream).health.isOpen(now);
-    return roles.every(upstreams => upstreams.some(isOpen)) ? 'open' : 'closed';
-  }
-
   /** Another decode engine with a free slot, nearest to the KV cache first. */
   anotherDecode(
     request: CompletionRequest,
@@ -113,35 +96,17 @@
     tried: ReadonlySet<EngineState>,
   ): EngineState | undefined {
     const now = this.parts.clock.now();
-    const free = this.openEngines(request, 'decode').filter(
-      state =>
-        !tried.has(state) &&
-        !state.isFull(now) &&
-        state.slotsUsedAt(now) < state.report.decodeSlots,
-    );
+    const free = this.candidates
+      .open(request, 'decode')
+      .filter(
+        state =>
+          !tried.has(state) &&
+          !state.isFull(now) &&
+          state.slotsUsedAt(now) < state.report.decodeSlots,
+      );
     const tokens = request.promptTokens;
-    return least(free, state => this.decodeScore(source, state, tokens, now));
-  }
-
-  /** True when an engine that was full may be asked again. */
-  mayTryAgain(request: CompletionRequest, state: EngineState): boolean {
-    const allowed = allowedUpstreams(
-      this.parts.configuration(),
-      request,
-      'decode',
-    );
-    return (
-      allowed.some(({name}) => name === state.upstream.name) &&
-      state.health.isOpen(this.parts.clock.now())
-    );
-  }
-
-  /** Time in which a decode engine makes `tokens`. */
-  decodeMilliseconds(decode: EngineState, tokens: number): number {
-    return (
-      tokens *
-      decode.report.decodeStepMilliseconds *
-      decode.health.slowness(this.parts.clock.now())
+    return least(free, state =>
+      this.cost.decodeScore(source, state, tokens, now),
     );
   }
 
@@ -188,7 +153,9 @@
       sources.push(cached);
     if (sources.length === 0) return undefined;
     const leadMilliseconds = Math.min(
-      ...sources.map(state => this.prefillMilliseconds(demand, state, now)),
+      ...sources.map(state =>
+        this.cost.prefillMilliseconds(demand, state, now),
+      ),
     );
     const free = decodes.filter(state =>
       this.mayReserve(state, now, now + leadMilliseconds, policy.slots),
@@ -206,7 +173,11 @@
     decode: EngineState,
     now: number,
   ): PairChoice {
-    const prefillMilliseconds = this.prefillMilliseconds(demand, prefill, now);
+    const prefillMilliseconds = this.cost.prefillMilliseconds(
+      demand,
+      prefill,
+      now,
+    );
     const importAt = now + prefillMilliseconds;
     const transferMilliseconds = this.parts.links.transferMilliseconds(
       prefill,
@@ -216,8 +187,8 @@
     );
     const score =
       prefillMilliseconds +
-      this.distance(prefill) +
-      this.decodeScore(prefill, decode, demand.promptTokens, importAt);
+      this.cost.distance(prefill) +
+      this.cost.decodeScore(prefill, decode, demand.promptTokens, importAt);
     return {prefill, decode, prefillMilliseconds, transferMilliseconds, score};
   }
 
@@ -225,7 +196,7 @@
     const {clock, links, policy} = this.parts;
     const {prefill, decode, prefillMilliseconds} = choice;
     const now = clock.now();
-    const tokens = this.uncachedTokens(demand, prefill);
+    const tokens = this.cost.uncachedTokens(demand, prefill);
     if (policy.kind === 'reserving' && this.isBeyondShare(decode))
       decode.borrowable -= 1;
     prefill.startPrefill(now, tokens);
@@ -240,7 +211,7 @@
       prefill,
       decode,
       choice,
-      this.decodeMilliseconds(decode, demand.decodeTokens),
+      this.cost.decodeMilliseconds(decode, demand.decodeTokens),
       this.parts.onRelease,
     );
   }
@@ -266,67 +237,6 @@
     return state.ownSlots >= this.parts.view.slotShare(state);
   }
 
-  private prefillMilliseconds(
-    demand: PlacementDemand,
-    state: EngineState,
-    now: number,
-  ): number {
-    const tokens =
-      state.prefillBacklog(now) + this.uncachedTokens(demand, state);
-    const rate = state.report.prefillTokensPerSecond / 1000;
-    return (tokens / rate) * state.health.slowness(now);
-  }
-
-  private uncachedTokens(demand: PlacementDemand, state: EngineState): number {
-    const cached = state.cache.countLeading(demand.blocks);
-    const tokens = demand.promptTokens - cached * this.parts.blockTokens;
-    return Math.max(0, tokens);
-  }
-
-  private decodeScore(
-    source: EngineState,
-    decode: EngineState,
-    tokens: number,
-    importAt: number,
-  ): number {
-    const {links} = this.parts;
-    const fill = decode.slotsUsedAt(importAt) / decode.report.decodeSlots;
-    return (
-      links.transferMilliseconds(source, decode, tokens, importAt) +
-      decode.report.decodeStepMilliseconds * decode.health.slowness(importAt) +
-      fill * fillMilliseconds +
-      this.distance(decode)
-    );
-  }
-
-  private distance(state: EngineState): number {
-    const failureDomain = this.parts.failureDomain();
-    if (failureDomain === undefined) return 0;
-    const isOwn = state.upstream.spec.failureDomain === failureDomain;
-    return isOwn ? 0 : foreignDomainMilliseconds;
-  }
-
-  /** Engines of a role that selectors allow and that have not failed. */
-  private openEngines(
-    request: CompletionRequest,
-    role: 'prefill' | 'decode',
-  ): EngineState[] {
-    const {clock, view} = this.parts;
-    const configuration = this.parts.configuration();
-    const now = clock.now();
-    const states = allowedUpstreams(configuration, request, role).map(
-      upstream => view.stateOf(upstream),
-    );
-    if (role === 'prefill')
-      for (const state of states) state.isPrefillChoice = true;
-    const leastSlowness = Math.min(
-      ...states.map(({health}) => health.slowness(now)),
-    );
-    return states.filter(state =>
-      state.health.admits(now, inFlight(state, role), leastSlowness),
-    );
-  }
-
   private sample(states: readonly EngineState[], count: number): EngineState[] {
     const rest = [...states];
     const chosen: EngineState[] = [];
@@ -341,29 +251,6 @@
   }
 }
 
-/** Live upstreams of a role that the route's selectors allow. */
-function allowedUpstreams(
-  configuration: Configuration,
-  {model, route}: CompletionRequest,
-  role: 'prefill' | 'decode',
-): Upstream[] {
-  const {target} = route.spec;
-  if (target.kind !== 'model') return [];
-  return configuration.pools
-    .filter(
-      pool =>
-        pool.spec.role === role &&
-        pool.spec.model === model &&
-        matchesSelector(target[role], pool.labels ?? {}),
-    )
-    .flatMap(pool => upstreamsOfPool(configuration, pool))
-    .filter(upstream => upstream.spec.state !== 'leaving');
-}
-
-function inFlight(state: EngineState, role: 'prefill' | 'decode'): number {
-  return role === 'prefill' ? state.ownPrefills : state.ownSlots;
-}
-
 function least<Value>(
   values: readonly Value[],
   costOf: (value: Value) => number,
--- /dev/null
+++ b/packages/coordination/test/placement-parts.test.ts
@@ -0,0 +1,161 @@
+import test from 'ava';
+import {Result} from 'true-myth';
+import {runPlacementExample} from '../examples/placement.js';
+import {VirtualClock, attemptId, requestId, upstreamId} from '../src/index.js';
+import type {DecodedToken, Engine, EngineAttempt} from '../src/index.js';
+import {CacheView, blocksOfWords} from '../src/placement/cache-view.js';
+import {readTokens} from '../src/placement/token-stream.js';
+import {host, isWhole, makeFleet, start} from './tools/placement-fleet.js';
+
+const stored = (sequence: number) => ({
+  sequence,
+  kind: 'stored' as const,
+  cacheScope: 'batinah',
+  blockHash: `block-${sequence}`,
+});
+
+test('the example delivers every token once', async t => {
+  t.true(isWhole(await runPlacementExample(), 10));
+});
+
+test('cache events build a view', t => {
+  const view = new CacheView();
+  view.apply({newestSequence: 2, events: [stored(1), stored(2)]});
+  t.is(view.countLeading(['block-1', 'block-2', 'block-3']), 2);
+});
+
+test('a gap in cache events makes earlier blocks unknown', t => {
+  const view = new CacheView();
+  view.apply({newestSequence: 1, events: [stored(1)]});
+  view.apply({newestSequence: 3, events: [stored(3)]});
+  t.is(view.countLeading(['block-1']), 0);
+  t.is(view.countLeading(['block-3']), 1);
+  view.apply({newestSequence: 5, events: []});
+  t.is(view.countLeading(['block-3']), 0);
+});
+
+test('blocks differ by scope', t => {
+  const blocksOf = blocksOfWords(2);
+  t.is(blocksOf('batinah', 'a b c d e').length, 2);
+  t.notDeepEqual(blocksOf('batinah', 'a b'), blocksOf('sohar', 'a b'));
+});
+
+const attempt = {
+  request: requestId('request-1'),
+  attempt: attemptId('attempt-1'),
+} as EngineAttempt;
+
+/** Reads what connections bring, one array for each connection. */
+async function readFrom(connections: Array<Array<Partial<DecodedToken>>>) {
+  const offsets: number[] = [];
+  const engine = {
+    id: upstreamId('d1'),
+    async *decode() {
+      for (const token of connections.shift() ?? [])
+        yield Result.ok({...attempt, text: '', last: false, ...token});
+    },
+  } as unknown as Engine;
+  const tokens = readTokens(
+    {
+      clock: new VirtualClock(),
+      engine,
+      silenceMilliseconds: 400,
+      quietUntil: 0,
+      onCheck: () => {},
+    },
+    {...attempt, maximumTokens: 3, offset: 0, priority: 0},
+    new AbortController().signal,
+  );
+  for (;;) {
+    const item = await tokens.next();
+    if (item.done === true) return {offsets, end: item.value};
+    offsets.push(item.value.offset);
+  }
+}
+
+test('doubled tokens are dropped', async t => {
+  const {offsets, end} = await readFrom([
+    [{offset: 0}, {offset: 0}, {offset: 1}, {offset: 2, last: true}],
+  ]);
+  t.deepEqual(offsets, [0, 1, 2]);
+  t.is(end.kind, 'complete');
+});
+
+test('a gap is resumed from the last token', async t => {
+  const {offsets, end} = await readFrom([
+    [{offset: 0}, {offset: 2, last: true}],
+    [{offset: 1}, {offset: 2, last: true}],
+  ]);
+  t.deepEqual(offsets, [0, 1, 2]);
+  t.is(end.kind, 'complete');
+});
+
+test('tokens of another request or attempt are malformed', async t => {
+  for (const other of [
+    {request: requestId('request-2')},
+    {attempt: attemptId('attempt-2')},
+  ]) {
+    const crossed = [{...other, offset: 0, last: true}];
+    const {offsets, end} = await readFrom([crossed, crossed]);
+    t.deepEqual(offsets, []);
+    t.is(end.kind === 'lost' && end.error.kind, 'malformed');
+  }
+});
+
+test('overload is refused in time and deferrable work waits', async t => {
+  const {fleet, runner} = makeFleet();
+  const burst = Array.from({length: 300}, () =>
+    start(fleet, runner, {maximumTokens: 50}),
+  );
+  const waiting = start(fleet, runner, {
+    service: 'deferrable',
+    timeoutMilliseconds: 60_000,
+  });
+  const refusedAt: number[] = [];
+  for (const {done, events} of burst)
+    void done.then(() => {
+      const last = events.at(-1);
+      if (last?.kind !== 'failed') return;
+      t.is(last.failure.code, 'target-unreachable');
+      t.is(last.failure.ran, 'not-run');
+      t.true((last.failure.retryAfterMilliseconds ?? 0) > 0);
+      refusedAt.push(fleet.clock.now());
+    });
+  await fleet.clock.runUntil(Promise.all(burst.map(({done}) => done)));
+  t.true(refusedAt.length > 50);
+  t.true(Math.max(...refusedAt) <= 1_500);
+  await fleet.clock.runUntil(waiting.done);
+  t.true(isWhole(waiting.events));
+});
+
+test('a full queue refuses at once', async t => {
+  const {fleet, runner} = makeFleet();
+  const many = Array.from({length: 1_300}, () =>
+    start(fleet, runner, {service: 'deferrable', timeoutMilliseconds: 1_000}),
+  );
+  await fleet.clock.advance(1);
+  const codes = many.flatMap(({events}) =>
+    events.flatMap(event => (event.kind === 'failed' ? [event.failure] : [])),
+  );
+  t.true(codes.length > 0);
+  t.true(
+    codes.every(({code, ran}) => code === 'queue-full' && ran === 'not-run'),
+  );
+  await fleet.clock.runUntil(Promise.all(many.map(({done}) => done)));
+});
+
+test('hosts that choose at once waste no prefill', async t => {
+  const {fleet} = makeFleet();
+  const runners = Array.from({length: 4}, (_, index) =>
+    fleet.makeRunner({...host, name: `host-${index + 1}`}),
+  );
+  const runs = runners.flatMap(runner =>
+    Array.from({length: 20}, () =>
+      start(fleet, runner, {service: 'deferrable', maximumTokens: 30}),
+    ),
+  );
+  await fleet.clock.runUntil(Promise.all(runs.map(({done}) => done)));
+  for (const {events} of runs) t.true(isWhole(events, 30));
+  const computed = ['p1', 'p2'].map(name => fleet.engine(name).prefilledTokens);
+  t.is(computed[0]! + computed[1]!, 80 * 400);
+});
