Print the goodput table as it grows and split the model engine

Cause: the table was only printed at the end; the model engine did more than one job. Change: rows come in order as they are measured; options, delayed reports and selection have their own modules.

--- a/bench/goodput.mjs
+++ b/bench/goodput.mjs
@@ -96,7 +96,6 @@
     return wanted.every(word => title.includes(word));
   }),
 );
-for (const result of results) console.log(row(result));
 const seconds = (performance.now() - startedAt) / 1000;
 console.log(`\n${results.length} runs in ${seconds.toFixed(0)} s`);
 
@@ -111,6 +110,7 @@
 async function measureAll(waiting) {
   const measured = [];
   let next = 0;
+  let printed = 0;
   const work = async () => {
     const worker = new Worker(new URL('goodput/worker.mjs', import.meta.url));
     while (next < waiting.length) {
@@ -118,6 +118,8 @@
       worker.postMessage({index, scenario: waiting[index]});
       const [{figures}] = await once(worker, 'message');
       measured[index] = {...waiting[index], figures};
+      while (measured[printed] !== undefined)
+        console.log(row(measured[printed++]));
     }
     await worker.terminate();
   };
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -74,14 +74,12 @@
   PlacementPolicy,
   SlotSharing,
 } from './placement/placement-policy.js';
-export {
-  defaultModelEngineOptions,
-  ModelEngine,
-} from './simulation/model-engine.js';
+export {ModelEngine} from './simulation/model-engine.js';
+export {defaultModelEngineOptions} from './simulation/model-engine-options.js';
 export type {
   EngineFault,
   ModelEngineOptions,
-} from './simulation/model-engine.js';
+} from './simulation/model-engine-options.js';
 export {connectEngine} from './simulation/model-engine-connection.js';
 export type {EngineRoute} from './simulation/model-engine-connection.js';
 export {ModelFleet} from './simulation/model-fleet.js';
--- a/packages/coordination/src/placement/placer.ts
+++ b/packages/coordination/src/placement/placer.ts
@@ -7,7 +7,6 @@
 import type {Configuration} from '../configuration/configuration.js';
 import type {FailureDomainId} from '../ids.js';
 import type {RandomSource} from '../random.js';
-import {randomBelow} from '../random.js';
 import type {CompletionRequest} from '../requests/completion.js';
 import type {PromptBlocks} from './cache-view.js';
 import {EngineCandidates} from './engine-candidates.js';
@@ -17,6 +16,7 @@
 import {Placement} from './placement.js';
 import {PlacementCost} from './placement-cost.js';
 import type {PlacementPolicy, SlotSharing} from './placement-policy.js';
+import {least, sample} from './selection.js';
 
 /** What a placer works with. */
 export interface PlacerParts {
@@ -148,7 +148,7 @@
       open,
       state => -state.cache.countLeading(demand.blocks),
     );
-    const sources = this.sample(open, policy.choices);
+    const sources = sample(this.parts.random, open, policy.choices);
     if (cached !== undefined && cached.cache.countLeading(demand.blocks) > 0)
       sources.push(cached);
     if (sources.length === 0) return undefined;
@@ -160,7 +160,7 @@
     const free = decodes.filter(state =>
       this.mayReserve(state, now, now + leadMilliseconds, policy.slots),
     );
-    const targets = this.sample(free, policy.choices);
+    const targets = sample(this.parts.random, free, policy.choices);
     const pairs = sources.flatMap(prefill =>
       targets.map(decode => this.pair(demand, prefill, decode, now)),
     );
@@ -236,32 +236,4 @@
   private isBeyondShare(state: EngineState): boolean {
     return state.ownSlots >= this.parts.view.slotShare(state);
   }
-
-  private sample(states: readonly EngineState[], count: number): EngineState[] {
-    const rest = [...states];
-    const chosen: EngineState[] = [];
-    while (chosen.length < count && rest.length > 0) {
-      const [state] = rest.splice(
-        randomBelow(this.parts.random, rest.length),
-        1,
-      );
-      chosen.push(state!);
-    }
-    return chosen;
-  }
-}
-
-function least<Value>(
-  values: readonly Value[],
-  costOf: (value: Value) => number,
-): Value | undefined {
-  let best: Value | undefined;
-  let bestCost = Infinity;
-  for (const value of values) {
-    const cost = costOf(value);
-    if (cost >= bestCost) continue;
-    best = value;
-    bestCost = cost;
-  }
-  return best;
 }
--- a/packages/coordination/src/simulation/model-engine.ts
+++ b/packages/coordination/src/simulation/model-engine.ts
@@ -7,8 +7,9 @@
 import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {UpstreamId} from '../ids.js';
-import {blocksOfWords} from '../placement/cache-view.js';
-import type {PromptBlocks} from '../placement/cache-view.js';
+import {DelayedReports} from './delayed-reports.js';
+import {defaultModelEngineOptions} from './model-engine-options.js';
+import type {EngineFault, ModelEngineOptions} from './model-engine-options.js';
 import {ModelPrefixCache} from './model-prefix-cache.js';
 import type {
   CacheEventPage,
@@ -22,33 +23,6 @@
   RunningAttempt,
 } from '../upstreams/engine.js';
 
-/** Sizes and rates of a model engine. */
-export interface ModelEngineOptions {
-  readonly prefillTokensPerSecond: number;
-  readonly decodeSlots: number;
-  readonly decodeStepMilliseconds: number;
-  readonly prefillResultMilliseconds: number;
-  readonly cacheBlocks: number;
-  readonly cacheBlockTokens: number;
-  readonly bytesPerToken: number;
-  readonly linkBytesPerSecond: number;
-  readonly reportLagMilliseconds: number;
-  readonly countTokens: (prompt: string) => number;
-  readonly promptBlocks: PromptBlocks;
-}
-
-/** What is wrong with an engine; takes hold at once. */
-export type EngineFault =
-  | {readonly kind: 'none'}
-  /** Connections break and none can be made. */
-  | {readonly kind: 'dead'}
-  /** Work stops, reports go on. */
-  | {readonly kind: 'stalled'}
-  /** Nothing is answered any more. */
-  | {readonly kind: 'silent'}
-  /** All work takes `factor` times as long. */
-  | {readonly kind: 'slow'; readonly factor: number};
-
 /** An answer of the engine, or the code of its refusal. */
 export type EngineAnswer<Value> = Result<Value, string>;
 
@@ -60,25 +34,6 @@
   wanted: number;
 }
 
-interface PastReport {
-  readonly at: number;
-  readonly report: LoadReport;
-}
-
-export const defaultModelEngineOptions: ModelEngineOptions = {
-  prefillTokensPerSecond: 40_000,
-  decodeSlots: 20,
-  decodeStepMilliseconds: 20,
-  prefillResultMilliseconds: 800,
-  cacheBlocks: 64,
-  cacheBlockTokens: 2_000,
-  bytesPerToken: 1_000,
-  linkBytesPerSecond: 1_000_000_000,
-  reportLagMilliseconds: 0,
-  countTokens: prompt => prompt.split(/\s+/).filter(Boolean).length,
-  promptBlocks: blocksOfWords(2_000),
-};
-
 const stallPollMilliseconds = 10;
 
 export class ModelEngine {
@@ -99,13 +54,14 @@
   private linkFreeAt = 0;
   private queuedTokens = 0;
   private isStepping = false;
-  private reports: PastReport[] = [];
+  private readonly reports: DelayedReports;
 
   constructor(
     readonly id: UpstreamId,
     readonly clock: Clock,
     readonly options: ModelEngineOptions = defaultModelEngineOptions,
   ) {
+    this.reports = new DelayedReports(options.reportLagMilliseconds);
     this.cache = new ModelPrefixCache(options.cacheBlocks);
   }
 
@@ -143,12 +99,7 @@
   }
 
   load(): LoadReport {
-    const now = this.clock.now();
-    const lag = this.options.reportLagMilliseconds;
-    this.reports.push({at: now, report: this.currentLoad()});
-    while ((this.reports[1]?.at ?? Infinity) <= now - lag) this.reports.shift();
-    const {at, report} = this.reports[0]!;
-    return {...report, ageMilliseconds: now - at};
+    return this.reports.delay(this.currentLoad(), this.clock.now());
   }
 
   async prefill(request: PrefillRequest): Promise<EngineAnswer<PrefillResult>> {
--- a/packages/coordination/src/simulation/model-fleet.ts
+++ b/packages/coordination/src/simulation/model-fleet.ts
@@ -16,8 +16,9 @@
 import type {CompletionRunnerParts} from '../placement/completion-runner.js';
 import {seededRandom} from '../random.js';
 import type {CompletionRequest} from '../requests/completion.js';
-import {ModelEngine, defaultModelEngineOptions} from './model-engine.js';
-import type {ModelEngineOptions} from './model-engine.js';
+import {ModelEngine} from './model-engine.js';
+import {defaultModelEngineOptions} from './model-engine-options.js';
+import type {ModelEngineOptions} from './model-engine-options.js';
 import {connectEngine} from './model-engine-connection.js';
 import {VirtualClock} from './virtual-clock.js';
 
