Borrow free slots a little faster

Cause: at 1.0 of capacity the utility refused 21 of 793 requests early while slots were free, since each host took only its part of them at each report.

--- a/packages/coordination/src/placement/engine-view.ts
+++ b/packages/coordination/src/placement/engine-view.ts
@@ -26,6 +26,8 @@
 }
 
 const pollMilliseconds = 100;
+/** Free slots are offered this many times over, as few hosts ask at once. */
+const borrowFactor = 1.5;
 const pollTimeoutMilliseconds = 400;
 /** Bounds the cost of reading a large fleet. */
 const maximumPollsPerSecond = 400;
@@ -146,7 +148,8 @@
   /** This host's part of the free slots, rounded at random to be fair. */
   private borrowableSlots(free: number): number {
     const members = this.parts.configuration().membership?.spec.members ?? [];
-    const part = Math.max(0, free) / Math.max(1, members.length);
+    const part =
+      (borrowFactor * Math.max(0, free)) / Math.max(1, members.length);
     return Math.floor(part + this.parts.random.next());
   }
 
