--- a/packages/command/src/commands/index.ts
+++ b/packages/command/src/commands/index.ts
@@ -7,6 +7,7 @@
 import {explainCommand} from './explain.js';
 import {hashKeyCommand} from './hash-key.js';
 import {histogramsCommand} from './histograms.js';
+import {replayCommand} from './replay.js';
 import {statusCommand} from './status.js';
 
 /** Makes the commands for one run of the tool. */
@@ -18,5 +19,6 @@
     explainCommand,
     hashKeyCommand,
     drainCommand,
+    replayCommand,
   ].map(create => create(context) as unknown as CommandModule);
 }
--- /dev/null
+++ b/packages/command/src/commands/replay.ts
@@ -0,0 +1,70 @@
+/** `persimmonwick replay`: recorded traces against their stated outcomes. */
+
+import {readFileSync} from 'node:fs';
+import {loadTrace, replayTrace} from '@persimmonwick/coordination';
+import type {ReplayResult} from '@persimmonwick/coordination';
+import type {CommandModule} from 'yargs';
+import {exitStatus} from '../command-context.js';
+import type {CommandContext, OutputOptions} from '../command-context.js';
+
+interface ReplayOptions extends OutputOptions {
+  readonly files: string[];
+}
+
+export function replayCommand(
+  context: CommandContext,
+): CommandModule<object, ReplayOptions> {
+  return {
+    command: 'replay <files...>',
+    describe: 'play recorded traces on virtual time and compare the outcomes',
+    builder: command =>
+      command.positional('files', {
+        type: 'string',
+        array: true,
+        describe: 'trace files in YAML',
+      }) as never,
+    async handler(options) {
+      for (const file of options.files.map(String))
+        await replayFile(context, file, options.json === true);
+    },
+  };
+}
+
+async function replayFile(
+  context: CommandContext,
+  file: string,
+  isJson: boolean,
+): Promise<void> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    context.end(exitStatus.failed);
+    const reason = (error as NodeJS.ErrnoException).code ?? 'unreadable';
+    return context.complain(`${file}: ${reason}`);
+  }
+  const trace = loadTrace(text);
+  if (trace.isErr) {
+    context.end(exitStatus.failed);
+    for (const {line, path, reason} of trace.error)
+      context.complain(`${file}:${line}: ${path}: ${reason}`);
+    return;
+  }
+  const result = await replayTrace(trace.value);
+  if (!isAsStated(result)) context.end(exitStatus.negative);
+  if (isJson) context.print(JSON.stringify(result));
+  else printResult(context, result);
+}
+
+function isAsStated({mismatches, violations}: ReplayResult): boolean {
+  return mismatches.length === 0 && violations.length === 0;
+}
+
+function printResult(context: CommandContext, result: ReplayResult): void {
+  const verdict = isAsStated(result) ? 'as stated' : 'differs';
+  context.print(`${result.name}: ${verdict} (seed ${result.seed})`);
+  for (const {subject, expected, got} of result.mismatches)
+    context.print(`  ${subject}: expected ${expected}, got ${got}`);
+  for (const {condition, at, detail} of result.violations)
+    context.print(`  at ${at} ms: ${condition}: ${detail}`);
+}
--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -5,6 +5,7 @@
 
 import type {Result} from 'true-myth';
 import {Claims} from '../claims/claims.js';
+import {WitnessDirectory} from '../claims/witness-placement.js';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import {ConfigurationDistributor} from '../configuration/configuration-distributor.js';
@@ -20,6 +21,10 @@
 import type {AccountId, FailureDomainId, HostId} from '../ids.js';
 import {FleetView} from '../fleet/fleet-view.js';
 import {PauseDetector} from '../fleet/pause-detector.js';
+import {LeaseManager} from '../leases/lease-manager.js';
+import {LeaseWitness} from '../leases/lease-witness.js';
+import {OrderIssuer} from '../leases/order-issuer.js';
+import {defaultMessageLifetimeMilliseconds} from '../leases/lease-timing.js';
 import {Limiter} from '../limits/limiter.js';
 import {OwnedAttempts} from '../ownership/owned-attempts.js';
 import {OwnershipHandler} from '../ownership/ownership-handler.js';
@@ -91,6 +96,9 @@
   readonly configurationHandler: ConfigurationHandler;
   private readonly owned = new OwnedAttempts();
   readonly ownership: OwnershipHandler;
+  readonly leaseWitness: LeaseWitness;
+  /** Sends orders to engines under a lease. */
+  readonly orders: OrderIssuer;
   private readonly pauses: PauseDetector;
   private readonly sweeper: Sweeper;
   private readonly keys: KeyGuard;
@@ -131,6 +139,23 @@
       ...parts,
       membership: () => configuration().membership?.spec,
     });
+    const directory = new WitnessDirectory(
+      () => configuration().membership?.spec,
+    );
+    this.leaseWitness = new LeaseWitness({clock, self, directory});
+    const witness = this.leaseWitness;
+    const leases = new LeaseManager({
+      clock,
+      self,
+      transport,
+      directory,
+      witness,
+    });
+    this.orders = new OrderIssuer({
+      clock,
+      leases,
+      messageLifetimeMilliseconds: defaultMessageLifetimeMilliseconds,
+    });
     this.ownership = new OwnershipHandler(self, this.owned, transport);
     this.sweeper = new Sweeper({
       ...parts,
@@ -203,11 +228,11 @@
     return this.calls.run(call, signal);
   }
 
-  /** Answers another host; undefined in areas that this host lacks. */
+  /** Answers another host. */
   async answer(
     body: PeerRequestBody,
     from: PeerIdentity,
-  ): Promise<PeerReplyBody | undefined> {
+  ): Promise<PeerReplyBody> {
     switch (body.$case) {
       case 'configuration':
         return {
@@ -229,7 +254,10 @@
       case 'fleet':
         return {$case: 'fleet', value: this.fleet.handle(body.value, from)};
       case 'lease':
-        return undefined;
+        return {
+          $case: 'lease',
+          value: this.leaseWitness.handle(body.value, from),
+        };
     }
   }
 
@@ -237,6 +265,7 @@
   async close(signal?: AbortSignal): Promise<void> {
     await this.fleet.leave();
     await this.runner.close();
+    await this.orders.close();
     await this.claims.close(signal);
     await this.limiter.close();
     await this.sweeper.close();
--- a/packages/coordination/src/host/service-calls.ts
+++ b/packages/coordination/src/host/service-calls.ts
@@ -152,7 +152,7 @@
     upstream: Upstream,
     call: RoutedServiceCall,
   ): Promise<Result<WholeAnswer, UpstreamError>> {
-    const answer = await this.send(upstream, call, neverAborted);
+    const answer = await this.send(upstream, call);
     if (answer.isErr) return Result.err(answer.error);
     try {
       const chunks: Uint8Array[] = [];
@@ -167,13 +167,16 @@
   private async send(
     upstream: Upstream,
     call: RoutedServiceCall,
-    signal: AbortSignal,
+    signal?: AbortSignal,
   ): Promise<Result<ServiceAnswer, UpstreamError>> {
     const {clock, sender} = this.parts;
     const ended = new AbortController();
-    const end = () => ended.abort();
-    signal.addEventListener('abort', end, {once: true});
-    if (signal.aborted) end();
+    const end = () => {
+      signal?.removeEventListener('abort', end);
+      ended.abort();
+    };
+    signal?.addEventListener('abort', end);
+    if (signal?.aborted) end();
     // The call is written before anything is awaited: a claim that was checked
     // just now still holds.
     const answer = sender.send(upstream, call, ended.signal);
@@ -193,8 +196,6 @@
   }
 }
 
-const neverAborted = new AbortController().signal;
-
 const noUpstream: RequestFailure = {
   code: 'no-upstream',
   message: 'no live upstream serves this route',
--- a/packages/coordination/src/replay/trace-upstreams.ts
+++ b/packages/coordination/src/replay/trace-upstreams.ts
@@ -6,10 +6,8 @@
 import type {AccountId} from '../ids.js';
 import {accountId, upstreamId} from '../ids.js';
 import type {ServiceSender} from '../requests/service-call.js';
-import {
-  ModelEngine,
-  defaultModelEngineOptions,
-} from '../simulation/model-engine.js';
+import {ModelEngine} from '../simulation/model-engine.js';
+import {defaultModelEngineOptions} from '../simulation/model-engine-options.js';
 import {connectEngine} from '../simulation/model-engine-connection.js';
 import {ModelService} from '../simulation/model-service.js';
 import type {Engine, UpstreamError} from '../upstreams/engine.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -95,6 +95,7 @@
     limit: host.limiter,
     claim: host.claims,
     fleet: host.fleet,
+    lease: host.leaseWitness,
     ownership: host.ownership,
   };
 }
--- a/packages/daemon/src/platform/platform-client.ts
+++ b/packages/daemon/src/platform/platform-client.ts
@@ -50,7 +50,7 @@
 }): ConfigurationChange {
   return change.document === null
     ? {kind: 'withdraw', key: change.key}
-    : {kind: 'publish', document: change.document};
+    : {kind: 'publish', document: change.document, key: change.key};
 }
 
 function isPage(page: PublishedPage): boolean {
