Close the host when its peers' address is taken; restore dropped headers

Services again can't set the header that says whether a request ran, and their answers keep their length.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -77,16 +77,21 @@
   security: PeerSecurity,
 ): Promise<{host: Host; peers: Peers}> {
   let host: Host | undefined;
-  const peers = await startPeers({
-    ...core,
-    security,
-    configuration: () => host?.configuration ?? emptyConfiguration,
-    makeHandlers: links => {
-      host = makeHost(core, links);
-      return handlersOf(host);
-    },
-  });
-  return {host: host!, peers};
+  try {
+    const peers = await startPeers({
+      ...core,
+      security,
+      configuration: () => host?.configuration ?? emptyConfiguration,
+      makeHandlers: links => {
+        host = makeHost(core, links);
+        return handlersOf(host);
+      },
+    });
+    return {host: host!, peers};
+  } catch (error) {
+    await host?.close();
+    throw error;
+  }
 }
 
 function handlersOf(host: Host): PeerHandlers {
--- a/packages/daemon/src/upstreams/http-service-sender.ts
+++ b/packages/daemon/src/upstreams/http-service-sender.ts
@@ -16,10 +16,13 @@
 
 const droppedAnswerHeaders = new Set([
   'connection',
-  'content-length',
   'keep-alive',
+  'trailer',
   'transfer-encoding',
+  'upgrade',
   'x-request-id',
+  // Only this host says whether a request ran.
+  'x-persimmonwick-ran',
 ]);
 
 export class HttpServiceSender implements ServiceSender {
