Give callers without a key an account that nobody can have

Cause: a client account named 'open' would have shared queue, cache scope and histograms with callers without a key. A test of limits changed the failure domain of members, which the cross-check of configurations refuses. Change: a reserved id; the test adds members instead, its bound unchanged. Conclusion: no account can collide with open routes.

--- a/packages/coordination/src/ids.ts
+++ b/packages/coordination/src/ids.ts
@@ -37,3 +37,9 @@
 export const routeId = (text: string) => text as RouteId;
 export const requestId = (text: string) => text as RequestId;
 export const attemptId = (text: string) => text as AttemptId;
+
+/**
+ * Stands for callers without a key, on routes open to all. No document can have
+ * this name.
+ */
+export const openAccount = accountId('(open)');
--- a/packages/coordination/src/replay/trace-callers.ts
+++ b/packages/coordination/src/replay/trace-callers.ts
@@ -6,7 +6,7 @@
 import type {Trace, TraceCall, TraceCompletion} from '../generated/trace.js';
 import type {Host} from '../host/host.js';
 import type {OnceKey} from '../invariants/run-event.js';
-import {accountId, requestId, routeId} from '../ids.js';
+import {accountId, openAccount, requestId, routeId} from '../ids.js';
 import type {AccountId, RequestId} from '../ids.js';
 import {
   accountOfKey,
@@ -147,7 +147,7 @@
     const events = host.complete(
       {
         request,
-        account: account.value ?? accountId('open'),
+        account: account.value ?? openAccount,
         keyHash: arrival.key === undefined ? undefined : hashKey(arrival.key),
         route: route.value,
         model: traceModel,
--- a/packages/coordination/test/limits.test.ts
+++ b/packages/coordination/test/limits.test.ts
@@ -159,7 +159,12 @@
 
 test('with two lists a holder has the smaller share', t => {
   const before = membersOf(3, 2);
-  const after = membersOf(3, 3);
+  const added = [0, 1, 2].map(domain => ({
+    host: `added-${domain}`,
+    failureDomain: `domain-${domain}`,
+    address: `10.0.1.${domain + 1}:7000`,
+  }));
+  const after = [...before, ...added];
   const {membership} = limitConfiguration(1, 1, 1, after, before);
   for (const one of holderShares(membership, account, 1))
     t.true(one.fraction <= 1 / 3 + 1e-12);
