Count wasted prefill and queueing in the daemon, show peers in the status

Cause: the counters existed and nothing fed them; a newer version that a peer shows in its answers was not fetched. Change: an observer of each completion; versions seen in replies are noted; /status lists the view of the fleet. Before: wasted prefill always 0. After: a test hears 4,000 tokens when the engine dies after its prefill.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -42,6 +42,7 @@
 } from './requests/failure.js';
 export type {
   CompletionEvent,
+  CompletionObserver,
   CompletionRequest,
 } from './requests/completion.js';
 export {CompletionRunner} from './placement/completion-runner.js';
--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -55,6 +55,8 @@
 export class AttemptRunner {
   private readonly touched = new Set<EngineState>();
   private decodeStartedAt = 0;
+  /** Tokens computed that no decode engine has yet. */
+  private unmovedTokens = 0;
 
   constructor(
     private readonly parts: AttemptRunnerParts,
@@ -73,11 +75,14 @@
       if (computed.isErr) return {kind: 'lost', error: computed.error};
       const moved = await this.move(computed.value, signal);
       if (moved.isErr) return {kind: 'lost', error: moved.error};
+      this.unmovedTokens = 0;
       const end = yield* this.decode(signal);
       isComplete = end.kind === 'complete';
       return end;
     } finally {
       this.placement.close();
+      if (this.unmovedTokens > 0)
+        this.request.observer?.prefillWasted(this.unmovedTokens);
       // Engines free by themselves what was moved on or decoded to its end.
       this.parts.cleaner.release(this.attempt, isComplete ? [] : this.touched);
     }
@@ -120,7 +125,8 @@
       clock.now() - startedAt,
       Math.max(leastPacedMilliseconds, estimate.prefillMilliseconds),
     );
-    const {promptTokens, bytes} = computed.value;
+    const {promptTokens, cachedTokens, bytes} = computed.value;
+    this.unmovedTokens = promptTokens - cachedTokens;
     this.progress.promptTokens = promptTokens;
     links.recordSize(promptTokens, bytes);
     return computed;
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -160,6 +160,7 @@
         yield {kind: 'failed', failure};
         return;
       }
+      request.observer?.dequeued();
       const attempt = new AttemptRunner(
         {
           clock: this.parts.clock,
--- a/packages/coordination/src/requests/completion.ts
+++ b/packages/coordination/src/requests/completion.ts
@@ -4,6 +4,14 @@
 import type {Route} from '../configuration/configuration.js';
 import type {RequestFailure} from './failure.js';
 
+/** Told of what becomes of one completion before its answer. */
+export interface CompletionObserver {
+  /** It left the queue and goes to engines; again for each attempt. */
+  dequeued(): void;
+  /** Prompt tokens were computed and reached no decode engine. */
+  prefillWasted(tokens: number): void;
+}
+
 /** A checked request for a completion. */
 export interface CompletionRequest {
   readonly request: RequestId;
@@ -16,6 +24,7 @@
   readonly maximumTokens: number;
   /** Time on the host's clock after which nobody waits for the answer. */
   readonly deadline: number;
+  readonly observer?: CompletionObserver;
 }
 
 /** What becomes of a completion, in order; the last event is not a token. */
--- a/packages/coordination/test/placement-failures.test.ts
+++ b/packages/coordination/test/placement-failures.test.ts
@@ -97,6 +97,28 @@
   t.true(isWhole(events));
 });
 
+test('an observer hears of each attempt and of wasted prefill', async t => {
+  const {fleet, runner} = makeFleet();
+  const heard: Array<number | 'dequeued'> = [];
+  const observer = {
+    dequeued: () => void heard.push('dequeued'),
+    prefillWasted: (tokens: number) => void heard.push(tokens),
+  };
+  const observed: Pick<typeof runner, 'run'> = {
+    run: (request, signal) => runner.run({...request, observer}, signal),
+  };
+  const {done} = start(fleet, observed, slowPrompt);
+  await fleet.clock.advance(30);
+  const name = prefillingEngine(fleet);
+  await fleet.clock.advance(72);
+  fleet.engine(name).fail({kind: 'dead'});
+  await fleet.clock.runUntil(done);
+  // The dead engine is tried once more before it counts as dead.
+  const [first, wasted, ...later] = heard;
+  t.deepEqual([first, wasted], ['dequeued', 4_000]);
+  t.true(later.length > 0 && later.every(each => each === 'dequeued'));
+});
+
 test('a silent connection is resumed on the same engine', async t => {
   const {fleet, runner} = makeFleet();
   const {events, done} = start(fleet, runner);
--- a/packages/coordination/test/tools/placement-fleet.ts
+++ b/packages/coordination/test/tools/placement-fleet.ts
@@ -41,7 +41,7 @@
 /** Starts a request and collects its events. */
 export function start(
   fleet: ModelFleet,
-  runner: CompletionRunner,
+  runner: Pick<CompletionRunner, 'run'>,
   spec: Partial<RequestSpec> = {},
   caller = new AbortController(),
 ) {
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -93,6 +93,7 @@
     const completion = {
       ...this.describe(call.request, owner, route.value, chat.value),
       keyHash: caller.value?.key,
+      observer: call.observation,
     };
     const events = observeTokens(
       this.parts.host.complete(completion, call.signal),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,6 +16,7 @@
 import {createHostObserver} from './log/host-observer.js';
 import type {EventLog} from './log/logger.js';
 import {isReady} from './operators/operator-parts.js';
+import type {PeerStatus} from './operators/operator-parts.js';
 import {startOperatorServer} from './operators/operator-server.js';
 import {MetricsPage, createRegistry} from './operators/prometheus.js';
 import {loadPeerSecurity} from './peers/index.js';
@@ -82,6 +83,8 @@
       ...core,
       security,
       configuration: () => host?.configuration ?? emptyConfiguration,
+      onVersion: (version, from) =>
+        host?.distributor.noteVersion(version, from),
       makeHandlers: links => {
         host = makeHost(core, links);
         return handlersOf(host);
@@ -143,11 +146,25 @@
       metrics,
       metricsPage,
       startDraining: () => startDraining(core),
+      peers: () => describePeers(host),
     },
     settings.listen.operators,
   );
 }
 
+function describePeers(host: Host): PeerStatus[] {
+  const {membership} = host.configuration;
+  const domains = new Map(
+    membership?.spec.members.map(each => [each.host, each.failureDomain]),
+  );
+  return host.fleet.hosts().map(({host: id, incarnation, status}) => ({
+    host: id,
+    failureDomain: domains.get(id) ?? '',
+    state: status,
+    incarnation,
+  }));
+}
+
 function listenForCallers(
   core: DaemonCore,
   host: Host,
--- a/packages/daemon/src/peers/start-peers.ts
+++ b/packages/daemon/src/peers/start-peers.ts
@@ -33,6 +33,8 @@
   readonly configuration: () => Configuration;
   readonly log: EventLog;
   readonly clock: Clock;
+  /** Told of the configuration version in force at each host that answers. */
+  readonly onVersion?: (version: bigint, host: HostId) => void;
   /** Makes what answers other hosts, given the ways to them. */
   readonly makeHandlers: (links: PeerLinks) => PeerHandlers;
 }
@@ -60,6 +62,7 @@
     addressOf: host => memberOf(host)?.address,
     incarnations,
     configurationVersion,
+    onReply: (from, version) => parts.onVersion?.(version, from.host),
   });
   const server = new PeerServer({
     address: settings.listen.peers,
