Bring about faults on real daemons

Cause: no test ran daemons as processes of their own under faults. Found and mended: an idle daemon took 28 s from SIGTERM to its end, because a peer's open question kept the process; it now exits once it is closed.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -43,19 +43,25 @@
   const stop = () => {
     if (isStopping) process.exit(failureStatus);
     isStopping = true;
-    void daemon?.close();
+    if (daemon !== undefined) void end(daemon);
   };
   // A signal may come before the daemon has started.
   for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, stop);
   try {
     daemon = await startDaemon(value, createEventLog(value.host));
-    if (isStopping) await daemon.close();
+    if (isStopping) await end(daemon);
   } catch (error) {
     if (!(error instanceof StartError)) throw error;
     refuseSettings(error.faults);
   }
 }
 
+/** Exits at once: a question that a peer still holds must not delay the end. */
+async function end(daemon: Daemon): Promise<void> {
+  await daemon.close();
+  process.exit();
+}
+
 function refuseSettings(faults: readonly SettingsFault[]): void {
   for (const {path, value, expected} of faults)
     process.stderr.write(
--- a/packages/standins/src/daemon-group.ts
+++ b/packages/standins/src/daemon-group.ts
@@ -7,9 +7,17 @@
 import {findFreeAddresses} from './free-ports.js';
 import {RunRecorder} from './run-recorder.js';
 import {SampleFleet, sampleFailureDomains} from './sample-fleet.js';
+import {TcpProxy} from './tcp-proxy.js';
 
 const addressesPerDaemon = 3;
 
+export interface GroupOptions {
+  readonly engines?: Partial<FakeEngineOptions>;
+  readonly claimRetentionMilliseconds?: number;
+  /** Puts a proxy before each engine and before the platform. */
+  readonly hasProxies?: boolean;
+}
+
 export class DaemonGroup {
   readonly recorder = new RunRecorder();
   readonly caller = new Caller(this.recorder);
@@ -17,12 +25,12 @@
   private constructor(
     readonly fleet: SampleFleet,
     readonly daemons: readonly DaemonProcess[],
+    /** Proxies by the addresses that they stand before. */
+    readonly proxies: ReadonlyMap<string, TcpProxy>,
   ) {}
 
   /** Starts fakes and daemons; resolves when every daemon is ready. */
-  static async start(
-    options: Partial<FakeEngineOptions> = {},
-  ): Promise<DaemonGroup> {
+  static async start(options: GroupOptions = {}): Promise<DaemonGroup> {
     const count = sampleFailureDomains.length;
     const addresses = await findFreeAddresses(count * addressesPerDaemon);
     const members = sampleFailureDomains.map((failureDomain, index) => ({
@@ -30,8 +38,21 @@
       failureDomain,
       address: addresses[index]!,
     }));
-    const fleet = new SampleFleet(options, members);
+    const proxies = new Map<string, TcpProxy>();
+    const frontOf = async (target: string) => {
+      if (options.hasProxies !== true) return target;
+      const proxy = await TcpProxy.start(target);
+      proxies.set(target, proxy);
+      return proxy.address;
+    };
+    const fleet = new SampleFleet(
+      options.engines,
+      members,
+      frontOf,
+      options.claimRetentionMilliseconds,
+    );
     await fleet.start();
+    const platform = await frontOf(fleet.platform.address);
     const daemons = members.map((member, index) => {
       const plan: DaemonPlan = {
         host: member.host,
@@ -39,12 +60,12 @@
         peers: member.address,
         callers: addresses[count + index]!,
         operators: addresses[2 * count + index]!,
-        platform: fleet.platform.address,
+        platform,
         seeds: members.map(({address}) => address),
       };
       return new DaemonProcess(plan);
     });
-    const group = new DaemonGroup(fleet, daemons);
+    const group = new DaemonGroup(fleet, daemons, proxies);
     group.recorder.watch(fleet);
     group.recordConfiguration();
     for (const daemon of daemons) daemon.start();
@@ -57,6 +78,11 @@
     return group;
   }
 
+  /** The proxy before a fake; the group must have been started with proxies. */
+  proxyOf({address}: {readonly address: string}): TcpProxy {
+    return this.proxies.get(address)!;
+  }
+
   /** Tokens of KV cache that all engines hold. */
   get heldTokens(): number {
     return this.fleet.engines.reduce(
@@ -67,6 +93,7 @@
 
   async close(): Promise<void> {
     await Promise.all(this.daemons.map(daemon => daemon.close()));
+    await Promise.all([...this.proxies.values()].map(proxy => proxy.close()));
     await this.fleet.close();
   }
 
--- a/packages/standins/src/daemon-process.ts
+++ b/packages/standins/src/daemon-process.ts
@@ -25,17 +25,26 @@
   new URL('../../../daemon/dist/src/main.js', import.meta.url),
 );
 const pollMilliseconds = 50;
+const startMilliseconds = 60_000;
+const statusMilliseconds = 1_000;
 
 export class DaemonProcess {
   private child: ChildProcess | undefined;
   private readonly folder = mkdtempSync(join(tmpdir(), 'persimmonwick-'));
+  private starts = 0;
   /** What the daemon has written to its log. */
   output = '';
 
   constructor(readonly plan: DaemonPlan) {}
 
+  /** Names the running process: a host that starts again has a new name. */
+  get name(): string {
+    return `${this.plan.host}/${this.starts}`;
+  }
+
   /** Starts the process; a stopped daemon may be started again. */
   start(): void {
+    this.starts += 1;
     const file = join(this.folder, 'settings.yaml');
     writeFileSync(file, stringify(settingsOf(this.plan)));
     const child = spawn(process.execPath, [daemonFile, '--settings', file], {
@@ -50,7 +59,8 @@
 
   /** Resolves when the daemon takes requests. */
   async waitUntilReady(): Promise<void> {
-    while (this.child?.exitCode === null) {
+    const limit = performance.now() + startMilliseconds;
+    while (this.isRunning && performance.now() < limit) {
       try {
         const answer = await request(`http://${this.plan.operators}/readyz`);
         await answer.body.dump();
@@ -63,6 +73,25 @@
     throw new DaemonExitError(this.plan.host, this.output);
   }
 
+  /** True from the start of the process to its end. */
+  get isRunning(): boolean {
+    const {child} = this;
+    return child?.exitCode === null && child.signalCode === null;
+  }
+
+  /** Version that the daemon says is in force; undefined without an answer. */
+  async readVersion(): Promise<bigint | undefined> {
+    try {
+      const answer = await request(`http://${this.plan.operators}/status`, {
+        headersTimeout: statusMilliseconds,
+      });
+      const {version} = (await answer.body.json()) as {version: string};
+      return BigInt(version);
+    } catch {
+      return undefined;
+    }
+  }
+
   /** Sends `signal`, as SIGKILL, SIGSTOP, SIGCONT or SIGTERM. */
   signal(signal: NodeJS.Signals): void {
     this.child?.kill(signal);
@@ -85,10 +114,10 @@
   }
 }
 
-/** A daemon that ended before it was ready. */
+/** A daemon that ended before it was ready, or was not ready in time. */
 export class DaemonExitError extends Error {
   constructor(host: string, output: string) {
-    super(`the daemon of ${host} ended early: ${output.slice(-2000)}`);
+    super(`the daemon of ${host} did not get ready: ${output.slice(-2000)}`);
     this.name = 'DaemonExitError';
   }
 }
--- a/packages/standins/src/sample-fleet.ts
+++ b/packages/standins/src/sample-fleet.ts
@@ -26,9 +26,15 @@
 }
 
 const sampleAccounts = ['batinah', 'lembaga'] as const;
+
+export type SampleAccount = (typeof sampleAccounts)[number];
+
 const rateTokensPerSecond = 1_000_000_000;
 const burstTokens = 1_000_000;
-const claimRetentionMilliseconds = 3_000;
+const defaultRetentionMilliseconds = 3_000;
+
+/** Puts something before an address and returns the address to use instead. */
+export type FrontOf = (address: string) => Promise<string>;
 
 /** Fakes that run, published in one configuration. */
 export class SampleFleet {
@@ -36,11 +42,15 @@
   readonly prefillEngines: FakeEngine[];
   readonly decodeEngines: FakeEngine[];
   readonly service = new FakeService();
+  private readonly fronts = new Map<string, string>();
 
   constructor(
     options: Partial<FakeEngineOptions> = {},
     /** Hosts that hold limits and claims, with the addresses of peers. */
     private readonly members: readonly SampleMember[] = [],
+    /** Gives the address that is published for the address of an engine. */
+    private readonly frontOf: FrontOf = async address => address,
+    private readonly claimRetentionMilliseconds = defaultRetentionMilliseconds,
   ) {
     this.prefillEngines = [0, 1].map(() => new FakeEngine(options));
     this.decodeEngines = [0, 1, 2].map(() => new FakeEngine(options));
@@ -55,6 +65,8 @@
     await this.platform.listen();
     await this.service.listen();
     await Promise.all(this.engines.map(engine => engine.listen()));
+    for (const {address} of this.engines)
+      this.fronts.set(address, await this.frontOf(address));
     this.platform.publish(...this.describe());
     this.platform.withdraw('Key/withdrawn');
   }
@@ -64,6 +76,19 @@
     await Promise.allSettled(fakes.map(fake => fake.close()));
   }
 
+  /** Publishes a decode engine as leaving and returns the version. */
+  publishLeaving(engine: FakeEngine): number {
+    const index = this.decodeEngines.indexOf(engine);
+    const live = this.describeEngine(engine, index, 'decode');
+    const spec = {...live.spec, state: 'leaving'};
+    return this.platform.publish(Object.assign(live, {spec}));
+  }
+
+  /** Publishes one more key of an account and returns the version. */
+  publishKey(name: string, key: string, account: SampleAccount): number {
+    return this.platform.publish(describeKey(name, key, account));
+  }
+
   /** The accounts' keys and limits, as a recorded run names them. */
   describeLimits() {
     return sampleAccounts.flatMap(name => [
@@ -86,17 +111,23 @@
       ...describeAccounts(),
       ...describeRoutes(),
       ...this.prefillEngines.map((engine, index) =>
-        describeUpstream(`prefill-${index}`, engine.address, index, 'prefill'),
+        this.describeEngine(engine, index, 'prefill'),
       ),
       ...this.decodeEngines.map((engine, index) =>
-        describeUpstream(`decode-${index}`, engine.address, index, 'decode'),
+        this.describeEngine(engine, index, 'decode'),
       ),
       describeUpstream('orders-0', this.service.address, 0, 'orders'),
       ...this.describeMembership(),
     ];
   }
 
+  private describeEngine(engine: FakeEngine, index: number, use: string) {
+    const address = this.fronts.get(engine.address) ?? engine.address;
+    return describeUpstream(`${use}-${index}`, address, index, use);
+  }
+
   private describeMembership() {
+    const {claimRetentionMilliseconds} = this;
     if (this.members.length === 0) return [];
     const members = this.members.map(({host, failureDomain, address}) => ({
       host,
@@ -120,17 +151,17 @@
     labels: {member: name},
     spec: {rateTokensPerSecond, burstTokens},
   }));
-  const keys = Object.entries(sampleKeys).map(([name, key]) => ({
-    kind: 'Key',
-    name,
-    spec: {
-      sha256: createHash('sha256').update(key).digest('hex'),
-      account: name === 'withdrawn' ? 'batinah' : name,
-    },
-  }));
+  const keys = Object.entries(sampleKeys).map(([name, key]) =>
+    describeKey(name, key, name === 'withdrawn' ? 'batinah' : name),
+  );
   return [...accounts, ...keys];
 }
 
+function describeKey(name: string, key: string, account: string) {
+  const sha256 = createHash('sha256').update(key).digest('hex');
+  return {kind: 'Key', name, spec: {sha256, account}};
+}
+
 function describeRoutes() {
   const pool = (name: string, role: string, model?: string) => ({
     kind: 'Pool',
--- /dev/null
+++ b/packages/standins/src/tcp-proxy.ts
@@ -0,0 +1,123 @@
+/**
+ * A TCP proxy on loopback that passes bytes on, drops connections, delays
+ * them, or keeps them open without passing anything.
+ */
+
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+
+/** What the proxy does to its connections. */
+export type ProxyFault =
+  | {readonly kind: 'none'}
+  /** Open connections are reset, new ones too. */
+  | {readonly kind: 'dropped'}
+  /** Each read is passed on after this time. */
+  | {readonly kind: 'delayed'; readonly milliseconds: number}
+  /** Nothing is passed on; a connection that lost bytes stays silent. */
+  | {readonly kind: 'silent'};
+
+interface ProxiedConnection {
+  readonly client: Socket;
+  readonly server: Socket;
+  isSilent: boolean;
+}
+
+const loopback = '127.0.0.1';
+
+export class TcpProxy {
+  address = '';
+  private fault: ProxyFault = {kind: 'none'};
+  private readonly connections = new Set<ProxiedConnection>();
+  private readonly listener: Server;
+
+  private constructor(private readonly target: string) {
+    this.listener = createServer(client => this.accept(client));
+  }
+
+  /** Starts a proxy before `target`, an IP address with a port. */
+  static async start(target: string): Promise<TcpProxy> {
+    const proxy = new TcpProxy(target);
+    proxy.listener.listen(0, loopback);
+    await once(proxy.listener, 'listening');
+    const {port} = proxy.listener.address() as AddressInfo;
+    proxy.address = `${loopback}:${port}`;
+    return proxy;
+  }
+
+  /** Number of open connections. */
+  get openConnections(): number {
+    return this.connections.size;
+  }
+
+  /** From now on all connections meet `fault`. */
+  setFault(fault: ProxyFault): void {
+    this.fault = fault;
+    if (fault.kind === 'dropped') this.resetConnections();
+  }
+
+  /** Open connections go silent for good; new ones work. */
+  silenceOpenConnections(): void {
+    for (const connection of this.connections) connection.isSilent = true;
+  }
+
+  async close(): Promise<void> {
+    this.resetConnections();
+    const closed = once(this.listener, 'close');
+    this.listener.close();
+    await closed;
+  }
+
+  private resetConnections(): void {
+    for (const {client, server} of this.connections) {
+      client.destroy();
+      server.destroy();
+    }
+    this.connections.clear();
+  }
+
+  private accept(client: Socket): void {
+    if (this.fault.kind === 'dropped') {
+      client.destroy();
+      return;
+    }
+    const [host, port] = this.target.split(':');
+    const server = connect(Number(port), host);
+    const connection = {client, server, isSilent: false};
+    this.connections.add(connection);
+    for (const socket of [client, server]) {
+      socket.setNoDelay(true);
+      socket.on('error', () => this.drop(connection));
+    }
+    client.on('close', () => this.drop(connection));
+    void this.relay(connection, client, server);
+    void this.relay(connection, server, client);
+  }
+
+  /** A silent connection stays open on the side that did not close it. */
+  private drop(connection: ProxiedConnection): void {
+    if (connection.isSilent && !connection.client.destroyed) return;
+    connection.client.destroy();
+    connection.server.destroy();
+    this.connections.delete(connection);
+  }
+
+  private async relay(
+    connection: ProxiedConnection,
+    from: Socket,
+    to: Socket,
+  ): Promise<void> {
+    try {
+      for await (const chunk of from) {
+        const {fault} = this;
+        if (fault.kind === 'delayed')
+          await new Promise(done => setTimeout(done, fault.milliseconds));
+        if (this.fault.kind === 'silent') connection.isSilent = true;
+        if (!connection.isSilent) to.write(chunk as Buffer);
+      }
+      if (!connection.isSilent) to.end();
+    } catch {
+      this.drop(connection);
+    }
+  }
+}
