--- /dev/null
+++ b/bench/capacity/fleet.mjs
@@ -0,0 +1,238 @@
+/** Whole hosts on virtual time, with every message between them counted. */
+
+import {deserialize, serialize} from 'node:v8';
+import {Result} from 'true-myth';
+import {
+  PeerReply,
+  PeerRequest,
+} from '../../packages/coordination/dist/src/generated/messages/persimmonwick/peer.js';
+import {
+  Host,
+  InMemoryNetwork,
+  ModelEngine,
+  VirtualClock,
+  accountId,
+  connectEngine,
+  defaultModelEngineOptions,
+  failureDomainId,
+  hostId,
+  requestId,
+  seededRandom,
+  upstreamId,
+} from '../../packages/coordination/dist/src/index.js';
+import {VirtualPlatform} from '../../packages/coordination/dist/src/replay/virtual-platform.js';
+import {hashKey} from '../../packages/coordination/dist/src/requests/authentication.js';
+import {
+  accountName,
+  domainName,
+  fleetDocuments,
+  hostName,
+  incarnationOf,
+  model,
+} from './documents.mjs';
+
+export const seed = 20260107;
+const startMilliseconds = 20_000;
+const delayMilliseconds = 1;
+
+/** A fleet of real hosts; `domains` defaults to one for two hosts, at most 7. */
+export class CapacityFleet {
+  clock = new VirtualClock();
+  random = seededRandom(seed);
+  platform = new VirtualPlatform(this.clock);
+  platformCalls = 0;
+  engineCalls = {load: 0, cacheEvents: 0, running: 0};
+  /** Messages of each area, and bytes that each host sent or received. */
+  traffic = new Map();
+  /** The last exchanges of each area. */
+  samples = new Map();
+  hosts = [];
+  #network = new InMemoryNetwork(this.clock);
+  #engines = new Map();
+  #requests = 0;
+
+  constructor({hosts, accounts = 100, upstreams = 4, domains, engine = {}}) {
+    this.domains = domains ?? Math.max(1, Math.min(7, Math.floor(hosts / 2)));
+    this.hostCount = hosts;
+    this.accounts = accounts;
+    this.#network.policy = () => ({
+      delayMilliseconds,
+      isDropped: false,
+      copyDelaysMilliseconds: [],
+    });
+    const options = {...defaultModelEngineOptions, ...engine};
+    for (let index = 0; index < upstreams; index += 1) {
+      const name = `engine-${String(index).padStart(3, '0')}`;
+      const target = new ModelEngine(upstreamId(name), this.clock, options);
+      this.#engines.set(name, target);
+    }
+    this.publish(
+      fleetDocuments({
+        ...this,
+        engines: [...this.#engines.keys()],
+      }),
+    );
+  }
+
+  /** Starts all hosts and waits until their buckets have begun to fill. */
+  async start() {
+    for (let index = 0; index < this.hostCount; index += 1) this.#add(index);
+    for (const host of this.hosts) void host.start();
+    await this.clock.advance(startMilliseconds);
+    if (!this.hosts.every(host => host.isReady))
+      throw new RangeError('a host did not start');
+    this.resetCounts();
+  }
+
+  /** Publishes documents as one version. */
+  publish(documents) {
+    return this.platform.publish(
+      documents.map(document => ({kind: 'publish', document})),
+    );
+  }
+
+  resetCounts() {
+    this.traffic.clear();
+    this.platformCalls = 0;
+    this.engineCalls = {load: 0, cacheEvents: 0, running: 0};
+  }
+
+  /** Runs one completion to its end; true when it came whole. */
+  async complete(host, account, promptTokens, maximumTokens) {
+    const {configuration} = this.hosts[host];
+    const route = configuration.routes.find(each => each.name === model);
+    const events = this.hosts[host].complete(
+      {
+        request: requestId(`request-${(this.#requests += 1)}`),
+        account: accountId(accountName(account)),
+        keyHash: hashKey(`${accountName(account)}-key`),
+        route,
+        model,
+        prompt: 'word '.repeat(promptTokens),
+        promptTokens,
+        maximumTokens,
+        deadline: this.clock.now() + 60_000,
+      },
+      new AbortController().signal,
+    );
+    for await (const event of events)
+      if (event.kind !== 'token') return event.kind === 'finished';
+    return false;
+  }
+
+  /** Exchanges and bytes of an area, for each host and second. */
+  rates(area, milliseconds) {
+    const seconds = milliseconds / 1000;
+    const {
+      exchanges = 0,
+      bytes = 0,
+      byHost = new Map(),
+    } = this.traffic.get(area) ?? {};
+    return {
+      exchanges: exchanges / this.hostCount / seconds,
+      bytesEach: exchanges === 0 ? 0 : bytes / exchanges,
+      busiest: Math.max(0, ...byHost.values()) / seconds,
+    };
+  }
+
+  async close() {
+    const ended = new AbortController();
+    ended.abort();
+    await this.clock.runUntil(
+      Promise.all(this.hosts.map(host => host.close(ended.signal))),
+    );
+  }
+
+  #add(index) {
+    const self = {
+      host: hostId(hostName(index)),
+      incarnation: incarnationOf(index),
+    };
+    const source = this.platform.sourceFor(() => true);
+    let attempts = 0;
+    const host = new Host({
+      clock: this.clock,
+      random: this.random,
+      self,
+      failureDomain: failureDomainId(domainName(index % this.domains)),
+      transport: this.#countedTransport(self),
+      reconnect: async () => {},
+      platform: {
+        watch: async (...question) => {
+          this.platformCalls += 1;
+          // Hosts of a real fleet do not share what they read.
+          const page = await source.watch(...question);
+          return page.map(each => deserialize(serialize(each)));
+        },
+      },
+      seeds: Array.from({length: this.hostCount}, (_, each) =>
+        hostId(hostName(each)),
+      ),
+      engines: {engineOf: ({name}) => this.#countedEngine(name)},
+      sender: {
+        send: async () =>
+          Result.ok({status: 200, headers: {}, body: [new Uint8Array(200)]}),
+      },
+      makeAttemptId: () => `${self.incarnation}/${(attempts += 1)}`,
+    });
+    this.#network.attach(self.host, (body, from) => host.answer(body, from));
+    this.hosts.push(host);
+  }
+
+  #countedEngine(name) {
+    const target = this.#engines.get(name);
+    const engine = connectEngine(target, each => this.#engines.get(each), {
+      delayMilliseconds,
+      isReachable: () => true,
+    });
+    const counted =
+      kind =>
+      (...question) => {
+        this.engineCalls[kind] += 1;
+        return engine[kind](...question);
+      };
+    return {
+      ...engine,
+      load: counted('load'),
+      cacheEvents: counted('cacheEvents'),
+      running: counted('running'),
+    };
+  }
+
+  #countedTransport(self) {
+    const transport = this.#network.transportOf(self);
+    return {
+      exchange: async (host, body, timeout) => {
+        const reply = await transport.exchange(host, body, timeout);
+        if (reply.isOk) this.#count(self, host, body, reply.value);
+        return reply;
+      },
+    };
+  }
+
+  #count(self, to, body, answer) {
+    const identity = {fromHost: self.host, fromIncarnation: self.incarnation};
+    const request = {
+      ...identity,
+      toIncarnation: '',
+      configurationVersion: 9000n,
+    };
+    const bytes =
+      PeerRequest.encode({...request, body}).finish().length +
+      PeerReply.encode({...request, body: answer}).finish().length;
+    const area = body.$case;
+    const entry = this.traffic.get(area) ?? {
+      exchanges: 0,
+      bytes: 0,
+      byHost: new Map(),
+    };
+    entry.exchanges += 1;
+    entry.bytes += bytes;
+    for (const host of [self.host, to])
+      entry.byHost.set(host, (entry.byHost.get(host) ?? 0) + bytes);
+    this.traffic.set(area, entry);
+    const samples = this.samples.get(area) ?? [];
+    samples.push({from: self, to, body, answer});
+    this.samples.set(area, samples.slice(-50));
+  }
+}
--- /dev/null
+++ b/bench/capacity/peers.mjs
@@ -0,0 +1,78 @@
+/** Slopes of heartbeat peers and sweepers, on virtual time. */
+
+import {HostReport_Status} from '../../packages/coordination/dist/src/generated/messages/persimmonwick/fleet.js';
+import {hostId} from '../../packages/coordination/dist/src/index.js';
+import {incarnationOf} from './documents.mjs';
+import {withFleet} from './roles.mjs';
+import {heapBytes, lineThrough, processorMicroseconds} from './slope.mjs';
+
+/** Heap and answer time of a heartbeat peer by the hosts that it knows. */
+export function measureView() {
+  return withFleet({hosts: 2, domains: 1}, async fleet => {
+    const [host] = fleet.hosts;
+    const report = index => ({
+      host: `other-host-${String(index).padStart(3, '0')}`,
+      incarnation: incarnationOf(1000 + index),
+      revision: 1,
+      status: HostReport_Status.STATUS_LIVE,
+    });
+    const base = heapBytes();
+    const rows = [];
+    let known = 0;
+    const from = {
+      host: hostId('entry-host-001'),
+      incarnation: incarnationOf(1),
+    };
+    for (const target of [90, 180, 270, 360]) {
+      const reports = [];
+      while (known < target) reports.push(report((known += 1)));
+      const beat = list =>
+        host.answer(
+          {
+            $case: 'fleet',
+            value: {
+              sequence: 1n,
+              sender: {
+                ...report(0),
+                host: from.host,
+                incarnation: from.incarnation,
+              },
+              reports: list,
+              receivedChange: 0,
+            },
+          },
+          from,
+        );
+      await beat(reports);
+      const heap = heapBytes() - base;
+      const cost = await processorMicroseconds(500, () => beat([]));
+      rows.push([target, heap, cost]);
+    }
+    return {
+      heap: lineThrough(rows),
+      answer: lineThrough(rows.map(([hosts, , cost]) => [hosts, cost])),
+    };
+  });
+}
+
+/** Questions of sweepers while streams run, by streams at each host. */
+export async function measureSweeps() {
+  const rows = [];
+  for (const streams of [2, 4, 8])
+    rows.push(
+      await withFleet({hosts: 9, upstreams: 8}, async fleet => {
+        const running = fleet.hosts.flatMap((_, host) =>
+          Array.from({length: streams}, (_each, index) =>
+            fleet.complete(host, index, 50, 1200),
+          ),
+        );
+        await fleet.clock.advance(3000);
+        fleet.resetCounts();
+        await fleet.clock.advance(15_000);
+        const rates = fleet.rates('ownership', 15_000);
+        await fleet.clock.runUntil(Promise.all(running));
+        return {streams, ...rates, lists: fleet.engineCalls.running};
+      }),
+    );
+  return rows;
+}
--- /dev/null
+++ b/bench/capacity/slope.mjs
@@ -0,0 +1,32 @@
+/** Least-squares lines, processor time and heap. */
+
+/** Line through points [x, y]; `fit` is the coefficient of determination. */
+export function lineThrough(points) {
+  const mean = index =>
+    points.reduce((sum, point) => sum + point[index], 0) / points.length;
+  const [meanX, meanY] = [mean(0), mean(1)];
+  const sum = term => points.reduce((total, point) => total + term(point), 0);
+  const spread = sum(([x]) => (x - meanX) ** 2);
+  const slope = sum(([x, y]) => (x - meanX) * (y - meanY)) / spread;
+  const intercept = meanY - slope * meanX;
+  const total = sum(([, y]) => (y - meanY) ** 2);
+  const rest = sum(([x, y]) => (y - intercept - slope * x) ** 2);
+  return {slope, intercept, fit: total === 0 ? 1 : 1 - rest / total};
+}
+
+/** Processor time of one of `rounds` calls, one after another. */
+export async function processorMicroseconds(rounds, call) {
+  const start = process.cpuUsage();
+  for (let index = 0; index < rounds; index += 1) await call(index);
+  const {user, system} = process.cpuUsage(start);
+  return (user + system) / rounds;
+}
+
+/** Bytes of heap and buffers in use after a collection. */
+export function heapBytes() {
+  if (globalThis.gc === undefined) throw new RangeError('run with --expose-gc');
+  globalThis.gc();
+  globalThis.gc();
+  const {heapUsed, arrayBuffers} = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
