--- a/bench/capacity.mjs
+++ b/bench/capacity.mjs
@@ -73,3 +73,5 @@
   );
 }
 printProjection(measured);
+const peakMegabytes = process.resourceUsage().maxRSS / 1024;
+console.log(`\npeak memory of this process: ${peakMegabytes.toFixed(0)} MB`);
