Sleep without errors and write tokens from a prepared event

Change: the clock of the process resolves an aborted sleep with no error, and the parts that all tokens of an answer share are made into JSON once.

--- a/packages/coordination/src/clock.ts
+++ b/packages/coordination/src/clock.ts
@@ -1,7 +1,5 @@
 /** Time as the library sees it, so that tests run on virtual time. */
 
-import {setTimeout as delay} from 'node:timers/promises';
-
 /** A source of time. Hosts never compare their clocks. */
 export interface Clock {
   /** Milliseconds on a clock that only goes forward, also through a pause. */
@@ -19,11 +17,16 @@
 export const systemClock: Clock = {
   now: () => performance.now(),
   wallNow: () => Date.now(),
-  async sleep(milliseconds, signal) {
-    try {
-      await delay(milliseconds, undefined, {signal});
-    } catch {
-      // An aborted sleep ends early; that is all its caller needs.
-    }
+  sleep(milliseconds, signal) {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise(resolve => {
+      const end = () => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', end);
+        resolve();
+      };
+      const timer = setTimeout(end, milliseconds);
+      signal?.addEventListener('abort', end);
+    });
   },
 };
--- a/packages/daemon/src/callers/completion-answer.ts
+++ b/packages/daemon/src/callers/completion-answer.ts
@@ -42,13 +42,17 @@
   events: AsyncIterable<CompletionEvent>,
   call: CallRecord,
 ) {
+  const describeToken = tokenDescriber(request);
   for await (const event of events) {
     if (reply.raw.destroyed) break;
     if (!reply.raw.headersSent) {
       if (event.kind === 'failed') return sendFailure(reply, event.failure);
       startStream(reply);
     }
-    const data = describeEvent(request, event, call);
+    const data =
+      event.kind === 'token'
+        ? describeToken(event.text)
+        : describeEnd(request, event, call);
     await writeEvent(reply, data, call.signal);
     if (event.kind === 'finished')
       await writeEvent(reply, '[DONE]', call.signal);
@@ -84,14 +88,21 @@
   }
 }
 
-function describeEvent(
+/** Makes the parts that all tokens of an answer share only once. */
+function tokenDescriber(request: CompletionRequest): (text: string) => string {
+  const whole = JSON.stringify(chunk(request, {content: ''}, null));
+  const contentAt = whole.lastIndexOf('""');
+  const before = whole.slice(0, contentAt);
+  const after = whole.slice(contentAt + '""'.length);
+  return text => `${before}${JSON.stringify(text)}${after}`;
+}
+
+function describeEnd(
   request: CompletionRequest,
-  event: CompletionEvent,
+  event: Exclude<CompletionEvent, {kind: 'token'}>,
   call: CallRecord,
 ): string {
   switch (event.kind) {
-    case 'token':
-      return JSON.stringify(chunk(request, {content: event.text}, null));
     case 'finished':
       return JSON.stringify({
         ...chunk(request, {}, finishReason(request, event)),
