--- a/packages/coordination/src/configuration/distribution-timing.ts
+++ b/packages/coordination/src/configuration/distribution-timing.ts
@@ -19,8 +19,8 @@
 }
 
 export const defaultDistributionTiming: DistributionTiming = {
-  platformWaitMilliseconds: 20_000,
-  platformGraceMilliseconds: 2000,
+  platformWaitMilliseconds: 3000,
+  platformGraceMilliseconds: 1000,
   peerWaitMilliseconds: 30_000,
   retryMinimumMilliseconds: 300,
   retryMaximumMilliseconds: 900,
--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -86,6 +86,9 @@
   readonly silenceMilliseconds?: number;
 }
 
+/** Longest wait for first reports of engines at the start. */
+const warmUpMilliseconds = 1000;
+
 export class Host {
   readonly store: ConfigurationStore;
   readonly distributor: ConfigurationDistributor;
@@ -162,6 +165,7 @@
       configuration,
       owned: this.owned,
       isLikelyLive,
+      incarnationOf: host => this.fleet.incarnationOf(host),
       onCancelled: observer.attemptSwept,
     });
     this.runner = new CompletionRunner({
@@ -208,7 +212,10 @@
     this.sweeper.start();
     if (!(await this.distributor.start())) return;
     void this.claims.recover();
-    await clock.sleep(this.limiter.fillsFrom - clock.now());
+    await Promise.all([
+      this.runner.warmUp(warmUpMilliseconds),
+      clock.sleep(this.limiter.fillsFrom - clock.now()),
+    ]);
     this.hasStarted = true;
   }
 
--- a/packages/coordination/src/ownership/sweeper.ts
+++ b/packages/coordination/src/ownership/sweeper.ts
@@ -118,28 +118,38 @@
     );
   }
 
-  /** Model engines of the failure domain for which this host ranks first. */
+  /** Model engines that this host sweeps. */
   private ownEngines(): SweptEngine[] {
-    const {configuration, engines, failureDomain, isLikelyLive, self} =
-      this.parts;
+    const {configuration, engines, self} = this.parts;
     const current = configuration();
-    const sweepers = membersOf(current)
-      .filter(member => member.failureDomain === failureDomain)
-      .map(member => hostId(member.host))
-      .filter(host => host === self.host || isLikelyLive(host));
     const upstreams = current.pools
       .filter(pool => pool.spec.role !== 'service')
-      .flatMap(pool => upstreamsOfPool(current, pool))
-      .filter(upstream => upstream.spec.failureDomain === failureDomain);
+      .flatMap(pool => upstreamsOfPool(current, pool));
     return [...new Set(upstreams)]
-      .filter(upstream => {
-        const name = `sweep ${upstream.name}`;
-        const [first] = rankByRendezvous(name, sweepers, host => host);
-        return first === self.host;
-      })
+      .filter(upstream => this.sweeperOf(upstream) === self.host)
       .map(upstream => engines.engineOf(upstream));
   }
 
+  /**
+   * The live member of the upstream's failure domain that ranks first, or of
+   * all where that domain has none left.
+   */
+  private sweeperOf(upstream: UpstreamDocument): HostId | undefined {
+    const {configuration, isLikelyLive, self} = this.parts;
+    const live = membersOf(configuration()).filter(
+      ({host}) => host === self.host || isLikelyLive(hostId(host)),
+    );
+    const near = live.filter(
+      member => member.failureDomain === upstream.spec.failureDomain,
+    );
+    const [first] = rankByRendezvous(
+      `sweep ${upstream.name}`,
+      near.length > 0 ? near : live,
+      member => member.host,
+    );
+    return first && hostId(first.host);
+  }
+
   private async list(engine: SweptEngine): Promise<FoundAttempt[]> {
     const running = await this.withTimeout(signal => engine.running(signal));
     if (running.isErr) return [];
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -124,6 +124,14 @@
     }
   }
 
+  /**
+   * Reads the engines of the configuration, so that the first requests do not
+   * find unknown ones; ends after `limitMilliseconds` at the latest.
+   */
+  warmUp(limitMilliseconds: number): Promise<void> {
+    return this.view.warmUp(limitMilliseconds);
+  }
+
   /** Stops reading engines, after every cancel has been tried. */
   async close(): Promise<void> {
     await this.view.close();
--- a/packages/coordination/src/placement/engine-state.ts
+++ b/packages/coordination/src/placement/engine-state.ts
@@ -48,6 +48,8 @@
   readonly cache = new CacheView();
   /** True once the engine was a choice for prefill: its cache matters. */
   isPrefillChoice = false;
+  /** True once the engine was asked for a report, whatever came of it. */
+  wasAsked = false;
   report: LoadReport = assumedReport;
   /** The host's share of the slots, kept while what it follows from stays. */
   share: SlotShare | undefined;
--- a/packages/coordination/src/placement/engine-view.ts
+++ b/packages/coordination/src/placement/engine-view.ts
@@ -3,6 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Clock} from '../clock.js';
 import type {Configuration, Upstream} from '../configuration/configuration.js';
+import {liveUpstreams} from '../configuration/live-upstreams.js';
 import type {HostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
 import {rankByRendezvous} from '../rendezvous.js';
@@ -29,6 +30,7 @@
 /** Free slots are offered this many times over, as few hosts ask at once. */
 const borrowFactor = 1.5;
 const pollTimeoutMilliseconds = 400;
+const warmUpStepMilliseconds = 10;
 /** Bounds the cost of reading a large fleet. */
 const maximumPollsPerSecond = 400;
 
@@ -59,6 +61,22 @@
     return state;
   }
 
+  /**
+   * Starts to read every published engine. Resolves when each was asked once,
+   * at the latest after `limitMilliseconds`.
+   */
+  async warmUp(limitMilliseconds: number): Promise<void> {
+    const {clock, configuration} = this.parts;
+    const current = configuration();
+    const states = current.pools
+      .filter(pool => pool.spec.role !== 'service')
+      .flatMap(pool => liveUpstreams(current, pool))
+      .map(upstream => this.stateOf(upstream));
+    const end = clock.now() + limitMilliseconds;
+    while (clock.now() < end && states.some(state => !state.wasAsked))
+      await clock.sleep(warmUpStepMilliseconds, this.closing.signal);
+  }
+
   /** Slots of the engine that this host may always use. */
   slotShare(state: EngineState): number {
     const members = this.parts.configuration().membership?.spec.members ?? [];
@@ -94,6 +112,7 @@
     const {signal} = this.closing;
     while (!signal.aborted && this.isPublished(key, state)) {
       await this.readLoad(state, signal);
+      state.wasAsked = true;
       if (state.isPrefillChoice) await this.readCache(state, signal);
       const jitter = 0.75 + this.parts.random.next() / 2;
       await clock.sleep(this.pollInterval() * jitter, signal);
