Slow a test's prefill less, since the host now knows the engine's speed

Cause: with 3 tokens a second the first-token target can't be met, so the host refuses at once, as it should; the test waited for a prefill that never began. Change: 15 tokens a second; what is checked stays. Conclusion: the refusal is right and the test's engine was not.

--- a/packages/daemon/test/callers/leaving.test.ts
+++ b/packages/daemon/test/callers/leaving.test.ts
@@ -45,7 +45,8 @@
 }
 
 test('caller leaves in the prefill', async t => {
-  const run = await runDaemon(t, {prefillTokensPerSecond: 3});
+  // Slow, but not so slow that the first-token target is out of reach.
+  const run = await runDaemon(t, {prefillTokensPerSecond: 15});
   const call = openCompletion(t, run, 5);
   while ((await runningOf(run.fleet.prefillEngines)) === 0);
   call.socket.destroy();
