Split the fake engine and let it name cache blocks as hosts do

Cause: one file of 429 lines, with a second way to hash cache blocks. Conclusion: behaviour as it was.

--- a/packages/coordination/src/replay/trace-upstreams.ts
+++ b/packages/coordination/src/replay/trace-upstreams.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {Trace} from '../generated/trace.js';
-import type {AccountId} from '../ids.js';
+import type {AccountId, AttemptId, RequestId} from '../ids.js';
 import {accountId, upstreamId} from '../ids.js';
 import type {ServiceSender} from '../requests/service-call.js';
 import {ModelEngine} from '../simulation/model-engine.js';
@@ -23,6 +23,11 @@
   readonly options: {linkBytesPerSecond: number};
 }
 
+interface HeldMemory {
+  readonly upstream: string;
+  readonly attempt: AttemptId;
+}
+
 interface PlacedService {
   readonly service: ModelService;
   readonly failureDomain: string;
@@ -131,16 +136,14 @@
 
   /** Records what engines hold, until `signal` is aborted. */
   async watchMemory(signal: AbortSignal): Promise<void> {
-    const held = new Map<string, {upstream: string; attempt: string}>();
+    const held = new Map<string, HeldMemory>();
     while (!signal.aborted) {
       this.recordMemory(held);
       await this.clock.sleep(watchMilliseconds, signal);
     }
   }
 
-  private recordMemory(
-    held: Map<string, {upstream: string; attempt: string}>,
-  ): void {
+  private recordMemory(held: Map<string, HeldMemory>): void {
     const now = new Set<string>();
     for (const [name, {engine}] of this.engines)
       for (const {request, attempt} of engine.running()) {
@@ -157,17 +160,17 @@
       this.recorder.record({
         kind: 'memory-freed',
         upstream: upstreamId(upstream),
-        attempt: attempt as never,
+        attempt,
       });
     }
   }
 
   private recorded(engine: Engine): Engine {
-    const ran = (phase: 'prefill' | 'decode', body: {request: string}) =>
+    const ran = (phase: 'prefill' | 'decode', body: {request: RequestId}) =>
       this.recorder.record({
         kind: 'upstream-ran',
         upstream: engine.id,
-        request: body.request as never,
+        request: body.request,
         account: this.accounts.get(body.request),
         phase,
         sent: JSON.stringify(body),
--- a/packages/coordination/src/requests/service-choice.ts
+++ b/packages/coordination/src/requests/service-choice.ts
@@ -5,7 +5,7 @@
   Route,
   Upstream,
 } from '../configuration/configuration.js';
-import {upstreamsOfPool} from '../configuration/configuration.js';
+import {liveUpstreams} from '../configuration/live-upstreams.js';
 import type {FailureDomainId} from '../ids.js';
 import {matchesSelector} from '../labels.js';
 import type {RandomSource} from '../random.js';
@@ -29,8 +29,7 @@
         pool.spec.role === 'service' &&
         matchesSelector(target.services, pool.labels ?? {}),
     )
-    .flatMap(pool => upstreamsOfPool(configuration, pool))
-    .filter(upstream => upstream.spec.state !== 'leaving');
+    .flatMap(pool => liveUpstreams(configuration, pool));
   const isNear = (upstream: Upstream) =>
     upstream.spec.failureDomain === failureDomain;
   const near = live.filter(isNear);
--- a/packages/standins/src/daemon-group.ts
+++ b/packages/standins/src/daemon-group.ts
@@ -3,7 +3,7 @@
 import {Caller} from './caller.js';
 import {DaemonProcess} from './daemon-process.js';
 import type {DaemonPlan} from './daemon-process.js';
-import type {FakeEngineOptions} from './fake-engine.js';
+import type {FakeEngineOptions} from './fake-engine-options.js';
 import {findFreeAddresses} from './free-ports.js';
 import {RunRecorder} from './run-recorder.js';
 import {SampleFleet, sampleFailureDomains} from './sample-fleet.js';
--- a/packages/standins/src/fake-engine.ts
+++ b/packages/standins/src/fake-engine.ts
@@ -4,50 +4,17 @@
  * fixed number of decode slots, resume, cancel, and switches to fail.
  */
 
-import {createHash} from 'node:crypto';
-import {seededRandom} from '@persimmonwick/coordination';
 import {request as call} from 'undici';
 import type {FastifyInstance, FastifyReply} from 'fastify';
+import {defaultEngineOptions} from './fake-engine-options.js';
+import type {
+  EngineObserver,
+  FakeEngineFaults,
+  FakeEngineOptions,
+} from './fake-engine-options.js';
+import {FakePrefixCache} from './fake-prefix-cache.js';
 import {createServer, listen} from './http-server.js';
 
-export interface FakeEngineOptions {
-  readonly prefillTokensPerSecond: number;
-  readonly decodeSlots: number;
-  readonly decodeStepMilliseconds: number;
-  readonly prefillResultMilliseconds: number;
-  readonly cacheBlocks: number;
-  readonly cacheBlockTokens: number;
-  readonly bytesPerToken: number;
-  readonly linkBytesPerSecond: number;
-  readonly checksFencing: boolean;
-}
-
-/** Switches to fail; they take hold on the next step. */
-export interface FakeEngineFaults {
-  /** Steps stop, connections stay open. */
-  stalled: boolean;
-  /** Answers are never sent, connections stay open. */
-  silent: boolean;
-  /** Steps take this many times as long. */
-  slowFactor: number;
-  /** Load reports are this old. */
-  reportAgeMilliseconds: number;
-  /** Share of cache events that are dropped. */
-  droppedEventShare: number;
-}
-
-/** Told of what an engine holds and runs. */
-export interface EngineObserver {
-  held(engine: FakeEngine, request: string, attempt: string): void;
-  freed(engine: FakeEngine, attempt: string): void;
-  ran(
-    engine: FakeEngine,
-    request: string,
-    phase: 'prefill' | 'decode',
-    body: object,
-  ): void;
-}
-
 interface Attempt {
   readonly request: string;
   readonly attempt: string;
@@ -67,18 +34,6 @@
   owner: {host: string; incarnation: string};
 }
 
-const defaults: FakeEngineOptions = {
-  prefillTokensPerSecond: 40_000,
-  decodeSlots: 20,
-  decodeStepMilliseconds: 5,
-  prefillResultMilliseconds: 800,
-  cacheBlocks: 64,
-  cacheBlockTokens: 2_000,
-  bytesPerToken: 1_000,
-  linkBytesPerSecond: 1_000_000_000,
-  checksFencing: true,
-};
-
 const pause = (milliseconds: number) =>
   new Promise<void>(done => setTimeout(done, milliseconds));
 
@@ -98,18 +53,21 @@
   readonly options: FakeEngineOptions;
   private readonly server: FastifyInstance = createServer();
   private readonly attempts = new Map<string, Attempt>();
-  private readonly cache = new Map<string, number>();
-  private readonly cacheEvents: unknown[] = [];
-  private cacheSequence = 0;
+  private readonly cache: FakePrefixCache;
   private prefillFreeAt = 0;
   private queuedPrefillTokens = 0;
   private fencingNumber = 0n;
   private stepCredit = 0;
-  private readonly random = seededRandom(1);
   private readonly ticker: NodeJS.Timeout;
 
   constructor(options: Partial<FakeEngineOptions> = {}) {
-    this.options = {...defaults, ...options};
+    this.options = {...defaultEngineOptions, ...options};
+    const {cacheBlocks, cacheBlockTokens} = this.options;
+    this.cache = new FakePrefixCache(
+      cacheBlocks,
+      cacheBlockTokens,
+      () => this.faults.droppedEventShare,
+    );
     this.ticker = setInterval(
       () => this.step(),
       this.options.decodeStepMilliseconds,
@@ -144,7 +102,9 @@
     this.server.get('/load', () => this.describeLoad());
     this.server.get('/running', () => this.listRunning());
     this.server.get('/cache-events', request =>
-      this.listCacheEvents(request.query as Record<string, string>),
+      this.cache.eventsAfter(
+        Number((request.query as {after?: string}).after ?? 0),
+      ),
     );
     this.server.post('/prefill', (request, reply) =>
       this.prefill(
@@ -207,16 +167,6 @@
     };
   }
 
-  private listCacheEvents(query: Record<string, string>) {
-    const after = Number(query['after'] ?? 0);
-    return {
-      newestSequence: this.cacheSequence,
-      events: this.cacheEvents.filter(
-        event => (event as {sequence: number}).sequence > after,
-      ),
-    };
-  }
-
   private async prefill(
     body: AttemptBody & {prompt: string; cacheScope: string},
     reply: FastifyReply,
@@ -224,7 +174,7 @@
     const tokens = body.prompt.split(/\s+/).filter(Boolean);
     this.observer?.ran(this, body.request, 'prefill', body);
     const attempt = this.admit(body, 'prefilling', tokens.length);
-    const cachedTokens = this.countCachedTokens(body.cacheScope, tokens);
+    const cachedTokens = this.cache.countCached(body.cacheScope, body.prompt);
     const newTokens = tokens.length - cachedTokens;
     const cost =
       (newTokens / this.options.prefillTokensPerSecond) *
@@ -239,7 +189,7 @@
     if (!this.attempts.has(body.attempt))
       return reply.code(409).send({code: 'cancelled'});
     this.prefilledTokens += newTokens;
-    this.storeBlocks(body.cacheScope, tokens);
+    this.cache.store(body.cacheScope, body.prompt);
     attempt.state = 'prefilled';
     attempt.handle = `${body.attempt}-cache`;
     const lifetime = this.options.prefillResultMilliseconds;
@@ -384,46 +334,4 @@
       attempt.wake();
     }
   }
-
-  private blockKeys(scope: string, tokens: string[]): string[] {
-    const size = this.options.cacheBlockTokens;
-    const count = Math.floor(tokens.length / size);
-    return Array.from(
-      {length: count},
-      (_, index) =>
-        `${scope}\u0000${tokens.slice(0, (index + 1) * size).join(' ')}`,
-    );
-  }
-
-  private countCachedTokens(scope: string, tokens: string[]): number {
-    const keys = this.blockKeys(scope, tokens);
-    const missing = keys.findIndex(key => !this.cache.has(key));
-    const hits = missing === -1 ? keys.length : missing;
-    return hits * this.options.cacheBlockTokens;
-  }
-
-  private storeBlocks(scope: string, tokens: string[]): void {
-    for (const key of this.blockKeys(scope, tokens)) {
-      this.cache.delete(key);
-      this.cache.set(key, tokens.length);
-      this.recordCacheEvent('stored', scope, key);
-    }
-    while (this.cache.size > this.options.cacheBlocks) {
-      const oldest = this.cache.keys().next().value!;
-      this.cache.delete(oldest);
-      this.recordCacheEvent('evicted', scope, oldest);
-    }
-  }
-
-  private recordCacheEvent(kind: string, cacheScope: string, key: string) {
-    this.cacheSequence += 1;
-    if (this.random.next() < this.faults.droppedEventShare) return;
-    this.cacheEvents.push({
-      sequence: this.cacheSequence,
-      kind,
-      cacheScope,
-      blockHash: createHash('sha256').update(key).digest('hex'),
-    });
-    if (this.cacheEvents.length > 1000) this.cacheEvents.shift();
-  }
 }
--- a/packages/standins/src/sample-fleet.ts
+++ b/packages/standins/src/sample-fleet.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import {accountId} from '@persimmonwick/coordination';
 import {FakeEngine} from './fake-engine.js';
-import type {FakeEngineOptions} from './fake-engine.js';
+import type {FakeEngineOptions} from './fake-engine-options.js';
 import {FakePlatform} from './fake-platform.js';
 import {FakeService} from './fake-service.js';
 
