Replay outcomes without a service, tell deadlines from callers, warn in check

Cause: read through the calls of services: a repeated try found no upstream before it looked for its outcome; a call ended by its deadline was reported as left by its caller; the warnings about configuration reached nobody. Change: the claim comes first; a cancellation that no caller asked for is a timeout; persimmonwick check prints warnings, one of them for the shared preamble, which has no effect yet. Before: a second try with all services leaving got 'no-upstream'. Conclusion: what is known is answered before anything is looked for.

--- a/packages/command/src/check-files.ts
+++ b/packages/command/src/check-files.ts
@@ -3,6 +3,7 @@
 import {
   buildConfiguration,
   documentKey,
+  findConfigurationWarnings,
   parseSettings,
 } from '@persimmonwick/coordination';
 import type {DocumentFault} from '@persimmonwick/coordination';
@@ -14,6 +15,8 @@
   readonly settingsFiles: number;
   readonly configurationDocuments: number;
   readonly faults: readonly FileFault[];
+  /** What is allowed and likely a mistake, or without effect. */
+  readonly warnings: readonly FileFault[];
   readonly unreadable: ReadonlyArray<{
     readonly file: string;
     readonly reason: string;
@@ -48,6 +51,7 @@
     settingsFiles: settings.length,
     configurationDocuments: published.length,
     faults,
+    warnings: warnOfConfiguration(published),
     unreadable,
   };
 }
@@ -70,6 +74,15 @@
     : built.error.map(fault => describeFault(documents, fault));
 }
 
+function warnOfConfiguration(documents: readonly FileDocument[]): FileFault[] {
+  const values = documents.map(({value}) => value);
+  const built = buildConfiguration(1n, values);
+  if (built.isErr) return [];
+  return findConfigurationWarnings(built.value).map(warning =>
+    describeFault(documents, warning),
+  );
+}
+
 function describeFault(
   documents: readonly FileDocument[],
   {document, field, reason}: DocumentFault,
--- a/packages/command/src/commands/check.ts
+++ b/packages/command/src/commands/check.ts
@@ -30,6 +30,8 @@
         context.complain(`${file}: ${reason}`);
       for (const {file, path, value, expected} of report.faults)
         context.print(`${file}: ${path}: got ${value}, expected ${expected}`);
+      for (const {file, path, expected} of report.warnings)
+        context.print(`${file}: ${path}: warning: ${expected}`);
       context.print(
         `${report.settingsFiles} settings files, ` +
           `${report.configurationDocuments} configuration documents, ` +
--- a/packages/coordination/src/configuration/advice.ts
+++ b/packages/coordination/src/configuration/advice.ts
@@ -20,9 +20,25 @@
   return [
     ...findIdleSelectors(configuration),
     ...findUnknownDomains(configuration),
+    ...findPreambles(configuration),
   ];
 }
 
+/** Engines share a cached prefix inside one client account only, so far. */
+function findPreambles(configuration: Configuration): DocumentFault[] {
+  return configuration.routes
+    .filter(
+      ({spec}) =>
+        spec.target.kind === 'model' &&
+        spec.target.sharedPreamble !== undefined,
+    )
+    .map(route => ({
+      document: documentKey(route),
+      field: '/spec/target/sharedPreamble',
+      reason: 'has no effect yet: accounts share no cached prefix',
+    }));
+}
+
 /**
  * Faults of going from one membership to the next in one version. Hosts that
  * start later never see the step, so it cannot be part of their check.
--- a/packages/coordination/src/host/service-calls.ts
+++ b/packages/coordination/src/host/service-calls.ts
@@ -96,8 +96,9 @@
     signal: AbortSignal,
   ): Promise<Answer> {
     const key = claimKeyOf(call);
+    const upstreams = this.candidates(call);
     let failure = noUpstream;
-    for (const upstream of this.candidates(call).slice(0, maximumTries)) {
+    for (let tries = 0; tries < maximumTries; tries += 1) {
       const decision = await this.parts.claims.begin(
         key,
         call.deadline,
@@ -106,11 +107,13 @@
       if (decision.isErr) return Result.err(claimFailure(decision.error));
       if (decision.value.kind === 'replay')
         return Result.ok(replayOf(decision.value.outcome));
-      const answer = await this.sendClaimed(
-        decision.value.permit,
-        upstream,
-        call,
-      );
+      const {permit} = decision.value;
+      const upstream = upstreams[tries];
+      if (upstream === undefined) {
+        permit.abandon();
+        break;
+      }
+      const answer = await this.sendClaimed(permit, upstream, call);
       if (answer.isOk) return Result.ok(answer.value);
       failure = answer.error;
       if (failure.ran !== 'not-run' || signal.aborted) break;
@@ -184,7 +187,7 @@
     const result = await answer;
     if (result.isErr) {
       end();
-      return result;
+      return result.mapErr(error => ofDeadline(error, signal));
     }
     const body = untilRead(result.value.body, end);
     return Result.ok({...result.value, body});
@@ -209,6 +212,16 @@
   ran: 'not-run',
 };
 
+/** A call that nobody cancelled was ended by its deadline. */
+function ofDeadline(
+  error: UpstreamError,
+  caller: AbortSignal | undefined,
+): UpstreamError {
+  return error.kind === 'cancelled' && caller?.aborted !== true
+    ? {kind: 'silent', upstream: error.upstream}
+    : error;
+}
+
 /** Passes `body` on and calls `end` when its reader is done with it. */
 async function* untilRead(
   body: ServiceAnswer['body'],
--- a/packages/coordination/test/configuration.test.ts
+++ b/packages/coordination/test/configuration.test.ts
@@ -111,6 +111,20 @@
   );
 });
 
+test('a shared preamble is told to have no effect', t => {
+  const target = {
+    kind: 'model',
+    models: ['m'],
+    prefill: {},
+    decode: {},
+    sharedPreamble: 'x',
+  };
+  const route = {kind: 'Route', name: 'r', spec: {target}};
+  const built = buildConfiguration(1n, [route]).unwrapOr(base());
+  const fields = findConfigurationWarnings(built).map(each => each.field);
+  t.true(fields.includes('/spec/target/sharedPreamble'));
+});
+
 test('members change through previousMembers', t => {
   const of = (spec: object) =>
     buildConfiguration(1n, [membership(spec)]).unwrapOr(base());
