Give every setting its effect

Cause: read through the settings: the watch's time, the queue's bound and the silence of upstreams were checked and documented, and changed nothing or only a socket's time-out. Conclusion: the settings page is true.

--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -16,6 +16,7 @@
   PlatformSource,
 } from '../configuration/configuration-page.js';
 import {ConfigurationStore} from '../configuration/configuration-store.js';
+import type {DistributionTiming} from '../configuration/distribution-timing.js';
 import type {RefusedVersion} from '../configuration/configuration-store.js';
 import {KeyGuard} from '../configuration/key-guard.js';
 import type {AccountId, FailureDomainId, HostId} from '../ids.js';
@@ -84,6 +85,9 @@
   readonly observer?: HostObserver;
   /** Time without a token after which a connection is suspect. */
   readonly silenceMilliseconds?: number;
+  readonly timing?: Partial<DistributionTiming>;
+  /** Requests that may wait for one set of engines. */
+  readonly queuedRequests?: number;
 }
 
 /** Longest wait for first reports of engines at the start. */
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -62,6 +62,8 @@
   readonly blockTokens?: number;
   /** Time without a token after which a connection is suspect. */
   readonly silenceMilliseconds?: number;
+  /** Requests that may wait for one set of engines. */
+  readonly queuedRequests?: number;
 }
 
 const defaultBlockTokens = 2_000;
@@ -104,6 +106,7 @@
       configuration,
       placer: this.placer,
       isReserving: policy.kind === 'reserving',
+      queuedRequests: parts.queuedRequests,
     });
   }
 
--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -40,9 +40,13 @@
   readonly configuration: () => Configuration;
   readonly placer: Placer;
   readonly isReserving: boolean;
+  /** Requests that may wait for one set of engines. */
+  readonly queuedRequests?: number;
 }
 
-const queueBounds: QueueBounds = {perAccount: 1_024, total: 4_096};
+const defaultQueuedRequests = 4_096;
+/** Part of the queue that one account may fill. */
+const accountShare = 0.5;
 /** Left for prefill and transfer while a request still waits. */
 const targetMarginMilliseconds = 250;
 /** Left for work of other hosts that no report shows yet. */
@@ -224,7 +228,9 @@
     const known = this.lanes.get(key);
     if (known !== undefined) return known;
     const lane: Lane = {
-      queue: new FairQueue<WaitingRequest>(queueBounds),
+      queue: new FairQueue<WaitingRequest>(
+        queueBoundsOf(this.parts.queuedRequests),
+      ),
       rate: new ServiceRate(),
       retries: [],
     };
@@ -236,3 +242,7 @@
 function isIdle({queue, retries}: Lane): boolean {
   return queue.length + retries.length === 0;
 }
+
+function queueBoundsOf(total = defaultQueuedRequests): QueueBounds {
+  return {perAccount: Math.ceil(total * accountShare), total};
+}
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -41,10 +41,10 @@
 ): DaemonCore {
   const clock = systemClock;
   const random = seededRandom(randomInt(2 ** 31));
-  const {limits, upstreamSilenceMilliseconds} = settings;
+  const {limits} = settings;
   const gate = new RequestGate(clock);
   const engines = closables.add(
-    new HttpEngineDirectory(upstreamSilenceMilliseconds),
+    new HttpEngineDirectory(limits.requestMilliseconds),
   );
   const sender = closables.add(
     new HttpServiceSender(limits.requestMilliseconds),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -110,13 +110,16 @@
 
 function makeHost(core: DaemonCore, links: PeerLinks): Host {
   const {settings, log} = core;
-  const {addresses} = settings.platform;
+  const {addresses, watchTimeoutMilliseconds} = settings.platform;
   return new Host({
     ...core,
     ...links,
     failureDomain: failureDomainId(settings.failureDomain),
     platform: createRotatingSource(addresses.map(createPlatformClient)),
     seeds: settings.seeds.map(hostId),
+    timing: {platformWaitMilliseconds: watchTimeoutMilliseconds},
+    silenceMilliseconds: settings.upstreamSilenceMilliseconds,
+    queuedRequests: settings.limits.queuedRequests,
     makeAttemptId: () => makeUuid(),
     observer: createHostObserver(log),
   });
