--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -46,7 +46,7 @@
 
 const defaultQueuedRequests = 4_096;
 /** Part of the queue that one account may fill. */
-const accountShare = 0.5;
+const accountShare = 0.25;
 /** Left for prefill and transfer while a request still waits. */
 const targetMarginMilliseconds = 250;
 /** Left for work of other hosts that no report shows yet. */
