Hash a key once, and use the pieces that were there

Cause: read through the change: each request hashed its key twice; a trace's callers and the model service waited for aborts in ways of their own, one of which left its listener behind; a refusal and a look at the membership were written again. Change: accounts are found by the hash; untilAborted, notRun and one membership function serve all. Behaviour is as it was. Conclusion: nothing else was worth changing in what was read.

--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -142,13 +142,9 @@
       configuration,
     });
     this.store.subscribe(() => this.limiter.applyConfiguration());
-    this.claims = new Claims({
-      ...parts,
-      membership: () => configuration().membership?.spec,
-    });
-    const directory = new WitnessDirectory(
-      () => configuration().membership?.spec,
-    );
+    const membership = () => configuration().membership?.spec;
+    this.claims = new Claims({...parts, membership});
+    const directory = new WitnessDirectory(membership);
     this.leaseWitness = new LeaseWitness({clock, self, directory});
     const witness = this.leaseWitness;
     const leases = new LeaseManager({
--- a/packages/coordination/src/host/service-calls.ts
+++ b/packages/coordination/src/host/service-calls.ts
@@ -6,6 +6,7 @@
 
 import {createHash} from 'node:crypto';
 import {Result} from 'true-myth';
+import {notRun} from '../claims/claim-decision.js';
 import type {Claims} from '../claims/claims.js';
 import type {ClaimPermit} from '../claims/claim-permit.js';
 import type {Clock} from '../clock.js';
@@ -131,14 +132,7 @@
     call: RoutedServiceCall,
   ): Promise<Answer> {
     const marked = permit.markSending();
-    if (marked.isErr)
-      return Result.err(
-        claimFailure({
-          kind: 'not-run',
-          reason: 'deadline',
-          retryAfterMilliseconds: 1000,
-        }),
-      );
+    if (marked.isErr) return Result.err(claimFailure(notRun('deadline')));
     const answer = await this.sendWhole(upstream, call);
     if (answer.isOk) {
       const {status, headers, body} = answer.value;
--- a/packages/coordination/src/replay/trace-callers.ts
+++ b/packages/coordination/src/replay/trace-callers.ts
@@ -1,6 +1,7 @@
 /** The callers of a trace: they send, read, leave, and record what they saw. */
 
 import {Result} from 'true-myth';
+import {untilAborted} from '../abort.js';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Trace, TraceCall, TraceCompletion} from '../generated/trace.js';
@@ -84,10 +85,7 @@
     void result.finally(() => {
       host.inFlight -= 1;
     });
-    this.answer(
-      request,
-      await Promise.race([result, untilAborted(gone, {kind: 'none'} as const)]),
-    );
+    this.answer(request, (await untilAborted(result, gone)) ?? {kind: 'none'});
   }
 
   private async serve(
@@ -214,19 +212,9 @@
   return {kind: 'failed', code, ran};
 }
 
-function untilAborted<Value>(
-  signal: AbortSignal,
-  value: Value,
-): Promise<Value> {
-  return new Promise(resolve => {
-    if (signal.aborted) resolve(value);
-    signal.addEventListener('abort', () => resolve(value), {once: true});
-  });
-}
-
 /** The account of a key; undefined without a key. */
 function identify(configuration: Configuration, key: string | undefined) {
   return key === undefined
     ? Result.ok<AccountId | undefined, RequestFailure>(undefined)
-    : accountOfKey(configuration, key);
+    : accountOfKey(configuration, hashKey(key));
 }
--- a/packages/coordination/src/requests/authentication.ts
+++ b/packages/coordination/src/requests/authentication.ts
@@ -16,12 +16,12 @@
   return createHash('sha256').update(key).digest('hex') as KeyHash;
 }
 
-/** The client account of a key. */
+/** The client account of the key with this hash. */
 export function accountOfKey(
   configuration: Configuration,
-  key: string,
+  hash: KeyHash,
 ): Result<AccountId, RequestFailure> {
-  const account = configuration.accountOfKey.get(hashKey(key));
+  const account = configuration.accountOfKey.get(hash);
   if (account !== undefined) return Result.ok(account);
   return Result.err({
     code: 'unknown-key',
--- a/packages/coordination/src/simulation/model-service.ts
+++ b/packages/coordination/src/simulation/model-service.ts
@@ -1,6 +1,7 @@
 /** A small plain service in one process, on any clock. */
 
 import {Result} from 'true-myth';
+import {untilAborted} from '../abort.js';
 import type {Clock} from '../clock.js';
 import type {UpstreamId} from '../ids.js';
 import type {ServiceAnswer, ServiceCall} from '../requests/service-call.js';
@@ -35,7 +36,8 @@
     this.runs += 1;
     const body = Buffer.from(JSON.stringify({run: this.runs, by: upstream}));
     await this.clock.sleep(this.delayMilliseconds, signal);
-    if (this.fault === 'loses-answers') await untilAborted(signal);
+    if (this.fault === 'loses-answers')
+      await untilAborted(new Promise<void>(() => {}), signal);
     if (signal.aborted) return Result.err({kind: 'silent', upstream});
     return Result.ok({
       status: createdStatus,
@@ -44,10 +46,3 @@
     });
   }
 }
-
-function untilAborted(signal: AbortSignal): Promise<void> {
-  return new Promise(resolve => {
-    if (signal.aborted) resolve();
-    else signal.addEventListener('abort', () => resolve(), {once: true});
-  });
-}
--- a/packages/daemon/src/callers/authenticate.ts
+++ b/packages/daemon/src/callers/authenticate.ts
@@ -29,8 +29,9 @@
       message: 'send one Authorization header with a bearer key',
       ran: 'not-run',
     });
-  return accountOfKey(configuration, key).map(account => ({
+  const hash = hashKey(key);
+  return accountOfKey(configuration, hash).map(account => ({
     account,
-    key: hashKey(key),
+    key: hash,
   }));
 }
