--- a/packages/coordination/src/configuration/advice.ts
+++ b/packages/coordination/src/configuration/advice.ts
@@ -100,6 +100,10 @@
       case 'model':
         check(route, '/spec/target/prefill', target.prefill, pools);
         check(route, '/spec/target/decode', target.decode, pools);
+        break;
+      case 'passthrough':
+        for (const {labels} of target.pools)
+          check(route, '/spec/target/pools', labels, pools);
     }
   }
   return faults;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -246,3 +246,43 @@
   LimitReply,
   LimitRequest,
 } from './generated/messages/persimmonwick/limits.js';
+export {KeyFreshness} from './passthrough/key-freshness.js';
+export type {KeyFreshnessParts} from './passthrough/key-freshness.js';
+export {PassthroughHost} from './passthrough/passthrough.js';
+export type {
+  AcceptedCall,
+  PassthroughHostParts,
+} from './passthrough/passthrough.js';
+export {BrokenAnswerError} from './passthrough/call.js';
+export type {
+  AdmittedCall,
+  CacheSource,
+  Generation,
+  Header,
+  IncomingCall,
+  PassthroughAnswer,
+  PassthroughError,
+  PassthroughTransport,
+  PromptPart,
+  SendOptions,
+  Sent,
+} from './passthrough/call.js';
+export type {CallEvent, CallObserver} from './passthrough/call-events.js';
+export {RouteTable} from './passthrough/route-table.js';
+export type {PassthroughRoute} from './passthrough/route-table.js';
+export {RetryAllowance} from './passthrough/retry-allowance.js';
+export type {RetryAllowanceParts} from './passthrough/retry-allowance.js';
+export {UsageLimiter} from './passthrough/usage-limiter.js';
+export type {
+  LimitSlack,
+  UsageLimiterParts,
+} from './passthrough/usage-limiter.js';
+export {DiscoveredFleet} from './passthrough/discovered-fleet.js';
+export type {
+  BeatSender,
+  DiscoveredFleetParts,
+  FleetChange,
+} from './passthrough/discovered-fleet.js';
+export {UpstreamTable} from './passthrough/upstream-table.js';
+export {EventFrames} from './passthrough/event-frames.js';
+export {Beat} from './generated/messages/persimmonwick/beat.js';
--- /dev/null
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -0,0 +1,252 @@
+/**
+ * Hosts that find each other. Each host sends its state to all others that it
+ * knows, beginning with the seeds of its settings, as datagrams of totals: a
+ * lost, late or repeated one does no harm. A host that leaves says so; one that
+ * falls silent may have died or be cut off, and keeps its share for long.
+ */
+
+import type {Clock} from '../clock.js';
+import type {
+  AccountUsage,
+  Beat,
+  UpstreamLoad,
+} from '../generated/messages/persimmonwick/beat.js';
+import type {FailureDomainId, HostId} from '../ids.js';
+import {hostId} from '../ids.js';
+import type {RandomSource} from '../random.js';
+
+/** Sends beats; what can't be sent is dropped. */
+export interface BeatSender {
+  send(address: string, beat: Beat): void;
+}
+
+/** What a host tells of itself. */
+export interface OwnState {
+  readonly usage: AccountUsage[];
+  readonly loads: UpstreamLoad[];
+}
+
+export type FleetChange =
+  | {readonly kind: 'joined'; readonly host: HostId}
+  | {readonly kind: 'restarted'; readonly host: HostId}
+  | {readonly kind: 'left'; readonly host: HostId}
+  | {readonly kind: 'silent'; readonly host: HostId}
+  | {readonly kind: 'heard-again'; readonly host: HostId}
+  | {readonly kind: 'forgotten'; readonly host: HostId};
+
+export interface DiscoveredFleetParts {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly self: HostId;
+  /** Later starts of the same host have higher numbers. */
+  readonly incarnation: bigint;
+  /** Address at which this host receives beats. */
+  readonly address: string;
+  readonly failureDomain: FailureDomainId;
+  readonly seeds: readonly string[];
+  readonly sender: BeatSender;
+  readonly ownState: () => OwnState;
+  readonly onBeat: (beat: Beat) => void;
+  readonly onChange: (change: FleetChange) => void;
+}
+
+interface Peer {
+  readonly host: HostId;
+  address: string;
+  incarnation: bigint;
+  sequence: bigint;
+  heardAt: number;
+  state: 'live' | 'silent';
+}
+
+/** Beats of a small fleet; what others admitted is known that much later. */
+const beatMilliseconds = 200;
+
+/** Added for each peer, so that sending costs the same in a large fleet. */
+const beatMillisecondsForEachPeer = 12;
+
+/** Beats that may be lost before a host counts as silent. */
+const silentBeats = 6;
+
+/** A host that was silent for so long is not waited for any more. */
+const forgetMilliseconds = 300_000;
+
+/** Known hosts named in one beat; each beat names the next ones. */
+const knownInBeat = 12;
+
+export class DiscoveredFleet {
+  private readonly peers = new Map<HostId, Peer>();
+  /** Addresses that were named but not heard of yet. */
+  private readonly candidates = new Map<string, number>();
+  /** Processes that said they leave, so that a late beat does not revive them. */
+  private readonly left = new Map<HostId, bigint>();
+  private readonly closing = new AbortController();
+  private sequence = 0n;
+  private isLeaving = false;
+  private nextKnown = 0;
+  private task: Promise<void> | undefined;
+
+  constructor(private readonly parts: DiscoveredFleetParts) {}
+
+  start(): void {
+    this.task = this.run();
+  }
+
+  /** Known hosts, this one included. */
+  get hostCount(): number {
+    return this.peers.size + 1;
+  }
+
+  /** Known hosts that are not heard of now. */
+  get silentCount(): number {
+    return [...this.peers.values()].filter(peer => peer.state === 'silent')
+      .length;
+  }
+
+  get liveHosts(): HostId[] {
+    return [...this.peers.values()]
+      .filter(peer => peer.state === 'live')
+      .map(peer => peer.host);
+  }
+
+  /** Tells the others that this host takes no new requests. */
+  leave(): void {
+    this.isLeaving = true;
+    this.sendAll();
+  }
+
+  async close(): Promise<void> {
+    this.closing.abort();
+    await this.task;
+  }
+
+  /** Takes the beat of another host. */
+  receive(beat: Beat): void {
+    const host = hostId(beat.host);
+    if (host === this.parts.self) return;
+    for (const {address, host: name} of beat.known)
+      if (name !== this.parts.self) this.addCandidate(address);
+    if (!this.admit(host, beat)) return;
+    this.candidates.delete(beat.address);
+    this.parts.onBeat(beat);
+    if (beat.leaving) this.noteLeft(host, beat.incarnation);
+  }
+
+  /** False for a beat that is older than what is known of its sender. */
+  private admit(host: HostId, beat: Beat): boolean {
+    const {clock, onChange} = this.parts;
+    const {incarnation, sequence, address} = beat;
+    if ((this.left.get(host) ?? -1n) >= incarnation) return false;
+    const heardAt = clock.now();
+    const known = this.peers.get(host);
+    if (known === undefined) {
+      const state = 'live' as const;
+      const peer = {host, address, incarnation, sequence, heardAt, state};
+      this.peers.set(host, peer);
+      onChange({kind: 'joined', host});
+      return true;
+    }
+    if (incarnation < known.incarnation) return false;
+    const isRestarted = incarnation > known.incarnation;
+    if (!isRestarted && sequence <= known.sequence) return false;
+    if (isRestarted) onChange({kind: 'restarted', host});
+    else if (known.state === 'silent') onChange({kind: 'heard-again', host});
+    Object.assign(known, {address, incarnation, sequence, heardAt});
+    known.state = 'live';
+    return true;
+  }
+
+  private noteLeft(host: HostId, incarnation: bigint): void {
+    this.left.set(host, incarnation);
+    if (this.peers.delete(host)) this.parts.onChange({kind: 'left', host});
+  }
+
+  private addCandidate(address: string): void {
+    const isKnown = [...this.peers.values()].some(
+      peer => peer.address === address,
+    );
+    if (!isKnown && address !== this.parts.address)
+      this.candidates.set(address, this.parts.clock.now());
+  }
+
+  private async run(): Promise<void> {
+    const {clock, random} = this.parts;
+    const {signal} = this.closing;
+    while (!signal.aborted) {
+      this.noteSilence();
+      this.sendAll();
+      const jitter = 0.9 + 0.2 * random.next();
+      await clock.sleep(this.interval() * jitter, signal);
+    }
+  }
+
+  private interval(): number {
+    return beatMilliseconds + beatMillisecondsForEachPeer * this.peers.size;
+  }
+
+  private noteSilence(): void {
+    const {clock, onChange} = this.parts;
+    const now = clock.now();
+    for (const peer of [...this.peers.values()]) {
+      const silence = now - peer.heardAt;
+      if (silence > forgetMilliseconds) {
+        this.peers.delete(peer.host);
+        onChange({kind: 'forgotten', host: peer.host});
+      } else if (
+        peer.state === 'live' &&
+        silence > silentBeats * this.interval()
+      ) {
+        peer.state = 'silent';
+        onChange({kind: 'silent', host: peer.host});
+      }
+    }
+    for (const [address, namedAt] of [...this.candidates])
+      if (now - namedAt > silentBeats * this.interval())
+        this.candidates.delete(address);
+  }
+
+  private sendAll(): void {
+    const {sender, seeds} = this.parts;
+    const beat = this.makeBeat();
+    const addresses = new Set(
+      [...this.peers.values()].map(each => each.address),
+    );
+    for (const address of [...seeds, ...this.candidates.keys()])
+      addresses.add(address);
+    addresses.delete(this.parts.address);
+    for (const address of addresses) sender.send(address, beat);
+  }
+
+  private makeBeat(): Beat {
+    const {self, incarnation, address, failureDomain, ownState} = this.parts;
+    this.sequence += 1n;
+    const {usage, loads} = ownState();
+    return {
+      host: self,
+      incarnation,
+      sequence: this.sequence,
+      address,
+      failureDomain,
+      leaving: this.isLeaving,
+      usage,
+      loads,
+      known: this.nextKnownHosts(),
+    };
+  }
+
+  private nextKnownHosts(): Beat['known'] {
+    const live = [...this.peers.values()].filter(peer => peer.state === 'live');
+    const count = Math.min(knownInBeat, live.length);
+    const chosen = Array.from(
+      {length: count},
+      (_, index) => live[(this.nextKnown + index) % live.length]!,
+    );
+    this.nextKnown =
+      live.length > 0 ? (this.nextKnown + count) % live.length : 0;
+    return chosen.map(({host, address, incarnation}) => ({
+      host,
+      address,
+      incarnation,
+    }));
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -0,0 +1,85 @@
+/** Passed-through routes of a configuration, indexed by host and path. */
+
+import type {Configuration} from '../configuration/configuration.js';
+import type {PoolDocument, RouteDocument} from '../generated/documents.js';
+import type {AccountId} from '../ids.js';
+import {matchesSelector} from '../labels.js';
+import {mayUseRoute} from '../requests/authentication.js';
+
+type PassthroughTarget = Extract<
+  RouteDocument['spec']['target'],
+  {kind: 'passthrough'}
+>;
+
+/** Urgency of routes that name none. */
+const defaultUrgency = 5;
+
+/** A route with the pools that its selectors match. */
+export interface PassthroughRoute {
+  readonly name: string;
+  readonly document: RouteDocument;
+  readonly target: PassthroughTarget;
+  readonly pools: readonly WeightedPool[];
+  readonly urgency: number;
+  /** Time to the first byte that callers want; none when undefined. */
+  readonly targetMilliseconds: number | undefined;
+}
+
+export interface WeightedPool {
+  readonly pool: PoolDocument;
+  readonly weight: number;
+}
+
+export class RouteTable {
+  /** Routes of a host, longest prefix first. */
+  private readonly byHost = new Map<string, PassthroughRoute[]>();
+
+  constructor(readonly configuration: Configuration) {
+    for (const document of configuration.routes) {
+      const route = resolveRoute(configuration, document);
+      if (route === undefined) continue;
+      const host = route.target.host;
+      const routes = this.byHost.get(host) ?? [];
+      routes.push(route);
+      this.byHost.set(host, routes);
+    }
+    for (const routes of this.byHost.values())
+      routes.sort(
+        (left, right) =>
+          right.target.pathPrefix.length - left.target.pathPrefix.length,
+      );
+  }
+
+  /** The route of `host` with the longest prefix that begins `path`. */
+  find(host: string, path: string): PassthroughRoute | undefined {
+    return this.byHost
+      .get(host)
+      ?.find(route => path.startsWith(route.target.pathPrefix));
+  }
+
+  /** True when `account` may use `route`. */
+  mayUse(route: PassthroughRoute, account: AccountId | undefined): boolean {
+    return mayUseRoute(this.configuration, route.document, account);
+  }
+}
+
+function resolveRoute(
+  configuration: Configuration,
+  document: RouteDocument,
+): PassthroughRoute | undefined {
+  const {target, service} = document.spec;
+  if (target.kind !== 'passthrough') return undefined;
+  return {
+    name: document.name,
+    document,
+    target,
+    pools: target.pools.flatMap(({labels, weight}) =>
+      configuration.pools
+        .filter(pool => matchesSelector(labels, pool.labels ?? {}))
+        .map(pool => ({pool, weight})),
+    ),
+    urgency: target.urgency ?? defaultUrgency,
+    targetMilliseconds:
+      service?.kind === 'targeted' ? service.firstTokenMilliseconds : undefined,
+  };
+}
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -29,6 +29,18 @@
     text: 'the daemon has closed',
     fields: ['cutRequests'],
   },
+  passthroughStarted: {
+    number: 1004,
+    level: 'info',
+    text: 'the host takes passed-through calls',
+    fields: ['host', 'incarnation', 'callers', 'beats'],
+  },
+  settingsUnchanged: {
+    number: 1005,
+    level: 'info',
+    text: 'settings are only read at the start; a changed file needs a restart',
+    fields: ['path'],
+  },
   configurationApplied: {
     number: 2001,
     level: 'info',
@@ -47,18 +59,54 @@
     text: 'the platform gave no usable answer',
     fields: ['address', 'reason'],
   },
+  platformLost: {
+    number: 2004,
+    level: 'warn',
+    text: 'the platform can not be read; what was read last stays',
+    fields: ['reason', 'proofAge'],
+  },
+  platformRegained: {
+    number: 2005,
+    level: 'info',
+    text: 'the platform is read again',
+    fields: ['reason', 'proofAge'],
+  },
+  platformValueIgnored: {
+    number: 2006,
+    level: 'warn',
+    text: 'a published value can not be used and is left out',
+    fields: ['key', 'reason'],
+  },
   peerRefused: {
     number: 2101,
     level: 'warn',
     text: 'a request of another host is refused',
     fields: ['peer', 'code'],
   },
+  hostChanged: {
+    number: 2102,
+    level: 'info',
+    text: 'what is believed of another host changed',
+    fields: ['peer', 'change', 'hosts'],
+  },
+  beatFailed: {
+    number: 2103,
+    level: 'warn',
+    text: 'a datagram between hosts could not be sent or read',
+    fields: ['address', 'reason'],
+  },
   attemptSwept: {
     number: 2201,
     level: 'warn',
     text: 'memory that an engine held for a gone request is freed',
     fields: ['upstream', 'attempt', 'owner', 'reason'],
   },
+  upstreamChanged: {
+    number: 2202,
+    level: 'info',
+    text: 'the list of upstreams changed',
+    fields: ['upstream', 'change', 'address', 'domain'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
@@ -71,6 +119,56 @@
     text: 'a request was refused or failed',
     fields: ['request', 'account', 'route', 'status', 'code', 'ran'],
   },
+  callAdmitted: {
+    number: 3101,
+    level: 'info',
+    text: 'a passed-through call is admitted',
+    fields: ['request', 'route', 'account', 'version', 'proofAge', 'tokens'],
+  },
+  callRefused: {
+    number: 3102,
+    level: 'info',
+    text: 'a passed-through call is refused before it is sent',
+    fields: ['request', 'code', 'route', 'account', 'version', 'retryAfter'],
+  },
+  upstreamChosen: {
+    number: 3103,
+    level: 'info',
+    text: 'an upstream is chosen for a part of a call',
+    fields: [
+      'request',
+      'purpose',
+      'upstream',
+      'candidates',
+      'load',
+      'slowness',
+      'waited',
+    ],
+  },
+  callStageDone: {
+    number: 3104,
+    level: 'info',
+    text: 'an upstream answered a part of a call or failed to',
+    fields: ['request', 'purpose', 'upstream', 'outcome', 'took'],
+  },
+  callRetried: {
+    number: 3105,
+    level: 'info',
+    text: 'a call is sent again',
+    fields: ['request', 'reason', 'tries'],
+  },
+  callRetryWithheld: {
+    number: 3106,
+    level: 'warn',
+    text: 'a call is not sent again because the retry budget is used up',
+    fields: ['request', 'reason'],
+  },
+  streamResumed: {
+    number: 3107,
+    level: 'info',
+    text: 'a stream goes on at another upstream',
+    fields: ['request', 'upstream', 'afterEvent'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/operators/explain.ts
+++ b/packages/daemon/src/operators/explain.ts
@@ -146,5 +146,9 @@
       return {prefill: target.prefill, decode: target.decode};
     case 'service':
       return {service: target.services};
+    case 'passthrough': {
+      const selector = target.pools[0]?.labels ?? {};
+      return {service: selector, engine: selector};
+    }
   }
 }
--- /dev/null
+++ b/packages/daemon/src/passthrough/index.ts
@@ -0,0 +1,10 @@
+/** Public surface of hosts that pass calls through for a platform's adapter. */
+
+export {startPassthroughDaemon} from './passthrough-daemon.js';
+export type {PassthroughDaemon, PlatformAdapter} from './passthrough-daemon.js';
+export type {PassthroughSettings} from './passthrough-settings.js';
+export type * from './platform-feed.js';
+export type * from './wire.js';
+export {connectionHeaders} from './http-transport.js';
+export {createEventLog} from '../log/logger.js';
+export type {EventLog} from '../log/logger.js';
--- /dev/null
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -0,0 +1,318 @@
+/** One host that passes calls through: its parts, from start to stop. */
+
+import {randomInt} from 'node:crypto';
+import {
+  DiscoveredFleet,
+  KeyFreshness,
+  PassthroughHost,
+  RetryAllowance,
+  RouteTable,
+  UpstreamTable,
+  UsageLimiter,
+  accountId,
+  buildConfiguration,
+  failureDomainId,
+  hostId,
+  seededRandom,
+  systemClock,
+} from '@persimmonwick/coordination';
+import type {Beat, UpstreamDocument} from '@persimmonwick/coordination';
+import type {FastifyInstance} from 'fastify';
+import type {EventLog} from '../log/logger.js';
+import {BeatSocket} from './beat-socket.js';
+import {CallServer} from './call-server.js';
+import type {CallEnd, CallerLimits} from './call-server.js';
+import {HttpPassthroughTransport} from './http-transport.js';
+import {logCallEvent, logFleetChange} from './passthrough-log.js';
+import {PassthroughMetrics} from './passthrough-metrics.js';
+import type {PassthroughSettings} from './passthrough-settings.js';
+import type {
+  FeedSink,
+  PlatformFeed,
+  PublishedConfiguration,
+} from './platform-feed.js';
+import {serveMetrics, serveReadiness} from './status-server.js';
+import {UpstreamConnections} from './upstream-connections.js';
+import type {CallerWire, UpstreamWire} from './wire.js';
+
+/** What an adapter brings along. */
+export interface PlatformAdapter {
+  readonly settings: PassthroughSettings;
+  readonly callerWire: CallerWire;
+  readonly upstreamWire: UpstreamWire;
+  readonly feed: PlatformFeed;
+}
+
+/** A host that runs. */
+export interface PassthroughDaemon {
+  /** Stops taking calls, finishes those in flight, and closes. */
+  close(): Promise<void>;
+}
+
+/** Limits until the first configuration is known. */
+const firstLimits: CallerLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerMilliseconds: 5000,
+  idleMilliseconds: 15_000,
+};
+
+/** Time in which balancers learn that a host is not ready any more. */
+const handOffMilliseconds = 2500;
+
+/** Left of the grace for the end of the process itself. */
+const exitMilliseconds = 400;
+
+/** Part of the age limit of keys from which other hosts serve better. */
+const readyProofPart = 0.55;
+
+/** Starts a host; resolves when it listens. */
+export async function startPassthroughDaemon(
+  adapter: PlatformAdapter,
+  log: EventLog,
+): Promise<PassthroughDaemon> {
+  const daemon = new RunningDaemon(adapter, log);
+  await daemon.start();
+  return daemon;
+}
+
+class RunningDaemon implements PassthroughDaemon, FeedSink {
+  readonly freshness: KeyFreshness;
+  private readonly startedAt = Date.now();
+  private readonly upstreams = new UpstreamTable(systemClock);
+  private readonly connections = new UpstreamConnections(systemClock);
+  private readonly limiter: UsageLimiter;
+  private readonly fleet: DiscoveredFleet;
+  private readonly beats: BeatSocket;
+  private readonly host: PassthroughHost;
+  private readonly server: CallServer;
+  private readonly metrics: PassthroughMetrics;
+  private readonly pages: FastifyInstance[] = [];
+  private routes: RouteTable | undefined;
+  private limits = firstLimits;
+  private hasUpstreams = false;
+  private isDraining = false;
+  private isReachable: boolean | undefined;
+  private closing: Promise<void> | undefined;
+
+  constructor(
+    private readonly adapter: PlatformAdapter,
+    private readonly log: EventLog,
+  ) {
+    const {settings} = adapter;
+    const clock = systemClock;
+    const random = seededRandom(randomInt(2 ** 31));
+    const failureDomain = failureDomainId(settings.failureDomain);
+    this.freshness = new KeyFreshness({
+      clock,
+      maximumAgeMilliseconds: settings.keyProofMilliseconds,
+    });
+    this.beats = new BeatSocket({
+      onBeat: beat => this.fleet.receive(beat),
+      onFault: (address, reason) => log.write('beatFailed', {address, reason}),
+    });
+    this.fleet = new DiscoveredFleet({
+      clock,
+      random,
+      self: hostId(settings.host),
+      incarnation: BigInt(this.startedAt),
+      address: settings.listen.beats,
+      failureDomain,
+      seeds: settings.seeds,
+      sender: this.beats,
+      ownState: () => ({
+        usage: this.limiter.totals(),
+        loads: this.upstreams.ownLoads(),
+      }),
+      onBeat: beat => this.takeBeat(beat),
+      onChange: change => logFleetChange(log, change, this.fleet.hostCount),
+    });
+    const hostCount = () => this.fleet.hostCount;
+    this.limiter = new UsageLimiter({
+      clock,
+      slack: settings.limitSlack,
+      silentHosts: () => this.fleet.silentCount,
+      hostCount,
+    });
+    this.metrics = new PassthroughMetrics(() => this.gauges());
+    this.host = new PassthroughHost({
+      clock,
+      random,
+      failureDomain,
+      transport: new HttpPassthroughTransport(
+        this.connections,
+        adapter.upstreamWire,
+      ),
+      upstreams: this.upstreams,
+      retries: new RetryAllowance({clock, hostCount, ...settings.retries}),
+      observer: (call, event) => {
+        this.metrics.countEvent(event);
+        logCallEvent(log, call, event);
+      },
+      routes: () => this.routes,
+      freshness: this.freshness,
+      limiter: this.limiter,
+    });
+    this.server = new CallServer({
+      clock,
+      host: this.host,
+      wire: adapter.callerWire,
+      limits: () => this.limits,
+      onEnd: end => this.noteEnd(end),
+    });
+  }
+
+  async start(): Promise<void> {
+    const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
+    this.adapter.feed.start(this);
+    await this.server.listen(listen.callers);
+    this.pages.push(
+      await serveReadiness(listen.readiness, readinessPath, () => this.isReady),
+    );
+    await this.beats.listen(listen.beats);
+    this.fleet.start();
+    if (listen.metrics !== undefined)
+      this.pages.push(
+        await serveMetrics(listen.metrics, metricsPath, () =>
+          this.metrics.registry.metrics(),
+        ),
+      );
+    this.log.write('passthroughStarted', {
+      host,
+      incarnation: String(this.startedAt),
+      callers: listen.callers,
+      beats: listen.beats,
+    });
+  }
+
+  close(): Promise<void> {
+    this.closing ??= this.stop();
+    return this.closing;
+  }
+
+  onConfiguration(published: PublishedConfiguration): void {
+    const {version, documents, limits} = published;
+    const before = this.routes?.configuration.version ?? -1n;
+    if (version <= before) return;
+    const built = buildConfiguration(version, documents);
+    if (built.isErr) {
+      const faults = JSON.stringify(built.error.slice(0, 5));
+      this.log.write('configurationRefused', {
+        version: Number(version),
+        faults,
+      });
+      return;
+    }
+    this.routes = new RouteTable(built.value);
+    this.limits = limits;
+    this.server.applyLimits();
+    this.log.write('configurationApplied', {
+      version: Number(version),
+      documents: documents.length,
+      source: 'platform',
+    });
+  }
+
+  onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
+    this.hasUpstreams = true;
+    const {joined, leaving, gone} = this.upstreams.replace(upstreams);
+    const write = (change: string) => (each: UpstreamDocument) =>
+      this.log.write('upstreamChanged', {
+        upstream: each.name,
+        change,
+        address: each.spec.address,
+        domain: each.spec.failureDomain,
+      });
+    joined.forEach(write('joined'));
+    leaving.forEach(write('leaving'));
+    gone.forEach(write('gone'));
+  }
+
+  onReachable(isReachable: boolean, reason: string): void {
+    if (this.isReachable === isReachable) return;
+    this.isReachable = isReachable;
+    this.log.write(isReachable ? 'platformRegained' : 'platformLost', {
+      reason,
+      proofAge: Math.round(this.freshness.age()),
+    });
+  }
+
+  onMalformed(key: string, reason: string): void {
+    this.log.write('platformValueIgnored', {key, reason});
+  }
+
+  private get isReady(): boolean {
+    if (this.isDraining || this.routes === undefined || !this.hasUpstreams)
+      return false;
+    const {keyProofMilliseconds} = this.adapter.settings;
+    return (
+      keyProofMilliseconds === undefined ||
+      this.freshness.age() < keyProofMilliseconds * readyProofPart
+    );
+  }
+
+  private takeBeat(beat: Beat): void {
+    this.upstreams.noteBeat(beat);
+    const host = hostId(beat.host);
+    for (const {account, admittedTokens} of beat.usage)
+      this.limiter.noteTotal(
+        host,
+        beat.incarnation,
+        accountId(account),
+        admittedTokens,
+      );
+  }
+
+  private noteEnd(end: CallEnd): void {
+    this.metrics.countEnd(end);
+    const {id: request, account, route, status, milliseconds, failure} = end;
+    const common = {request, account, route, status};
+    if (failure === undefined)
+      this.log.write('requestFinished', {
+        ...common,
+        milliseconds: Math.round(milliseconds),
+      });
+    else
+      this.log.write('requestFailed', {
+        ...common,
+        code: failure.code,
+        ran: failure.ran,
+      });
+  }
+
+  private gauges() {
+    return {
+      inFlight: this.server.inFlight,
+      waiting: this.host.waiting,
+      hosts: this.fleet.hostCount,
+      silentHosts: this.fleet.silentCount,
+      upstreams: this.upstreams.size,
+      configurationVersion: Number(this.routes?.configuration.version ?? 0n),
+      proofAgeSeconds: this.freshness.age() / 1000,
+      connectionsOpened: this.connections.opened,
+    };
+  }
+
+  private async stop(): Promise<void> {
+    const {graceMilliseconds} = this.adapter.settings;
+    const endAt = systemClock.now() + graceMilliseconds - exitMilliseconds;
+    this.isDraining = true;
+    this.log.write('daemonStopping', {inFlight: this.server.inFlight});
+    this.server.startDraining();
+    // Balancers go on sending new connections until they have asked again.
+    await systemClock.sleep(
+      Math.min(handOffMilliseconds, graceMilliseconds / 2),
+    );
+    this.server.stopListening();
+    const cutRequests = await this.server.drain(endAt - systemClock.now());
+    this.fleet.leave();
+    await this.server.close();
+    await this.adapter.feed.close();
+    await this.fleet.close();
+    this.host.close();
+    this.connections.closeAll();
+    this.beats.close();
+    for (const page of this.pages) await page.close();
+    this.log.write('daemonStopped', {cutRequests});
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -0,0 +1,63 @@
+/** Writes the decisions of a host to the log, within bounds. */
+
+import type {CallEvent, FleetChange} from '@persimmonwick/coordination';
+import type {EventLog} from '../log/logger.js';
+
+/** Writes one decision about the call `request`. */
+export function logCallEvent(
+  log: EventLog,
+  request: string,
+  event: CallEvent,
+): void {
+  switch (event.kind) {
+    case 'admitted': {
+      const {kind: _, ...fields} = event;
+      return log.write('callAdmitted', {request, ...rounded(fields)});
+    }
+    case 'refused': {
+      const {kind: _, ...fields} = event;
+      return log.write('callRefused', {request, ...rounded(fields)});
+    }
+    case 'chosen': {
+      const {kind: _, ...fields} = event;
+      return log.write('upstreamChosen', {request, ...rounded(fields)});
+    }
+    case 'stage-done': {
+      const {kind: _, ...fields} = event;
+      return log.write('callStageDone', {request, ...rounded(fields)});
+    }
+    case 'retried': {
+      const {kind: _, ...fields} = event;
+      return log.write('callRetried', {request, ...fields});
+    }
+    case 'retry-withheld':
+      return log.write('callRetryWithheld', {request, reason: event.reason});
+    case 'resumed': {
+      const {kind: _, ...fields} = event;
+      return log.write('streamResumed', {request, ...fields});
+    }
+  }
+}
+
+/** Writes a change of what is believed of another host. */
+export function logFleetChange(
+  log: EventLog,
+  {kind, host}: FleetChange,
+  hosts: number,
+): void {
+  log.write('hostChanged', {peer: host, change: kind, hosts});
+}
+
+const digits = 100;
+
+/** The same fields with numbers of two decimals. */
+function rounded<Fields extends Record<string, string | number>>(
+  fields: Fields,
+): Fields {
+  return Object.fromEntries(
+    Object.entries(fields).map(([name, value]) => [
+      name,
+      typeof value === 'number' ? Math.round(value * digits) / digits : value,
+    ]),
+  ) as Fields;
+}
--- /dev/null
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -0,0 +1,121 @@
+/** Counters and latency histograms of passed-through calls. */
+
+import {Counter, Gauge, Registry} from 'prom-client';
+import {build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import type {CallEvent} from '@persimmonwick/coordination';
+import type {CallEnd} from './call-server.js';
+
+/** Values that are read when the page is. */
+export interface PassthroughGauges {
+  readonly inFlight: number;
+  readonly waiting: number;
+  readonly hosts: number;
+  readonly silentHosts: number;
+  readonly upstreams: number;
+  readonly configurationVersion: number;
+  readonly proofAgeSeconds: number;
+  readonly connectionsOpened: number;
+}
+
+const percentiles = [50, 95, 99];
+const percent = 100;
+const longestMilliseconds = 600_000;
+
+export class PassthroughMetrics {
+  readonly registry = new Registry();
+  private readonly histograms = new Map<string, Histogram>();
+  private readonly ends: Counter<'route' | 'status' | 'code'>;
+  private readonly decisions: Counter<'decision' | 'outcome'>;
+
+  constructor(gauges: () => PassthroughGauges) {
+    const registers = [this.registry];
+    this.ends = new Counter({
+      name: 'persimmonwick_calls_total',
+      help: 'Passed-through calls by route, status and failure code',
+      labelNames: ['route', 'status', 'code'],
+      registers,
+    });
+    this.decisions = new Counter({
+      name: 'persimmonwick_call_decisions_total',
+      help: 'Decisions about passed-through calls',
+      labelNames: ['decision', 'outcome'],
+      registers,
+    });
+    this.addLatencies();
+    const names: readonly (keyof PassthroughGauges)[] = [
+      'inFlight',
+      'waiting',
+      'hosts',
+      'silentHosts',
+      'upstreams',
+      'configurationVersion',
+      'proofAgeSeconds',
+      'connectionsOpened',
+    ];
+    for (const name of names)
+      new Gauge({
+        name: `persimmonwick_${name.replace(/[A-Z]/g, each => `_${each.toLowerCase()}`)}`,
+        help: `Present value of ${name}`,
+        registers,
+        collect() {
+          const value = gauges()[name];
+          this.set(Number.isFinite(value) ? value : -1);
+        },
+      });
+  }
+
+  countEnd({route, status, failure, milliseconds}: CallEnd): void {
+    this.ends.inc({route, status: String(status), code: failure?.code ?? ''});
+    if (failure === undefined) this.record('whole', milliseconds);
+  }
+
+  countEvent(event: CallEvent): void {
+    switch (event.kind) {
+      case 'stage-done':
+        this.decisions.inc({decision: event.purpose, outcome: event.outcome});
+        this.record(event.purpose, event.took);
+        break;
+      case 'chosen':
+        break;
+      case 'admitted':
+      case 'refused':
+      case 'retried':
+      case 'retry-withheld':
+      case 'resumed':
+        this.decisions.inc({decision: event.kind, outcome: ''});
+    }
+  }
+
+  private record(phase: string, milliseconds: number): void {
+    let histogram = this.histograms.get(phase);
+    if (histogram === undefined) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: longestMilliseconds,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.histograms.set(phase, histogram);
+    }
+    const value = Math.min(longestMilliseconds, Math.max(1, milliseconds));
+    histogram.recordValue(Math.round(value));
+  }
+
+  private addLatencies(): void {
+    const {histograms} = this;
+    new Gauge({
+      name: 'persimmonwick_call_milliseconds',
+      help: 'Quantiles of the time of each phase of passed-through calls',
+      labelNames: ['phase', 'quantile'],
+      registers: [this.registry],
+      collect() {
+        for (const [phase, histogram] of histograms)
+          for (const shown of percentiles)
+            this.set(
+              {phase, quantile: String(shown / percent)},
+              histogram.getValueAtPercentile(shown),
+            );
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/passthrough/status-server.ts
@@ -0,0 +1,41 @@
+/** Small pages for the platform and operators: readiness and metrics. */
+
+import {fastify} from 'fastify';
+import type {FastifyInstance} from 'fastify';
+
+const unavailableStatus = 503;
+
+/** Answers `path` with 200 while `isReady` holds. */
+export async function serveReadiness(
+  address: string,
+  path: string,
+  isReady: () => boolean,
+): Promise<FastifyInstance> {
+  const server = fastify({forceCloseConnections: true});
+  server.get(path, async (_request, reply) =>
+    reply.code(isReady() ? 200 : unavailableStatus).send({ready: isReady()}),
+  );
+  return listen(server, address);
+}
+
+/** Answers `path` with the text of the metrics. */
+export async function serveMetrics(
+  address: string,
+  path: string,
+  read: () => Promise<string>,
+): Promise<FastifyInstance> {
+  const server = fastify({forceCloseConnections: true});
+  server.get(path, async (_request, reply) =>
+    reply.type('text/plain; version=0.0.4').send(await read()),
+  );
+  return listen(server, address);
+}
+
+async function listen(
+  server: FastifyInstance,
+  address: string,
+): Promise<FastifyInstance> {
+  const [host, port] = address.split(':') as [string, string];
+  await server.listen({host, port: Number(port)});
+  return server;
+}
--- /dev/null
+++ b/packages/daemon/src/passthrough/wire.ts
@@ -0,0 +1,82 @@
+/** How an adapter names things on the wires of callers and upstreams. */
+
+import type {
+  AdmittedCall,
+  Header,
+  IncomingCall,
+  RequestFailure,
+  SendOptions,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
+import type {Result} from 'true-myth';
+
+/** The head of a request as it was read. */
+export interface RequestHead {
+  readonly method: string;
+  readonly target: string;
+  /** Names and values by turns, as they were sent. */
+  readonly rawHeaders: readonly string[];
+}
+
+/** The wire towards callers. */
+export interface CallerWire {
+  /** Reads a call; fails for heads that can't be passed on safely. */
+  readCall(
+    head: RequestHead,
+    arrivedAt: number,
+  ): Result<IncomingCall, RequestFailure>;
+  /** Headers of a refusal or failure, besides those of its body. */
+  failureHeaders(failure: RequestFailure): readonly Header[];
+}
+
+/** What the head of an answer says. */
+export type AnswerKind =
+  /** The upstream ran the call; this is its answer. */
+  | 'ran'
+  /** The upstream did not run the call and never will. */
+  | 'refused'
+  /** Another process than the expected one answered. */
+  | 'misdirected'
+  /** This answers another call, or is no answer that can be passed on. */
+  | 'foreign';
+
+/** A small request to an engine, beside calls. */
+export interface EngineRequest {
+  readonly method: 'DELETE' | 'POST';
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body?: string;
+}
+
+/** The wire towards upstreams. */
+export interface UpstreamWire {
+  /** Headers of a call, those of the caller included. */
+  callHeaders(
+    upstream: UpstreamDocument,
+    call: AdmittedCall,
+    options: SendOptions,
+  ): readonly Header[];
+  /** The same for having its prompt read only. */
+  prefillHeaders(
+    upstream: UpstreamDocument,
+    call: AdmittedCall,
+    options: SendOptions,
+  ): readonly Header[];
+  /** `headers` has lower-case names. */
+  kindOfAnswer(
+    call: AdmittedCall,
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): AnswerKind;
+  /** Handle of a prompt that was read; undefined when the body has none. */
+  cacheHandleOf(body: string): string | undefined;
+  releaseCacheRequest(handle: string): EngineRequest;
+  reserveRequest(
+    upstream: UpstreamDocument,
+    tokens: number,
+    lifetimeMilliseconds: number,
+  ): EngineRequest;
+  /** Id of a reservation; undefined when the body has none. */
+  reservationOf(body: string): string | undefined;
+  releaseReservationRequest(reservation: string): EngineRequest;
+}
