--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/generated/**', 'node_modules/**']},
+  {ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', 'target/**']},
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/packages/coordination/src/configuration/cross-check.ts
+++ b/packages/coordination/src/configuration/cross-check.ts
@@ -130,7 +130,8 @@
 function findPoolFaults(configuration: Configuration): DocumentFault[] {
   return configuration.pools
     .filter(
-      pool => pool.spec.role !== 'service' && pool.spec.model === undefined,
+      ({spec: {role, model}}) =>
+        (role === 'prefill' || role === 'decode') && model === undefined,
     )
     .map(pool => ({
       document: documentKey(pool),
--- a/packages/daemon/src/passthrough/call-server.ts
+++ b/packages/daemon/src/passthrough/call-server.ts
@@ -69,7 +69,7 @@
     });
     this.instance.addHook('onRequest', (request, reply) => {
       reply.hijack();
-      void this.handle(request.raw, reply.raw);
+      void this.handle(request.raw, request.originalUrl, reply.raw);
     });
     this.instance.all('/', () => undefined);
     this.instance.server.on('connection', (socket: Socket) => {
@@ -120,11 +120,12 @@
 
   private async handle(
     request: IncomingMessage,
+    target: string,
     response: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
     try {
-      await this.answer(request, response);
+      await this.answer(request, target, response);
     } finally {
       this.inFlight -= 1;
       if (
@@ -138,6 +139,7 @@
 
   private async answer(
     request: IncomingMessage,
+    target: string,
     response: ServerResponse,
   ): Promise<void> {
     const {clock, wire, host} = this.parts;
@@ -155,7 +157,7 @@
       wire.readCall(
         {
           method: request.method ?? '',
-          target: request.url ?? '',
+          target,
           rawHeaders: request.rawHeaders,
         },
         arrivedAt,
