--- a/packages/daemon/src/passthrough/call-server.ts
+++ b/packages/daemon/src/passthrough/call-server.ts
@@ -124,9 +124,13 @@
     response: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
+    const {socket} = request;
     try {
       await this.answer(request, target, response);
     } finally {
+      // The head of an answer that began earlier did not tell the caller to
+      // close, and a further call would come too late to be finished.
+      if (this.isDraining && !socket.destroyed) socket.end();
       this.inFlight -= 1;
       if (
         this.isDraining &&
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -246,6 +246,10 @@
         body?.push(chunk);
       },
       onResponseEnd() {
+        if (connection.hasSocketFailed()) {
+          end('broken');
+          return;
+        }
         signal.removeEventListener('abort', onAbort);
         connection.keep();
         body?.finish();
--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -5,11 +5,16 @@
  */
 
 import type {Clock} from '@persimmonwick/coordination';
-import {Client} from 'undici';
+import {Client, buildConnector} from 'undici';
 
 /** A connection that one call uses. */
 export interface UpstreamConnection {
   readonly client: Client;
+  /**
+   * True when the socket ended with an error. An answer without a length that
+   * ends so is not whole, though the HTTP client takes it for whole.
+   */
+  readonly hasSocketFailed: () => boolean;
   /** Keeps it for the next call, after a whole and sound answer. */
   keep(): void;
   /** Closes it at once, with what is in flight. */
@@ -36,6 +41,10 @@
 export class UpstreamConnections {
   private readonly idle = new Map<string, Idle[]>();
   private readonly open = new Set<Client>();
+  private readonly failedSockets = new WeakSet<Client>();
+  private readonly connectSocket = buildConnector({
+    timeout: connectMilliseconds,
+  });
   private readonly sweep: NodeJS.Timeout;
   /** Connections that were opened since the start. */
   opened = 0;
@@ -52,6 +61,7 @@
     let isDone = false;
     return {
       client,
+      hasSocketFailed: () => this.failedSockets.has(client),
       keep: () => {
         if (isDone) return;
         isDone = true;
@@ -82,9 +92,14 @@
 
   private connect(address: string): Client {
     this.opened += 1;
-    const client = new Client(`http://${address}`, {
+    const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connectTimeout: connectMilliseconds,
+      connect: (options, callback) =>
+        this.connectSocket(options, (...result) => {
+          // Set before the HTTP client's own listener, so that it runs first.
+          result[1]?.once('error', () => this.failedSockets.add(client));
+          callback(...result);
+        }),
       // Times of calls are kept by the sender, with the reason at hand.
       headersTimeout: 0,
       bodyTimeout: 0,
