--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -4,6 +4,7 @@
  * closed it or lost track of it.
  */
 
+import type {Socket} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
 import {Client, buildConnector} from 'undici';
 
@@ -96,8 +97,8 @@
       pipelining: 1,
       connect: (options, callback) =>
         this.connectSocket(options, (...result) => {
-          // Set before the HTTP client's own listener, so that it runs first.
-          result[1]?.once('error', () => this.failedSockets.add(client));
+          // Set before the HTTP client's own listeners, so that they run first.
+          watchForReset(result[1], () => this.failedSockets.add(client));
           callback(...result);
         }),
       // Times of calls are kept by the sender, with the reason at hand.
@@ -134,3 +135,15 @@
     }
   }
 }
+
+/**
+ * Calls `onReset` when the other end resets the connection. A reset that comes
+ * together with the last bytes is reported as an ordinary end; the connection
+ * then has no other end any more, which one that was closed in order still has.
+ */
+function watchForReset(socket: Socket | null, onReset: () => void): void {
+  socket?.once('error', onReset);
+  socket?.once('end', () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+}
