Use three fifths of the stated slack, start a new process with a small part of the burst

The bucket now holds and fills with 0.6 of the slack; what a restarted fleet could admit before hosts hear each other is kept inside the bound by a small first level. The property test found the restart first.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -274,6 +274,7 @@
 export type {RetryAllowanceParts} from './passthrough/retry-allowance.js';
 export {UsageLimiter} from './passthrough/usage-limiter.js';
 export type {
+  AccountRate,
   LimitSlack,
   UsageLimiterParts,
 } from './passthrough/usage-limiter.js';
--- a/packages/coordination/src/passthrough/memory-queue.ts
+++ b/packages/coordination/src/passthrough/memory-queue.ts
@@ -52,7 +52,7 @@
 
 export class MemoryQueue {
   private readonly waiting = new Set<Waiting>();
-  private timer: NodeJS.Timeout | undefined;
+  private wake = new AbortController();
   private readonly unsubscribe: () => void;
 
   constructor(
@@ -64,7 +64,7 @@
 
   close(): void {
     this.unsubscribe();
-    clearTimeout(this.timer);
+    this.wake.abort();
   }
 
   get length(): number {
@@ -105,8 +105,12 @@
 
   private schedule(milliseconds: number): void {
     if (this.waiting.size === 0) return;
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.pump(), milliseconds);
+    this.wake.abort();
+    const wake = new AbortController();
+    this.wake = wake;
+    void this.parts.clock.sleep(milliseconds, wake.signal).then(() => {
+      if (!wake.signal.aborted) this.pump();
+    });
   }
 
   /** Asks engines for the calls that go first while any may have room. */
--- a/packages/coordination/src/passthrough/usage-limiter.ts
+++ b/packages/coordination/src/passthrough/usage-limiter.ts
@@ -7,7 +7,9 @@
  */
 
 import type {Clock} from '../clock.js';
+import type {AccountUsage} from '../generated/messages/persimmonwick/beat.js';
 import type {AccountId, HostId} from '../ids.js';
+import {accountId} from '../ids.js';
 
 /** Rate of an account, in tokens. */
 export interface AccountRate {
@@ -31,23 +33,32 @@
   readonly hostCount: () => number;
 }
 
-/** Part of the slack that is added to the burst; the rest covers lag. */
-const usedSlackPart = 0.3;
+/** Part of the slack that admissions use; the rest covers what is unheard. */
+const usedSlackPart = 0.6;
+
+/** Hosts that a new process assumes to start with it, at least. */
+const startingHosts = 8;
 
 const millisecondsPerSecond = 1000;
 
+interface HeardProcess {
+  readonly incarnation: bigint;
+  readonly totals: Map<string, number>;
+}
+
 interface AccountUse {
   level: number;
   updatedAt: number;
   /** Total that this host admitted. */
   admitted: number;
-  rate: AccountRate;
 }
 
 export class UsageLimiter {
   private readonly accounts = new Map<AccountId, AccountUse>();
-  /** Newest total of each process by account. */
-  private readonly heard = new Map<string, Map<string, number>>();
+  /** Newest totals of the process of each other host. */
+  private readonly heard = new Map<HostId, HeardProcess>();
+  /** Newest levels of accounts that this host has not used yet. */
+  private readonly levelsTold = new Map<AccountId, number>();
 
   constructor(private readonly parts: UsageLimiterParts) {}
 
@@ -81,34 +92,38 @@
   }
 
   /** Totals that this host admitted, to be told to the others. */
-  totals(): {readonly account: AccountId; readonly admittedTokens: number}[] {
-    return [...this.accounts]
-      .filter(([, use]) => use.admitted > 0)
-      .map(([account, use]) => ({account, admittedTokens: use.admitted}));
+  totals(): AccountUsage[] {
+    return [...this.accounts].map(([account, {admitted, level}]) => ({
+      account,
+      admittedTokens: admitted,
+      levelTokens: level,
+    }));
   }
 
-  /** Takes the total of a process of another host. */
-  noteTotal(
-    host: HostId,
-    incarnation: bigint,
-    account: AccountId,
-    admittedTokens: number,
-  ): void {
-    const process = `${host} ${incarnation}`;
-    const totals = this.heard.get(process) ?? new Map<string, number>();
-    this.heard.set(process, totals);
-    const before = totals.get(account);
-    totals.set(account, admittedTokens);
+  /** Takes what a process of another host told of an account. */
+  noteUsage(host: HostId, incarnation: bigint, usage: AccountUsage): void {
+    const account = accountId(usage.account);
+    const {admittedTokens, levelTokens} = usage;
+    const known = this.heard.get(host);
+    const isNewHost = known === undefined;
+    const heard =
+      known?.incarnation === incarnation
+        ? known
+        : {incarnation, totals: new Map<string, number>()};
+    this.heard.set(host, heard);
+    const before = heard.totals.get(account) ?? (isNewHost ? undefined : 0);
+    heard.totals.set(account, admittedTokens);
     const use = this.accounts.get(account);
-    if (use === undefined) return;
-    // What was admitted before this host first heard of it is long past.
-    if (before !== undefined) use.level -= admittedTokens - before;
+    if (use === undefined) this.levelsTold.set(account, levelTokens);
+    // What was admitted before this host first heard of the process is part
+    // of the level that others told.
+    else if (before !== undefined) use.level -= admittedTokens - before;
+    else if (admittedTokens > 0) use.level = Math.min(use.level, levelTokens);
   }
 
-  /** Forgets the totals of all processes of `host`. */
+  /** Forgets what `host` told. */
   forget(host: HostId): void {
-    for (const process of [...this.heard.keys()])
-      if (process.startsWith(`${host} `)) this.heard.delete(process);
+    this.heard.delete(host);
   }
 
   private useOf(account: AccountId, rate: AccountRate): AccountUse {
@@ -116,21 +131,30 @@
     const capacity = this.capacityOf(rate) * this.ownPart();
     const known = this.accounts.get(account);
     if (known === undefined) {
-      const made = {level: capacity, updatedAt: now, admitted: 0, rate};
+      const level = Math.min(
+        this.levelsTold.get(account) ?? Infinity,
+        rate.burstTokens / Math.max(startingHosts, this.parts.hostCount()),
+      );
+      // Processes before this one may have used the burst just now, and others
+      // may start at the same moment.
+      const made = {level, updatedAt: now, admitted: 0};
       this.accounts.set(account, made);
       return made;
     }
     const seconds = (now - known.updatedAt) / millisecondsPerSecond;
-    const refill = seconds * rate.tokensPerSecond * this.ownPart();
+    const refill = seconds * this.refillOf(rate) * this.ownPart();
     known.level = Math.min(capacity, known.level + refill);
     known.updatedAt = now;
-    known.rate = rate;
     return known;
   }
 
   private capacityOf({burstTokens}: AccountRate): number {
     const {excess, tokens} = this.parts.slack;
-    return burstTokens * (1 + excess) + tokens * usedSlackPart;
+    return burstTokens * (1 + excess * usedSlackPart) + tokens * usedSlackPart;
+  }
+
+  private refillOf({tokensPerSecond}: AccountRate): number {
+    return tokensPerSecond * (1 + this.parts.slack.excess * usedSlackPart);
   }
 
   /** Part of the rate that is left beside hosts that can't be heard. */
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -9,7 +9,6 @@
   RouteTable,
   UpstreamTable,
   UsageLimiter,
-  accountId,
   buildConfiguration,
   failureDomainId,
   hostId,
@@ -254,13 +253,8 @@
   private takeBeat(beat: Beat): void {
     this.upstreams.noteBeat(beat);
     const host = hostId(beat.host);
-    for (const {account, admittedTokens} of beat.usage)
-      this.limiter.noteTotal(
-        host,
-        beat.incarnation,
-        accountId(account),
-        admittedTokens,
-      );
+    for (const usage of beat.usage)
+      this.limiter.noteUsage(host, beat.incarnation, usage);
   }
 
   private noteEnd(end: CallEnd): void {
