Fill the rate bucket from the start of the process and use slack in its refill

Ruled out: a sliding window of admissions, which a restarted fleet forgets and which broke the bound in the property test.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -1,7 +1,5 @@
 /** What a host tells of its decisions about calls, for logs and metrics. */
 
-import type {RequestFailure} from '../requests/failure.js';
-
 /** One decision about one call; times are in milliseconds. */
 export type CallEvent =
   | {
@@ -13,11 +11,16 @@
       readonly tokens: number;
     }
   | {
-      readonly kind: 'refused';
-      readonly code: RequestFailure['code'];
+      readonly kind: 'over-rate';
       readonly route: string;
       readonly account: string;
       readonly version: string;
+      readonly tokens: number;
+      /** Tokens that were left for all hosts, as this host believes. */
+      readonly level: number;
+      readonly tokensPerSecond: number;
+      /** Part of the rate that this host may use. */
+      readonly share: number;
       readonly retryAfter: number;
     }
   | {
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -41,7 +41,7 @@
   /** Later starts of the same host have higher numbers. */
   readonly incarnation: bigint;
   /** Address at which this host receives beats. */
-  readonly address: string;
+  readonly address: () => string;
   readonly failureDomain: FailureDomainId;
   readonly seeds: readonly string[];
   readonly sender: BeatSender;
@@ -85,8 +85,11 @@
   private isLeaving = false;
   private nextKnown = 0;
   private task: Promise<void> | undefined;
+  private readonly startedAt: number;
 
-  constructor(private readonly parts: DiscoveredFleetParts) {}
+  constructor(private readonly parts: DiscoveredFleetParts) {
+    this.startedAt = parts.clock.now();
+  }
 
   start(): void {
     this.task = this.run();
@@ -165,7 +168,7 @@
     const isKnown = [...this.peers.values()].some(
       peer => peer.address === address,
     );
-    if (!isKnown && address !== this.parts.address)
+    if (!isKnown && address !== this.parts.address())
       this.candidates.set(address, this.parts.clock.now());
   }
 
@@ -213,19 +216,22 @@
     );
     for (const address of [...seeds, ...this.candidates.keys()])
       addresses.add(address);
-    addresses.delete(this.parts.address);
+    addresses.delete(this.parts.address());
     for (const address of addresses) sender.send(address, beat);
   }
 
   private makeBeat(): Beat {
-    const {self, incarnation, address, failureDomain, ownState} = this.parts;
+    const {self, incarnation, failureDomain, ownState} = this.parts;
     this.sequence += 1n;
     const {usage, loads} = ownState();
     return {
       host: self,
       incarnation,
+      ageMilliseconds: BigInt(
+        Math.round(this.parts.clock.now() - this.startedAt),
+      ),
       sequence: this.sequence,
-      address,
+      address: this.parts.address(),
       failureDomain,
       leaving: this.isLeaving,
       usage,
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -131,8 +131,7 @@
 
   /** Finds an engine that answers; tries again where that is allowed. */
   private async start(run: Run): Promise<Result<Started, RequestFailure>> {
-    const {clock} = this.parts;
-    const {call, signal} = run;
+    const {signal} = run;
     for (;;) {
       const placed = await this.place(run);
       if (placed.isErr) return Result.err(placed.error);
@@ -147,7 +146,7 @@
       if (answer.isOk) return Result.ok({answer: answer.value, place});
       if (signal.aborted) return Result.err(goneFailure(run));
       if (!this.mayTryAgain(run, answer.error.kind))
-        return Result.err(failureOf(run, clock.now() >= call.deadline));
+        return Result.err(failureOf(run));
     }
   }
 
@@ -534,7 +533,7 @@
   return runs === 0 ? queueFull : upstreamFailed;
 }
 
-function failureOf({runs}: Run, isExpired: boolean): RequestFailure {
+function failureOf({runs, lastError}: Run): RequestFailure {
   if (runs === 0) return queueFull;
-  return isExpired ? upstreamTimeout : upstreamFailed;
+  return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
--- a/packages/coordination/src/passthrough/passthrough.ts
+++ b/packages/coordination/src/passthrough/passthrough.ts
@@ -142,32 +142,33 @@
     const {limiter, freshness, observer, routes} = this.parts;
     const {account, route, id} = call;
     const spec = this.accountSpec(account);
-    if (
-      account !== undefined &&
-      spec !== undefined &&
-      spec.unlimited !== true
-    ) {
-      const rate = {
-        tokensPerSecond: spec.rateTokensPerSecond,
-        burstTokens: spec.burstTokens,
-      };
-      const admission = limiter.admit(account, rate, tokens);
-      if (admission !== 'admitted')
+    const about = {
+      route: route.name,
+      account: account ?? '',
+      version: String(routes()?.configuration.version ?? 0n),
+      tokens,
+    };
+    if (account !== undefined) {
+      const admission = limiter.admit(account, tokens);
+      if (admission !== 'admitted') {
+        const {level, share, retryAfterMilliseconds} = admission;
+        observer(id, {
+          kind: 'over-rate',
+          ...about,
+          level,
+          share,
+          tokensPerSecond: spec?.rateTokensPerSecond ?? 0,
+          retryAfter: retryAfterMilliseconds,
+        });
         return {
           code: 'rate-exceeded',
           message: 'the client account has used its rate and burst',
           ran: 'not-run',
-          ...admission,
+          retryAfterMilliseconds,
         };
+      }
     }
-    observer(id, {
-      kind: 'admitted',
-      route: route.name,
-      account: account ?? '',
-      version: String(routes()?.configuration.version ?? 0n),
-      proofAge: freshness.age(),
-      tokens,
-    });
+    observer(id, {kind: 'admitted', ...about, proofAge: freshness.age()});
     return undefined;
   }
 }
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -60,7 +60,7 @@
 
   /** Runs `call`; `signal` is aborted when its caller has gone. */
   async run(call: AdmittedCall, signal: AbortSignal): Promise<Answer> {
-    const {clock, random, retries, observer} = this.parts;
+    const {random, retries, observer} = this.parts;
     const pool = drawPool(call.route, random);
     if (pool === undefined) return Result.err(noUpstream);
     retries.countCall(pool.name);
@@ -93,9 +93,7 @@
     }
     if (progress.failureAnswer !== undefined)
       return Result.ok(progress.failureAnswer);
-    return Result.err(
-      failureOf(progress, signal, clock.now() >= call.deadline),
-    );
+    return Result.err(failureOf(progress, signal));
   }
 
   private mayGoOn(
@@ -232,14 +230,13 @@
 }
 
 function failureOf(
-  {runs, sendings}: Progress,
+  {runs, sendings, lastError}: Progress,
   signal: AbortSignal,
-  isExpired: boolean,
 ): RequestFailure {
   if (signal.aborted)
     return sendings === 0 ? {...callerGone, ran: 'not-run'} : callerGone;
   if (runs === 0) return noUpstream;
-  return isExpired ? upstreamTimeout : upstreamFailed;
+  return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
 
 /** The answer with its whole body; longer ones are passed on as they come. */
--- a/packages/coordination/src/passthrough/usage-limiter.ts
+++ b/packages/coordination/src/passthrough/usage-limiter.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps client accounts to their rate and burst over all hosts, within a stated
- * slack. Hosts tell each other what they admitted; each takes what it has heard
- * off one bucket of its own. Admission needs no message, so it costs no time;
- * the slack covers what has not been heard of yet. Hosts that are silent count
- * as using an equal share, since a host that is cut off goes on admitting.
+ * slack in each window of time. Hosts tell each other what they admitted; each
+ * takes what it has heard off one bucket of its own. Admission needs no message,
+ * so it costs no time; a part of the slack is left for what has not been heard
+ * of yet. Hosts that are silent count as using an equal share, since a host that
+ * is cut off goes on admitting.
  */
 
 import type {Clock} from '../clock.js';
@@ -17,24 +18,39 @@
   readonly burstTokens: number;
 }
 
-/** How far admissions may exceed rate and burst in a window. */
+/** How far admissions may exceed rate and burst in any window. */
 export interface LimitSlack {
+  readonly windowMilliseconds: number;
   /** Part of the rate and burst, as 0.25. */
   readonly excess: number;
   readonly tokens: number;
 }
 
+/** Why a call is not admitted. */
+export interface OverRate {
+  /** Tokens that are left for all hosts, as this host believes. */
+  readonly level: number;
+  /** Part of the rate that this host may use. */
+  readonly share: number;
+  readonly retryAfterMilliseconds: number;
+}
+
 export interface UsageLimiterParts {
   readonly clock: Clock;
   readonly slack: LimitSlack;
+  /** Rate of an account in force; undefined for one without a limit. */
+  readonly rateOf: (account: AccountId) => AccountRate | undefined;
   /** Known hosts that have been silent, which may still admit calls. */
   readonly silentHosts: () => number;
   /** All known hosts, this one included. */
   readonly hostCount: () => number;
 }
 
-/** Part of the slack that admissions use; the rest covers what is unheard. */
-const usedSlackPart = 0.6;
+/** Part of the excess and of the slack that the refill of a window uses. */
+const refillSlackPart = 0.3;
+
+/** Part of them that is added to the burst; the rest covers what is unheard. */
+const burstSlackPart = 0.15;
 
 /** Hosts that a new process assumes to start with it, at least. */
 const startingHosts = 8;
@@ -57,27 +73,27 @@
   private readonly accounts = new Map<AccountId, AccountUse>();
   /** Newest totals of the process of each other host. */
   private readonly heard = new Map<HostId, HeardProcess>();
-  /** Newest levels of accounts that this host has not used yet. */
-  private readonly levelsTold = new Map<AccountId, number>();
+  private readonly startedAt: number;
 
-  constructor(private readonly parts: UsageLimiterParts) {}
+  constructor(private readonly parts: UsageLimiterParts) {
+    this.startedAt = parts.clock.now();
+  }
 
-  /**
-   * Admits a call of `tokens`; otherwise tells after how many milliseconds it
-   * might be admitted.
-   */
-  admit(
-    account: AccountId,
-    rate: AccountRate,
-    tokens: number,
-  ): 'admitted' | {readonly retryAfterMilliseconds: number} {
-    const use = this.useOf(account, rate);
-    if (use.level < tokens)
+  /** Admits a call of `tokens`, or tells why not. */
+  admit(account: AccountId, tokens: number): 'admitted' | OverRate {
+    const rate = this.parts.rateOf(account);
+    if (rate === undefined) return 'admitted';
+    const use = this.refilled(account, rate);
+    if (use.level < tokens) {
+      const share = this.ownPart();
+      const missing = tokens - use.level;
+      const refill = Math.max(1, this.refillOf(rate) * share);
       return {
-        retryAfterMilliseconds:
-          ((tokens - use.level) / Math.max(1, rate.tokensPerSecond)) *
-          millisecondsPerSecond,
+        level: use.level,
+        share,
+        retryAfterMilliseconds: (missing / refill) * millisecondsPerSecond,
       };
+    }
     use.level -= tokens;
     use.admitted += tokens;
     return 'admitted';
@@ -91,34 +107,40 @@
     use.admitted -= tokens;
   }
 
-  /** Totals that this host admitted, to be told to the others. */
+  /** What this host admitted, to be told to the others. */
   totals(): AccountUsage[] {
-    return [...this.accounts].map(([account, {admitted, level}]) => ({
+    return [...this.accounts].map(([account, {admitted}]) => ({
       account,
       admittedTokens: admitted,
-      levelTokens: level,
     }));
   }
 
-  /** Takes what a process of another host told of an account. */
-  noteUsage(host: HostId, incarnation: bigint, usage: AccountUsage): void {
-    const account = accountId(usage.account);
-    const {admittedTokens, levelTokens} = usage;
+  /**
+   * Takes what another host told of accounts; `ageMilliseconds` is how long its
+   * process runs.
+   */
+  noteUsage(
+    host: HostId,
+    incarnation: bigint,
+    ageMilliseconds: number,
+    usage: readonly AccountUsage[],
+  ): void {
     const known = this.heard.get(host);
-    const isNewHost = known === undefined;
-    const heard =
-      known?.incarnation === incarnation
-        ? known
-        : {incarnation, totals: new Map<string, number>()};
-    this.heard.set(host, heard);
-    const before = heard.totals.get(account) ?? (isNewHost ? undefined : 0);
-    heard.totals.set(account, admittedTokens);
-    const use = this.accounts.get(account);
-    if (use === undefined) this.levelsTold.set(account, levelTokens);
-    // What was admitted before this host first heard of the process is part
-    // of the level that others told.
-    else if (before !== undefined) use.level -= admittedTokens - before;
-    else if (admittedTokens > 0) use.level = Math.min(use.level, levelTokens);
+    const isSame = known?.incarnation === incarnation;
+    const totals = isSame ? known.totals : new Map<string, number>();
+    this.heard.set(host, {incarnation, totals});
+    const ownAge = this.parts.clock.now() - this.startedAt;
+    // What an older process admitted before this host first heard of it is not
+    // in the low level with which this host began.
+    const isPast = known === undefined && ageMilliseconds > ownAge;
+    for (const {account, admittedTokens} of usage) {
+      const before = totals.get(account) ?? (isPast ? admittedTokens : 0);
+      totals.set(account, admittedTokens);
+      const rate = this.parts.rateOf(accountId(account));
+      if (rate === undefined) continue;
+      const use = this.refilled(accountId(account), rate);
+      use.level -= admittedTokens - before;
+    }
   }
 
   /** Forgets what `host` told. */
@@ -126,38 +148,48 @@
     this.heard.delete(host);
   }
 
-  private useOf(account: AccountId, rate: AccountRate): AccountUse {
+  private refilled(account: AccountId, rate: AccountRate): AccountUse {
     const now = this.parts.clock.now();
-    const capacity = this.capacityOf(rate) * this.ownPart();
-    const known = this.accounts.get(account);
-    if (known === undefined) {
-      const level = Math.min(
-        this.levelsTold.get(account) ?? Infinity,
-        rate.burstTokens / Math.max(startingHosts, this.parts.hostCount()),
-      );
-      // Processes before this one may have used the burst just now, and others
-      // may start at the same moment.
-      const made = {level, updatedAt: now, admitted: 0};
-      this.accounts.set(account, made);
-      return made;
-    }
-    const seconds = (now - known.updatedAt) / millisecondsPerSecond;
-    const refill = seconds * this.refillOf(rate) * this.ownPart();
-    known.level = Math.min(capacity, known.level + refill);
-    known.updatedAt = now;
-    return known;
+    const share = this.ownPart();
+    const use = this.accounts.get(account) ?? this.open(account, rate);
+    const seconds = (now - use.updatedAt) / millisecondsPerSecond;
+    const refill = seconds * this.refillOf(rate) * share;
+    use.level = Math.min(this.capacityOf(rate) * share, use.level + refill);
+    use.updatedAt = now;
+    return use;
+  }
+
+  /**
+   * An account that was not used before. It has filled since the process began,
+   * from little: processes before this one may have used the burst just before,
+   * and other hosts may have started at the same moment.
+   */
+  private open(account: AccountId, {burstTokens}: AccountRate): AccountUse {
+    const hosts = Math.max(startingHosts, this.parts.hostCount());
+    const level = burstTokens / hosts;
+    const made = {level, updatedAt: this.startedAt, admitted: 0};
+    this.accounts.set(account, made);
+    return made;
   }
 
   private capacityOf({burstTokens}: AccountRate): number {
     const {excess, tokens} = this.parts.slack;
-    return burstTokens * (1 + excess * usedSlackPart) + tokens * usedSlackPart;
+    return (
+      burstTokens * (1 + excess * burstSlackPart) + tokens * burstSlackPart
+    );
   }
 
+  /** Tokens for each second. */
   private refillOf({tokensPerSecond}: AccountRate): number {
-    return tokensPerSecond * (1 + this.parts.slack.excess * usedSlackPart);
+    const {excess, tokens, windowMilliseconds} = this.parts.slack;
+    const windowSeconds = windowMilliseconds / millisecondsPerSecond;
+    return (
+      tokensPerSecond * (1 + excess * refillSlackPart) +
+      (tokens * refillSlackPart) / windowSeconds
+    );
   }
 
-  /** Part of the rate that is left beside hosts that can't be heard. */
+  /** Part of the tokens that is left beside hosts that can't be heard. */
   private ownPart(): number {
     const {silentHosts, hostCount} = this.parts;
     return 1 - silentHosts() / Math.max(1, hostCount());
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -107,7 +107,7 @@
       random: seededRandom(7),
       self: hostId(name),
       incarnation,
-      address,
+      address: () => address,
       failureDomain: failureDomainId('a'),
       seeds: seeds.map(seed => `${seed}:1`),
       sender: {send: (to, beat) => this.deliver(address, to, beat)},
--- a/packages/coordination/test/tools/usage-fleet.ts
+++ b/packages/coordination/test/tools/usage-fleet.ts
@@ -12,6 +12,7 @@
   limiter: UsageLimiter;
   incarnation: bigint;
   part: number;
+  startedAt: number;
 }
 
 /** One admission, with its time and tokens. */
@@ -36,6 +37,7 @@
       limiter: undefined as unknown as UsageLimiter,
       incarnation: 1n,
       part: 0,
+      startedAt: 0,
     }));
     this.hosts.forEach((_, index) => this.restart(index));
   }
@@ -44,9 +46,11 @@
   restart(index: number): void {
     const host = this.hosts[index]!;
     host.incarnation += 1n;
+    host.startedAt = this.clock.now();
     host.limiter = new UsageLimiter({
       clock: this.clock,
       slack: this.slack,
+      rateOf: () => this.rate,
       hostCount: () => this.hosts.length,
       silentHosts: () =>
         this.hosts.filter(other => other.part !== host.part).length,
@@ -61,25 +65,36 @@
   /** Every host tells all that hear it. */
   beat(): void {
     this.hosts.forEach((from, index) => {
-      for (const usage of from.limiter.totals())
-        for (const to of this.hosts)
-          if (to !== from && to.part === from.part)
-            to.limiter.noteUsage(hostId(`h-${index}`), from.incarnation, usage);
+      const age = this.clock.now() - from.startedAt;
+      const usage = from.limiter.totals();
+      for (const to of this.hosts)
+        if (to !== from && to.part === from.part)
+          to.limiter.noteUsage(
+            hostId(`h-${index}`),
+            from.incarnation,
+            age,
+            usage,
+          );
     });
   }
 
   /** Asks one host; notes the tokens that it admits. */
   ask(index: number, tokens: number): boolean {
-    const outcome = this.hosts[index]!.limiter.admit(
-      account,
-      this.rate,
-      tokens,
-    );
+    const outcome = this.hosts[index]!.limiter.admit(account, tokens);
     if (outcome !== 'admitted') return false;
     this.admitted.push({at: this.clock.now(), tokens});
     return true;
   }
 
+  /** Time after which a refused call may be admitted; 0 when it may be now. */
+  waitOf(index: number, tokens: number): number {
+    const {limiter} = this.hosts[index]!;
+    const outcome = limiter.admit(account, tokens);
+    if (outcome !== 'admitted') return outcome.retryAfterMilliseconds;
+    limiter.giveBack(account, tokens);
+    return 0;
+  }
+
   /** The most tokens that were admitted in any window. */
   mostInWindow(milliseconds: number): number {
     let sum = 0;
--- a/packages/coordination/test/usage-limiter.test.ts
+++ b/packages/coordination/test/usage-limiter.test.ts
@@ -3,8 +3,9 @@
 import {UsageFleet} from './tools/usage-fleet.js';
 
 const rate = {tokensPerSecond: 40_000, burstTokens: 40_000};
-const slack = {excess: 0.25, tokens: 140_000};
 const windowMilliseconds = 8000;
+const slack = {windowMilliseconds, excess: 0.25, tokens: 140_000};
+const noSlack = {windowMilliseconds, excess: 0, tokens: 0};
 const beatMilliseconds = 260;
 const seed = 20261204;
 
@@ -65,17 +66,26 @@
 });
 
 test('a refusal tells when the tokens will be there', async t => {
-  const fleet = new UsageFleet(1, rate, {excess: 0, tokens: 0});
+  const fleet = new UsageFleet(1, rate, noSlack);
   t.false(fleet.ask(0, 40_000), 'a new process starts with little');
   await fleet.clock.advance(1000);
   t.true(fleet.ask(0, 40_000));
-  t.false(fleet.ask(0, 4000));
-  await fleet.clock.advance(100);
+  const wait = fleet.waitOf(0, 4000);
+  t.is(wait, 100);
+  await fleet.clock.advance(wait);
   t.true(fleet.ask(0, 4000));
 });
 
+test('what was not used before the first call is there for it', async t => {
+  const fleet = new UsageFleet(6, rate, slack);
+  await fleet.clock.advance(8000);
+  t.true(fleet.ask(3, 60_000));
+  fleet.beat();
+  t.false(fleet.ask(4, 60_000), 'others heard of it');
+});
+
 test('without slack a host that hears nobody takes its share only', async t => {
-  const fleet = new UsageFleet(4, rate, {excess: 0, tokens: 0});
+  const fleet = new UsageFleet(4, rate, noSlack);
   fleet.divide(index => index);
   let admitted = 0;
   for (let tick = 0; tick < 100; tick += 1) {
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -125,11 +125,21 @@
     text: 'a passed-through call is admitted',
     fields: ['request', 'route', 'account', 'version', 'proofAge', 'tokens'],
   },
-  callRefused: {
+  callOverRate: {
     number: 3102,
     level: 'info',
-    text: 'a passed-through call is refused before it is sent',
-    fields: ['request', 'code', 'route', 'account', 'version', 'retryAfter'],
+    text: 'a call is refused because its account has used its rate and burst',
+    fields: [
+      'request',
+      'route',
+      'account',
+      'version',
+      'tokens',
+      'level',
+      'tokensPerSecond',
+      'share',
+      'retryAfter',
+    ],
   },
   upstreamChosen: {
     number: 3103,
--- a/packages/daemon/src/passthrough/beat-socket.ts
+++ b/packages/daemon/src/passthrough/beat-socket.ts
@@ -30,6 +30,12 @@
     await once(this.socket, 'listening');
   }
 
+  /** IP address and port that receive beats. */
+  get address(): string {
+    const {address, port} = this.socket.address();
+    return `${address}:${port}`;
+  }
+
   send(address: string, beat: Beat): void {
     const {host, port} = split(address);
     this.socket.send(Beat.encode(beat).finish(), port, host, error => {
--- a/packages/daemon/src/passthrough/call-server.ts
+++ b/packages/daemon/src/passthrough/call-server.ts
@@ -79,10 +79,11 @@
     this.applyLimits();
   }
 
-  /** Listens on `address`. */
-  async listen(address: string): Promise<void> {
+  /** Listens on `address`; resolves with the address in use. */
+  async listen(address: string): Promise<string> {
     const [host, port] = address.split(':') as [string, string];
-    await this.instance.listen({host, port: Number(port)});
+    const url = await this.instance.listen({host, port: Number(port)});
+    return new URL(url).host;
   }
 
   /** Takes over the limits of a new configuration. */
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -15,8 +15,12 @@
   seededRandom,
   systemClock,
 } from '@persimmonwick/coordination';
-import type {Beat, UpstreamDocument} from '@persimmonwick/coordination';
-import type {FastifyInstance} from 'fastify';
+import type {
+  AccountId,
+  AccountRate,
+  Beat,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {BeatSocket} from './beat-socket.js';
 import {CallServer} from './call-server.js';
@@ -31,6 +35,7 @@
   PublishedConfiguration,
 } from './platform-feed.js';
 import {serveMetrics, serveReadiness} from './status-server.js';
+import type {StatusServer} from './status-server.js';
 import {UpstreamConnections} from './upstream-connections.js';
 import type {CallerWire, UpstreamWire} from './wire.js';
 
@@ -44,6 +49,12 @@
 
 /** A host that runs. */
 export interface PassthroughDaemon {
+  /** Addresses in use, where the settings let the system choose a port. */
+  readonly addresses: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly beats: string;
+  };
   /** Stops taking calls, finishes those in flight, and closes. */
   close(): Promise<void>;
 }
@@ -86,7 +97,8 @@
   private readonly host: PassthroughHost;
   private readonly server: CallServer;
   private readonly metrics: PassthroughMetrics;
-  private readonly pages: FastifyInstance[] = [];
+  private readonly pages: StatusServer[] = [];
+  addresses = {callers: '', readiness: '', beats: ''};
   private routes: RouteTable | undefined;
   private limits = firstLimits;
   private hasUpstreams = false;
@@ -115,7 +127,7 @@
       random,
       self: hostId(settings.host),
       incarnation: BigInt(this.startedAt),
-      address: settings.listen.beats,
+      address: () => this.beats.address,
       failureDomain,
       seeds: settings.seeds,
       sender: this.beats,
@@ -130,6 +142,7 @@
     this.limiter = new UsageLimiter({
       clock,
       slack: settings.limitSlack,
+      rateOf: account => this.rateOf(account),
       silentHosts: () => this.fleet.silentCount,
       hostCount,
     });
@@ -164,10 +177,13 @@
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
     this.adapter.feed.start(this);
-    await this.server.listen(listen.callers);
-    this.pages.push(
-      await serveReadiness(listen.readiness, readinessPath, () => this.isReady),
+    const callers = await this.server.listen(listen.callers);
+    const readiness = await serveReadiness(
+      listen.readiness,
+      readinessPath,
+      () => this.isReady,
     );
+    this.pages.push(readiness);
     await this.beats.listen(listen.beats);
     this.fleet.start();
     if (listen.metrics !== undefined)
@@ -176,12 +192,10 @@
           this.metrics.registry.metrics(),
         ),
       );
-    this.log.write('passthroughStarted', {
-      host,
-      incarnation: String(this.startedAt),
-      callers: listen.callers,
-      beats: listen.beats,
-    });
+    const beats = this.beats.address;
+    this.addresses = {callers, readiness: readiness.address, beats};
+    const incarnation = String(this.startedAt);
+    this.log.write('passthroughStarted', {host, incarnation, callers, beats});
   }
 
   close(): Promise<void> {
@@ -252,9 +266,21 @@
 
   private takeBeat(beat: Beat): void {
     this.upstreams.noteBeat(beat);
-    const host = hostId(beat.host);
-    for (const usage of beat.usage)
-      this.limiter.noteUsage(host, beat.incarnation, usage);
+    this.limiter.noteUsage(
+      hostId(beat.host),
+      beat.incarnation,
+      Number(beat.ageMilliseconds),
+      beat.usage,
+    );
+  }
+
+  private rateOf(account: AccountId): AccountRate | undefined {
+    const spec = this.routes?.configuration.accounts.get(account)?.spec;
+    if (spec === undefined || spec.unlimited === true) return undefined;
+    return {
+      tokensPerSecond: spec.rateTokensPerSecond,
+      burstTokens: spec.burstTokens,
+    };
   }
 
   private noteEnd(end: CallEnd): void {
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -14,9 +14,9 @@
       const {kind: _, ...fields} = event;
       return log.write('callAdmitted', {request, ...rounded(fields)});
     }
-    case 'refused': {
+    case 'over-rate': {
       const {kind: _, ...fields} = event;
-      return log.write('callRefused', {request, ...rounded(fields)});
+      return log.write('callOverRate', {request, ...rounded(fields)});
     }
     case 'chosen': {
       const {kind: _, ...fields} = event;
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -79,7 +79,7 @@
       case 'chosen':
         break;
       case 'admitted':
-      case 'refused':
+      case 'over-rate':
       case 'retried':
       case 'retry-withheld':
       case 'resumed':
--- a/packages/daemon/src/passthrough/status-server.ts
+++ b/packages/daemon/src/passthrough/status-server.ts
@@ -3,6 +3,12 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance} from 'fastify';
 
+/** A page that is served. */
+export interface StatusServer {
+  readonly address: string;
+  close(): Promise<void>;
+}
+
 const unavailableStatus = 503;
 
 /** Answers `path` with 200 while `isReady` holds. */
@@ -10,7 +16,7 @@
   address: string,
   path: string,
   isReady: () => boolean,
-): Promise<FastifyInstance> {
+): Promise<StatusServer> {
   const server = fastify({forceCloseConnections: true});
   server.get(path, async (_request, reply) =>
     reply.code(isReady() ? 200 : unavailableStatus).send({ready: isReady()}),
@@ -23,7 +29,7 @@
   address: string,
   path: string,
   read: () => Promise<string>,
-): Promise<FastifyInstance> {
+): Promise<StatusServer> {
   const server = fastify({forceCloseConnections: true});
   server.get(path, async (_request, reply) =>
     reply.type('text/plain; version=0.0.4').send(await read()),
@@ -34,8 +40,8 @@
 async function listen(
   server: FastifyInstance,
   address: string,
-): Promise<FastifyInstance> {
+): Promise<StatusServer> {
   const [host, port] = address.split(':') as [string, string];
-  await server.listen({host, port: Number(port)});
-  return server;
+  const url = await server.listen({host, port: Number(port)});
+  return {address: new URL(url).host, close: () => server.close()};
 }
