Count memory of engines by the events made, leave full ones alone, tell load at once

Tried and left: margins of 0.3, 0.7 and 1.3 of the estimate, growth inside the reservation (it stays set aside while the call runs).

--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -65,6 +65,12 @@
 /** Added for each peer, so that sending costs the same in a large fleet. */
 const beatMillisecondsForEachPeer = 12;
 
+/** Shortest time between two beats, for news that others wait for. */
+const newsMilliseconds = 30;
+
+/** Added for each peer. */
+const newsMillisecondsForEachPeer = 6;
+
 /** Beats that may be lost before a host counts as silent. */
 const silentBeats = 6;
 
@@ -83,6 +89,8 @@
   private readonly closing = new AbortController();
   private sequence = 0n;
   private isLeaving = false;
+  private isAnnouncing = false;
+  private sentAt = -Infinity;
   private nextKnown = 0;
   private task: Promise<void> | undefined;
   private readonly startedAt: number;
@@ -112,6 +120,20 @@
       .map(peer => peer.host);
   }
 
+  /** Sends the next beat soon: the own load has changed. */
+  announce(): void {
+    const {clock} = this.parts;
+    if (this.isAnnouncing) return;
+    this.isAnnouncing = true;
+    const gap =
+      newsMilliseconds + newsMillisecondsForEachPeer * this.peers.size;
+    const wait = Math.max(0, this.sentAt + gap - clock.now());
+    void clock.sleep(wait, this.closing.signal).then(() => {
+      this.isAnnouncing = false;
+      if (!this.closing.signal.aborted) this.sendAll();
+    });
+  }
+
   /** Tells the others that this host takes no new requests. */
   leave(): void {
     this.isLeaving = true;
@@ -209,6 +231,7 @@
   }
 
   private sendAll(): void {
+    this.sentAt = this.parts.clock.now();
     const {sender, seeds} = this.parts;
     const beat = this.makeBeat();
     const addresses = new Set(
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -43,7 +43,7 @@
 const usualQueueMilliseconds = 2500;
 
 /** Estimates of the output are low in half of the cases. */
-const outputMargin = 1.3;
+const outputMargin = 0.1;
 
 /** Time without a byte after which a resumable stream is looked for elsewhere. */
 const streamSilenceMilliseconds = 1000;
@@ -276,7 +276,7 @@
     const startedAt = clock.now();
     const queuedTokens = engine.own.promptTokens + promptTokens;
     const load = {calls: 1, promptTokens};
-    const endLoad = upstreams.addLoad(engine, load);
+    const held = upstreams.addLoad(engine, load);
     engine.health.recordStart(startedAt);
     run.prefills += 1;
     const remaining = call.deadline - startedAt;
@@ -294,7 +294,7 @@
       },
       signal,
     );
-    endLoad();
+    held.end();
     const now = clock.now();
     observer(call.id, {
       kind: 'stage-done',
@@ -405,8 +405,8 @@
     }
   }
 
-  private releasePlace({upstream, reservation, endLoad}: Place): void {
-    endLoad();
+  private releasePlace({upstream, reservation, load}: Place): void {
+    load.end();
     if (reservation === undefined) return;
     const {transport} = this.parts;
     void transport.releaseReservation(upstream.document, reservation);
@@ -419,14 +419,15 @@
       for (;;) {
         const broken = yield* this.relayOne(run, answer, place);
         if (broken === undefined) return;
-        place.endLoad();
+        place.load.end();
         this.noteBroken(run, place, broken);
         const resumed = await this.resume(run, broken);
         if (resumed === undefined) throw broken;
         ({answer, place} = resumed);
       }
     } finally {
-      place.endLoad();
+      place.load.end();
+      this.parts.onLoadChanged?.();
     }
   }
 
@@ -450,7 +451,7 @@
     const started = await this.start(run);
     if (started.isErr) return undefined;
     if (started.value.answer.status !== 200) {
-      started.value.place.endLoad();
+      started.value.place.load.end();
       return undefined;
     }
     observer(call.id, {
@@ -465,9 +466,11 @@
   private async *relayOne(
     run: Run,
     answer: PassthroughAnswer,
-    {upstream}: Place,
+    {upstream, load}: Place,
   ): AsyncGenerator<Uint8Array, BrokenAnswerError | undefined> {
     const {clock} = this.parts;
+    const {promptTokens} = run.generation;
+    const tokensPerEvent = run.pool.spec.engine?.tokensPerEvent ?? 1;
     const frames = new EventFrames();
     const startedAt = clock.now();
     let events = 0;
@@ -480,6 +483,7 @@
             run.lastEvent = id;
           }
           events += 1;
+          load.setMemory(promptTokens + events * tokensPerEvent);
           yield bytes;
         }
       }
--- a/packages/coordination/src/passthrough/memory-queue.ts
+++ b/packages/coordination/src/passthrough/memory-queue.ts
@@ -9,7 +9,7 @@
 import type {AdmittedCall} from './call.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {leastBy} from './plain-calls.js';
-import type {TrackedUpstream} from './upstream-table.js';
+import type {HeldLoad, TrackedUpstream} from './upstream-table.js';
 
 /** Memory of an engine that was reserved for one call. */
 export interface Place {
@@ -18,8 +18,8 @@
   readonly reservation: string | undefined;
   /** Clock time until which the engine keeps the reservation. */
   readonly reservedUntil: number;
-  /** Takes the load off the own books; does not tell the engine. */
-  readonly endLoad: () => void;
+  /** The call on the own books; the engine is not told of changes. */
+  readonly load: HeldLoad;
 }
 
 interface Waiting {
@@ -39,7 +39,13 @@
 const fullMilliseconds = 50;
 
 /** An engine that looks full by what hosts told is asked once in so long. */
-const doubtMilliseconds = 200;
+const doubtMilliseconds = 2000;
+
+/** Time until a queue looks again without news. */
+const lookMilliseconds = 50;
+
+/** Events of each running call for whose tokens memory is left free. */
+const growthEvents = 12;
 
 /** Memory goes by blocks; this many tokens round a need up safely. */
 const blockTokens = 16;
@@ -47,9 +53,6 @@
 /** Time after which an engine that is another one is asked again. */
 const misdirectedMilliseconds = 1000;
 
-/** Time until an idle queue looks for expired calls. */
-const sweepMilliseconds = 100;
-
 export class MemoryQueue {
   private readonly waiting = new Set<Waiting>();
   private wake = new AbortController();
@@ -126,9 +129,7 @@
       entry.isAsking = true;
       void this.ask(entry, upstream);
     }
-    this.schedule(
-      this.waiting.size > 0 ? doubtMilliseconds / 4 : sweepMilliseconds,
-    );
+    this.schedule(lookMilliseconds);
   }
 
   /** Urgent ones first, then those that can still meet their target. */
@@ -163,7 +164,8 @@
         const told = upstreams.toldLoad(upstream.document.name);
         const used = upstream.own.memoryTokens + told.memoryTokens;
         const calls = upstream.own.calls + told.calls;
-        const hasRoom = used + tokens <= memory && calls < slots;
+        const hasRoom =
+          used + tokens + growthOf(calls, pool) <= memory && calls < slots;
         return {upstream, used, calls, hasRoom};
       })
       .filter(
@@ -200,16 +202,17 @@
     const {clock, transport, upstreams, random, observer} = this.parts;
     const {tokens, call} = entry;
     const lifetime = this.poolOf().spec.engine?.reservationMilliseconds ?? 0;
-    const endLoad = upstreams.addLoad(upstream, {
+    const load = upstreams.addLoad(upstream, {
       calls: 1,
       memoryTokens: tokens,
     });
+    this.parts.onLoadChanged?.();
     const startedAt = clock.now();
     upstream.health.recordStart(startedAt);
     if (lifetime === 0) {
       const reservedUntil = Infinity;
       entry.settle(
-        Result.ok({upstream, reservation: undefined, reservedUntil, endLoad}),
+        Result.ok({upstream, reservation: undefined, reservedUntil, load}),
       );
       return;
     }
@@ -231,10 +234,10 @@
     if (reserved.isOk) {
       const reservedUntil = startedAt + lifetime;
       const reservation = reserved.value;
-      entry.settle(Result.ok({upstream, reservation, reservedUntil, endLoad}));
+      entry.settle(Result.ok({upstream, reservation, reservedUntil, load}));
       return;
     }
-    endLoad();
+    load.end();
     switch (reserved.error.kind) {
       case 'refused':
         upstream.fullUntil = now + fullMilliseconds * (1 + random.next());
@@ -254,6 +257,11 @@
   }
 }
 
+/** Memory that running calls take soon, before one of them ends. */
+function growthOf(calls: number, pool: PoolDocument): number {
+  return calls * growthEvents * (pool.spec.engine?.tokensPerEvent ?? 1);
+}
+
 /** Upstreams that name no stage do everything. */
 export function canDecode(labels: Readonly<Record<string, string>>): boolean {
   return labels['stage'] !== 'prefill';
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -18,6 +18,8 @@
   readonly upstreams: UpstreamTable;
   readonly retries: RetryAllowance;
   readonly observer: CallObserver;
+  /** Called when memory of an engine was taken or freed. */
+  readonly onLoadChanged?: () => void;
 }
 
 /** One pool of the route, drawn by weight; undefined when it has none. */
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -160,7 +160,7 @@
     progress.tried.add(name);
     progress.sendings += 1;
     upstream.health.recordStart(startedAt);
-    const endLoad = upstreams.addLoad(upstream, {calls: 1});
+    const load = upstreams.addLoad(upstream, {calls: 1});
     const sent = await transport.send(
       upstream.document,
       call,
@@ -176,7 +176,7 @@
     const answer = sent.isOk
       ? await readWhole(sent.value)
       : Result.err<PassthroughAnswer, PassthroughError>(sent.error);
-    endLoad();
+    load.end();
     const now = clock.now();
     observer(call.id, {
       kind: 'stage-done',
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -19,6 +19,14 @@
   promptTokens: number;
 }
 
+/** Load of one call on an upstream. */
+export interface HeldLoad {
+  /** Changes the memory that the call takes. */
+  setMemory(tokens: number): void;
+  /** Takes the load off; does nothing when called again. */
+  end(): void;
+}
+
 /** One upstream with what is known of it. */
 export interface TrackedUpstream {
   document: UpstreamDocument;
@@ -128,21 +136,28 @@
       }));
   }
 
-  /** Adds load to an upstream; the result takes it off again, once. */
-  addLoad(upstream: TrackedUpstream, load: Partial<Load>): () => void {
-    const {calls = 0, memoryTokens = 0, promptTokens = 0} = load;
-    upstream.own.calls += calls;
-    upstream.own.memoryTokens += memoryTokens;
-    upstream.own.promptTokens += promptTokens;
+  /** Adds load to an upstream until the result is ended. */
+  addLoad(upstream: TrackedUpstream, load: Partial<Load>): HeldLoad {
+    const held = {calls: 0, memoryTokens: 0, promptTokens: 0, ...load};
+    upstream.own.calls += held.calls;
+    upstream.own.memoryTokens += held.memoryTokens;
+    upstream.own.promptTokens += held.promptTokens;
     let isHeld = true;
-    return () => {
-      if (!isHeld) return;
-      isHeld = false;
-      upstream.own.calls -= calls;
-      upstream.own.memoryTokens -= memoryTokens;
-      upstream.own.promptTokens -= promptTokens;
-      this.dropIdle(upstream.document.name);
-      this.notify();
+    return {
+      setMemory: tokens => {
+        if (!isHeld) return;
+        upstream.own.memoryTokens += tokens - held.memoryTokens;
+        held.memoryTokens = tokens;
+      },
+      end: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        upstream.own.calls -= held.calls;
+        upstream.own.memoryTokens -= held.memoryTokens;
+        upstream.own.promptTokens -= held.promptTokens;
+        this.dropIdle(upstream.document.name);
+        this.notify();
+      },
     };
   }
 
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -161,6 +161,7 @@
         this.metrics.countEvent(event);
         logCallEvent(log, call, event);
       },
+      onLoadChanged: () => this.fleet.announce(),
       routes: () => this.routes,
       freshness: this.freshness,
       limiter: this.limiter,
