--- a/packages/daemon/src/passthrough/call-server.ts
+++ b/packages/daemon/src/passthrough/call-server.ts
@@ -15,6 +15,7 @@
 import type {FastifyInstance} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
+import type {EarlyListener} from './early-listener.js';
 import type {CallerWire} from './wire.js';
 
 /** Bounds on what callers send. */
@@ -79,11 +80,10 @@
     this.applyLimits();
   }
 
-  /** Listens on `address`; resolves with the address in use. */
-  async listen(address: string): Promise<string> {
-    const [host, port] = address.split(':') as [string, string];
-    const url = await this.instance.listen({host, port: Number(port)});
-    return new URL(url).host;
+  /** Takes calls from `listener`; resolves with the address in use. */
+  async serve(listener: EarlyListener): Promise<string> {
+    await this.instance.ready();
+    return listener.handOver(this.instance.server as Server);
   }
 
   /** Takes over the limits of a new configuration. */
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -25,6 +25,7 @@
 import {BeatSocket} from './beat-socket.js';
 import {CallServer} from './call-server.js';
 import type {CallEnd, CallerLimits} from './call-server.js';
+import {EarlyListener} from './early-listener.js';
 import {HttpPassthroughTransport} from './http-transport.js';
 import {logCallEvent, logFleetChange} from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
@@ -45,6 +46,8 @@
   readonly callerWire: CallerWire;
   readonly upstreamWire: UpstreamWire;
   readonly feed: PlatformFeed;
+  /** The port for callers, where it was opened before; else it is opened. */
+  readonly listener?: EarlyListener;
 }
 
 /** A host that runs. */
@@ -67,6 +70,9 @@
   idleMilliseconds: 15_000,
 };
 
+/** Longest wait for the first configuration before calls are answered. */
+const firstReadMilliseconds = 400;
+
 /** Time in which balancers learn that a host is not ready any more. */
 const handOffMilliseconds = 2500;
 
@@ -102,6 +108,8 @@
   private routes: RouteTable | undefined;
   private limits = firstLimits;
   private hasUpstreams = false;
+  /** Aborted once configuration and upstreams are known. */
+  private readonly firstRead = new AbortController();
   private isDraining = false;
   private isReachable: boolean | undefined;
   private closing: Promise<void> | undefined;
@@ -178,7 +186,11 @@
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
     this.adapter.feed.start(this);
-    const callers = await this.server.listen(listen.callers);
+    const listener =
+      this.adapter.listener ?? (await EarlyListener.open(listen.callers));
+    // Callers that wait are better served than refused.
+    await systemClock.sleep(firstReadMilliseconds, this.firstRead.signal);
+    const callers = await this.server.serve(listener);
     const readiness = await serveReadiness(
       listen.readiness,
       readinessPath,
@@ -220,6 +232,7 @@
     this.routes = new RouteTable(built.value);
     this.limits = limits;
     this.server.applyLimits();
+    this.noteFirstRead();
     this.log.write('configurationApplied', {
       version: Number(version),
       documents: documents.length,
@@ -229,6 +242,7 @@
 
   onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
     this.hasUpstreams = true;
+    this.noteFirstRead();
     const {joined, leaving, gone} = this.upstreams.replace(upstreams);
     const write = (change: string) => (each: UpstreamDocument) =>
       this.log.write('upstreamChanged', {
@@ -255,6 +269,10 @@
     this.log.write('platformValueIgnored', {key, reason});
   }
 
+  private noteFirstRead(): void {
+    if (this.hasUpstreams && this.routes !== undefined) this.firstRead.abort();
+  }
+
   private get isReady(): boolean {
     if (this.isDraining || this.routes === undefined || !this.hasUpstreams)
       return false;
