--- /dev/null
+++ b/packages/daemon/test/log/bounded-output.test.ts
@@ -0,0 +1,64 @@
+import {Writable} from 'node:stream';
+import test from 'ava';
+import {BoundedOutput} from '../../src/log/bounded-output.js';
+
+const line = 'x'.repeat(1000);
+
+/** A stream whose reader takes nothing until it is told to. */
+class StalledStream extends Writable {
+  readonly lines: string[] = [];
+  private pending: (() => void) | undefined;
+  private isFlowing = false;
+
+  override _write(chunk: Buffer, _: string, done: () => void): void {
+    this.lines.push(chunk.toString());
+    if (this.isFlowing) done();
+    else this.pending = done;
+  }
+
+  flow(): void {
+    this.isFlowing = true;
+    this.pending?.();
+  }
+}
+
+test('a reader that takes nothing makes nothing grow', t => {
+  const stream = new StalledStream();
+  const output = new BoundedOutput(stream);
+  for (let count = 0; count < 5000; count += 1) output.write(line, false);
+  t.true(stream.writableLength < 300_000);
+  t.true(output.droppedLines > 4000);
+});
+
+test('lines that matter most still get in', t => {
+  const output = new BoundedOutput(new StalledStream());
+  for (let count = 0; count < 1000; count += 1) output.write(line, false);
+  t.true(output.droppedLines > 0);
+  for (let count = 0; count < 100; count += 1) output.write(line, true);
+  t.is(output.droppedLines, 0, 'the first one told of those before');
+  for (let count = 0; count < 1000; count += 1) output.write(line, true);
+  t.true(output.droppedLines > 0);
+});
+
+test('what was left out is counted once the reader goes on', async t => {
+  const stream = new StalledStream();
+  const output = new BoundedOutput(stream);
+  for (let count = 0; count < 1000; count += 1) output.write(line, false);
+  const dropped = output.droppedLines;
+  stream.flow();
+  await new Promise(resolve => setImmediate(resolve));
+  output.write('next', false);
+  await new Promise(resolve => setImmediate(resolve));
+  const note = stream.lines.find(each => each.includes('dropped'));
+  t.is(JSON.parse(note!).dropped, dropped);
+  t.is(output.droppedLines, 0);
+});
+
+test('a reader that went away ends nothing', async t => {
+  const stream = new StalledStream();
+  const output = new BoundedOutput(stream);
+  stream.destroy(new RangeError('gone'));
+  await new Promise(resolve => setImmediate(resolve));
+  for (let count = 0; count < 1000; count += 1) output.write(line, true);
+  t.is(output.droppedLines, 0);
+});
