--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -7,27 +7,30 @@
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import type {RequestFailure} from '../requests/failure.js';
-import {
-  callerGone,
-  noUpstream,
-  queueFull,
-  upstreamFailed,
-  upstreamTimeout,
-} from './call-failures.js';
+import {noUpstream} from './call-failures.js';
 import type {
   AdmittedCall,
+  BrokenAnswerError,
   CacheSource,
   Generation,
   PassthroughAnswer,
   PassthroughError,
 } from './call.js';
-import {BrokenAnswerError, provesCallNotRun} from './call.js';
-import {EventFrames} from './event-frames.js';
+import {provesCallNotRun} from './call.js';
+import {relayEvents, streamSilenceOf} from './event-relay.js';
+import {
+  failureOf,
+  fullFailure,
+  goneFailure,
+  memoryOf,
+  noteFailure,
+} from './generation-run.js';
+import type {GenerationRun} from './generation-run.js';
 import {MemoryQueue} from './memory-queue.js';
 import type {Place} from './memory-queue.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {drawPool} from './passthrough-parts.js';
-import {leastBy} from './plain-calls.js';
+import {PrefillStage} from './prefill-stage.js';
 import {ReferenceTime} from './reference-time.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
@@ -42,40 +45,9 @@
 /** Longest wait for memory of routes without a target. */
 const usualQueueMilliseconds = 2500;
 
-/** Estimates of the output are low in half of the cases. */
-const outputMargin = 0.1;
-
-/** Time without a byte after which a resumable stream is looked for elsewhere. */
-const streamSilenceMilliseconds = 1000;
-
 /** The same before the first byte, where a call may run again. */
 const startSilenceMilliseconds = 2000;
 
-/** Longest wait for a prompt to be read before another engine is asked. */
-const prefillSilenceMilliseconds = 1500;
-
-/** Time without caches of an engine after one of them could not be fetched. */
-const lostCacheMilliseconds = 2000;
-
-/** What other hosts told of waiting prompts is mostly over when it is known. */
-const toldPromptWeight = 0.3;
-
-/** State of one call over all its sendings. */
-interface Run {
-  readonly call: AdmittedCall;
-  readonly generation: Generation;
-  readonly pool: PoolDocument;
-  readonly signal: AbortSignal;
-  readonly avoided: Set<string>;
-  sendings: number;
-  prefills: number;
-  /** Engines that may have run the call. */
-  runs: number;
-  readsPromptItself: boolean;
-  lastEvent: number | undefined;
-  lastError: PassthroughError | undefined;
-}
-
 interface Started {
   readonly answer: PassthroughAnswer;
   readonly place: Place;
@@ -84,12 +56,12 @@
 export class Generations {
   private readonly queues = new Map<string, MemoryQueue>();
   private readonly pools = new Map<string, PoolDocument>();
-  private readonly usualPrefill = new ReferenceTime();
   private readonly usualGap = new ReferenceTime();
-  /** Until when caches of an engine are not counted on. */
-  private readonly lostCaches = new Map<string, number>();
+  private readonly prefills: PrefillStage;
 
-  constructor(private readonly parts: PassthroughParts) {}
+  constructor(private readonly parts: PassthroughParts) {
+    this.prefills = new PrefillStage(parts);
+  }
 
   close(): void {
     for (const queue of this.queues.values()) queue.close();
@@ -110,7 +82,7 @@
     if (pool === undefined) return Result.err(noUpstream);
     this.pools.set(pool.name, pool);
     this.parts.retries.countCall(pool.name);
-    const run: Run = {
+    const run: GenerationRun = {
       call,
       generation,
       pool,
@@ -130,13 +102,15 @@
   }
 
   /** Finds an engine that answers; tries again where that is allowed. */
-  private async start(run: Run): Promise<Result<Started, RequestFailure>> {
+  private async start(
+    run: GenerationRun,
+  ): Promise<Result<Started, RequestFailure>> {
     const {signal} = run;
     for (;;) {
       const placed = await this.place(run);
       if (placed.isErr) return Result.err(placed.error);
       const place = placed.value;
-      const cache = await this.prefill(run, place);
+      const cache = await this.prefills.read(run, place);
       if (signal.aborted) {
         this.releasePlace(place);
         if (cache !== undefined) void this.parts.transport.releaseCache(cache);
@@ -150,7 +124,7 @@
     }
   }
 
-  private mayTryAgain(run: Run, reason: string): boolean {
+  private mayTryAgain(run: GenerationRun, reason: string): boolean {
     const {clock, retries, observer} = this.parts;
     const {call, pool} = run;
     const {maximumTries, repeatable} = call.route.target;
@@ -165,7 +139,9 @@
     return true;
   }
 
-  private async place(run: Run): Promise<Result<Place, RequestFailure>> {
+  private async place(
+    run: GenerationRun,
+  ): Promise<Result<Place, RequestFailure>> {
     const {call, generation, signal, avoided, pool} = run;
     if (this.liveDecoders(run).length === 0) avoided.clear();
     const giveUpAt = Math.min(call.deadline, this.queueLimit(run));
@@ -185,7 +161,7 @@
   }
 
   /** Later than this a place is no longer waited for. */
-  private queueLimit({call, lastEvent}: Run): number {
+  private queueLimit({call, lastEvent}: GenerationRun): number {
     const {targetMilliseconds} = call.route;
     const patience =
       targetMilliseconds === undefined
@@ -196,7 +172,7 @@
     return from + patience;
   }
 
-  private liveDecoders({pool, avoided}: Run): TrackedUpstream[] {
+  private liveDecoders({pool, avoided}: GenerationRun): TrackedUpstream[] {
     const now = this.parts.clock.now();
     return this.parts.upstreams
       .liveOf(pool)
@@ -208,113 +184,8 @@
       );
   }
 
-  /** Has the prompt read; undefined when the decode engine must read it. */
-  private async prefill(
-    run: Run,
-    place: Place,
-  ): Promise<CacheSource | undefined> {
-    const {retries} = this.parts;
-    if (run.readsPromptItself) return undefined;
-    const tried = new Set<string>();
-    for (let tries = 0; tries < 2; tries += 1) {
-      const engine = this.choosePrefill(run, tried);
-      if (engine === undefined || run.signal.aborted) return undefined;
-      // Only the first reading of a call is free of the retry budget.
-      if (run.prefills > 0 && !retries.tryTake(run.pool.name)) return undefined;
-      tried.add(engine.document.name);
-      const cache = await this.prefillAt(run, engine, place);
-      if (cache !== undefined) return cache;
-    }
-    return undefined;
-  }
-
-  private choosePrefill(
-    run: Run,
-    tried: ReadonlySet<string>,
-  ): TrackedUpstream | undefined {
-    const {clock, upstreams, random, observer} = this.parts;
-    const now = clock.now();
-    const candidates = upstreams
-      .liveOf(run.pool)
-      .filter(
-        ({document, health}) =>
-          document.labels?.['stage'] === 'prefill' &&
-          health.isUsable(now) &&
-          !tried.has(document.name) &&
-          (this.lostCaches.get(document.name) ?? 0) <= now,
-      );
-    const {promptTokens} = run.generation;
-    const chosen = leastBy(candidates, ({document, own, health}) => {
-      const told = upstreams.toldLoad(document.name).promptTokens;
-      const queued = own.promptTokens + told * toldPromptWeight + promptTokens;
-      const failing = 1 + 4 * health.failureShare(now);
-      return (
-        queued * health.slowness(now) * failing * (1 + 0.1 * random.next())
-      );
-    });
-    if (chosen !== undefined)
-      observer(run.call.id, {
-        kind: 'chosen',
-        purpose: 'prefill',
-        upstream: chosen.document.name,
-        candidates: candidates.length,
-        load: chosen.own.promptTokens,
-        slowness: chosen.health.slowness(now),
-        waited: now - run.call.arrivedAt,
-      });
-    return chosen;
-  }
-
-  private async prefillAt(
-    run: Run,
-    engine: TrackedUpstream,
-    place: Place,
-  ): Promise<CacheSource | undefined> {
-    const {clock, transport, upstreams, observer} = this.parts;
-    const {call, generation, signal} = run;
-    const {promptTokens} = generation;
-    const startedAt = clock.now();
-    const queuedTokens = engine.own.promptTokens + promptTokens;
-    const load = {calls: 1, promptTokens};
-    const held = upstreams.addLoad(engine, load);
-    engine.health.recordStart(startedAt);
-    run.prefills += 1;
-    const remaining = call.deadline - startedAt;
-    const handle = await transport.prefill(
-      engine.document,
-      call,
-      {
-        remainingMilliseconds: remaining,
-        needsNewConnection: false,
-        silenceMilliseconds: Math.min(
-          remaining,
-          prefillSilenceMilliseconds,
-          Math.max(0, place.reservedUntil - startedAt),
-        ),
-      },
-      signal,
-    );
-    held.end();
-    const now = clock.now();
-    observer(call.id, {
-      kind: 'stage-done',
-      purpose: 'prefill',
-      upstream: engine.document.name,
-      outcome: handle.isOk ? 'read' : handle.error.kind,
-      took: now - startedAt,
-    });
-    if (handle.isOk) {
-      engine.health.recordSuccess(now);
-      const ratio = this.usualPrefill.observe((now - startedAt) / queuedTokens);
-      engine.health.recordTime(now, ratio);
-      return {upstream: engine.document, handle: handle.value};
-    }
-    this.noteFailure(engine, handle.error, now);
-    return undefined;
-  }
-
   private async send(
-    run: Run,
+    run: GenerationRun,
     place: Place,
     cache: CacheSource | undefined,
   ): Promise<Result<PassthroughAnswer, PassthroughError>> {
@@ -362,7 +233,7 @@
 
   /** A refusal after a reservation mostly means that the cache was gone. */
   private noteLostCache(
-    run: Run,
+    run: GenerationRun,
     engine: TrackedUpstream,
     cache: CacheSource | undefined,
     error: PassthroughError,
@@ -371,40 +242,20 @@
     if (cache !== undefined) {
       void this.parts.transport.releaseCache(cache);
       if (error.kind === 'refused') {
-        const until = now + lostCacheMilliseconds;
-        this.lostCaches.set(cache.upstream.name, until);
+        this.prefills.noteLost(cache.upstream.name);
         run.readsPromptItself = true;
         return;
       }
     }
     run.avoided.add(engine.document.name);
-    this.noteFailure(engine, error, now);
+    noteFailure(engine, error, now);
   }
 
-  private isLastRun({call, runs}: Run): boolean {
+  private isLastRun({call, runs}: GenerationRun): boolean {
     const {repeatable, maximumTries} = call.route.target;
     return !repeatable || runs + 1 >= maximumTries;
   }
 
-  private noteFailure(
-    engine: TrackedUpstream,
-    error: PassthroughError,
-    now: number,
-  ): void {
-    switch (error.kind) {
-      case 'unreachable':
-        engine.health.recordUnreachable(now);
-        break;
-      case 'refused':
-      case 'misdirected':
-      case 'broken':
-      case 'silent':
-        engine.health.recordFailure(now);
-        break;
-      case 'cancelled':
-    }
-  }
-
   private releasePlace({upstream, reservation, load}: Place): void {
     load.end();
     if (reservation === undefined) return;
@@ -413,11 +264,20 @@
   }
 
   /** Passes whole events on; goes on elsewhere when the engine breaks off. */
-  private async *relay(run: Run, started: Started): AsyncGenerator<Uint8Array> {
+  private async *relay(
+    run: GenerationRun,
+    started: Started,
+  ): AsyncGenerator<Uint8Array> {
     let {answer, place} = started;
     try {
       for (;;) {
-        const broken = yield* this.relayOne(run, answer, place);
+        const broken = yield* relayEvents(
+          this.parts.clock,
+          run,
+          answer,
+          place,
+          this.usualGap,
+        );
         if (broken === undefined) return;
         place.load.end();
         this.noteBroken(run, place, broken);
@@ -431,7 +291,11 @@
     }
   }
 
-  private noteBroken(run: Run, place: Place, broken: BrokenAnswerError): void {
+  private noteBroken(
+    run: GenerationRun,
+    place: Place,
+    broken: BrokenAnswerError,
+  ): void {
     const {health, document} = place.upstream;
     if (broken.reason === 'cancelled') return;
     run.avoided.add(document.name);
@@ -439,7 +303,7 @@
   }
 
   private async resume(
-    run: Run,
+    run: GenerationRun,
     broken: BrokenAnswerError,
   ): Promise<Started | undefined> {
     const {observer} = this.parts;
@@ -462,46 +326,6 @@
     return started.value;
   }
 
-  /** Passes one engine's events on; returns why it broke off, if it did. */
-  private async *relayOne(
-    run: Run,
-    answer: PassthroughAnswer,
-    {upstream, load}: Place,
-  ): AsyncGenerator<Uint8Array, BrokenAnswerError | undefined> {
-    const {clock} = this.parts;
-    const {promptTokens} = run.generation;
-    const tokensPerEvent = run.pool.spec.engine?.tokensPerEvent ?? 1;
-    const frames = new EventFrames();
-    const startedAt = clock.now();
-    let events = 0;
-    try {
-      for await (const chunk of answer.body) {
-        for (const {bytes, id} of frames.push(chunk)) {
-          if (id !== undefined) {
-            // A resumed run may repeat what the caller has.
-            if (run.lastEvent !== undefined && id <= run.lastEvent) continue;
-            run.lastEvent = id;
-          }
-          events += 1;
-          load.setMemory(promptTokens + events * tokensPerEvent);
-          yield bytes;
-        }
-      }
-    } catch (error) {
-      if (error instanceof BrokenAnswerError) return error;
-      throw error;
-    }
-    if (frames.pendingBytes > 0)
-      return new BrokenAnswerError(upstreamIdOf(upstream), 'broken');
-    const now = clock.now();
-    upstream.health.recordSuccess(now);
-    if (events > 1) {
-      const gap = (now - startedAt) / events;
-      upstream.health.recordTime(now, this.usualGap.observe(gap));
-    }
-    return undefined;
-  }
-
   private queueOf(name: string): MemoryQueue {
     const known = this.queues.get(name);
     if (known !== undefined) return known;
@@ -510,34 +334,3 @@
     return made;
   }
 }
-
-/** Longest silence of a stream between two events. */
-function streamSilenceOf({route}: AdmittedCall, rest: number): number {
-  return route.target.resumable === true
-    ? Math.min(streamSilenceMilliseconds, rest)
-    : rest;
-}
-
-function upstreamIdOf({document}: TrackedUpstream) {
-  return document.name as BrokenAnswerError['upstream'];
-}
-
-/** Memory that a generation will need, by the caller's estimate. */
-function memoryOf(generation: Generation): number {
-  const {promptTokens, maximumOutputTokens, expectedOutputTokens} = generation;
-  const expected = (expectedOutputTokens ?? maximumOutputTokens) * outputMargin;
-  return promptTokens + Math.min(maximumOutputTokens, expected);
-}
-
-function goneFailure({runs}: Run): RequestFailure {
-  return runs === 0 ? {...callerGone, ran: 'not-run'} : callerGone;
-}
-
-function fullFailure({runs}: Run): RequestFailure {
-  return runs === 0 ? queueFull : upstreamFailed;
-}
-
-function failureOf({runs, lastError}: Run): RequestFailure {
-  if (runs === 0) return queueFull;
-  return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
-}
--- a/packages/coordination/src/passthrough/memory-queue.ts
+++ b/packages/coordination/src/passthrough/memory-queue.ts
@@ -7,8 +7,8 @@
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import type {AdmittedCall} from './call.js';
+import {leastBy} from './least-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
-import {leastBy} from './plain-calls.js';
 import type {HeldLoad, TrackedUpstream} from './upstream-table.js';
 
 /** Memory of an engine that was reserved for one call. */
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -18,6 +18,7 @@
   PassthroughError,
 } from './call.js';
 import {BrokenAnswerError, hasArrived, provesCallNotRun} from './call.js';
+import {leastBy} from './least-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {drawPool} from './passthrough-parts.js';
 import {ReferenceTime} from './reference-time.js';
@@ -279,20 +280,3 @@
     await iterator.return?.();
   }
 }
-
-/** The item with the least cost. */
-export function leastBy<Item>(
-  items: readonly Item[],
-  costOf: (item: Item) => number,
-): Item | undefined {
-  let best: Item | undefined;
-  let bestCost = Infinity;
-  for (const item of items) {
-    const cost = costOf(item);
-    if (best === undefined || cost < bestCost) {
-      best = item;
-      bestCost = cost;
-    }
-  }
-  return best;
-}
