--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -169,13 +169,17 @@
       const peer = {host, address, incarnation, sequence, heardAt, state};
       this.peers.set(host, peer);
       onChange({kind: 'joined', host});
+      // A host that has just started knows no load of others yet.
+      this.announce();
       return true;
     }
     if (incarnation < known.incarnation) return false;
     const isRestarted = incarnation > known.incarnation;
     if (!isRestarted && sequence <= known.sequence) return false;
-    if (isRestarted) onChange({kind: 'restarted', host});
-    else if (known.state === 'silent') onChange({kind: 'heard-again', host});
+    if (isRestarted) {
+      onChange({kind: 'restarted', host});
+      this.announce();
+    } else if (known.state === 'silent') onChange({kind: 'heard-again', host});
     Object.assign(known, {address, incarnation, sequence, heardAt});
     known.state = 'live';
     return true;
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -148,6 +148,16 @@
   for (const fleet of fleets) t.is(fleet.hostCount, 4);
 });
 
+test('a host that has just started is told at once what the others know', async t => {
+  const network = new BeatNetwork();
+  for (const name of ['a', 'b', 'c']) network.add(name, ['a']);
+  // Between two beats, so that only an answer to the new host comes in time.
+  await network.clock.advance(2000);
+  const late = network.add('d', ['a', 'b', 'c']);
+  await network.clock.advance(60);
+  t.is(late.hostCount, 4);
+});
+
 test('a host that leaves is gone at once and late beats do not revive it', async t => {
   const network = new BeatNetwork();
   const [a, b] = ['a', 'b'].map(name => network.add(name, ['a']));
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -186,6 +186,8 @@
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
     this.adapter.feed.start(this);
+    await this.beats.listen(listen.beats);
+    this.fleet.start();
     const listener =
       this.adapter.listener ?? (await EarlyListener.open(listen.callers));
     // Callers that wait are better served than refused.
@@ -197,8 +199,6 @@
       () => this.isReady,
     );
     this.pages.push(readiness);
-    await this.beats.listen(listen.beats);
-    this.fleet.start();
     if (listen.metrics !== undefined)
       this.pages.push(
         await serveMetrics(listen.metrics, metricsPath, () =>
