Drop accessors that nothing calls, ask one function which upstreams decode

UpstreamTable.isLive, DiscoveredFleet.liveHosts and UsageLimiter.forget had no caller; the stage test stood in generations and in the memory queue. Behaviour is unchanged.

--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -114,12 +114,6 @@
       .length;
   }
 
-  get liveHosts(): HostId[] {
-    return [...this.peers.values()]
-      .filter(peer => peer.state === 'live')
-      .map(peer => peer.host);
-  }
-
   /** Sends the next beat soon: the own load has changed. */
   announce(): void {
     const {clock} = this.parts;
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -26,7 +26,7 @@
   noteFailure,
 } from './generation-run.js';
 import type {GenerationRun} from './generation-run.js';
-import {MemoryQueue} from './memory-queue.js';
+import {MemoryQueue, canDecode} from './memory-queue.js';
 import type {Place} from './memory-queue.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {drawPool} from './passthrough-parts.js';
@@ -178,7 +178,7 @@
       .liveOf(pool)
       .filter(
         ({document, health}) =>
-          document.labels?.['stage'] !== 'prefill' &&
+          canDecode(document.labels ?? {}) &&
           health.isUsable(now) &&
           !avoided.has(document.name),
       );
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -89,12 +89,6 @@
       .map(document => this.track(document));
   }
 
-  /** True while the list names the upstream as one that takes new work. */
-  isLive(name: string): boolean {
-    const document = this.current.get(name);
-    return document !== undefined && document.spec.state !== 'leaving';
-  }
-
   get size(): number {
     return this.current.size;
   }
--- a/packages/coordination/src/passthrough/usage-limiter.ts
+++ b/packages/coordination/src/passthrough/usage-limiter.ts
@@ -143,11 +143,6 @@
     }
   }
 
-  /** Forgets what `host` told. */
-  forget(host: HostId): void {
-    this.heard.delete(host);
-  }
-
   private refilled(account: AccountId, rate: AccountRate): AccountUse {
     const now = this.parts.clock.now();
     const share = this.ownPart();
