Refuse completion fields that are not served, take text parts, link both commands, trace a request

Asked for two choices, a stop sequence, tools or a response format, the API answered as if it had not been. Such requests are now refused with the name of the field, before anything runs. Lists of text parts are what client libraries send and are taken. Errors carry the type that these libraries read.

persimmonwick trace puts the lines of one request from several logs in order, says which lines are missing and how it ended.

--- a/packages/command/src/commands/index.ts
+++ b/packages/command/src/commands/index.ts
@@ -9,6 +9,7 @@
 import {histogramsCommand} from './histograms.js';
 import {replayCommand} from './replay.js';
 import {statusCommand} from './status.js';
+import {traceCommand} from './trace.js';
 
 /** Makes the commands for one run of the tool. */
 export function createCommands(context: CommandContext): CommandModule[] {
@@ -20,5 +21,6 @@
     hashKeyCommand,
     drainCommand,
     replayCommand,
+    traceCommand,
   ].map(create => create(context) as unknown as CommandModule);
 }
--- a/packages/command/src/run-command.ts
+++ b/packages/command/src/run-command.ts
@@ -7,14 +7,16 @@
 
 const epilogue = `Exit status:
   0  the command did what was asked
-  1  the answer is no: "check" found faults, "explain" found no route
+  1  the answer is no: "check" found faults, "explain" found no route,
+     "trace" found no line of the request
   2  wrong usage, an unreadable file, or no usable answer of the host
 
 Examples:
   persimmonwick check settings.yaml configuration/*.yaml
   persimmonwick status --address 10.0.0.7:9090
   persimmonwick explain --account north-works --model review-1
-  persimmonwick hash-key < key.txt`;
+  persimmonwick hash-key < key.txt
+  persimmonwick trace 9c41d07be2a35f68 logs/*.log`;
 
 /** The streams that the tool runs with. */
 export type CommandStreams = Omit<CommandContext, 'end'>;
--- /dev/null
+++ b/packages/command/test/trace.test.ts
@@ -0,0 +1,150 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {runCommand} from '../src/run-command.js';
+
+type Fields = Record<string, string | number>;
+
+let sequence = 0;
+
+function line(host: string, time: number, name: string, fields: Fields = {}) {
+  sequence += 1;
+  return JSON.stringify({
+    context: {application: 'persimmonwickd', host, event: 1, name, ...fields},
+    message: name,
+    sequence: String(sequence),
+    time,
+  });
+}
+
+function files(t: ExecutionContext, ...texts: readonly string[][]): string[] {
+  const folder = mkdtempSync(join(tmpdir(), 'persimmonwick-trace-'));
+  t.teardown(() => rmSync(folder, {recursive: true}));
+  return texts.map((lines, index) => {
+    const file = join(folder, `host-${index}.log`);
+    writeFileSync(file, `${lines.join('\n')}\n`);
+    return file;
+  });
+}
+
+async function trace(...words: string[]) {
+  const lines: string[] = [];
+  const write = (text: string) => void lines.push(text);
+  const status = await runCommand(['trace', ...words], {
+    input: process.stdin,
+    print: write,
+    complain: write,
+    prompt: write,
+  });
+  return {status, lines, text: lines.join('\n')};
+}
+
+const request = 'one';
+const admitted = {request, route: 'r', account: 'a', version: '3', tokens: 9};
+const reserve = {request, purpose: 'reserve', upstream: 'd-1'};
+const run = {request, purpose: 'run', upstream: 'd-1'};
+
+test('lines of several files come in the order of time', async t => {
+  const paths = files(
+    t,
+    [
+      line('h-2', 300, 'requestFinished', {
+        request,
+        status: 200,
+        milliseconds: 200,
+      }),
+      line('h-2', 150, 'callStageDone', {...run, outcome: '200', took: 9}),
+    ],
+    [
+      `2026-12-04 h-1 ${line('h-1', 100, 'callAdmitted', admitted)}`,
+      line('h-1', 120, 'callAdmitted', {...admitted, request: 'other'}),
+      line('h-1', 140, 'upstreamChosen', {...run, candidates: 2}),
+    ],
+  );
+  const {status, lines} = await trace('one', ...paths);
+  t.is(status, 0);
+  t.deepEqual(
+    lines.slice(0, 4).map(text => text.trim().split(' ')[3]),
+    ['callAdmitted', 'upstreamChosen', 'callStageDone', 'requestFinished'],
+  );
+  t.is(lines.length, 5);
+  t.is(lines[4], 'Answered whole with 200 after 200 ms, last sent to d-1.');
+});
+
+test('a refusal for want of memory tells what engines said', async t => {
+  const paths = files(t, [
+    line('h', 1, 'callAdmitted', admitted),
+    line('h', 2, 'upstreamChosen', reserve),
+    line('h', 3, 'callStageDone', {...reserve, outcome: 'refused', took: 1}),
+    line('h', 4, 'requestFailed', {
+      request,
+      status: 503,
+      code: 'queue-full',
+      ran: 'not-run',
+    }),
+  ]);
+  const {text} = await trace('one', ...paths);
+  t.regex(text, /of 1 asked, 1 refused\. It did not run\.$/);
+  t.notRegex(text, /missing/);
+});
+
+test('a stream that broke off names the engine and why it ended there', async t => {
+  const failed = {request, status: 200, code: 'upstream-failed', ran: 'ran'};
+  const lines = [
+    line('h', 1, 'callAdmitted', admitted),
+    line('h', 3, 'callStageDone', {...run, outcome: '200', took: 1}),
+  ];
+  const withheld = line('h', 4, 'callRetryWithheld', {
+    request,
+    reason: 'broken',
+  });
+  const end = line('h', 5, 'requestFailed', failed);
+  const [first, second] = files(t, [...lines, end], [...lines, withheld, end]);
+  t.regex((await trace('one', first!)).text, /d-1 .*allows no further run/);
+  t.regex((await trace('one', second!)).text, /retry budget was used up/);
+});
+
+test('an unknown outcome is said to be unknown', async t => {
+  const paths = files(t, [
+    line('h', 1, 'callAdmitted', admitted),
+    line('h', 3, 'callStageDone', {...run, outcome: 'silent', took: 900}),
+    line('h', 4, 'requestFailed', {
+      request,
+      status: 504,
+      code: 'upstream-timeout',
+      ran: 'unknown',
+    }),
+  ]);
+  const {text} = await trace('one', ...paths);
+  t.regex(text, /Failed at d-1 \(silent\).*only the upstream can tell/);
+});
+
+test('what is missing is said: an end, an answer, left out lines, a kill', async t => {
+  const paths = files(t, [
+    line('h', 1, 'upstreamChosen', run),
+    JSON.stringify({message: 'log lines were dropped', dropped: 7}),
+    line('h', 4000, 'passthroughStarted', {incarnation: '1'}),
+  ]);
+  const {status, text} = await trace('one', ...paths);
+  t.is(status, 0);
+  t.regex(text, /no line says that it was admitted/);
+  t.regex(text, /what became of run at d-1/);
+  t.regex(text, /no line says how it ended/);
+  t.regex(text, /left out 7 lines/);
+  t.regex(text, /h started again 4\.0 s after/);
+});
+
+test('a request that no file names is the answer no', async t => {
+  const paths = files(t, [line('h', 1, 'callAdmitted', admitted), 'no JSON {']);
+  const {status, text} = await trace('two', ...paths);
+  t.is(status, 1);
+  t.regex(text, /Nothing is known of it/);
+});
+
+test('a file that can not be read is named', async t => {
+  const {status, text} = await trace('one', '/nowhere/at.log');
+  t.is(status, 2);
+  t.regex(text, /\/nowhere\/at\.log: ENOENT/);
+});
--- a/packages/daemon/src/callers/chat-request.ts
+++ b/packages/daemon/src/callers/chat-request.ts
@@ -1,9 +1,14 @@
 /** Reading of a chat completion request. */
 
 import {chatSchema} from '@persimmonwick/coordination';
-import type {ChatRequest, RequestFailure} from '@persimmonwick/coordination';
+import type {
+  ChatMessage,
+  ChatRequest,
+  RequestFailure,
+} from '@persimmonwick/coordination';
 import {Ajv} from 'ajv';
 import {Result} from 'true-myth';
+import {findUnservedField} from './unserved-fields.js';
 
 const defaultMaximumTokens = 256;
 const charactersPerToken = 4;
@@ -21,7 +26,14 @@
   } catch {
     return invalid('the body is not JSON in UTF-8');
   }
-  if (validate(value)) return Result.ok(value as unknown as ChatRequest);
+  if (validate(value)) {
+    const unserved = findUnservedField(
+      value as unknown as Record<string, unknown>,
+    );
+    if (unserved !== undefined)
+      return invalid(`the field ${unserved} is not served with this value`);
+    return Result.ok(value as unknown as ChatRequest);
+  }
   const error = validate.errors![0]!;
   return invalid(`${error.instancePath || 'the body'} ${error.message}`);
 }
@@ -29,10 +41,15 @@
 /** The prompt that engines see for the messages of `chat`. */
 export function promptOf(chat: ChatRequest): string {
   return chat.messages
-    .map(({role, content}) => `${role}: ${content}`)
+    .map(({role, content}) => `${role}: ${textOf(content)}`)
     .join('\n');
 }
 
+function textOf(content: ChatMessage['content']): string {
+  if (typeof content === 'string') return content;
+  return content.map(({text}) => text).join('');
+}
+
 /** Tokens that a prompt is taken for until an engine has counted them. */
 export function estimateTokens(prompt: string): number {
   return Math.ceil(prompt.length / charactersPerToken);
--- a/packages/daemon/test/callers/bad-input.test.ts
+++ b/packages/daemon/test/callers/bad-input.test.ts
@@ -267,3 +267,64 @@
   const other = await run.call('/orders/1', {key: sampleKeys.lembaga});
   t.is(other.status, 201);
 });
+
+test('fields that are not served are refused by name', async t => {
+  const run = await runDaemon(t);
+  const unserved: Record<string, unknown> = {
+    n: 2,
+    stop: ['\n'],
+    tools: [{type: 'function', function: {name: 'f'}}],
+    tool_choice: 'auto',
+    functions: [{name: 'f'}],
+    response_format: {type: 'json_object'},
+    logprobs: true,
+    logit_bias: {7: 1},
+    modalities: ['text', 'audio'],
+  };
+  for (const [field, value] of Object.entries(unserved)) {
+    const body = JSON.stringify({model: sampleModel, messages, [field]: value});
+    const answer = await request(
+      `http://${run.daemon.addresses.callers}${completions}`,
+      {method: 'POST', headers: {authorization}, body},
+    );
+    const {error} = (await answer.body.json()) as {
+      error: {type: string; message: string};
+    };
+    t.is(answer.statusCode, 400, field);
+    t.is(error.type, 'invalid_request_error');
+    t.regex(error.message, new RegExp(`\\b${field}\\b`));
+  }
+  await isAlive(t, run);
+});
+
+test('values that ask for nothing, hints and text parts are served', async t => {
+  const run = await runDaemon(t);
+  const parts = [
+    {type: 'text', text: 'check '},
+    {type: 'text', text: 'this'},
+  ];
+  const body = JSON.stringify({
+    model: sampleModel,
+    messages: [{role: 'user', content: parts}],
+    max_tokens: 3,
+    n: 1,
+    stop: null,
+    tools: [],
+    response_format: {type: 'text'},
+    logprobs: false,
+    temperature: 0.2,
+  });
+  const answer = await request(
+    `http://${run.daemon.addresses.callers}${completions}`,
+    {method: 'POST', headers: {authorization}, body},
+  );
+  t.is(answer.statusCode, 200, await answer.body.text());
+});
+
+test('parts that are no text are refused', async t => {
+  const run = await runDaemon(t);
+  const image = {type: 'image_url', image_url: {url: 'x'}};
+  const mixed = [{role: 'user', content: [image]}];
+  const body = JSON.stringify({model: sampleModel, messages: mixed});
+  isRefused(t, await post(run, body), 400, 'invalid-request');
+});
