Find unreachable upstreams again by probes, take no retry for what never arrived

Sendings that never reached a server also used up the retry budget.

The limit for a connection is 250 ms.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -284,6 +284,8 @@
   DiscoveredFleetParts,
   FleetChange,
 } from './passthrough/discovered-fleet.js';
+export {ReachabilityProbes} from './passthrough/reachability-probes.js';
+export type {ReachabilityProbesParts} from './passthrough/reachability-probes.js';
 export {UpstreamTable} from './passthrough/upstream-table.js';
 export {EventFrames} from './passthrough/event-frames.js';
 export {Beat} from './generated/messages/persimmonwick/beat.js';
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -162,6 +162,8 @@
     lifetimeMilliseconds: number,
     signal: AbortSignal,
   ): Sent<string>;
+  /** True when a connection to an upstream can be made; sends nothing. */
+  probe(upstream: UpstreamDocument, signal: AbortSignal): Promise<boolean>;
   /** Gives back a reservation that will not be used. */
   releaseReservation(
     upstream: UpstreamDocument,
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -16,7 +16,7 @@
   PassthroughAnswer,
   PassthroughError,
 } from './call.js';
-import {provesCallNotRun} from './call.js';
+import {hasArrived, provesCallNotRun} from './call.js';
 import {relayEvents, streamSilenceOf} from './event-relay.js';
 import {
   failureOf,
@@ -119,19 +119,24 @@
       const answer = await this.send(run, place, cache);
       if (answer.isOk) return Result.ok({answer: answer.value, place});
       if (signal.aborted) return Result.err(goneFailure(run));
-      if (!this.mayTryAgain(run, answer.error.kind))
+      if (!this.mayTryAgain(run, answer.error.kind, hasArrived(answer.error)))
         return Result.err(failureOf(run));
     }
   }
 
-  private mayTryAgain(run: GenerationRun, reason: string): boolean {
+  /** Only a sending that arrived makes the next one count as a repeat. */
+  private mayTryAgain(
+    run: GenerationRun,
+    reason: string,
+    isRepeat: boolean,
+  ): boolean {
     const {clock, retries, observer} = this.parts;
     const {call, pool} = run;
     const {maximumTries, repeatable} = call.route.target;
     if (clock.now() >= call.deadline) return false;
     if (run.runs >= (repeatable ? maximumTries : 1)) return false;
     if (run.sendings >= maximumSendings) return false;
-    if (!retries.tryTake(pool.name)) {
+    if (isRepeat && !retries.tryTake(pool.name)) {
       observer(call.id, {kind: 'retry-withheld', reason});
       return false;
     }
@@ -310,7 +315,7 @@
     const {call, signal} = run;
     if (!(call.route.target.resumable ?? false) || signal.aborted)
       return undefined;
-    if (!this.mayTryAgain(run, broken.reason)) return undefined;
+    if (!this.mayTryAgain(run, broken.reason, true)) return undefined;
     run.readsPromptItself = false;
     const started = await this.start(run);
     if (started.isErr) return undefined;
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -48,6 +48,8 @@
 interface Progress {
   readonly tried: Set<string>;
   sendings: number;
+  /** Sendings that reached an upstream; only these use up the retry budget. */
+  arrivals: number;
   runs: number;
   /** Whole answer that says that the upstream failed. */
   failureAnswer: PassthroughAnswer | undefined;
@@ -68,6 +70,7 @@
     const progress: Progress = {
       tried: new Set(),
       sendings: 0,
+      arrivals: 0,
       runs: 0,
       failureAnswer: undefined,
       lastError: undefined,
@@ -77,7 +80,7 @@
       if (upstream === undefined) break;
       if (progress.sendings > 0) {
         const reason = progress.lastError?.kind ?? 'failed';
-        if (!retries.tryTake(pool.name)) {
+        if (progress.arrivals > 0 && !retries.tryTake(pool.name)) {
           observer(call.id, {kind: 'retry-withheld', reason});
           break;
         }
@@ -190,6 +193,7 @@
       this.noteError(upstream, answer.error, progress, now);
       return undefined;
     }
+    progress.arrivals += 1;
     progress.runs += 1;
     const ratio = this.usualTimeOf(pool).observe(now - startedAt);
     upstream.health.recordTime(now, ratio);
@@ -210,6 +214,7 @@
   ): void {
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.runs += 1;
+    if (hasArrived(error)) progress.arrivals += 1;
     if (!hasArrived(error)) upstream.health.recordUnreachable(now);
     else if (error.kind !== 'cancelled') upstream.health.recordFailure(now);
   }
--- a/packages/coordination/src/passthrough/upstream-health.ts
+++ b/packages/coordination/src/passthrough/upstream-health.ts
@@ -29,6 +29,9 @@
   private ratioAt = 0;
   private nextTrialAt = -Infinity;
 
+  /** `onUnreachable` is called when the upstream begins to be unreachable. */
+  constructor(private readonly onUnreachable: () => void = () => undefined) {}
+
   /** Part of the late calls that failed, from 0 to 1; fades with time. */
   failureShare(now: number): number {
     return this.failures * faded(now - this.failuresAt);
@@ -71,6 +74,18 @@
       longestUnreachableMilliseconds,
       2 * this.unreachableMilliseconds,
     );
+    this.onUnreachable();
+  }
+
+  /** Keeps calls away until `time`, unless it is reached before. */
+  rest(time: number): void {
+    this.unreachableUntil = Math.max(this.unreachableUntil, time);
+  }
+
+  /** A connection could be made again. */
+  recordReachable(): void {
+    this.unreachableUntil = -Infinity;
+    this.unreachableMilliseconds = firstUnreachableMilliseconds;
   }
 
   /** Notes a time as a multiple of what is usual for such a call. */
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -53,6 +53,9 @@
   private readonly told = new Map<string, Told>();
   private current: ReadonlyMap<string, UpstreamDocument> = new Map();
   private readonly listeners = new Set<() => void>();
+  private readonly unreachableListeners = new Set<
+    (upstream: TrackedUpstream) => void
+  >();
 
   constructor(private readonly clock: Clock) {}
 
@@ -74,7 +77,7 @@
     for (const document of listed) this.track(document);
     for (const {name} of gone) this.dropIdle(name);
     this.current = documents;
-    this.notify();
+    this.notifyRoom();
     return {joined, leaving, gone};
   }
 
@@ -115,7 +118,7 @@
     }
     const loads = new Map(beat.loads.map(load => [load.upstream, load]));
     this.told.set(beat.host, {at: this.clock.now(), loads});
-    this.notify();
+    this.notifyRoom();
   }
 
   /** Load of this host, to be told to others. */
@@ -150,7 +153,7 @@
         upstream.own.memoryTokens -= held.memoryTokens;
         upstream.own.promptTokens -= held.promptTokens;
         this.dropIdle(upstream.document.name);
-        this.notify();
+        this.notifyRoom();
       },
     };
   }
@@ -161,7 +164,27 @@
     return () => this.listeners.delete(listener);
   }
 
-  private notify(): void {
+  /** Calls `listener` when a connection to an upstream could not be made. */
+  subscribeUnreachable(
+    listener: (upstream: TrackedUpstream) => void,
+  ): () => void {
+    this.unreachableListeners.add(listener);
+    return () => this.unreachableListeners.delete(listener);
+  }
+
+  /** Listed upstreams of a failure domain. */
+  inDomain(failureDomain: string): TrackedUpstream[] {
+    return [...this.current.values()]
+      .filter(({spec}) => spec.failureDomain === failureDomain)
+      .map(document => this.track(document));
+  }
+
+  isListed({document}: TrackedUpstream): boolean {
+    return this.current.has(document.name);
+  }
+
+  /** Tells those that wait that they may find room now. */
+  notifyRoom(): void {
     for (const listener of [...this.listeners]) listener();
   }
 
@@ -173,7 +196,9 @@
     }
     const made: TrackedUpstream = {
       document,
-      health: new UpstreamHealth(),
+      health: new UpstreamHealth(() => {
+        for (const listener of this.unreachableListeners) listener(made);
+      }),
       own: {calls: 0, memoryTokens: 0, promptTokens: 0},
       fullUntil: -Infinity,
       triedAt: -Infinity,
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -107,6 +107,12 @@
     text: 'the list of upstreams changed',
     fields: ['upstream', 'change', 'address', 'domain'],
   },
+  upstreamReachability: {
+    number: 2203,
+    level: 'info',
+    text: 'connections to an upstream fail, or can be made again',
+    fields: ['upstream', 'change'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -16,6 +16,7 @@
 import {Result} from 'true-myth';
 import type {Dispatcher} from 'undici';
 import {AnswerBody} from './answer-body.js';
+import {canConnect} from './can-connect.js';
 import type {
   UpstreamConnection,
   UpstreamConnections,
@@ -28,6 +29,9 @@
 /** Reservations and releases are answered from memory. */
 const engineRequestMilliseconds = 400;
 
+/** A connection inside a data centre takes a few milliseconds. */
+const connectMilliseconds = 250;
+
 /** Headers that concern one connection only. */
 export const connectionHeaders: ReadonlySet<string> = new Set([
   'connection',
@@ -102,6 +106,10 @@
     );
   }
 
+  probe(upstream: UpstreamDocument, signal: AbortSignal): Promise<boolean> {
+    return canConnect(upstream.spec.address, connectMilliseconds, signal);
+  }
+
   async releaseReservation(
     upstream: UpstreamDocument,
     reservation: string,
@@ -205,6 +213,7 @@
     };
     const end = (kind: ErrorKind) => {
       signal.removeEventListener('abort', onAbort);
+      clearTimeout(connecting);
       settle(Result.err({kind, upstream}));
       body?.fail(reasonOf(kind));
       connection.drop();
@@ -214,6 +223,11 @@
       () => end(wasSent ? 'silent' : 'unreachable'),
       Math.max(0, silenceMilliseconds),
     );
+    // The HTTP client's own limit comes up to half a second late.
+    const connecting = setTimeout(
+      () => end('unreachable'),
+      Math.min(connectMilliseconds, Math.max(0, silenceMilliseconds)),
+    );
     if (signal.aborted) {
       onAbort();
       return;
@@ -222,6 +236,7 @@
     connection.client.dispatch(request, {
       onRequestStart() {
         wasSent = true;
+        clearTimeout(connecting);
       },
       onResponseStart(controller, status, headers) {
         // An informational answer comes before the real one.
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -5,6 +5,7 @@
   DiscoveredFleet,
   KeyFreshness,
   PassthroughHost,
+  ReachabilityProbes,
   RetryAllowance,
   RouteTable,
   UpstreamTable,
@@ -101,6 +102,7 @@
   private readonly fleet: DiscoveredFleet;
   private readonly beats: BeatSocket;
   private readonly host: PassthroughHost;
+  private readonly probes: ReachabilityProbes;
   private readonly server: CallServer;
   private readonly metrics: PassthroughMetrics;
   private readonly pages: StatusServer[] = [];
@@ -155,14 +157,25 @@
       hostCount,
     });
     this.metrics = new PassthroughMetrics(() => this.gauges());
+    const transport = new HttpPassthroughTransport(
+      this.connections,
+      adapter.upstreamWire,
+    );
+    this.probes = new ReachabilityProbes({
+      clock,
+      upstreams: this.upstreams,
+      transport,
+      onChange: (upstream, isReachable) =>
+        log.write('upstreamReachability', {
+          upstream,
+          change: isReachable ? 'reached' : 'unreachable',
+        }),
+    });
     this.host = new PassthroughHost({
       clock,
       random,
       failureDomain,
-      transport: new HttpPassthroughTransport(
-        this.connections,
-        adapter.upstreamWire,
-      ),
+      transport,
       upstreams: this.upstreams,
       retries: new RetryAllowance({clock, hostCount, ...settings.retries}),
       observer: (call, event) => {
@@ -349,6 +362,7 @@
     await this.adapter.feed.close();
     await this.fleet.close();
     this.host.close();
+    this.probes.close();
     this.connections.closeAll();
     this.beats.close();
     for (const page of this.pages) await page.close();
