Follow the settings file of the platform while a host runs

SIGHUP and a change without one were only logged. The start line gives the fingerprint of the settings and the time since the start of the process.

--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -31,6 +31,7 @@
 import {logCallEvent, logFleetChange} from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
 import type {PassthroughSettings} from './passthrough-settings.js';
+import {compareSettings, takeChangeable} from './settings-change.js';
 import type {
   FeedSink,
   PlatformFeed,
@@ -47,6 +48,8 @@
   readonly callerWire: CallerWire;
   readonly upstreamWire: UpstreamWire;
   readonly feed: PlatformFeed;
+  /** Tells one text of the settings from another, in logs. */
+  readonly fingerprint: string;
   /** The port for callers, where it was opened before; else it is opened. */
   readonly listener?: EarlyListener;
 }
@@ -59,6 +62,8 @@
     readonly readiness: string;
     readonly beats: string;
   };
+  /** Takes over what can change of `settings`, and says what can not. */
+  applySettings(settings: PassthroughSettings, fingerprint: string): void;
   /** Stops taking calls, finishes those in flight, and closes. */
   close(): Promise<void>;
 }
@@ -107,6 +112,8 @@
   private readonly metrics: PassthroughMetrics;
   private readonly pages: StatusServer[] = [];
   addresses = {callers: '', readiness: '', beats: ''};
+  /** Settings in force. */
+  private settings: PassthroughSettings;
   private routes: RouteTable | undefined;
   private limits = firstLimits;
   private hasUpstreams = false;
@@ -121,12 +128,16 @@
     private readonly log: EventLog,
   ) {
     const {settings} = adapter;
+    this.settings = settings;
+    const inForce = () => this.settings;
     const clock = systemClock;
     const random = seededRandom(randomInt(2 ** 31));
     const failureDomain = failureDomainId(settings.failureDomain);
     this.freshness = new KeyFreshness({
       clock,
-      maximumAgeMilliseconds: settings.keyProofMilliseconds,
+      get maximumAgeMilliseconds() {
+        return inForce().keyProofMilliseconds;
+      },
     });
     this.beats = new BeatSocket({
       onBeat: beat => this.fleet.receive(beat),
@@ -139,7 +150,9 @@
       incarnation: BigInt(this.startedAt),
       address: () => this.beats.address,
       failureDomain,
-      seeds: settings.seeds,
+      get seeds() {
+        return inForce().seeds;
+      },
       sender: this.beats,
       ownState: () => ({
         usage: this.limiter.totals(),
@@ -151,7 +164,9 @@
     const hostCount = () => this.fleet.hostCount;
     this.limiter = new UsageLimiter({
       clock,
-      slack: settings.limitSlack,
+      get slack() {
+        return inForce().limitSlack;
+      },
       rateOf: account => this.rateOf(account),
       silentHosts: () => this.fleet.silentCount,
       hostCount,
@@ -177,7 +192,17 @@
       failureDomain,
       transport,
       upstreams: this.upstreams,
-      retries: new RetryAllowance({clock, hostCount, ...settings.retries}),
+      retries: new RetryAllowance({
+        clock,
+        hostCount,
+        windowMilliseconds: settings.retries.windowMilliseconds,
+        get ratio() {
+          return inForce().retries.ratio;
+        },
+        get extra() {
+          return inForce().retries.extra;
+        },
+      }),
       observer: (call, event) => {
         this.metrics.countEvent(event);
         logCallEvent(log, call, event);
@@ -221,7 +246,24 @@
     const beats = this.beats.address;
     this.addresses = {callers, readiness: readiness.address, beats};
     const incarnation = String(this.startedAt);
-    this.log.write('passthroughStarted', {host, incarnation, callers, beats});
+    this.log.write('passthroughStarted', {
+      host,
+      incarnation,
+      callers,
+      beats,
+      fingerprint: this.adapter.fingerprint,
+      milliseconds: Math.round(performance.now()),
+    });
+  }
+
+  applySettings(settings: PassthroughSettings, fingerprint: string): void {
+    const {applied, needRestart} = compareSettings(this.settings, settings);
+    this.settings = takeChangeable(this.settings, settings);
+    this.log.write('settingsApplied', {
+      fingerprint,
+      applied: applied.join(' '),
+      needRestart: needRestart.join(' '),
+    });
   }
 
   close(): Promise<void> {
@@ -289,7 +331,7 @@
   private get isReady(): boolean {
     if (this.isDraining || this.routes === undefined || !this.hasUpstreams)
       return false;
-    const {keyProofMilliseconds} = this.adapter.settings;
+    const {keyProofMilliseconds} = this.settings;
     return (
       keyProofMilliseconds === undefined ||
       this.freshness.age() < keyProofMilliseconds * readyProofPart
@@ -346,7 +388,7 @@
   }
 
   private async stop(): Promise<void> {
-    const {graceMilliseconds} = this.adapter.settings;
+    const {graceMilliseconds} = this.settings;
     const endAt = systemClock.now() + graceMilliseconds - exitMilliseconds;
     this.isDraining = true;
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
