--- a/packages/coordination/src/configuration/documents.ts
+++ b/packages/coordination/src/configuration/documents.ts
@@ -1,10 +1,17 @@
 /** Parsing and checking of single configuration documents. */
 
-import {Ajv} from 'ajv';
-import type {ErrorObject, ValidateFunction} from 'ajv';
 import {Result} from 'true-myth';
-import {documentsSchema} from '../generated/documents-schema.js';
+import {
+  validateClientAccountDocument,
+  validateKeyDocument,
+  validateLinkDocument,
+  validateMembershipDocument,
+  validatePoolDocument,
+  validateRouteDocument,
+  validateUpstreamDocument,
+} from '../generated/documents-validators.js';
 import type {ConfigurationDocument} from '../generated/documents.js';
+import type {SchemaError, SchemaValidator} from '../schema-validator.js';
 
 /** A fault of a document. */
 export interface DocumentFault {
@@ -15,25 +22,15 @@
   readonly reason: string;
 }
 
-const ajv = new Ajv({allErrors: true, strict: false});
-ajv.addSchema(documentsSchema);
-
-const kinds = [
-  'ClientAccount',
-  'Key',
-  'Route',
-  'Pool',
-  'Upstream',
-  'Link',
-  'Membership',
-] as const;
-
-const validators = new Map<string, ValidateFunction>(
-  kinds.map(kind => [
-    kind,
-    ajv.getSchema(`documents.schema.json#/definitions/${kind}Document`)!,
-  ]),
-);
+const validators: ReadonlyMap<string, SchemaValidator> = new Map([
+  ['ClientAccount', validateClientAccountDocument],
+  ['Key', validateKeyDocument],
+  ['Route', validateRouteDocument],
+  ['Pool', validatePoolDocument],
+  ['Upstream', validateUpstreamDocument],
+  ['Link', validateLinkDocument],
+  ['Membership', validateMembershipDocument],
+]);
 
 /** Key under which a document is published. */
 export function documentKey(document: {kind: string; name: string}): string {
@@ -48,7 +45,8 @@
   const label = `${String(kind)}/${String(name)}`;
   const validate = validators.get(String(kind));
   if (validate === undefined) {
-    const reason = `expected one of ${kinds.join(', ')}`;
+    const kinds = [...validators.keys()].join(', ');
+    const reason = `expected one of ${kinds}`;
     return Result.err([{document: label, field: '/kind', reason}]);
   }
   if (validate(value)) return Result.ok(value as ConfigurationDocument);
@@ -57,7 +55,7 @@
   );
 }
 
-function faultOf(document: string, error: ErrorObject): DocumentFault {
+function faultOf(document: string, error: SchemaError): DocumentFault {
   const extra = error.params['additionalProperty'];
   const suffix = extra === undefined ? '' : `: ${String(extra)}`;
   return {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -50,7 +50,7 @@
   CompletionRunnerParts,
   EngineDirectory,
 } from './placement/completion-runner.js';
-export {chatSchema} from './generated/chat-schema.js';
+export {validateChatRequest} from './generated/chat-validators.js';
 export type {ChatMessage, ChatRequest} from './generated/chat.js';
 export {VirtualClock} from './simulation/virtual-clock.js';
 export {
--- a/packages/coordination/src/replay/load-trace.ts
+++ b/packages/coordination/src/replay/load-trace.ts
@@ -1,12 +1,11 @@
 /** Reading of trace files, with the line of each fault. */
 
-import {Ajv} from 'ajv';
-import type {ErrorObject} from 'ajv';
 import {Result} from 'true-myth';
 import {LineCounter, isNode, parseDocument} from 'yaml';
 import type {Document} from 'yaml';
-import {traceSchema} from '../generated/trace-schema.js';
+import {validateTrace} from '../generated/trace-validators.js';
 import type {Trace} from '../generated/trace.js';
+import type {SchemaError} from '../schema-validator.js';
 
 /** A fault of a trace file. */
 export interface TraceFileFault {
@@ -16,13 +15,6 @@
   readonly reason: string;
 }
 
-const validate = new Ajv({
-  allErrors: true,
-  strict: false,
-  useDefaults: true,
-  discriminator: true,
-}).compile(traceSchema);
-
 /** Parses and checks the text of a trace file. */
 export function loadTrace(text: string): Result<Trace, TraceFileFault[]> {
   const lines = new LineCounter();
@@ -37,9 +29,9 @@
     );
   const lineOf = (path: string) => findLine(document, lines, path);
   const value: unknown = document.toJS();
-  if (!validate(value))
+  if (!validateTrace(value))
     return Result.err(
-      mostSpecific(validate.errors ?? []).map(error => ({
+      mostSpecific(validateTrace.errors ?? []).map(error => ({
         line: lineOf(error.instancePath),
         path: error.instancePath || '/',
         reason: `${error.message ?? error.keyword} ${JSON.stringify(error.params)}`,
@@ -55,8 +47,8 @@
 }
 
 /** Drops the errors of alternatives that the deepest errors explain better. */
-function mostSpecific(errors: readonly ErrorObject[]): ErrorObject[] {
-  const depth = (error: ErrorObject) => error.instancePath.split('/').length;
+function mostSpecific(errors: readonly SchemaError[]): SchemaError[] {
+  const depth = (error: SchemaError) => error.instancePath.split('/').length;
   const deepest = Math.max(...errors.map(depth));
   return errors.filter(error => depth(error) === deepest);
 }
--- a/packages/coordination/src/settings.ts
+++ b/packages/coordination/src/settings.ts
@@ -1,8 +1,7 @@
 /** Checking of a daemon's settings. */
 
-import {Ajv} from 'ajv';
 import {Result} from 'true-myth';
-import {settingsSchema} from './generated/settings-schema.js';
+import {validateSettings} from './generated/settings-validators.js';
 import type {
   MutualTlsPeers,
   PlainPeers,
@@ -25,12 +24,6 @@
   readonly upstreamSilenceMilliseconds: number;
 }
 
-const validate = new Ajv({
-  allErrors: true,
-  strict: false,
-  useDefaults: true,
-}).compile(settingsSchema);
-
 /** Checks `value` and fills in the defaults. */
 export function parseSettings(
   value: unknown,
@@ -40,9 +33,9 @@
       {path: '/', value: String(value), expected: 'an object with settings'},
     ]);
   const candidate = {limits: {}, ...structuredClone(value)};
-  if (!validate(candidate))
+  if (!validateSettings(candidate))
     return Result.err(
-      (validate.errors ?? []).map(error => ({
+      (validateSettings.errors ?? []).map(error => ({
         path: error.instancePath || '/',
         value: describe(valueAt(candidate, error.instancePath)),
         expected: `${error.message ?? error.keyword} ${JSON.stringify(error.params)}`,
--- a/packages/daemon/src/callers/chat-request.ts
+++ b/packages/daemon/src/callers/chat-request.ts
@@ -1,19 +1,17 @@
 /** Reading of a chat completion request. */
 
-import {chatSchema} from '@persimmonwick/coordination';
+import {validateChatRequest} from '@persimmonwick/coordination';
 import type {
   ChatMessage,
   ChatRequest,
   RequestFailure,
 } from '@persimmonwick/coordination';
-import {Ajv} from 'ajv';
 import {Result} from 'true-myth';
 import {findUnservedField} from './unserved-fields.js';
 
 const defaultMaximumTokens = 256;
 const charactersPerToken = 4;
 
-const validate = new Ajv({strict: false}).compile(chatSchema);
 const decoder = new TextDecoder('utf8', {fatal: true});
 
 /** Parses and checks the body of a chat completion request. */
@@ -26,7 +24,7 @@
   } catch {
     return invalid('the body is not JSON in UTF-8');
   }
-  if (validate(value)) {
+  if (validateChatRequest(value)) {
     const unserved = findUnservedField(
       value as unknown as Record<string, unknown>,
     );
@@ -34,7 +32,7 @@
       return invalid(`the field ${unserved} is not served with this value`);
     return Result.ok(value as unknown as ChatRequest);
   }
-  const error = validate.errors![0]!;
+  const error = validateChatRequest.errors![0]!;
   return invalid(`${error.instancePath || 'the body'} ${error.message}`);
 }
 
--- a/packages/daemon/src/passthrough/call-server.ts
+++ b/packages/daemon/src/passthrough/call-server.ts
@@ -12,7 +12,7 @@
   RequestFailure,
 } from '@persimmonwick/coordination';
 import {fastify} from 'fastify';
-import type {FastifyInstance} from 'fastify';
+import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
 import type {EarlyListener} from './early-listener.js';
@@ -61,6 +61,7 @@
 
   constructor(private readonly parts: CallServerParts) {
     this.instance = fastify({
+      schemaController: withoutSchemas,
       // All calls take one way; routes are looked up by the host.
       rewriteUrl: () => '/',
       http: {
@@ -309,6 +310,15 @@
   }
 }
 
+/** No route has a schema, and loading the compilers takes long. */
+const withoutSchemas = {
+  compilersFactory: {
+    buildValidator: () => () => () => true,
+    buildSerializer: () => () => () => '',
+  },
+  // The types know the package's own compilers only.
+} as unknown as FastifyServerOptions['schemaController'];
+
 interface Ending {
   readonly id: string;
   readonly account: string;
--- a/schema/generate.mjs
+++ b/schema/generate.mjs
@@ -9,13 +9,26 @@
 import {tmpdir} from 'node:os';
 import {dirname, join, relative} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {Ajv} from 'ajv';
+import standalone from 'ajv/dist/standalone/index.js';
 import {compile} from 'json-schema-to-typescript';
+import {format} from 'prettier';
 
 const schemaFolder = dirname(fileURLToPath(import.meta.url));
 const target = join(schemaFolder, '../packages/coordination/src/generated');
 const staging = mkdtempSync(join(tmpdir(), 'persimmonwick-generate-'));
 
-async function generateSchema(name) {
+const documentDefinitions = [
+  'ClientAccountDocument',
+  'KeyDocument',
+  'RouteDocument',
+  'PoolDocument',
+  'UpstreamDocument',
+  'LinkDocument',
+  'MembershipDocument',
+];
+
+async function generateSchema(name, options = {}, definitions = undefined) {
   const text = readFileSync(
     join(schemaFolder, `json/${name}.schema.json`),
     'utf8',
@@ -25,8 +38,59 @@
     additionalProperties: false,
   });
   writeFileSync(join(staging, `${name}.ts`), types);
-  const schema = `/* Generated from the JSON Schema; do not edit. */\nexport const ${name}Schema = ${JSON.stringify(JSON.parse(text), null, 2)} as const;\n`;
-  writeFileSync(join(staging, `${name}-schema.ts`), schema);
+  const validators = makeValidators(JSON.parse(text), options, definitions);
+  writeFileSync(
+    join(staging, `${name}-validators.ts`),
+    await format(validators, {parser: 'typescript', singleQuote: true}),
+  );
+}
+
+/**
+ * Checks of the whole schema, or of the named definitions of it, as code: to
+ * compile a schema when a program starts takes longer than all else.
+ */
+function makeValidators(schema, options, definitions) {
+  const ajv = new Ajv({
+    allErrors: true,
+    strict: false,
+    code: {source: true, esm: true},
+    ...options,
+  });
+  ajv.addSchema(schema);
+  const references = Object.fromEntries(
+    definitions === undefined
+      ? [[schema.title, schema.$id]]
+      : definitions.map(each => [each, `${schema.$id}#/definitions/${each}`]),
+  );
+  const imports = new Set();
+  const code = standalone
+    .default(
+      ajv,
+      Object.fromEntries(
+        Object.entries(references).map(([title, reference]) => [
+          `check${title}`,
+          reference,
+        ]),
+      ),
+    )
+    .replaceAll(/require\("ajv\/dist\/runtime\/(\w+)"\)/g, (_, helper) => {
+      imports.add(`import ${helper} from 'ajv/dist/runtime/${helper}.js';`);
+      return helper;
+    })
+    .replaceAll('export const check', 'const check');
+  const exported = Object.keys(references).map(
+    title =>
+      `export const validate${title} = check${title} as unknown as SchemaValidator;`,
+  );
+  return [
+    '// @ts-nocheck',
+    '/* Generated from the JSON Schema; do not edit. */',
+    ...imports,
+    "import type {SchemaValidator} from '../schema-validator.js';",
+    code.replace(/^"use strict";/, ''),
+    ...exported,
+    '',
+  ].join('\n');
 }
 
 function generateMessages() {
@@ -65,10 +129,10 @@
 }
 
 try {
-  await generateSchema('settings');
-  await generateSchema('documents');
-  await generateSchema('chat');
-  await generateSchema('trace');
+  await generateSchema('settings', {useDefaults: true});
+  await generateSchema('documents', {}, documentDefinitions);
+  await generateSchema('chat', {allErrors: false});
+  await generateSchema('trace', {useDefaults: true, discriminator: true});
   generateMessages();
   if (process.argv.includes('--check')) {
     const differences = findDifferences();
