Send the beats of a large fleet in groups that begin elsewhere each time

A beat went to all 78 others at once, always in the same order, which overflows the queue of a 7 Mbit/s link, so that the same hosts at the end lost it each time.

Change: eight datagrams each 20 ms, from another start each round. The test with 60 hosts on links that take 20 datagrams in 10 ms fails without it.

Small fleets send one group as before.

--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -71,6 +71,12 @@
 /** Added for each peer. */
 const newsMillisecondsForEachPeer = 6;
 
+/** Datagrams sent at once; more overflow the queue of a slow link. */
+const datagramsAtOnce = 8;
+
+/** Time between such groups. */
+const groupMilliseconds = 20;
+
 /** Beats that may be lost before a host counts as silent. */
 const silentBeats = 6;
 
@@ -92,6 +98,8 @@
   private isAnnouncing = false;
   private sentAt = -Infinity;
   private nextKnown = 0;
+  /** Where the next round of beats begins, so that no host is always last. */
+  private nextAddress = 0;
   private task: Promise<void> | undefined;
   private readonly startedAt: number;
 
@@ -124,14 +132,16 @@
     const wait = Math.max(0, this.sentAt + gap - clock.now());
     void clock.sleep(wait, this.closing.signal).then(() => {
       this.isAnnouncing = false;
-      if (!this.closing.signal.aborted) this.sendAll();
+      if (!this.closing.signal.aborted) void this.sendAll();
     });
   }
 
   /** Tells the others that this host takes no new requests. */
   leave(): void {
     this.isLeaving = true;
-    this.sendAll();
+    const beat = this.makeBeat();
+    for (const address of this.addresses())
+      this.parts.sender.send(address, beat);
   }
 
   async close(): Promise<void> {
@@ -197,7 +207,7 @@
     const {signal} = this.closing;
     while (!signal.aborted) {
       this.noteSilence();
-      this.sendAll();
+      void this.sendAll();
       const jitter = 0.9 + 0.2 * random.next();
       await clock.sleep(this.interval() * jitter, signal);
     }
@@ -228,17 +238,32 @@
         this.candidates.delete(address);
   }
 
-  private sendAll(): void {
-    this.sentAt = this.parts.clock.now();
-    const {sender, seeds} = this.parts;
+  /** Sends one beat to all, in groups. */
+  private async sendAll(): Promise<void> {
+    const {clock, sender} = this.parts;
+    const {signal} = this.closing;
+    this.sentAt = clock.now();
     const beat = this.makeBeat();
-    const addresses = new Set(
-      [...this.peers.values()].map(each => each.address),
-    );
+    const all = this.addresses();
+    const start = all.length > 0 ? this.nextAddress % all.length : 0;
+    this.nextAddress = start + datagramsAtOnce;
+    const turned = [...all.slice(start), ...all.slice(0, start)];
+    for (let sent = 0; sent < turned.length; sent += datagramsAtOnce) {
+      if (sent > 0) await clock.sleep(groupMilliseconds, signal);
+      if (signal.aborted) return;
+      for (const address of turned.slice(sent, sent + datagramsAtOnce))
+        sender.send(address, beat);
+    }
+  }
+
+  /** Where beats go: known hosts, seeds, and hosts that were named. */
+  private addresses(): string[] {
+    const {seeds, address: own} = this.parts;
+    const all = new Set([...this.peers.values()].map(({address}) => address));
     for (const address of [...seeds, ...this.candidates.keys()])
-      addresses.add(address);
-    addresses.delete(this.parts.address());
-    for (const address of addresses) sender.send(address, beat);
+      all.add(address);
+    all.delete(own());
+    return [...all];
   }
 
   private makeBeat(): Beat {
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -99,6 +99,9 @@
   readonly changes: string[] = [];
   private readonly hosts = new Map<string, DiscoveredFleet>();
   private readonly cut = new Set<string>();
+  /** Datagrams that the link of a host takes in ten milliseconds. */
+  datagramsAtOnce = Infinity;
+  private readonly sent = new Map<string, number>();
 
   add(name: string, seeds: readonly string[], incarnation = 1n) {
     const address = `${name}:1`;
@@ -136,6 +139,10 @@
   }
 
   private deliver(from: string, to: string, beat: Beat): void {
+    const slot = `${from} ${Math.floor(this.clock.now() / 10)}`;
+    const count = (this.sent.get(slot) ?? 0) + 1;
+    this.sent.set(slot, count);
+    if (count > this.datagramsAtOnce) return;
     if (this.cut.has(from) === this.cut.has(to))
       this.hosts.get(to)?.receive(beat);
   }
@@ -209,6 +216,18 @@
   t.is(a.hostCount, 2);
 });
 
+test('beats of a large fleet pass links that take few datagrams at once', async t => {
+  const network = new BeatNetwork();
+  network.datagramsAtOnce = 20;
+  const names = Array.from({length: 60}, (_, index) => `h${index}`);
+  const fleets = names.map(name => network.add(name, ['h0', 'h1']));
+  await network.clock.advance(10_000);
+  network.changes.length = 0;
+  await network.clock.advance(20_000);
+  for (const fleet of fleets) t.is(fleet.hostCount, 60);
+  t.deepEqual(network.changes, [], 'no host falls silent');
+});
+
 test('a host that is silent for minutes is forgotten', async t => {
   const network = new BeatNetwork();
   const a = network.add('a', ['a']);
@@ -248,6 +267,23 @@
   t.true(health.failureShare(1600) < 0.5);
 });
 
+test('an upstream that is reached again gets trials until one succeeds', t => {
+  const health = new UpstreamHealth();
+  health.recordUnreachable(0);
+  health.recordReachable(1000);
+  t.true(health.isUsable(1000));
+  health.recordStart(1000);
+  t.false(health.isUsable(1100), 'another process may have the address');
+  health.recordMisdirected(1200);
+  t.false(health.isUsable(3000));
+  t.true(health.isUsable(6000));
+  health.recordUnreachable(6000);
+  health.recordReachable(7000);
+  for (let call = 0; call < 3; call += 1) health.recordSuccess(7000);
+  health.recordStart(7000);
+  t.true(health.isUsable(7001));
+});
+
 test('an upstream that can not be reached rests longer each time', t => {
   const health = new UpstreamHealth();
   health.recordUnreachable(0);
