Leave servers alone that were replaced, use their callers' prompts elsewhere

Change: after 421 an upstream rests for 4 s, in which the list forgets the old id; what is reached again gets trial calls until some succeed; a prompt that was read for an engine that then was missed goes to the next one while it is held.

--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -8,12 +8,24 @@
   upstreamFailed,
   upstreamTimeout,
 } from './call-failures.js';
-import type {AdmittedCall, Generation, PassthroughError} from './call.js';
+import type {
+  AdmittedCall,
+  CacheSource,
+  Generation,
+  PassthroughError,
+} from './call.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /** Estimates of the output are low in half of the cases. */
 const outputMargin = 0.1;
 
+/** A prompt that was read, with how long its engine keeps it. */
+export interface KeptCache {
+  readonly source: CacheSource;
+  /** Clock time until which a decode engine can be expected to fetch it. */
+  readonly usableUntil: number;
+}
+
 /** State of one call over all its sendings. */
 export interface GenerationRun {
   readonly call: AdmittedCall;
@@ -26,6 +38,8 @@
   /** Engines that may have run the call. */
   runs: number;
   readsPromptItself: boolean;
+  /** A prompt that was read and not fetched, because its engine was missed. */
+  keptCache: KeptCache | undefined;
   lastEvent: number | undefined;
   lastError: PassthroughError | undefined;
 }
@@ -63,8 +77,10 @@
     case 'unreachable':
       engine.health.recordUnreachable(now);
       break;
-    case 'refused':
     case 'misdirected':
+      engine.health.recordMisdirected(now);
+      break;
+    case 'refused':
     case 'broken':
     case 'silent':
       engine.health.recordFailure(now);
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -11,7 +11,6 @@
 import type {
   AdmittedCall,
   BrokenAnswerError,
-  CacheSource,
   Generation,
   PassthroughAnswer,
   PassthroughError,
@@ -25,7 +24,7 @@
   memoryOf,
   noteFailure,
 } from './generation-run.js';
-import type {GenerationRun} from './generation-run.js';
+import type {GenerationRun, KeptCache} from './generation-run.js';
 import {MemoryQueue, canDecode} from './memory-queue.js';
 import type {Place} from './memory-queue.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -92,10 +91,12 @@
       prefills: 0,
       runs: 0,
       readsPromptItself: false,
+      keptCache: undefined,
       lastEvent: call.lastEvent,
       lastError: undefined,
     };
     const started = await this.start(run);
+    this.releaseKept(run);
     if (started.isErr) return Result.err(started.error);
     const {answer} = started.value;
     return Result.ok({...answer, body: this.relay(run, started.value)});
@@ -113,7 +114,7 @@
       const cache = await this.prefills.read(run, place);
       if (signal.aborted) {
         this.releasePlace(place);
-        if (cache !== undefined) void this.parts.transport.releaseCache(cache);
+        run.keptCache = cache;
         return Result.err(goneFailure(run));
       }
       const answer = await this.send(run, place, cache);
@@ -192,7 +193,7 @@
   private async send(
     run: GenerationRun,
     place: Place,
-    cache: CacheSource | undefined,
+    cache: KeptCache | undefined,
   ): Promise<Result<PassthroughAnswer, PassthroughError>> {
     const {clock, transport, observer} = this.parts;
     const {call, signal} = run;
@@ -211,7 +212,7 @@
           : Math.min(remainingMilliseconds, startSilenceMilliseconds),
         bodySilenceMilliseconds: streamSilenceOf(call, remainingMilliseconds),
         lastEvent: run.lastEvent,
-        cache,
+        cache: cache?.source,
         reservation:
           startedAt < place.reservedUntil ? place.reservation : undefined,
       },
@@ -232,30 +233,39 @@
     run.lastError = sent.error;
     if (!provesCallNotRun(sent.error)) run.runs += 1;
     this.releasePlace(place);
-    this.noteLostCache(run, engine, cache, sent.error, now);
+    this.noteNotStarted(run, engine, cache, sent.error, now);
     return sent;
   }
 
-  /** A refusal after a reservation mostly means that the cache was gone. */
-  private noteLostCache(
+  private noteNotStarted(
     run: GenerationRun,
     engine: TrackedUpstream,
-    cache: CacheSource | undefined,
+    cache: KeptCache | undefined,
     error: PassthroughError,
     now: number,
   ): void {
-    if (cache !== undefined) {
-      void this.parts.transport.releaseCache(cache);
-      if (error.kind === 'refused') {
-        this.prefills.noteLost(cache.upstream.name);
-        run.readsPromptItself = true;
-        return;
-      }
+    // Neither can have fetched the prompt.
+    const isMissed =
+      error.kind === 'misdirected' || error.kind === 'unreachable';
+    if (isMissed) run.keptCache = cache;
+    else if (cache !== undefined)
+      void this.parts.transport.releaseCache(cache.source);
+    // A refusal after a reservation mostly means that the cache was gone.
+    if (cache !== undefined && error.kind === 'refused') {
+      this.prefills.noteLost(cache.source.upstream.name);
+      run.readsPromptItself = true;
+      return;
     }
     run.avoided.add(engine.document.name);
     noteFailure(engine, error, now);
   }
 
+  private releaseKept(run: GenerationRun): void {
+    if (run.keptCache === undefined) return;
+    void this.parts.transport.releaseCache(run.keptCache.source);
+    run.keptCache = undefined;
+  }
+
   private isLastRun({call, runs}: GenerationRun): boolean {
     const {repeatable, maximumTries} = call.route.target;
     return !repeatable || runs + 1 >= maximumTries;
@@ -318,6 +328,7 @@
     if (!this.mayTryAgain(run, broken.reason, true)) return undefined;
     run.readsPromptItself = false;
     const started = await this.start(run);
+    this.releaseKept(run);
     if (started.isErr) return undefined;
     if (started.value.answer.status !== 200) {
       started.value.place.load.end();
--- a/packages/coordination/src/passthrough/memory-queue.ts
+++ b/packages/coordination/src/passthrough/memory-queue.ts
@@ -50,9 +50,6 @@
 /** Memory goes by blocks; this many tokens round a need up safely. */
 const blockTokens = 16;
 
-/** Time after which an engine that is another one is asked again. */
-const misdirectedMilliseconds = 1000;
-
 export class MemoryQueue {
   private readonly waiting = new Set<Waiting>();
   private wake = new AbortController();
@@ -243,7 +240,7 @@
         upstream.fullUntil = now + fullMilliseconds * (1 + random.next());
         break;
       case 'misdirected':
-        upstream.fullUntil = now + misdirectedMilliseconds;
+        upstream.health.recordMisdirected(now);
         break;
       case 'unreachable':
       case 'silent':
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -215,8 +215,20 @@
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.runs += 1;
     if (hasArrived(error)) progress.arrivals += 1;
-    if (!hasArrived(error)) upstream.health.recordUnreachable(now);
-    else if (error.kind !== 'cancelled') upstream.health.recordFailure(now);
+    switch (error.kind) {
+      case 'unreachable':
+        upstream.health.recordUnreachable(now);
+        break;
+      case 'misdirected':
+        upstream.health.recordMisdirected(now);
+        break;
+      case 'refused':
+      case 'broken':
+      case 'silent':
+        upstream.health.recordFailure(now);
+        break;
+      case 'cancelled':
+    }
   }
 
   private usualTimeOf({name}: PoolDocument): ReferenceTime {
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -3,9 +3,8 @@
  * engine fetches it.
  */
 
-import type {CacheSource} from './call.js';
 import {noteFailure} from './generation-run.js';
-import type {GenerationRun} from './generation-run.js';
+import type {GenerationRun, KeptCache} from './generation-run.js';
 import {leastBy} from './least-by.js';
 import type {Place} from './memory-queue.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -15,6 +14,9 @@
 /** Engines that are asked to read one prompt. */
 const maximumEngines = 2;
 
+/** Part of the time that an engine keeps a prompt; the rest is for the way. */
+const safeHoldPart = 0.6;
+
 /** Longest wait for a prompt to be read before another engine is asked. */
 const prefillSilenceMilliseconds = 1500;
 
@@ -32,11 +34,10 @@
   constructor(private readonly parts: PassthroughParts) {}
 
   /** Has the prompt read; undefined when the decode engine must read it. */
-  async read(
-    run: GenerationRun,
-    place: Place,
-  ): Promise<CacheSource | undefined> {
+  async read(run: GenerationRun, place: Place): Promise<KeptCache | undefined> {
     const {retries} = this.parts;
+    const kept = this.takeKept(run);
+    if (kept !== undefined) return kept;
     if (run.readsPromptItself) return undefined;
     const tried = new Set<string>();
     for (let tries = 0; tries < maximumEngines; tries += 1) {
@@ -51,6 +52,16 @@
     return undefined;
   }
 
+  /** The prompt that an earlier sending left, unless it is about to lapse. */
+  private takeKept(run: GenerationRun): KeptCache | undefined {
+    const kept = run.keptCache;
+    run.keptCache = undefined;
+    if (kept === undefined) return undefined;
+    if (this.parts.clock.now() < kept.usableUntil) return kept;
+    void this.parts.transport.releaseCache(kept.source);
+    return undefined;
+  }
+
   private choosePrefill(
     run: GenerationRun,
     tried: ReadonlySet<string>,
@@ -92,7 +103,7 @@
     run: GenerationRun,
     engine: TrackedUpstream,
     place: Place,
-  ): Promise<CacheSource | undefined> {
+  ): Promise<KeptCache | undefined> {
     const {clock, transport, upstreams, observer} = this.parts;
     const {call, generation, signal} = run;
     const {promptTokens} = generation;
@@ -130,7 +141,11 @@
       engine.health.recordSuccess(now);
       const ratio = this.usualTime.observe((now - startedAt) / queuedTokens);
       engine.health.recordTime(now, ratio);
-      return {upstream: engine.document, handle: handle.value};
+      const held = run.pool.spec.engine?.cacheHoldMilliseconds ?? 0;
+      return {
+        source: {upstream: engine.document, handle: handle.value},
+        usableUntil: now + held * safeHoldPart,
+      };
     }
     noteFailure(engine, handle.error, now);
     return undefined;
--- a/packages/coordination/src/passthrough/reachability-probes.ts
+++ b/packages/coordination/src/passthrough/reachability-probes.ts
@@ -94,7 +94,7 @@
         clock.now() + probeMilliseconds + marginMilliseconds,
       );
       if (await transport.probe(upstream.document, signal)) {
-        upstream.health.recordReachable();
+        upstream.health.recordReachable(clock.now());
         upstreams.notifyRoom();
         onChange(upstream.document.name, true);
         return;
--- a/packages/coordination/src/passthrough/upstream-health.ts
+++ b/packages/coordination/src/passthrough/upstream-health.ts
@@ -14,9 +14,18 @@
 const failingShare = 0.5;
 const trialMilliseconds = 500;
 
+/** Share of failures that an upstream counts with when it is reached again. */
+const returningShare = 0.8;
+
 /** Time in which half of what was observed is forgotten. */
 const forgettingMilliseconds = 3000;
 
+/**
+ * Rest after another process answered at the address. The entry of a server that
+ * is gone stays listed for some of its heartbeats.
+ */
+const misdirectedMilliseconds = 4000;
+
 /** Weight of one observed time in the moving slowness. */
 const slownessGain = 0.25;
 
@@ -28,6 +37,7 @@
   private ratio = 1;
   private ratioAt = 0;
   private nextTrialAt = -Infinity;
+  private misdirectedUntil = -Infinity;
 
   /** `onUnreachable` is called when the upstream begins to be unreachable. */
   constructor(private readonly onUnreachable: () => void = () => undefined) {}
@@ -44,7 +54,8 @@
 
   /** True when a new call may go there now. */
   isUsable(now: number): boolean {
-    if (now < this.unreachableUntil) return false;
+    if (now < this.unreachableUntil || now < this.misdirectedUntil)
+      return false;
     return this.failureShare(now) < failingShare || now >= this.nextTrialAt;
   }
 
@@ -82,10 +93,16 @@
     this.unreachableUntil = Math.max(this.unreachableUntil, time);
   }
 
-  /** A connection could be made again. */
-  recordReachable(): void {
+  /** A connection could be made again, perhaps to another process. */
+  recordReachable(now: number): void {
     this.unreachableUntil = -Infinity;
     this.unreachableMilliseconds = firstUnreachableMilliseconds;
+    this.setFailures(now, Math.max(this.failureShare(now), returningShare));
+  }
+
+  /** The address belongs to another process now; it may take reservations. */
+  recordMisdirected(now: number): void {
+    this.misdirectedUntil = now + misdirectedMilliseconds;
   }
 
   /** Notes a time as a multiple of what is usual for such a call. */
