--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -71,7 +71,11 @@
   const why = lines.some(({name}) => name === 'callRetryWithheld')
     ? 'the retry budget was used up'
     : 'the route allows no further run';
-  return `Failed at ${run['upstream']} (${run['outcome']}); not sent again because ${why}.`;
+  const {upstream, outcome} = run;
+  const what = /^\d+$/.test(String(outcome))
+    ? `The answer of ${upstream} broke off`
+    : `Failed at ${upstream} (${outcome})`;
+  return `${what}; not sent again because ${why}.`;
 }
 
 function ranOf({ran}: Fields): string {
--- a/packages/command/test/trace.test.ts
+++ b/packages/command/test/trace.test.ts
@@ -102,7 +102,10 @@
   });
   const end = line('h', 5, 'requestFailed', failed);
   const [first, second] = files(t, [...lines, end], [...lines, withheld, end]);
-  t.regex((await trace('one', first!)).text, /d-1 .*allows no further run/);
+  t.regex(
+    (await trace('one', first!)).text,
+    /The answer of d-1 broke off; .*allows no further run/,
+  );
   t.regex((await trace('one', second!)).text, /retry budget was used up/);
 });
 
--- a/packages/daemon/test/tools/fault-run.ts
+++ b/packages/daemon/test/tools/fault-run.ts
@@ -22,6 +22,8 @@
 
 export class FaultRun {
   private requests = 0;
+  /** Streams that have ended, for the log of a run that fails. */
+  private readonly endedStreams: CallerResult[] = [];
 
   private constructor(
     private readonly t: ExecutionContext,
@@ -58,7 +60,10 @@
       const result = await this.streamOnce(index, maximumTokens, account);
       const {answer, code} = result;
       const isRefused = answer.kind === 'failed' && answer.ran === 'not-run';
-      if (!isRefused || tries === maximumTries) return result;
+      if (!isRefused || tries === maximumTries) {
+        this.endedStreams.push(result);
+        return result;
+      }
       this.t.log(`refused: ${code}`);
       await pause(retryMilliseconds);
     }
@@ -172,6 +177,8 @@
     const limit = performance.now() + waitMilliseconds;
     while (!(await condition())) {
       if (performance.now() > limit) {
+        this.t.log('streams ended so far', countAnswers(this.endedStreams));
+        this.t.log('streams that had a token', this.streaming);
         this.t.fail(`${what} did not come about`);
         return;
       }
