--- a/packages/daemon/src/passthrough/index.ts
+++ b/packages/daemon/src/passthrough/index.ts
@@ -1,7 +1,7 @@
 /** Public surface of hosts that pass calls through for a platform's adapter. */
 
 export {startPassthroughDaemon} from './passthrough-daemon.js';
-export type {PassthroughDaemon, PlatformAdapter} from './passthrough-daemon.js';
+export type {PassthroughDaemon, PlatformAdapter} from './platform-adapter.js';
 export type {PassthroughSettings} from './passthrough-settings.js';
 export type * from './platform-feed.js';
 export type * from './wire.js';
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -28,45 +28,21 @@
 import type {CallEnd, CallerLimits} from './call-server.js';
 import {EarlyListener} from './early-listener.js';
 import {HttpPassthroughTransport} from './http-transport.js';
-import {logCallEvent, logFleetChange} from './passthrough-log.js';
+import {
+  logCallEnd,
+  logCallEvent,
+  logFleetChange,
+  logReachability,
+  logUpstreamChanges,
+} from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
 import type {PassthroughSettings} from './passthrough-settings.js';
 import {compareSettings, takeChangeable} from './settings-change.js';
-import type {
-  FeedSink,
-  PlatformFeed,
-  PublishedConfiguration,
-} from './platform-feed.js';
+import type {PassthroughDaemon, PlatformAdapter} from './platform-adapter.js';
+import type {FeedSink, PublishedConfiguration} from './platform-feed.js';
 import {serveMetrics, serveReadiness} from './status-server.js';
 import type {StatusServer} from './status-server.js';
 import {UpstreamConnections} from './upstream-connections.js';
-import type {CallerWire, UpstreamWire} from './wire.js';
-
-/** What an adapter brings along. */
-export interface PlatformAdapter {
-  readonly settings: PassthroughSettings;
-  readonly callerWire: CallerWire;
-  readonly upstreamWire: UpstreamWire;
-  readonly feed: PlatformFeed;
-  /** Tells one text of the settings from another, in logs. */
-  readonly fingerprint: string;
-  /** The port for callers, where it was opened before; else it is opened. */
-  readonly listener?: EarlyListener;
-}
-
-/** A host that runs. */
-export interface PassthroughDaemon {
-  /** Addresses in use, where the settings let the system choose a port. */
-  readonly addresses: {
-    readonly callers: string;
-    readonly readiness: string;
-    readonly beats: string;
-  };
-  /** Takes over what can change of `settings`, and says what can not. */
-  applySettings(settings: PassthroughSettings, fingerprint: string): void;
-  /** Stops taking calls, finishes those in flight, and closes. */
-  close(): Promise<void>;
-}
 
 /** Limits until the first configuration is known. */
 const firstLimits: CallerLimits = {
@@ -181,10 +157,7 @@
       upstreams: this.upstreams,
       transport,
       onChange: (upstream, isReachable) =>
-        log.write('upstreamReachability', {
-          upstream,
-          change: isReachable ? 'reached' : 'unreachable',
-        }),
+        logReachability(log, upstream, isReachable),
     });
     this.host = new PassthroughHost({
       clock,
@@ -298,17 +271,7 @@
   onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
     this.hasUpstreams = true;
     this.noteFirstRead();
-    const {joined, leaving, gone} = this.upstreams.replace(upstreams);
-    const write = (change: string) => (each: UpstreamDocument) =>
-      this.log.write('upstreamChanged', {
-        upstream: each.name,
-        change,
-        address: each.spec.address,
-        domain: each.spec.failureDomain,
-      });
-    joined.forEach(write('joined'));
-    leaving.forEach(write('leaving'));
-    gone.forEach(write('gone'));
+    logUpstreamChanges(this.log, this.upstreams.replace(upstreams));
   }
 
   onReachable(isReachable: boolean, reason: string): void {
@@ -359,19 +322,7 @@
 
   private noteEnd(end: CallEnd): void {
     this.metrics.countEnd(end);
-    const {id: request, account, route, status, milliseconds, failure} = end;
-    const common = {request, account, route, status};
-    if (failure === undefined)
-      this.log.write('requestFinished', {
-        ...common,
-        milliseconds: Math.round(milliseconds),
-      });
-    else
-      this.log.write('requestFailed', {
-        ...common,
-        code: failure.code,
-        ran: failure.ran,
-      });
+    logCallEnd(this.log, end);
   }
 
   private gauges() {
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -1,7 +1,12 @@
 /** Writes the decisions of a host to the log, within bounds. */
 
-import type {CallEvent, FleetChange} from '@persimmonwick/coordination';
+import type {
+  CallEvent,
+  FleetChange,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
+import type {CallEnd} from './call-server.js';
 
 /** Writes one decision about the call `request`. */
 export function logCallEvent(
@@ -39,6 +44,52 @@
   }
 }
 
+/** Writes how a call ended. */
+export function logCallEnd(
+  log: EventLog,
+  {id: request, account, route, status, milliseconds, failure}: CallEnd,
+): void {
+  const common = {request, account, route, status};
+  if (failure === undefined)
+    log.write('requestFinished', {
+      ...common,
+      milliseconds: Math.round(milliseconds),
+    });
+  else
+    log.write('requestFailed', {
+      ...common,
+      code: failure.code,
+      ran: failure.ran,
+    });
+}
+
+/** Writes what changed in the list of upstreams. */
+export function logUpstreamChanges(
+  log: EventLog,
+  changes: Readonly<
+    Record<'joined' | 'leaving' | 'gone', readonly UpstreamDocument[]>
+  >,
+): void {
+  for (const change of ['joined', 'leaving', 'gone'] as const)
+    for (const {name, spec} of changes[change])
+      log.write('upstreamChanged', {
+        upstream: name,
+        change,
+        address: spec.address,
+        domain: spec.failureDomain,
+      });
+}
+
+/** Writes whether connections to an upstream can be made. */
+export function logReachability(
+  log: EventLog,
+  upstream: string,
+  isReachable: boolean,
+): void {
+  const change = isReachable ? 'reached' : 'unreachable';
+  log.write('upstreamReachability', {upstream, change});
+}
+
 /** Writes a change of what is believed of another host. */
 export function logFleetChange(
   log: EventLog,
