Note failures of upstreams in one place, keep one list of settings that change

Read over once more; behaviour stays. Plain calls had their own switch over why an upstream gave no answer, the same as that of generations: both call noteFailure. What a running host takes over of its settings stood in two lists; the settings that result now say what changed. Two limits for connections, of which only the shorter one was ever reached, are one. The generator takes the documents from the schema in place of a list of its own; its output is the same. The trace command loses a count that nothing read and names the lines that end a request once.

--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -1,14 +1,13 @@
 /** Says in a sentence how a request ended, from its lines in order. */
 
+import {isEnding} from './log-lines.js';
 import type {LogLine} from './log-lines.js';
 
 type Fields = LogLine['fields'];
 
 /** How the request of `lines` ended and why. */
 export function explainEnd(lines: readonly LogLine[]): string {
-  const end = lines.findLast(
-    ({name}) => name === 'requestFinished' || name === 'requestFailed',
-  );
+  const end = lines.findLast(isEnding);
   if (lines.length === 0) return 'Nothing is known of it.';
   if (end === undefined) return explainNoEnd(lines);
   if (end.name === 'requestFinished')
--- a/packages/command/src/log-lines.ts
+++ b/packages/command/src/log-lines.ts
@@ -20,8 +20,6 @@
   readonly lines: readonly LogLine[];
   /** Lines that hosts left out because nobody read them in time, by file. */
   readonly dropped: ReadonlyMap<string, number>;
-  /** Lines that are no events of the daemon. */
-  readonly otherLines: number;
 }
 
 /** Fields of a line that describe the line itself. */
@@ -31,14 +29,17 @@
   'event',
   'name',
   'logLevel',
-  'request',
 ]);
 
+/** True for the line that ends a request. */
+export function isEnding({name}: LogLine): boolean {
+  return name === 'requestFinished' || name === 'requestFailed';
+}
+
 /** Reads `files`; throws the error of a file that can't be read. */
 export function readLogFiles(files: readonly string[]): LogContent {
   const lines: LogLine[] = [];
   const dropped = new Map<string, number>();
-  let otherLines = 0;
   for (const file of new Set(files))
     for (const text of readFileSync(file, 'utf8').split('\n')) {
       if (text.trim() === '') continue;
@@ -47,9 +48,8 @@
       if (line !== undefined) lines.push(line);
       else if (typeof value?.['dropped'] === 'number')
         dropped.set(file, (dropped.get(file) ?? 0) + value['dropped']);
-      else otherLines += 1;
     }
-  return {lines, dropped, otherLines};
+  return {lines, dropped};
 }
 
 /** A collector may have put its own words before the JSON. */
@@ -59,7 +59,7 @@
   try {
     return JSON.parse(text.slice(start)) as Record<string, unknown>;
   } catch {
-    // Counted as a line that is no event.
+    // Other programs write to the same files.
     return undefined;
   }
 }
@@ -81,9 +81,7 @@
     name,
     message: String(message),
     fields: Object.fromEntries(
-      Object.entries(all).filter(
-        ([key]) => !lineFields.has(key) || key === 'request',
-      ),
+      Object.entries(all).filter(([key]) => !lineFields.has(key)),
     ),
   };
 }
--- a/packages/command/src/request-trace.ts
+++ b/packages/command/src/request-trace.ts
@@ -1,6 +1,7 @@
 /** The way of one request through the hosts, from their log lines. */
 
 import {explainEnd} from './explain-end.js';
+import {isEnding} from './log-lines.js';
 import type {LogContent, LogLine} from './log-lines.js';
 
 /** What is known of one request. */
@@ -15,7 +16,6 @@
 }
 
 const beginnings = new Set(['callAdmitted', 'callOverRate']);
-const endings = new Set(['requestFinished', 'requestFailed']);
 
 /** Puts the lines of `request` in order and says what they tell. */
 export function traceRequest(
@@ -47,8 +47,7 @@
     gaps.push(
       `no line says what became of ${fields['purpose']} at ${fields['upstream']}`,
     );
-  if (!lines.some(({name}) => endings.has(name)))
-    gaps.push('no line says how it ended');
+  if (!lines.some(isEnding)) gaps.push('no line says how it ended');
   return gaps;
 }
 
@@ -74,7 +73,7 @@
   lines: readonly LogLine[],
 ): string[] {
   const last = lines.at(-1);
-  if (last === undefined || endings.has(last.name)) return [];
+  if (last === undefined || isEnding(last)) return [];
   const start = all.find(
     ({host, name, time}) =>
       host === last.host && time > last.time && name.endsWith('Started'),
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -14,7 +14,6 @@
   Generation,
   PassthroughError,
 } from './call.js';
-import type {TrackedUpstream} from './upstream-table.js';
 
 /** Estimates of the output are low in half of the cases. */
 const outputMargin = 0.1;
@@ -66,25 +65,3 @@
   if (runs === 0) return queueFull;
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
-
-/** Notes on an engine why it gave no answer. */
-export function noteFailure(
-  engine: TrackedUpstream,
-  error: PassthroughError,
-  now: number,
-): void {
-  switch (error.kind) {
-    case 'unreachable':
-      engine.health.recordUnreachable(now);
-      break;
-    case 'misdirected':
-      engine.health.recordMisdirected(now);
-      break;
-    case 'refused':
-    case 'broken':
-    case 'silent':
-      engine.health.recordFailure(now);
-      break;
-    case 'cancelled':
-  }
-}
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -22,11 +22,11 @@
   fullFailure,
   goneFailure,
   memoryOf,
-  noteFailure,
 } from './generation-run.js';
 import type {GenerationRun, KeptCache} from './generation-run.js';
 import {MemoryQueue, canDecode} from './memory-queue.js';
 import type {Place} from './memory-queue.js';
+import {noteFailure} from './note-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {drawPool} from './passthrough-parts.js';
 import {PrefillStage} from './prefill-stage.js';
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -19,6 +19,7 @@
 } from './call.js';
 import {BrokenAnswerError, hasArrived, provesCallNotRun} from './call.js';
 import {leastBy} from './least-by.js';
+import {noteFailure} from './note-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {drawPool} from './passthrough-parts.js';
 import {ReferenceTime} from './reference-time.js';
@@ -215,20 +216,7 @@
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.runs += 1;
     if (hasArrived(error)) progress.arrivals += 1;
-    switch (error.kind) {
-      case 'unreachable':
-        upstream.health.recordUnreachable(now);
-        break;
-      case 'misdirected':
-        upstream.health.recordMisdirected(now);
-        break;
-      case 'refused':
-      case 'broken':
-      case 'silent':
-        upstream.health.recordFailure(now);
-        break;
-      case 'cancelled':
-    }
+    noteFailure(upstream, error, now);
   }
 
   private usualTimeOf({name}: PoolDocument): ReferenceTime {
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -3,10 +3,10 @@
  * engine fetches it.
  */
 
-import {noteFailure} from './generation-run.js';
 import type {GenerationRun, KeptCache} from './generation-run.js';
 import {leastBy} from './least-by.js';
 import type {Place} from './memory-queue.js';
+import {noteFailure} from './note-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {ReferenceTime} from './reference-time.js';
 import type {TrackedUpstream} from './upstream-table.js';
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -17,6 +17,7 @@
 import type {Dispatcher} from 'undici';
 import {AnswerBody} from './answer-body.js';
 import {canConnect} from './can-connect.js';
+import {connectMilliseconds} from './upstream-connections.js';
 import type {
   UpstreamConnection,
   UpstreamConnections,
@@ -29,9 +30,6 @@
 /** Reservations and releases are answered from memory. */
 const engineRequestMilliseconds = 400;
 
-/** A connection inside a data centre takes a few milliseconds. */
-const connectMilliseconds = 250;
-
 /** Headers that concern one connection only. */
 export const connectionHeaders: ReadonlySet<string> = new Set([
   'connection',
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -37,9 +37,9 @@
 } from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
 import type {PassthroughSettings} from './passthrough-settings.js';
-import {compareSettings, takeChangeable} from './settings-change.js';
 import type {PassthroughDaemon, PlatformAdapter} from './platform-adapter.js';
 import type {FeedSink, PublishedConfiguration} from './platform-feed.js';
+import {changeSettings} from './settings-change.js';
 import {serveMetrics, serveReadiness} from './status-server.js';
 import type {StatusServer} from './status-server.js';
 import {UpstreamConnections} from './upstream-connections.js';
@@ -230,12 +230,12 @@
   }
 
   applySettings(settings: PassthroughSettings, fingerprint: string): void {
-    const {applied, needRestart} = compareSettings(this.settings, settings);
-    this.settings = takeChangeable(this.settings, settings);
+    const change = changeSettings(this.settings, settings);
+    this.settings = change.settings;
     this.log.write('settingsApplied', {
       fingerprint,
-      applied: applied.join(' '),
-      needRestart: needRestart.join(' '),
+      applied: change.applied.join(' '),
+      needRestart: change.needRestart.join(' '),
     });
   }
 
--- a/packages/daemon/src/passthrough/settings-change.ts
+++ b/packages/daemon/src/passthrough/settings-change.ts
@@ -2,47 +2,27 @@
 
 import type {PassthroughSettings} from './passthrough-settings.js';
 
-/** Paths of settings that differ. */
+/** Settings after a change, and the paths of what differs. */
 export interface SettingsChange {
   /** In force from now on. */
+  readonly settings: PassthroughSettings;
+  /** What changed in them. */
   readonly applied: readonly string[];
-  /** In force after the next start only. */
+  /** What the file says differently, in force after the next start only. */
   readonly needRestart: readonly string[];
 }
 
-/** Settings that a running host takes over. */
-const changeable: ReadonlySet<string> = new Set([
-  '/seeds',
-  '/keyProofMilliseconds',
-  '/limitSlack',
-  '/retries/ratio',
-  '/retries/extra',
-  '/graceMilliseconds',
-]);
-
 /** Tables whose entries change apart from each other. */
 const divided: ReadonlySet<string> = new Set(['/listen', '/retries']);
 
-/** Compares the settings of the start with those of a changed file. */
-export function compareSettings(
+/** Takes over what a running host can from the settings of a changed file. */
+export function changeSettings(
   before: PassthroughSettings,
-  after: PassthroughSettings,
+  file: PassthroughSettings,
 ): SettingsChange {
-  const changed = differences(before, after, '');
-  return {
-    applied: changed.filter(path => changeable.has(path)),
-    needRestart: changed.filter(path => !changeable.has(path)),
-  };
-}
-
-/** The settings that are in force: what may change is taken from `after`. */
-export function takeChangeable(
-  before: PassthroughSettings,
-  after: PassthroughSettings,
-): PassthroughSettings {
-  const {seeds, keyProofMilliseconds, limitSlack, graceMilliseconds} = after;
-  const {ratio, extra} = after.retries;
-  return {
+  const {seeds, keyProofMilliseconds, limitSlack, graceMilliseconds} = file;
+  const {ratio, extra} = file.retries;
+  const settings = {
     ...before,
     seeds,
     keyProofMilliseconds,
@@ -50,6 +30,11 @@
     graceMilliseconds,
     retries: {...before.retries, ratio, extra},
   };
+  return {
+    settings,
+    applied: differences(before, settings, ''),
+    needRestart: differences(settings, file, ''),
+  };
 }
 
 function differences(before: object, after: object, path: string): string[] {
--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -29,7 +29,7 @@
 const maximumIdle = 4;
 
 /** A connection inside a data centre takes a few milliseconds. */
-const connectMilliseconds = 400;
+export const connectMilliseconds = 250;
 
 /** How often idle connections are looked through. */
 const sweepMilliseconds = 1000;
--- a/schema/generate.mjs
+++ b/schema/generate.mjs
@@ -18,17 +18,7 @@
 const target = join(schemaFolder, '../packages/coordination/src/generated');
 const staging = mkdtempSync(join(tmpdir(), 'persimmonwick-generate-'));
 
-const documentDefinitions = [
-  'ClientAccountDocument',
-  'KeyDocument',
-  'RouteDocument',
-  'PoolDocument',
-  'UpstreamDocument',
-  'LinkDocument',
-  'MembershipDocument',
-];
-
-async function generateSchema(name, options = {}, definitions = undefined) {
+async function generateSchema(name, options = {}) {
   const text = readFileSync(
     join(schemaFolder, `json/${name}.schema.json`),
     'utf8',
@@ -38,7 +28,7 @@
     additionalProperties: false,
   });
   writeFileSync(join(staging, `${name}.ts`), types);
-  const validators = makeValidators(JSON.parse(text), options, definitions);
+  const validators = makeValidators(JSON.parse(text), options);
   writeFileSync(
     join(staging, `${name}-validators.ts`),
     await format(validators, {parser: 'typescript', singleQuote: true}),
@@ -46,10 +36,10 @@
 }
 
 /**
- * Checks of the whole schema, or of the named definitions of it, as code: to
+ * Checks of the whole schema, or of each document that it defines, as code: to
  * compile a schema when a program starts takes longer than all else.
  */
-function makeValidators(schema, options, definitions) {
+function makeValidators(schema, options) {
   const ajv = new Ajv({
     allErrors: true,
     strict: false,
@@ -57,30 +47,29 @@
     ...options,
   });
   ajv.addSchema(schema);
-  const references = Object.fromEntries(
-    definitions === undefined
-      ? [[schema.title, schema.$id]]
-      : definitions.map(each => [each, `${schema.$id}#/definitions/${each}`]),
+  const documents = Object.keys(schema.definitions ?? {}).filter(title =>
+    title.endsWith('Document'),
   );
+  const references =
+    documents.length === 0
+      ? {[`check${schema.title}`]: schema.$id}
+      : Object.fromEntries(
+          documents.map(title => [
+            `check${title}`,
+            `${schema.$id}#/definitions/${title}`,
+          ]),
+        );
   const imports = new Set();
   const code = standalone
-    .default(
-      ajv,
-      Object.fromEntries(
-        Object.entries(references).map(([title, reference]) => [
-          `check${title}`,
-          reference,
-        ]),
-      ),
-    )
+    .default(ajv, references)
     .replaceAll(/require\("ajv\/dist\/runtime\/(\w+)"\)/g, (_, helper) => {
       imports.add(`import ${helper} from 'ajv/dist/runtime/${helper}.js';`);
       return helper;
     })
     .replaceAll('export const check', 'const check');
   const exported = Object.keys(references).map(
-    title =>
-      `export const validate${title} = check${title} as unknown as SchemaValidator;`,
+    check =>
+      `export const ${check.replace('check', 'validate')} = ${check} as unknown as SchemaValidator;`,
   );
   return [
     '// @ts-nocheck',
@@ -130,7 +119,7 @@
 
 try {
   await generateSchema('settings', {useDefaults: true});
-  await generateSchema('documents', {}, documentDefinitions);
+  await generateSchema('documents');
   await generateSchema('chat', {allErrors: false});
   await generateSchema('trace', {useDefaults: true, discriminator: true});
   generateMessages();
