Keep one malformed message or unexpected error from ending a process

Cause: a heartbeat that lists an address with port 0 or 99999 made the next broadcast throw (ERR_SOCKET_BAD_PORT) in a promise that nobody awaits, which ends the process; a usage that is not a number made a bucket admit every call. An upstream that went silent right after it was resumed was never detected, because the idle timer had fired during the pause.

Conclusion: one datagram could take down every host; the check has to stand where bytes enter.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -291,6 +291,7 @@
   DiscoveredFleetParts,
   FleetChange,
 } from './passthrough/discovered-fleet.js';
+export {checkHeartbeat, isHostAddress} from './passthrough/heartbeat-check.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {ReachabilityProbesParts} from './passthrough/reachability-probes.js';
 export {UpstreamTable} from './passthrough/upstream-table.js';
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -4,10 +4,14 @@
 import {upstreamId} from '../ids.js';
 import type {RoutedCall, PassthroughResponse} from './call.js';
 import {InterruptedResponseError} from './call.js';
-import {EventStreamSplitter} from './event-stream-splitter.js';
+import {
+  EventStreamSplitter,
+  EventTooLongError,
+} from './event-stream-splitter.js';
 import type {GenerationState} from './generation-run.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
+import type {TrackedUpstream} from './upstream-table.js';
 
 /**
  * Time without a byte after which a resumable stream is moved to another
@@ -17,7 +21,7 @@
 
 /**
  * Relays the events of one engine. Returns the error that interrupted the
- * stream, if any. Throws an `EventTooLongError` if an event is too long.
+ * stream, if any.
  */
 export async function* relayEvents(
   clock: Clock,
@@ -49,13 +53,10 @@
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return error;
+    if (error instanceof EventTooLongError) return brokenBy(upstream);
     throw error;
   }
-  if (splitter.pendingBytes > 0)
-    return new InterruptedResponseError(
-      upstreamId(upstream.document.name),
-      'broken',
-    );
+  if (splitter.pendingBytes > 0) return brokenBy(upstream);
   const now = clock.now();
   upstream.health.recordSuccess(now);
   if (events > 1) {
@@ -65,6 +66,10 @@
   return undefined;
 }
 
+function brokenBy({document}: TrackedUpstream): InterruptedResponseError {
+  return new InterruptedResponseError(upstreamId(document.name), 'broken');
+}
+
 /** Maximum time between two chunks of the body of a response. */
 export function bodyIdleTimeoutOf(
   {route}: RoutedCall,
--- /dev/null
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -0,0 +1,39 @@
+/**
+ * Checks heartbeats before they are used. A datagram may come from anywhere, and
+ * one that decodes may still hold values that no host sends.
+ */
+
+import {Result} from 'true-myth';
+import type {Beat} from '../generated/messages/persimmonwick/beat.js';
+
+const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
+const maximumPort = 65_535;
+
+/** Longest name of a host, account or upstream in a heartbeat. */
+const maximumNameLength = 256;
+
+/** Returns `heartbeat` if all its values are plausible, else the first fault. */
+export function checkHeartbeat(heartbeat: Beat): Result<Beat, string> {
+  const {host, address, usage, loads, known} = heartbeat;
+  if (!isName(host)) return Result.err('the host has no valid name');
+  if (!isHostAddress(address))
+    return Result.err(`${address.slice(0, maximumNameLength)} is no address`);
+  for (const {account, admittedTokens} of usage)
+    if (!isName(account) || !(admittedTokens >= 0 && admittedTokens < Infinity))
+      return Result.err('the usage of an account is no amount');
+  if (!loads.every(({upstream}) => isName(upstream)))
+    return Result.err('an upstream has no valid name');
+  if (!known.every(each => isName(each.host) && isHostAddress(each.address)))
+    return Result.err('a known host has no valid name or address');
+  return Result.ok(heartbeat);
+}
+
+/** Returns whether `address` is an IPv4 number and a port that can be sent to. */
+export function isHostAddress(address: string): boolean {
+  const port = Number(addressPattern.exec(address)?.[2] ?? 0);
+  return port > 0 && port <= maximumPort;
+}
+
+function isName(name: string): boolean {
+  return name !== '' && name.length <= maximumNameLength;
+}
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -96,6 +96,12 @@
     text: 'a published value is malformed and was ignored',
     fields: ['key', 'reason'],
   },
+  platformReadFailed: {
+    number: 2007,
+    level: 'warn',
+    text: 'one read of the platform failed; it is repeated',
+    fields: ['subject', 'reason'],
+  },
   peerRefused: {
     number: 2101,
     level: 'warn',
@@ -144,6 +150,12 @@
     text: 'a request was refused or failed',
     fields: ['request', 'account', 'route', 'status', 'code', 'ran'],
   },
+  internalError: {
+    number: 3003,
+    level: 'error',
+    text: 'an unexpected error ended one call; the host goes on',
+    fields: ['request', 'reason'],
+  },
   // 31xx: passed-through calls.
   callAdmitted: {
     number: 3101,
--- a/packages/daemon/src/passthrough/heartbeat-socket.ts
+++ b/packages/daemon/src/passthrough/heartbeat-socket.ts
@@ -3,7 +3,7 @@
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
 import {once} from 'node:events';
-import {Beat} from '@persimmonwick/coordination';
+import {Beat, checkHeartbeat, isHostAddress} from '@persimmonwick/coordination';
 import type {HeartbeatSender} from '@persimmonwick/coordination';
 
 export interface HeartbeatSocketParts {
@@ -40,6 +40,11 @@
   }
 
   send(address: string, heartbeat: Beat): void {
+    // The socket throws for an address that it cannot send to.
+    if (!isHostAddress(address)) {
+      this.parts.onError(address, 'not an IP address and port');
+      return;
+    }
     const {host, port} = parseAddress(address);
     this.socket.send(Beat.encode(heartbeat).finish(), port, host, error => {
       if (error !== null) this.parts.onError(address, error.message);
@@ -58,7 +63,10 @@
       this.parts.onError(from, String(error));
       return;
     }
-    this.parts.onHeartbeat(heartbeat);
+    checkHeartbeat(heartbeat).match({
+      Ok: checked => this.parts.onHeartbeat(checked),
+      Err: reason => this.parts.onError(from, reason),
+    });
   }
 }
 
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -77,6 +77,13 @@
   return daemon;
 }
 
+/** The stack names the line that failed; messages alone rarely do. */
+function describeError(error: unknown): string {
+  return error instanceof Error
+    ? (error.stack ?? error.message)
+    : String(error);
+}
+
 class RunningDaemon implements PassthroughDaemon, FeedSink {
   readonly freshness: ConfigurationFreshness;
   /** Start time, which also serves as the incarnation. */
@@ -195,6 +202,8 @@
       wireFormat: adapter.callerWire,
       limits: () => this.limits,
       onEnd: summary => this.recordCallEnd(summary),
+      onInternalError: (request, error) =>
+        log.write('internalError', {request, reason: describeError(error)}),
     });
   }
 
@@ -290,6 +299,10 @@
     });
   }
 
+  onReadFailure(subject: string, reason: string): void {
+    this.log.write('platformReadFailed', {subject, reason});
+  }
+
   onMalformedValue(key: string, reason: string): void {
     this.log.write('platformValueIgnored', {key, reason});
   }
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -47,6 +47,8 @@
   readonly wireFormat: CallerWireFormat;
   readonly limits: () => CallerLimits;
   readonly onEnd: (summary: CallSummary) => void;
+  /** Receives an unexpected error, which ends only the call that met it. */
+  readonly onInternalError: (requestId: string, error: unknown) => void;
 }
 
 /** Node rejects larger headers before the configured limit is checked. */
@@ -137,8 +139,17 @@
   ): Promise<void> {
     this.inFlight += 1;
     const {socket} = request;
+    const context: CallContext = {
+      requestId: '',
+      account: '',
+      route: '',
+      arrivedAt: this.parts.clock.now(),
+      isGeneration: false,
+    };
     try {
-      await this.processCall(request, target, response);
+      await this.processCall(request, target, response, context);
+    } catch (error) {
+      this.endAfterInternalError(request, response, context, error);
     } finally {
       // A response that started before draining had no `Connection: close`
       // header, and another call on its connection might not finish in time.
@@ -157,18 +168,11 @@
     request: IncomingMessage,
     target: string,
     response: ServerResponse,
+    context: CallContext,
   ): Promise<void> {
-    const {clock, wireFormat, host} = this.parts;
-    const arrivedAt = clock.now();
+    const {wireFormat, host} = this.parts;
     const disconnected = new AbortController();
     response.once('close', () => disconnected.abort());
-    const context = {
-      requestId: '',
-      account: '',
-      route: '',
-      arrivedAt,
-      isGeneration: false,
-    };
     const call = this.checkHeaderSize(request).andThen(() =>
       wireFormat.parseCall(
         {
@@ -176,7 +180,7 @@
           target,
           rawHeaders: request.rawHeaders,
         },
-        arrivedAt,
+        context.arrivedAt,
       ),
     );
     if (call.isErr)
@@ -213,6 +217,20 @@
     );
   }
 
+  /** Ends one call after an error that no other code handles. */
+  private endAfterInternalError(
+    request: IncomingMessage,
+    response: ServerResponse,
+    context: CallContext,
+    error: unknown,
+  ): void {
+    this.parts.onInternalError(context.requestId, error);
+    if (!response.headersSent)
+      return this.sendFailure(response, request, internalFailure, context);
+    response.destroy();
+    this.reportEnd(context, response.statusCode, internalFailure);
+  }
+
   private checkHeaderSize(
     request: IncomingMessage,
   ): Result<void, RequestFailure> {
@@ -280,6 +298,7 @@
           );
       }
     } catch (error) {
+      if (!(error instanceof InterruptedResponseError)) throw error;
       // A truncated response must not look complete to the caller.
       response.destroy();
       this.reportEnd(
@@ -351,15 +370,22 @@
   // Fastify's types accept only the compilers of its own packages.
 } as unknown as FastifyServerOptions['schemaController'];
 
+/** What is known of a call so far. */
 interface CallContext {
-  readonly requestId: string;
-  readonly account: string;
-  readonly route: string;
+  requestId: string;
+  account: string;
+  route: string;
   /** Clock time in milliseconds. */
   readonly arrivedAt: number;
-  readonly isGeneration: boolean;
+  isGeneration: boolean;
 }
 
+const internalFailure: RequestFailure = {
+  code: 'internal',
+  message: 'the host met an unexpected error; the call may have run',
+  ran: 'unknown',
+};
+
 const callerDisconnectedFailure: RequestFailure = {
   code: 'caller-gone',
   message: 'the caller disconnected before the response was complete',
@@ -374,10 +400,9 @@
 }
 
 function failureOfBrokenResponse(
-  error: unknown,
+  error: InterruptedResponseError,
   disconnected: AbortSignal,
 ): RequestFailure {
   if (disconnected.aborted) return callerDisconnectedFailure;
-  if (!(error instanceof InterruptedResponseError)) throw error;
   return {code: 'upstream-failed', message: error.message, ran: 'ran'};
 }
--- a/packages/daemon/src/passthrough/platform-feed.ts
+++ b/packages/daemon/src/passthrough/platform-feed.ts
@@ -22,6 +22,8 @@
   onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void;
   /** Reports whether the last read succeeded; only changes are logged. */
   onReachability(isReachable: boolean, reason: string): void;
+  /** Reports why one read of `subject` failed. */
+  onReadFailure(subject: string, reason: string): void;
   /** Reports a published value that is invalid and was ignored. */
   onMalformedValue(key: string, reason: string): void;
 }
--- a/packages/daemon/src/passthrough/response-body.ts
+++ b/packages/daemon/src/passthrough/response-body.ts
@@ -72,6 +72,7 @@
     if (!this.isPaused || this.bufferedBytes > pauseThresholdBytes / 2) return;
     this.isPaused = false;
     this.parts.resume();
+    this.restartIdleTimer();
   }
 
   private close(state: 'complete' | InterruptedResponseError): void {
@@ -82,12 +83,13 @@
   }
 
   private restartIdleTimer(): void {
+    if (this.state !== 'open') return;
     if (this.idleTimer !== undefined) {
       this.idleTimer.refresh();
       return;
     }
     this.idleTimer = setTimeout(() => {
-      // A paused upstream sends nothing. The next chunk restarts the timer.
+      // A paused upstream sends nothing. Its resumption restarts the timer.
       if (this.isPaused) return;
       this.fail('silent');
       this.parts.cancel();
