Make the cost of heartbeats and load reads independent of the fleet's size

Cause: with 195 hosts, a placement that reads the load of 55 upstreams walked all reports (562 us), a heartbeat compared each of its 12 known hosts with all peers (53 us), and each heartbeat woke the queues, whether it freed capacity or not. A host that met a new one sent its state to all: in a start of 195 hosts (simulated, 300 ms apart, 2 ms a datagram, batches as in the code) 316,542 datagrams left in 8 s, and after 8 s 15 hosts still did not know all. Each join wrote a line on each host.

Change: running totals of reported loads; an index of addresses; queues wake only for freed capacity; a joining or restarted host gets a direct reply and the others learn of it from regular heartbeats; of a wave of changes the first 8 are logged one by one, the rest as counts (2104).

Conclusion: the flood at the start came from telling everyone; heartbeats still go from all to all, which a later change has to end.

--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -102,6 +102,8 @@
 
 export class DiscoveredFleet {
   private readonly peers = new Map<HostId, Peer>();
+  /** Host that last sent a heartbeat from each address. */
+  private readonly hostsByAddress = new Map<string, HostId>();
   /**
    * Addresses that heartbeats of peers list and that have not sent a heartbeat
    * yet, with the time at which they were listed.
@@ -201,9 +203,9 @@
         state,
       };
       this.peers.set(host, peer);
+      this.hostsByAddress.set(address, host);
       onChange({kind: 'joined', host});
-      // A host that has just started does not know the load of other hosts yet.
-      this.scheduleHeartbeat();
+      this.sendReply(address);
       return true;
     }
     if (incarnation < knownPeer.incarnation) return false;
@@ -211,9 +213,13 @@
     if (!isRestarted && sequence <= knownPeer.sequence) return false;
     if (isRestarted) {
       onChange({kind: 'restarted', host});
-      this.scheduleHeartbeat();
+      this.sendReply(address);
     } else if (knownPeer.state === 'silent')
       onChange({kind: 'heard-again', host});
+    if (knownPeer.address !== address) {
+      this.forgetAddress(knownPeer);
+      this.hostsByAddress.set(address, host);
+    }
     Object.assign(knownPeer, {
       address,
       incarnation,
@@ -226,14 +232,32 @@
 
   private recordLeave(host: HostId, incarnation: bigint): void {
     this.leftIncarnations.set(host, incarnation);
-    if (this.peers.delete(host)) this.parts.onChange({kind: 'left', host});
+    if (this.removePeer(host)) this.parts.onChange({kind: 'left', host});
+  }
+
+  private removePeer(host: HostId): boolean {
+    const peer = this.peers.get(host);
+    if (peer === undefined) return false;
+    this.forgetAddress(peer);
+    return this.peers.delete(host);
+  }
+
+  /** Another host may have taken over the address meanwhile. */
+  private forgetAddress({host, address}: Peer): void {
+    if (this.hostsByAddress.get(address) === host)
+      this.hostsByAddress.delete(address);
+  }
+
+  /**
+   * Sends the state of this host to one that has just started and does not know
+   * it yet. The others learn of that host from regular heartbeats.
+   */
+  private sendReply(address: string): void {
+    this.parts.sender.send(address, this.createHeartbeat());
   }
 
   private addUnconfirmedAddress(address: string): void {
-    const isKnown = [...this.peers.values()].some(
-      peer => peer.address === address,
-    );
-    if (!isKnown && address !== this.parts.address())
+    if (!this.hostsByAddress.has(address) && address !== this.parts.address())
       this.unconfirmedAddresses.set(address, this.parts.clock.now());
   }
 
@@ -258,7 +282,7 @@
     for (const peer of [...this.peers.values()]) {
       const silence = now - peer.lastHeartbeatAt;
       if (silence > forgetAfterMilliseconds) {
-        this.peers.delete(peer.host);
+        this.removePeer(peer.host);
         onChange({kind: 'forgotten', host: peer.host});
       } else if (
         peer.state === 'live' &&
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -10,15 +10,10 @@
 } from '../generated/messages/persimmonwick/beat.js';
 import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import {matchesSelector} from '../labels.js';
+import {ReportedLoads} from './reported-loads.js';
+import type {Load} from './reported-loads.js';
 import {UpstreamHealth} from './upstream-health.js';
 
-/** Load that calls put on an upstream. */
-export interface Load {
-  calls: number;
-  memoryTokens: number;
-  promptTokens: number;
-}
-
 /** Handle of the load of one call on an upstream. */
 export interface LoadHandle {
   /** Sets the memory that the call uses. */
@@ -42,25 +37,18 @@
   lastReservationAttemptAt: number;
 }
 
-/** Reports of other hosts are used for this long. */
-const reportLifetimeMilliseconds = 3000;
-
-/** Load reported by another host, with the time of receipt. */
-interface ReportedLoads {
-  readonly receivedAt: number;
-  readonly loads: ReadonlyMap<string, UpstreamLoad>;
-}
-
 export class UpstreamTable {
   private readonly upstreams = new Map<string, TrackedUpstream>();
-  private readonly reportedLoads = new Map<string, ReportedLoads>();
+  private readonly reportedLoads: ReportedLoads;
   private listedUpstreams: ReadonlyMap<string, UpstreamDocument> = new Map();
   private readonly capacityListeners = new Set<() => void>();
   private readonly unreachableListeners = new Set<
     (upstream: TrackedUpstream) => void
   >();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(clock: Clock) {
+    this.reportedLoads = new ReportedLoads(clock);
+  }
 
   /** Replaces the list and returns the changes. */
   replace(documents: ReadonlyMap<string, UpstreamDocument>): {
@@ -100,31 +88,18 @@
   }
 
   /** Total load of other hosts on an upstream, by their latest reports. */
-  reportedLoad(name: string): Load {
-    const total = {calls: 0, memoryTokens: 0, promptTokens: 0};
-    const oldest = this.clock.now() - reportLifetimeMilliseconds;
-    for (const {receivedAt, loads} of this.reportedLoads.values()) {
-      const load = loads.get(name);
-      if (load === undefined || receivedAt < oldest) continue;
-      total.calls += load.calls;
-      total.memoryTokens += load.memoryTokens;
-      total.promptTokens += load.promptTokens;
-    }
-    return total;
+  reportedLoad(name: string): Readonly<Load> {
+    return this.reportedLoads.totalOf(name);
   }
 
   /** Records the load reported by another host. */
   recordHeartbeat(heartbeat: Beat): void {
-    if (heartbeat.leaving) {
-      this.reportedLoads.delete(heartbeat.host);
-      return;
-    }
-    const loads = new Map(heartbeat.loads.map(load => [load.upstream, load]));
-    this.reportedLoads.set(heartbeat.host, {
-      receivedAt: this.clock.now(),
-      loads,
-    });
-    this.notifyCapacity();
+    const {host, leaving, loads} = heartbeat;
+    const isCapacityFreed = leaving
+      ? this.reportedLoads.remove(host)
+      : this.reportedLoads.replace(host, loads);
+    // Most heartbeats free nothing, and each notification wakes the queues.
+    if (isCapacityFreed) this.notifyCapacity();
   }
 
   /** Load of this host, for its heartbeats. */
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -113,6 +113,7 @@
   private readonly isolatedAddresses = new Set<string>();
   /** Datagrams that the link of one host carries in ten milliseconds. */
   datagramsPerInterval = Infinity;
+  sentCount = 0;
   private readonly sentCounts = new Map<string, number>();
 
   add(name: string, seeds: readonly string[], incarnation = 1n) {
@@ -151,6 +152,7 @@
   }
 
   private deliver(from: string, to: string, heartbeat: Beat): void {
+    this.sentCount += 1;
     const interval = `${from} ${Math.floor(this.clock.now() / 10)}`;
     const count = (this.sentCounts.get(interval) ?? 0) + 1;
     this.sentCounts.set(interval, count);
@@ -241,6 +243,18 @@
   t.deepEqual(network.changes, [], 'no host becomes silent');
 });
 
+test('195 hosts that start at once know each other soon, without a flood', async t => {
+  const network = new HeartbeatNetwork();
+  const hostCount = 195;
+  const names = Array.from({length: hostCount}, (_, index) => `h${index}`);
+  const fleets = names.map(name => network.add(name, ['h0', 'h1', 'h2']));
+  await network.clock.advance(3000);
+  for (const fleet of fleets) t.is(fleet.hostCount, hostCount);
+  const datagramsPerPair = network.sentCount / (hostCount * (hostCount - 1));
+  // One to discover the other host, and one in each interval of 2.5 s.
+  t.true(datagramsPerPair < 4, String(datagramsPerPair));
+});
+
 test('a host that is silent for minutes is forgotten', async t => {
   const network = new HeartbeatNetwork();
   const a = network.add('a', ['a']);
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -120,6 +120,12 @@
     text: 'a heartbeat between hosts could not be sent or decoded',
     fields: ['address', 'reason'],
   },
+  hostsChanged: {
+    number: 2104,
+    level: 'info',
+    text: 'more hosts changed in the same way than are logged one by one',
+    fields: ['change', 'count', 'hosts'],
+  },
   attemptSwept: {
     number: 2201,
     level: 'warn',
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -23,6 +23,7 @@
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
+import {FleetChangeLog} from './fleet-change-log.js';
 import {HeartbeatSocket} from './heartbeat-socket.js';
 import {PassthroughServer} from './passthrough-server.js';
 import type {CallSummary, CallerLimits} from './passthrough-server.js';
@@ -31,7 +32,6 @@
 import {
   logCallEnd,
   logCallEvent,
-  logFleetChange,
   logUpstreamReachability,
   logUpstreamChanges,
 } from './passthrough-log.js';
@@ -92,6 +92,7 @@
   private readonly connections = new UpstreamConnections(systemClock);
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
+  private readonly fleetChangeLog: FleetChangeLog;
   private readonly heartbeatSocket: HeartbeatSocket;
   private readonly host: PassthroughHost;
   private readonly probes: ReachabilityProbes;
@@ -146,9 +147,10 @@
         loads: this.upstreams.localLoads(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
-      onChange: change => logFleetChange(log, change, this.fleet.hostCount),
+      onChange: change => this.fleetChangeLog.record(change),
     });
     const hostCount = () => this.fleet.hostCount;
+    this.fleetChangeLog = new FleetChangeLog(log, clock, hostCount);
     this.limiter = new UsageLimiter({
       clock,
       get slack() {
@@ -378,6 +380,7 @@
     await this.server.close();
     await this.adapter.feed.close();
     await this.fleet.close();
+    this.fleetChangeLog.close();
     this.host.close();
     this.probes.close();
     this.connections.closeAll();
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -1,10 +1,6 @@
 /** Log entries for the events of a passthrough host. */
 
-import type {
-  CallEvent,
-  FleetChange,
-  UpstreamDocument,
-} from '@persimmonwick/coordination';
+import type {CallEvent, UpstreamDocument} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import type {CallSummary} from './passthrough-server.js';
 
@@ -112,15 +108,6 @@
   log.write('upstreamReachability', {upstream, change});
 }
 
-/** Logs a change in the state of another host. */
-export function logFleetChange(
-  log: EventLog,
-  {kind, host}: FleetChange,
-  hosts: number,
-): void {
-  log.write('hostChanged', {peer: host, change: kind, hosts});
-}
-
 const roundingFactor = 100;
 
 /** Rounds numeric fields to two decimals. */
