Hold through a store that returns from a copy, leaving announcements and pauses

Cause: revisions and versions could only grow, so a store that comes back from a copy some seconds old made a host refuse the rewritten configuration for good, and take a read of the copy as proof that its keys are valid; a server that had left could return with the copy. 'Server-Leaving' and 'Retry-After' in answers of servers were not read.

Change: the store's era is read as a restore epoch. Revisions are compared within an epoch; for 2.5 s a new epoch proves nothing; heartbeats carry the version in force and the age of the epoch, so that a host that starts meanwhile neither uses the copy nor waits without need; departed processes stay out unless they have reported since. A process that announces its leaving gets no new call; one that asks for a pause is not chosen, with two requests left for what was begun, and calls that can't wait are refused at once with the remaining time. All three are bounded: an unexpected epoch counts after 10 s, a pause for 60 s at most, a peer's version for 10 s.

Before: none of the behaviours existed; the stand-ins were taught first.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -294,6 +294,10 @@
 export {checkHeartbeat, isHostAddress} from './passthrough/heartbeat-check.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {ReachabilityProbesParts} from './passthrough/reachability-probes.js';
+export {EngineReleases} from './passthrough/engine-releases.js';
+export {PeerVersions} from './passthrough/peer-versions.js';
+export {RestoreEpochs} from './passthrough/restore-epochs.js';
+export type {EpochObservation} from './passthrough/restore-epochs.js';
 export {UpstreamTable} from './passthrough/upstream-table.js';
 export {EventStreamSplitter} from './passthrough/event-stream-splitter.js';
 export {Beat} from './generated/messages/persimmonwick/beat.js';
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -36,6 +36,19 @@
   retryAfterMilliseconds: 1500,
 };
 
+/**
+ * Adds when to come back to a failure that proves that nothing ran, if all
+ * upstreams asked for a pause that lasts `milliseconds` more.
+ */
+export function withResumption(
+  failure: RequestFailure,
+  milliseconds: number | undefined,
+): RequestFailure {
+  return milliseconds === undefined || failure.ran !== 'not-run'
+    ? failure
+    : {...failure, retryAfterMilliseconds: milliseconds};
+}
+
 export const upstreamFailed: RequestFailure = {
   code: 'upstream-failed',
   message: 'the upstream failed during the call; the call may have run',
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -26,8 +26,17 @@
 export interface LocalState {
   readonly usage: AccountUsage[];
   readonly loads: UpstreamLoad[];
+  /** Version of the configuration in force; 0 if there is none. */
+  readonly configurationVersion: bigint;
+  /** Restore epoch of the platform's store; undefined if it reports none. */
+  readonly platformEpoch: number | undefined;
+  /** Time since this epoch was learned; infinite for the first one. */
+  readonly platformEpochAgeMilliseconds: number;
 }
 
+/** Ages above this are reported as this. */
+const maximumReportedAgeMilliseconds = 1e9;
+
 export type FleetChange =
   | {readonly kind: 'joined'; readonly host: HostId}
   | {readonly kind: 'restarted'; readonly host: HostId}
@@ -335,7 +344,7 @@
   private createHeartbeat(): Beat {
     const {self, incarnation, failureDomain, localState} = this.parts;
     this.sequence += 1n;
-    const {usage, loads} = localState();
+    const {usage, loads, ...platform} = localState();
     return {
       host: self,
       incarnation,
@@ -349,6 +358,16 @@
       usage,
       loads,
       known: this.nextKnownHosts(),
+      configurationVersion: platform.configurationVersion,
+      platformEpoch: BigInt(platform.platformEpoch ?? 0),
+      platformEpochAgeMilliseconds: BigInt(
+        Math.floor(
+          Math.min(
+            platform.platformEpochAgeMilliseconds,
+            maximumReportedAgeMilliseconds,
+          ),
+        ),
+      ),
     };
   }
 
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -8,7 +8,7 @@
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import type {RequestFailure} from '../requests/failure.js';
-import {noUpstream} from './call-failures.js';
+import {noUpstream, withResumption} from './call-failures.js';
 import type {
   RoutedCall,
   InterruptedResponseError,
@@ -111,16 +111,23 @@
     state: GenerationState,
   ): Promise<Result<StartedGeneration, RequestFailure>> {
     const {signal} = state;
+    const {releases, upstreams} = this.parts;
     for (;;) {
       const reserved = await this.reserve(state);
       if (reserved.isErr) return Result.err(reserved.error);
       const reservation = reserved.value;
       const cache = await this.prefillStage.prefill(state, reservation);
       if (signal.aborted) {
-        this.releaseReservation(reservation);
+        releases.releaseReservation(reservation);
         state.reusableCache = cache;
         return Result.err(disconnectFailureOf(state));
       }
+      if (!upstreams.acquireRequest(reservation.upstream.document.name)) {
+        // The engine asked for a pause after it had granted the reservation.
+        releases.releaseReservation(reservation);
+        state.reusableCache = cache;
+        continue;
+      }
       const response = await this.sendAttempt(state, reservation, cache);
       if (response.isOk)
         return Result.ok({response: response.value, reservation});
@@ -178,7 +185,10 @@
       return Result.err(
         reserved.error === 'cancelled'
           ? disconnectFailureOf(state)
-          : queueFailureOf(state),
+          : withResumption(
+              queueFailureOf(state),
+              this.queueFor(pool.name).remainingPause(),
+            ),
       );
     return Result.ok(reserved.value);
   }
@@ -265,7 +275,7 @@
     }
     state.lastError = result.error;
     if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
-    this.releaseReservation(reservation);
+    this.parts.releases.releaseReservation(reservation);
     this.handleFailedAttempt(state, engine, cache, result.error, now);
     return result;
   }
@@ -283,7 +293,7 @@
       error.kind === 'misdirected' || error.kind === 'unreachable';
     if (canReuseCache) state.reusableCache = cache;
     else if (cache !== undefined)
-      void this.parts.transport.releaseCache(cache.source);
+      this.parts.releases.releaseCache(cache.source);
     // The engine held a reservation, so a refusal is attributed to the KV
     // cache, which is mostly no longer available.
     if (cache !== undefined && error.kind === 'refused') {
@@ -297,7 +307,7 @@
 
   private releaseReusableCache(state: GenerationState): void {
     if (state.reusableCache === undefined) return;
-    void this.parts.transport.releaseCache(state.reusableCache.source);
+    this.parts.releases.releaseCache(state.reusableCache.source);
     state.reusableCache = undefined;
   }
 
@@ -306,17 +316,6 @@
     return !repeatable || possibleRuns + 1 >= maximumTries;
   }
 
-  private releaseReservation({
-    upstream,
-    reservationId,
-    load,
-  }: EngineReservation): void {
-    load.release();
-    if (reservationId === undefined) return;
-    const {transport} = this.parts;
-    void transport.releaseReservation(upstream.document, reservationId);
-  }
-
   /**
    * Relays complete events, and resumes at another engine when the stream is
    * interrupted.
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -6,6 +6,7 @@
 import type {RandomSource} from '../random.js';
 import type {CallObserver} from './call-events.js';
 import type {PassthroughTransport} from './call.js';
+import type {EngineReleases} from './engine-releases.js';
 import type {PoolRetryBudget} from './pool-retry-budget.js';
 import type {PassthroughRoute} from './route-table.js';
 import type {UpstreamTable} from './upstream-table.js';
@@ -16,6 +17,7 @@
   readonly failureDomain: FailureDomainId;
   readonly transport: PassthroughTransport;
   readonly upstreams: UpstreamTable;
+  readonly releases: EngineReleases;
   readonly retryBudget: PoolRetryBudget;
   readonly observer: CallObserver;
   /**
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -12,6 +12,7 @@
   noUpstream,
   upstreamFailed,
   upstreamTimeout,
+  withResumption,
 } from './call-failures.js';
 import type {
   RoutedCall,
@@ -79,7 +80,7 @@
 
   /** Forwards `call`. `signal` is aborted when the caller disconnects. */
   async forward(call: RoutedCall, signal: AbortSignal): Promise<CallResult> {
-    const {random, retryBudget, observer} = this.parts;
+    const {random, retryBudget, observer, upstreams} = this.parts;
     const pool = choosePoolByWeight(call.route, random);
     if (pool === undefined) return Result.err(noUpstream);
     retryBudget.recordCall(pool.name);
@@ -113,7 +114,10 @@
     }
     if (progress.serverErrorResponse !== undefined)
       return Result.ok(progress.serverErrorResponse);
-    return Result.err(failureOf(progress, signal));
+    const failure = failureOf(progress, signal);
+    return Result.err(
+      withResumption(failure, upstreams.remainingPauseOf(pool)),
+    );
   }
 
   private canAttempt(
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -81,7 +81,7 @@
     state.reusableCache = undefined;
     if (reusable === undefined) return undefined;
     if (this.parts.clock.now() < reusable.usableUntil) return reusable;
-    void this.parts.transport.releaseCache(reusable.source);
+    this.parts.releases.releaseCache(reusable.source);
     return undefined;
   }
 
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -123,6 +123,17 @@
     });
   }
 
+  /**
+   * Time until a decode engine can be asked, in milliseconds; undefined unless
+   * all of them have asked for a pause.
+   */
+  remainingPause(): number | undefined {
+    return this.parts.upstreams.remainingPauseOf(
+      this.currentPool(),
+      ({document}) => canDecode(document.labels ?? {}),
+    );
+  }
+
   private schedule(milliseconds: number): void {
     if (this.waiting.size === 0) return;
     this.pendingTimer.abort();
@@ -139,8 +150,10 @@
    */
   private dispatch(): void {
     const now = this.parts.clock.now();
+    const pause = this.remainingPause() ?? 0;
+    // A call that no engine will take before its deadline is refused at once.
     for (const entry of [...this.waiting])
-      if (!entry.isReserving && now >= entry.queueDeadline)
+      if (!entry.isReserving && now + pause >= entry.queueDeadline)
         entry.settle(Result.err('expired'));
     for (const entry of this.inPriorityOrder(now)) {
       const upstream = this.chooseEngine(entry, now);
@@ -150,7 +163,8 @@
       entry.isReserving = true;
       void this.reserveAt(entry, upstream);
     }
-    this.schedule(pollIntervalMilliseconds);
+    // While all engines have asked for a pause, there is nothing to check.
+    this.schedule(Math.max(pollIntervalMilliseconds, pause));
   }
 
   /**
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -13,6 +13,7 @@
 import {ReportedLoads} from './reported-loads.js';
 import type {Load} from './reported-loads.js';
 import {UpstreamHealth} from './upstream-health.js';
+import {UpstreamLifetimes} from './upstream-lifetimes.js';
 
 /** Handle of the load of one call on an upstream. */
 export interface LoadHandle {
@@ -35,52 +36,142 @@
   reservationBackoffUntil: number;
   /** Clock time at which this host last tried to reserve memory there. */
   lastReservationAttemptAt: number;
+  /** Clock time until which the upstream asked to be sent nothing. */
+  pausedUntil: number;
+  /** Requests sent during this pause. */
+  requestsInPause: number;
+}
+
+/**
+ * Longest pause that an upstream may ask for. A longer one is more likely a wrong
+ * value than a wish, and would take the upstream out of use for good.
+ */
+export const maximumPauseMilliseconds = 60_000;
+
+/**
+ * Requests that may reach an upstream in its pause: those that finish or free
+ * what was begun before it.
+ */
+const requestsAllowedInPause = 2;
+
+/** Changes of a list of upstreams. */
+export interface UpstreamChanges {
+  readonly joined: readonly UpstreamDocument[];
+  readonly leaving: readonly UpstreamDocument[];
+  readonly gone: readonly UpstreamDocument[];
 }
 
 export class UpstreamTable {
   private readonly upstreams = new Map<string, TrackedUpstream>();
   private readonly reportedLoads: ReportedLoads;
-  private listedUpstreams: ReadonlyMap<string, UpstreamDocument> = new Map();
+  private listedUpstreams = new Map<string, UpstreamDocument>();
+  private readonly lifetimes = new UpstreamLifetimes();
   private readonly capacityListeners = new Set<() => void>();
   private readonly unreachableListeners = new Set<
     (upstream: TrackedUpstream) => void
   >();
 
-  constructor(clock: Clock) {
+  constructor(private readonly clock: Clock) {
     this.reportedLoads = new ReportedLoads(clock);
   }
 
-  /** Replaces the list and returns the changes. */
-  replace(documents: ReadonlyMap<string, UpstreamDocument>): {
-    readonly joined: readonly UpstreamDocument[];
-    readonly leaving: readonly UpstreamDocument[];
-    readonly gone: readonly UpstreamDocument[];
-  } {
+  /**
+   * Replaces the list and returns the changes. Entries of processes that are
+   * known to be gone are left out.
+   */
+  replace(documents: ReadonlyMap<string, UpstreamDocument>): UpstreamChanges {
     const before = this.listedUpstreams;
     const isLive = (document: UpstreamDocument | undefined) =>
       document !== undefined && document.spec.state !== 'leaving';
-    const listed = [...documents.values()];
+    const listed = [...documents.values()].flatMap(
+      document => this.lifetimes.admit(document) ?? [],
+    );
+    const after = new Map(listed.map(document => [document.name, document]));
     const joined = listed.filter(each => !before.has(each.name));
     const leaving = listed.filter(
       each => !isLive(each) && isLive(before.get(each.name)),
     );
-    const gone = [...before.values()].filter(each => !documents.has(each.name));
+    const gone = [...before.values()].filter(each => !after.has(each.name));
+    this.listedUpstreams = after;
     for (const document of listed) this.track(document);
-    for (const {name} of gone) this.removeIfIdle(name);
-    this.listedUpstreams = documents;
+    for (const document of leaving) this.lifetimes.recordLeaving(document);
+    for (const document of gone) {
+      this.lifetimes.recordGone(document);
+      this.removeIfIdle(document.name);
+    }
     this.notifyCapacity();
     return {joined, leaving, gone};
   }
 
-  /** Listed upstreams of `pool` that are not leaving. */
+  /** Listed upstreams of `pool` that are neither leaving nor paused. */
   acceptingOf(pool: PoolDocument): TrackedUpstream[] {
-    return [...this.listedUpstreams.values()]
-      .filter(
-        document =>
-          document.spec.state !== 'leaving' &&
-          matchesSelector(pool.spec.upstreams, document.labels ?? {}),
-      )
-      .map(document => this.track(document));
+    const now = this.clock.now();
+    return this.liveOf(pool).filter(({pausedUntil}) => pausedUntil <= now);
+  }
+
+  /**
+   * Time until the first pause of the eligible upstreams of `pool` ends, in
+   * milliseconds; undefined if one of them is not paused, or if there is none.
+   */
+  remainingPauseOf(
+    pool: PoolDocument,
+    isEligible: (upstream: TrackedUpstream) => boolean = () => true,
+  ): number | undefined {
+    const ends = this.liveOf(pool)
+      .filter(isEligible)
+      .map(({pausedUntil}) => pausedUntil);
+    if (ends.length === 0) return undefined;
+    const remaining = Math.min(...ends) - this.clock.now();
+    return remaining > 0 ? remaining : undefined;
+  }
+
+  /**
+   * Records that the process of `document` announced that it is leaving. Returns
+   * whether this was not known.
+   */
+  recordLeaving(document: UpstreamDocument): boolean {
+    const listed = this.listedUpstreams.get(document.name);
+    if (listed === undefined || listed.spec.state === 'leaving') return false;
+    if (listed.spec.startedAt !== document.spec.startedAt) return false;
+    this.lifetimes.recordLeaving(listed);
+    const leaving = this.lifetimes.admit(listed);
+    if (leaving === undefined) return false;
+    this.listedUpstreams.set(leaving.name, leaving);
+    this.track(leaving);
+    return true;
+  }
+
+  /**
+   * Records that the process of `document` asked to be sent nothing for some
+   * time. Returns the pause that applies, or undefined if it is over already.
+   */
+  recordPause(
+    document: UpstreamDocument,
+    milliseconds: number,
+  ): number | undefined {
+    const upstream = this.upstreams.get(document.name);
+    if (upstream === undefined) return undefined;
+    if (upstream.document.spec.startedAt !== document.spec.startedAt)
+      return undefined;
+    const pause = Math.min(milliseconds, maximumPauseMilliseconds);
+    const until = this.clock.now() + pause;
+    if (!(until > upstream.pausedUntil)) return undefined;
+    if (upstream.pausedUntil <= this.clock.now()) upstream.requestsInPause = 0;
+    upstream.pausedUntil = until;
+    return pause;
+  }
+
+  /**
+   * Returns whether a request that finishes or frees earlier work may be sent,
+   * and counts it against the pause of the upstream.
+   */
+  acquireRequest(name: string): boolean {
+    const upstream = this.upstreams.get(name);
+    if (upstream === undefined || upstream.pausedUntil <= this.clock.now())
+      return true;
+    if (upstream.requestsInPause >= requestsAllowedInPause) return false;
+    upstream.requestsInPause += 1;
+    return true;
   }
 
   get size(): number {
@@ -171,9 +262,23 @@
     for (const listener of [...this.capacityListeners]) listener();
   }
 
+  /** Listed upstreams of `pool` that are not leaving. */
+  private liveOf(pool: PoolDocument): TrackedUpstream[] {
+    return [...this.listedUpstreams.values()]
+      .filter(
+        document =>
+          document.spec.state !== 'leaving' &&
+          matchesSelector(pool.spec.upstreams, document.labels ?? {}),
+      )
+      .map(document => this.track(document));
+  }
+
   private track(document: UpstreamDocument): TrackedUpstream {
     const existing = this.upstreams.get(document.name);
     if (existing !== undefined) {
+      const isSameProcess =
+        existing.document.spec.startedAt === document.spec.startedAt;
+      if (!isSameProcess) existing.pausedUntil = -Infinity;
       existing.document = document;
       return existing;
     }
@@ -185,6 +290,8 @@
       localLoad: {calls: 0, memoryTokens: 0, promptTokens: 0},
       reservationBackoffUntil: -Infinity,
       lastReservationAttemptAt: -Infinity,
+      pausedUntil: -Infinity,
+      requestsInPause: 0,
     };
     this.upstreams.set(document.name, created);
     return created;
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -127,7 +127,13 @@
       failureDomain: failureDomainId('a'),
       seeds: seeds.map(seed => `${seed}:1`),
       sender: {send: (to, heartbeat) => this.deliver(address, to, heartbeat)},
-      localState: () => ({usage: [], loads: []}),
+      localState: () => ({
+        usage: [],
+        loads: [],
+        configurationVersion: 1n,
+        platformEpoch: undefined,
+        platformEpochAgeMilliseconds: Infinity,
+      }),
       onHeartbeat: () => undefined,
       onChange: (change: FleetChange) =>
         this.changes.push(`${name}: ${change.host} ${change.kind}`),
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -102,6 +102,18 @@
     text: 'one read of the platform failed; it is repeated',
     fields: ['subject', 'reason'],
   },
+  platformRestored: {
+    number: 2008,
+    level: 'warn',
+    text: 'the platform came back from an older copy; reads prove nothing until lost writes are repeated',
+    fields: ['epoch', 'version'],
+  },
+  configurationSuperseded: {
+    number: 2009,
+    level: 'warn',
+    text: 'the platform returned an older version than one that is in force at this host or a peer; it is ignored',
+    fields: ['version', 'inForce'],
+  },
   peerRefused: {
     number: 2101,
     level: 'warn',
@@ -144,6 +156,18 @@
     text: 'an upstream became unreachable or reachable again',
     fields: ['upstream', 'change'],
   },
+  upstreamLeaving: {
+    number: 2204,
+    level: 'info',
+    text: 'an upstream announced in a response that it is leaving',
+    fields: ['upstream'],
+  },
+  upstreamPaused: {
+    number: 2205,
+    level: 'info',
+    text: 'an upstream asked to be sent nothing for some time',
+    fields: ['upstream', 'milliseconds', 'asked'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -25,6 +25,7 @@
 import type {
   ResponseKind,
   EngineRequest,
+  UpstreamNotice,
   UpstreamWireFormat,
 } from './wire-format.js';
 
@@ -57,12 +58,19 @@
   readonly signal: AbortSignal;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
+  /** Receives the head of each final response. */
+  readonly onHead: (status: number, headers: ResponseHeaders) => void;
 }
 
 export class HttpPassthroughTransport implements PassthroughTransport {
   constructor(
     private readonly connections: UpstreamConnections,
     private readonly wireFormat: UpstreamWireFormat,
+    /** Receives what an upstream says about itself in a response. */
+    private readonly onNotice: (
+      upstream: UpstreamDocument,
+      notice: UpstreamNotice,
+    ) => void,
   ) {}
 
   send(
@@ -165,6 +173,8 @@
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
+      onHead: (status, responseHeaders) =>
+        this.readNotice(upstream, status, responseHeaders),
     });
   }
 
@@ -181,9 +191,21 @@
       bodyIdleTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
       signal,
       classify: classifyEngineResponse,
+      onHead: (status, responseHeaders) =>
+        this.readNotice(upstream, status, responseHeaders),
     });
   }
 
+  private readNotice(
+    upstream: UpstreamDocument,
+    status: number,
+    headers: ResponseHeaders,
+  ): void {
+    const notice = this.wireFormat.parseNotice(status, headers);
+    if (notice.isLeaving || notice.pauseMilliseconds !== undefined)
+      this.onNotice(upstream, notice);
+  }
+
   /** Sends a request whose response has no value. */
   private async sendAndDiscardResponse(
     upstream: UpstreamDocument,
@@ -273,6 +295,8 @@
         // Informational (1xx) responses precede the final one.
         if (status < 200 || isSettled) return;
         const kind = exchange.classify(status, headers);
+        // A misdirected request was answered by another process.
+        if (kind !== 'misdirected') exchange.onHead(status, headers);
         if (kind === 'foreign') {
           fail('broken');
           return;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -3,8 +3,11 @@
 import {randomInt} from 'node:crypto';
 import {
   DiscoveredFleet,
+  EngineReleases,
   ConfigurationFreshness,
   PassthroughHost,
+  PeerVersions,
+  RestoreEpochs,
   ReachabilityProbes,
   PoolRetryBudget,
   RouteTable,
@@ -43,6 +46,7 @@
 import {serveMetrics, serveReadiness} from './status-server.js';
 import type {StatusServer} from './status-server.js';
 import {UpstreamConnections} from './upstream-connections.js';
+import type {UpstreamNotice} from './wire-format.js';
 
 /** Limits until the first configuration arrives. */
 const initialLimits: CallerLimits = {
@@ -86,6 +90,8 @@
 
 class RunningDaemon implements PassthroughDaemon, FeedSink {
   readonly freshness: ConfigurationFreshness;
+  readonly epochs = new RestoreEpochs(systemClock);
+  private readonly peerVersions = new PeerVersions(systemClock);
   /** Start time, which also serves as the incarnation. */
   private readonly startTimestamp = Date.now();
   private readonly upstreams = new UpstreamTable(systemClock);
@@ -107,6 +113,8 @@
   private hasUpstreams = false;
   /** Aborted once the first configuration and upstreams have been read. */
   private readonly initialReadController = new AbortController();
+  private supersededVersion: bigint | undefined;
+  private refusedVersion: bigint | undefined;
   private isDraining = false;
   private isPlatformReachable: boolean | undefined;
   private closing: Promise<void> | undefined;
@@ -145,6 +153,9 @@
       localState: () => ({
         usage: this.limiter.admittedTotals(),
         loads: this.upstreams.localLoads(),
+        configurationVersion: this.versionInForce ?? 0n,
+        platformEpoch: this.epochs.current,
+        platformEpochAgeMilliseconds: this.epochs.ageMilliseconds(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
@@ -164,6 +175,7 @@
     const transport = new HttpPassthroughTransport(
       this.connections,
       adapter.upstreamWire,
+      (upstream, notice) => this.recordNotice(upstream, notice),
     );
     this.probes = new ReachabilityProbes({
       clock,
@@ -178,6 +190,7 @@
       failureDomain,
       transport,
       upstreams: this.upstreams,
+      releases: new EngineReleases(transport, this.upstreams),
       retryBudget: new PoolRetryBudget({
         clock,
         hostCount,
@@ -262,18 +275,26 @@
     return this.closing;
   }
 
-  onConfiguration(published: PublishedConfiguration): void {
+  private get versionInForce(): bigint | undefined {
+    return this.routes?.configuration.version;
+  }
+
+  onConfiguration(
+    published: PublishedConfiguration,
+    readStartedAt: number,
+  ): boolean {
     const {version, documents, limits} = published;
-    const currentVersion = this.routes?.configuration.version ?? -1n;
-    if (version <= currentVersion) return;
+    if (this.peerVersions.provesLoss(version, readStartedAt)) {
+      this.reportSuperseded(version);
+      return false;
+    }
+    const currentVersion = this.versionInForce ?? -1n;
+    if (version < currentVersion) this.reportSuperseded(version);
+    if (version <= currentVersion) return version === currentVersion;
     const configuration = buildConfiguration(version, documents);
     if (configuration.isErr) {
-      const faults = JSON.stringify(configuration.error.slice(0, 5));
-      this.log.write('configurationRefused', {
-        version: Number(version),
-        faults,
-      });
-      return;
+      this.reportRefused(version, configuration.error);
+      return false;
     }
     this.routes = new RouteTable(configuration.value);
     this.limits = limits;
@@ -284,6 +305,34 @@
       documents: documents.length,
       source: 'platform',
     });
+    return true;
+  }
+
+  onRestore(epoch: number): void {
+    this.log.write('platformRestored', {
+      epoch,
+      version: Number(this.versionInForce ?? 0n),
+    });
+  }
+
+  /** Logs a version that is read again and again only once. */
+  private reportRefused(version: bigint, faults: readonly unknown[]): void {
+    if (version === this.refusedVersion) return;
+    this.refusedVersion = version;
+    this.log.write('configurationRefused', {
+      version: Number(version),
+      faults: JSON.stringify(faults.slice(0, 5)),
+    });
+  }
+
+  /** Logs a version that the store returns instead of a newer one, once. */
+  private reportSuperseded(version: bigint): void {
+    if (version === this.supersededVersion) return;
+    this.supersededVersion = version;
+    this.log.write('configurationSuperseded', {
+      version: Number(version),
+      inForce: Number(this.versionInForce ?? 0n),
+    });
   }
 
   onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
@@ -326,6 +375,12 @@
 
   private recordHeartbeat(heartbeat: Beat): void {
     this.upstreams.recordHeartbeat(heartbeat);
+    this.peerVersions.record(heartbeat.configurationVersion);
+    if (heartbeat.platformEpoch > 0n)
+      this.epochs.recordPeer(
+        Number(heartbeat.platformEpoch),
+        Number(heartbeat.platformEpochAgeMilliseconds),
+      );
     this.limiter.recordUsage(
       hostId(heartbeat.host),
       heartbeat.incarnation,
@@ -334,6 +389,23 @@
     );
   }
 
+  private recordNotice(
+    document: UpstreamDocument,
+    {isLeaving, pauseMilliseconds}: UpstreamNotice,
+  ): void {
+    const upstream = document.name;
+    if (isLeaving && this.upstreams.recordLeaving(document)) {
+      this.metrics.recordNotice('leaving');
+      this.log.write('upstreamLeaving', {upstream});
+    }
+    if (pauseMilliseconds === undefined) return;
+    const pause = this.upstreams.recordPause(document, pauseMilliseconds);
+    if (pause === undefined) return;
+    this.metrics.recordNotice('pause');
+    const asked = pauseMilliseconds;
+    this.log.write('upstreamPaused', {upstream, milliseconds: pause, asked});
+  }
+
   private rateOf(account: AccountId): AccountRate | undefined {
     const spec = this.routes?.configuration.accounts.get(account)?.spec;
     if (spec === undefined || spec.unlimited === true) return undefined;
@@ -355,7 +427,8 @@
       hosts: this.fleet.hostCount,
       silentHosts: this.fleet.silentHostCount,
       upstreams: this.upstreams.size,
-      configurationVersion: Number(this.routes?.configuration.version ?? 0n),
+      configurationVersion: Number(this.versionInForce ?? 0n),
+      platformEpoch: this.epochs.current ?? 0,
       proofAgeSeconds: this.freshness.age() / 1000,
       connectionsOpened: this.connections.openedCount,
     };
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -14,6 +14,8 @@
   readonly silentHosts: number;
   readonly upstreams: number;
   readonly configurationVersion: number;
+  /** Restore epoch of the platform's store; 0 if it reports none. */
+  readonly platformEpoch: number;
   readonly proofAgeSeconds: number;
   readonly connectionsOpened: number;
 }
@@ -28,6 +30,8 @@
   private readonly callCounter: Counter<'route' | 'status' | 'code'>;
   private readonly decisionCounter: Counter<'decision' | 'outcome'>;
 
+  private readonly noticeCounter: Counter<'notice'>;
+
   constructor(gauges: () => PassthroughGauges) {
     const registers = [this.registry];
     this.callCounter = new Counter({
@@ -42,6 +46,12 @@
       labelNames: ['decision', 'outcome'],
       registers,
     });
+    this.noticeCounter = new Counter({
+      name: 'persimmonwick_upstream_notices_total',
+      help: 'Notices of upstreams about themselves that were applied',
+      labelNames: ['notice'],
+      registers,
+    });
     this.registerLatencyGauge();
     const names: readonly (keyof PassthroughGauges)[] = [
       'inFlight',
@@ -50,6 +60,7 @@
       'silentHosts',
       'upstreams',
       'configurationVersion',
+      'platformEpoch',
       'proofAgeSeconds',
       'connectionsOpened',
     ];
@@ -81,6 +92,11 @@
       this.recordLatency('whole', durationMilliseconds);
   }
 
+  /** Counts what upstreams say about themselves in responses. */
+  recordNotice(notice: 'leaving' | 'pause'): void {
+    this.noticeCounter.inc({notice});
+  }
+
   recordEvent(event: CallEvent): void {
     switch (event.kind) {
       case 'stage-done':
--- a/packages/daemon/src/passthrough/platform-feed.ts
+++ b/packages/daemon/src/passthrough/platform-feed.ts
@@ -2,6 +2,7 @@
 
 import type {
   ConfigurationFreshness,
+  RestoreEpochs,
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {CallerLimits} from './passthrough-server.js';
@@ -16,8 +17,18 @@
 /** Receives the values that the adapter reads from the platform. */
 export interface FeedSink {
   readonly freshness: ConfigurationFreshness;
-  /** Applies a configuration; versions that are not newer are ignored. */
-  onConfiguration(published: PublishedConfiguration): void;
+  readonly epochs: RestoreEpochs;
+  /**
+   * Applies a configuration, unless its version is not newer. Returns whether
+   * this version is in force now. `readStartedAt` is the clock time at which the
+   * read of it started.
+   */
+  onConfiguration(
+    published: PublishedConfiguration,
+    readStartedAt: number,
+  ): boolean;
+  /** Reports that the store was restored from a copy. */
+  onRestore(epoch: number): void;
   /** Replaces the list of upstreams. */
   onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void;
   /** Reports whether the last read succeeded; only changes are logged. */
--- a/packages/daemon/src/passthrough/wire-format.ts
+++ b/packages/daemon/src/passthrough/wire-format.ts
@@ -46,6 +46,14 @@
    */
   | 'foreign';
 
+/** What the head of a response says about the upstream itself. */
+export interface UpstreamNotice {
+  /** Whether the upstream announces that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Time for which the upstream wants no requests from this host. */
+  readonly pauseMilliseconds: number | undefined;
+}
+
 /** A control request to an engine, such as a reservation. */
 export interface EngineRequest {
   readonly method: 'DELETE' | 'POST';
@@ -74,6 +82,14 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): ResponseKind;
+  /**
+   * Reads what the upstream says about itself in the head of any response; the
+   * names in `headers` are in lower case.
+   */
+  parseNotice(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): UpstreamNotice;
   /** Extracts the handle of a prefilled KV cache; undefined if absent. */
   parseCacheHandle(body: string): string | undefined;
   cacheReleaseRequest(handle: string): EngineRequest;
