Do not take a pause of this process, or one late answer, for silence of others

Cause, traced for the tests that failed beside load: - values without effect, killed host, stopped host: a load report of an engine that took over 400 ms once ejected the engine; on a busy machine all at once, and requests were refused (no-upstream, target-unreachable). A stream was given up as silent by a timer that fired late because the process itself had stood still.

--- a/packages/coordination/src/placement/abort-scope.ts
+++ b/packages/coordination/src/placement/abort-scope.ts
@@ -47,6 +47,29 @@
   }
 }
 
+/**
+ * A timer that fires later than this shows that the process itself stood still,
+ * so that it proves nothing about the other side.
+ */
+export const lateTimerMilliseconds = 100;
+
+/** Times that a timeout starts anew because its timer fired late. */
+const maximumRestartsOfTimeout = 3;
+
+/** Sleeps for `milliseconds` in which the process did not stand still. */
+async function sleepWhileRunning(
+  clock: Clock,
+  milliseconds: number,
+  signal: AbortSignal,
+): Promise<void> {
+  for (let restarts = 0; !signal.aborted; restarts += 1) {
+    const wakesAt = clock.now() + milliseconds;
+    await clock.sleep(milliseconds, signal);
+    const isLate = clock.now() - wakesAt > lateTimerMilliseconds;
+    if (!isLate || restarts >= maximumRestartsOfTimeout) return;
+  }
+}
+
 /**
  * Calls an upstream and aborts the call after the timeout, which is reported as
  * a `silent` error.
@@ -60,7 +83,8 @@
 ): Promise<Result<Value, UpstreamError>> {
   const scope = new AbortScope(parent);
   let hasTimedOut = false;
-  void clock.sleep(timeoutMilliseconds, scope.signal).then(() => {
+  const timeout = sleepWhileRunning(clock, timeoutMilliseconds, scope.signal);
+  void timeout.then(() => {
     if (scope.signal.aborted) return;
     hasTimedOut = true;
     scope.abort();
--- a/packages/coordination/src/placement/engine-state.ts
+++ b/packages/coordination/src/placement/engine-state.ts
@@ -55,6 +55,8 @@
   hasBeenPrefillCandidate = false;
   /** True after the first poll, whether it succeeded or not. */
   hasBeenPolled = false;
+  /** Load reports in a row that did not arrive in time. */
+  silentPolls = 0;
   report: LoadReport = defaultReport;
   /**
    * Cached number of guaranteed slots, valid while its inputs are unchanged.
--- a/packages/coordination/src/placement/engine-view.ts
+++ b/packages/coordination/src/placement/engine-view.ts
@@ -30,6 +30,11 @@
 /** Overcommit of free slots, because few hosts need them at the same time. */
 const borrowOvercommitFactor = 1.5;
 const pollTimeoutMilliseconds = 400;
+/**
+ * A single slow report is no failure: it would eject all engines at once when a
+ * machine is busy for a moment. Calls detect a silent engine by themselves.
+ */
+const silentPollsBeforeEjection = 2;
 const warmUpCheckIntervalMilliseconds = 10;
 /** Limits the cost of polling a large fleet. */
 const maximumPollsPerSecond = 400;
@@ -147,9 +152,13 @@
     );
     if (signal.aborted) return;
     if (report.isErr) {
-      state.health.recordFailure(clock.now());
+      const isSilent = report.error.kind === 'silent';
+      state.silentPolls = isSilent ? state.silentPolls + 1 : 0;
+      if (!isSilent || state.silentPolls >= silentPollsBeforeEjection)
+        state.health.recordFailure(clock.now());
       return;
     }
+    state.silentPolls = 0;
     state.health.recordReport();
     state.recordReport(
       report.value,
--- a/packages/coordination/src/placement/token-stream.ts
+++ b/packages/coordination/src/placement/token-stream.ts
@@ -10,7 +10,7 @@
   Engine,
   UpstreamError,
 } from '../upstreams/engine.js';
-import {AbortScope} from './abort-scope.js';
+import {AbortScope, lateTimerMilliseconds} from './abort-scope.js';
 
 /** Outcome of a stream. */
 export type StreamResult =
@@ -151,7 +151,13 @@
         silenceMilliseconds,
         silentAt - now,
       );
-      await clock.sleep(Math.max(1, checkIntervalMilliseconds), signal);
+      const sleepMilliseconds = Math.max(1, checkIntervalMilliseconds);
+      await clock.sleep(sleepMilliseconds, signal);
+      // Tokens that arrived while this process stood still are read next.
+      const isLate =
+        clock.now() - now - sleepMilliseconds > lateTimerMilliseconds;
+      if (isLate && this.waitingSince !== undefined)
+        this.waitingSince = clock.now();
       onCheck(this.nextOffset);
     }
   }
--- a/packages/coordination/test/placement-failures.test.ts
+++ b/packages/coordination/test/placement-failures.test.ts
@@ -121,6 +121,17 @@
   t.true(later.length > 0 && later.every(each => each === 'dequeued'));
 });
 
+test('load reports that are late once refuse no request', async t => {
+  const {fleet, runner} = makeFleet();
+  await fleet.clock.runUntil(startRequest(fleet, runner).done);
+  for (const engine of fleet.engines.values()) engine.fail({kind: 'silent'});
+  await fleet.clock.advance(560);
+  for (const engine of fleet.engines.values()) engine.fail({kind: 'none'});
+  const requests = Array.from({length: 4}, () => startRequest(fleet, runner));
+  await fleet.clock.runUntil(Promise.all(requests.map(({done}) => done)));
+  for (const {events} of requests) t.true(isCompleteStream(events));
+});
+
 test('a silent connection is resumed on the same engine', async t => {
   const {fleet, runner} = makeFleet();
   const {events, done} = startRequest(fleet, runner);
--- a/packages/coordination/test/placement-parts.test.ts
+++ b/packages/coordination/test/placement-parts.test.ts
@@ -1,13 +1,20 @@
 import test from 'ava';
+import {once} from 'node:events';
 import {Result} from 'true-myth';
 import {runPlacementExample} from '../examples/placement.js';
 import {VirtualClock, attemptId, requestId, upstreamId} from '../src/index.js';
-import type {DecodedToken, Engine, EngineAttempt} from '../src/index.js';
+import type {
+  DecodeRequest,
+  DecodedToken,
+  Engine,
+  EngineAttempt,
+} from '../src/index.js';
 import {
   PrefixCacheView,
   createWordBlockHasher,
 } from '../src/placement/cache-view.js';
 import {readTokens} from '../src/placement/token-stream.js';
+import {PausableClock} from './tools/pausable-clock.js';
 import {
   testHost,
   isCompleteStream,
@@ -100,6 +107,49 @@
   t.is(end.kind, 'complete');
 });
 
+test('a pause of the host is not taken for silence of the engine', async t => {
+  const base = new VirtualClock();
+  const clock = new PausableClock(base);
+  let arrive = () => {};
+  const arrival = new Promise<void>(resolve => (arrive = resolve));
+  let connections = 0;
+  const engine = {
+    id: upstreamId('d1'),
+    async *decode(request: DecodeRequest, signal: AbortSignal) {
+      connections += 1;
+      if (request.offset === 0)
+        yield Result.ok({...attempt, text: '', last: false, offset: 0});
+      const cancelled = once(signal, 'abort');
+      await Promise.race([arrival, cancelled]);
+      if (signal.aborted)
+        yield Result.err({kind: 'cancelled', upstream: upstreamId('d1')});
+      else yield Result.ok({...attempt, text: '', last: true, offset: 1});
+    },
+  } as unknown as Engine;
+  const tokens = readTokens(
+    {
+      clock,
+      engine,
+      silenceMilliseconds: 400,
+      tokensExpectedAt: 0,
+      onCheck: () => {},
+    },
+    {...attempt, maximumTokens: 3, offset: 0, priority: 0},
+    new AbortController().signal,
+  );
+  await tokens.next();
+  const second = tokens.next();
+  await base.advance(100);
+  clock.pause();
+  await base.advance(5000);
+  clock.resume();
+  await base.advance(50);
+  arrive();
+  await second;
+  await base.runUntil(tokens.next());
+  t.is(connections, 1);
+});
+
 test('tokens of another request or attempt are malformed', async t => {
   for (const other of [
     {request: requestId('request-2')},
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -15,6 +15,7 @@
 } from '@persimmonwick/coordination';
 import {Result} from 'true-myth';
 import type {Dispatcher} from 'undici';
+import {PauseAwareTimeout} from './pause-aware-timeout.js';
 import {ResponseBody} from './response-body.js';
 import {canConnect} from './can-connect.js';
 import {connectTimeoutMilliseconds} from './upstream-connections.js';
@@ -258,28 +259,28 @@
     const settle = (result: Result<PassthroughResponse, PassthroughError>) => {
       if (isSettled) return;
       isSettled = true;
-      clearTimeout(headersTimer);
+      headersTimeout.clear();
       resolve(result);
     };
     const fail = (kind: ErrorKind) => {
       signal.removeEventListener('abort', onAbort);
-      clearTimeout(connectTimer);
+      connectTimeout.clear();
       settle(Result.err({kind, upstream}));
       body?.fail(bodyFailureReason(kind));
       connection.destroy();
     };
     const onAbort = () => fail(wasSent ? 'cancelled' : 'unreachable');
-    const headersTimer = setTimeout(
-      () => fail(wasSent ? 'silent' : 'unreachable'),
+    const headersTimeout = new PauseAwareTimeout(
       Math.max(0, headersTimeoutMilliseconds),
+      () => fail(wasSent ? 'silent' : 'unreachable'),
     );
     // The HTTP client's own connect timeout fires up to 0.5 s late.
-    const connectTimer = setTimeout(
-      () => fail('unreachable'),
+    const connectTimeout = new PauseAwareTimeout(
       Math.min(
         connectTimeoutMilliseconds,
         Math.max(0, headersTimeoutMilliseconds),
       ),
+      () => fail('unreachable'),
     );
     if (signal.aborted) {
       onAbort();
@@ -289,7 +290,7 @@
     connection.client.dispatch(request, {
       onRequestStart() {
         wasSent = true;
-        clearTimeout(connectTimer);
+        connectTimeout.clear();
       },
       onResponseStart(controller, status, headers) {
         // Informational (1xx) responses precede the final one.
--- /dev/null
+++ b/packages/daemon/src/passthrough/pause-aware-timeout.ts
@@ -0,0 +1,53 @@
+/**
+ * Timeouts that do not mistake a pause of this process for silence of the other
+ * side. After a pause all expired timers run before what arrived meanwhile is
+ * read.
+ */
+
+/** A timer that fires later than this shows that the process stood still. */
+const lateTimerMilliseconds = 100;
+
+/** Time to read what arrived during a pause. */
+const graceMilliseconds = 50;
+
+export class PauseAwareTimeout {
+  private timer: NodeJS.Timeout | undefined;
+  private expiresAt = 0;
+  /** Whether the timer runs for the grace, which can't be refreshed. */
+  private isInGrace = false;
+
+  constructor(
+    private readonly milliseconds: number,
+    private readonly onTimeout: () => void,
+  ) {
+    this.restart();
+  }
+
+  /** Starts the time anew. */
+  restart(): void {
+    if (this.timer === undefined || this.isInGrace) {
+      this.startTimer(this.milliseconds);
+      return;
+    }
+    this.expiresAt = performance.now() + this.milliseconds;
+    this.timer.refresh();
+  }
+
+  clear(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+
+  private startTimer(milliseconds: number): void {
+    this.isInGrace = milliseconds !== this.milliseconds;
+    this.expiresAt = performance.now() + milliseconds;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => this.expire(), milliseconds);
+  }
+
+  private expire(): void {
+    const isLate = performance.now() - this.expiresAt > lateTimerMilliseconds;
+    if (isLate) this.startTimer(graceMilliseconds);
+    else this.onTimeout();
+  }
+}
--- a/packages/daemon/src/passthrough/response-body.ts
+++ b/packages/daemon/src/passthrough/response-body.ts
@@ -2,6 +2,7 @@
 
 import {InterruptedResponseError} from '@persimmonwick/coordination';
 import type {UpstreamId} from '@persimmonwick/coordination';
+import {PauseAwareTimeout} from './pause-aware-timeout.js';
 
 /** Buffered bytes above which the upstream is paused for a slow reader. */
 const pauseThresholdBytes = 64 * 1024;
@@ -23,10 +24,13 @@
   private isPaused = false;
   private state: 'open' | 'complete' | InterruptedResponseError = 'open';
   private wakeReader: (() => void) | undefined;
-  private idleTimer: NodeJS.Timeout | undefined;
+  private readonly idleTimeout: PauseAwareTimeout;
 
   constructor(private readonly parts: ResponseBodyParts) {
-    this.restartIdleTimer();
+    this.idleTimeout = new PauseAwareTimeout(
+      parts.idleTimeoutMilliseconds,
+      () => this.onIdle(),
+    );
   }
 
   push(chunk: Uint8Array): void {
@@ -36,7 +40,7 @@
       this.isPaused = true;
       this.parts.pause();
     }
-    this.restartIdleTimer();
+    this.restartIdleTimeout();
     this.wakeReader?.();
   }
 
@@ -72,27 +76,24 @@
     if (!this.isPaused || this.bufferedBytes > pauseThresholdBytes / 2) return;
     this.isPaused = false;
     this.parts.resume();
-    this.restartIdleTimer();
+    this.restartIdleTimeout();
   }
 
   private close(state: 'complete' | InterruptedResponseError): void {
     if (this.state !== 'open') return;
-    clearTimeout(this.idleTimer);
+    this.idleTimeout.clear();
     this.state = state;
     this.wakeReader?.();
   }
 
-  private restartIdleTimer(): void {
-    if (this.state !== 'open') return;
-    if (this.idleTimer !== undefined) {
-      this.idleTimer.refresh();
-      return;
-    }
-    this.idleTimer = setTimeout(() => {
-      // A paused upstream sends nothing. Its resumption restarts the timer.
-      if (this.isPaused) return;
-      this.fail('silent');
-      this.parts.cancel();
-    }, this.parts.idleTimeoutMilliseconds);
+  private onIdle(): void {
+    // A paused upstream sends nothing. Its resumption restarts the timeout.
+    if (this.isPaused) return;
+    this.fail('silent');
+    this.parts.cancel();
+  }
+
+  private restartIdleTimeout(): void {
+    if (this.state === 'open') this.idleTimeout.restart();
   }
 }
