--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -70,9 +70,8 @@
   const lastAttempt = stageFields(lines, 'run').at(-1);
   if (lastAttempt === undefined)
     return 'Failed before it was sent to an upstream.';
-  const reason = lines.some(({name}) => name === 'callRetryWithheld')
-    ? 'the retry budget was used up'
-    : 'the route allows no further run';
+  const withheld = lastFieldsOf(lines, 'callRetryWithheld');
+  const reason = explainLimit(withheld?.['limit']);
   const {upstream, outcome} = lastAttempt;
   const failure = /^\d+$/.test(String(outcome))
     ? `The answer of ${upstream} broke off`
@@ -80,6 +79,22 @@
   return `${failure}; not retried because ${reason}.`;
 }
 
+/** Lines of older versions name no limit. */
+function explainLimit(limit: string | number | undefined): string {
+  switch (limit) {
+    case 'budget':
+      return 'the retry budget was used up';
+    case 'deadline':
+      return 'its deadline had passed';
+    case 'attempts':
+      return 'it had been sent to the maximum number of upstreams';
+    case 'route':
+      return 'the route allows no further run';
+    default:
+      return 'no upstream was left or the logs do not show the limit';
+  }
+}
+
 function formatExecution({ran}: Fields): string {
   switch (ran) {
     case 'not-run':
--- a/packages/command/test/trace.test.ts
+++ b/packages/command/test/trace.test.ts
@@ -111,21 +111,24 @@
     logLine('h', 1, 'callAdmitted', admitted),
     logLine('h', 3, 'callStageDone', {...attempt, outcome: '200', took: 1}),
   ];
-  const withheld = logLine('h', 4, 'callRetryWithheld', {
-    request,
-    reason: 'broken',
-  });
   const end = logLine('h', 5, 'requestFailed', failed);
-  const [first, second] = writeLogs(
-    t,
-    [...lines, end],
-    [...lines, withheld, end],
-  );
+  const explanations = {
+    route: /The answer of d-1 broke off; .*allows no further run/,
+    budget: /retry budget was used up/,
+    deadline: /deadline had passed/,
+    attempts: /maximum number of upstreams/,
+  };
+  for (const [limit, explanation] of Object.entries(explanations)) {
+    const fields = {request, reason: 'broken', limit};
+    const withheld = logLine('h', 4, 'callRetryWithheld', fields);
+    const [path] = writeLogs(t, [...lines, withheld, end]);
+    t.regex((await trace('one', path!)).text, explanation);
+  }
+  const [unknown] = writeLogs(t, [...lines, end]);
   t.regex(
-    (await trace('one', first!)).text,
-    /The answer of d-1 broke off; .*allows no further run/,
+    (await trace('one', unknown!)).text,
+    /The answer of d-1 broke off; .*the logs do not show the limit/,
   );
-  t.regex((await trace('one', second!)).text, /retry budget was used up/);
 });
 
 test('an unknown execution state is reported as unknown', async t => {
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -1,5 +1,14 @@
 /** Decisions that a host makes about calls, reported to logs and metrics. */
 
+/** What forbids another attempt of a call. */
+export type RetryLimit =
+  | 'deadline'
+  /** The route allows no further run, or an earlier one may have run. */
+  | 'route'
+  /** The call has been sent to as many upstreams as a host tries. */
+  | 'attempts'
+  | 'budget';
+
 /** One decision about one call. Times are in milliseconds. */
 export type CallEvent =
   | {
@@ -56,7 +65,12 @@
       readonly reason: string;
       readonly tries: number;
     }
-  | {readonly kind: 'retry-withheld'; readonly reason: string}
+  | {
+      readonly kind: 'retry-withheld';
+      /** Why a retry was needed. */
+      readonly reason: string;
+      readonly limit: RetryLimit;
+    }
   | {
       readonly kind: 'resumed';
       readonly upstream: string;
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -1,6 +1,7 @@
 /** Failures of passed-through calls, as reported to callers. */
 
 import type {RequestFailure} from '../requests/failure.js';
+import type {PassthroughError} from './call.js';
 
 /**
  * Default for Retry-After. Most shortages of upstreams are over after this
@@ -36,6 +37,16 @@
   retryAfterMilliseconds: 1500,
 };
 
+/**
+ * Failure of a call that ran nowhere: its upstreams were full if the last one
+ * refused it, else none could be reached.
+ */
+export function notRunFailureOf(
+  lastError: PassthroughError | undefined,
+): RequestFailure {
+  return lastError?.kind === 'refused' ? queueFull : noUpstream;
+}
+
 /**
  * Adds when to come back to a failure that proves that nothing ran, if all
  * upstreams asked for a pause that lasts `milliseconds` more.
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -4,6 +4,8 @@
 import type {RequestFailure} from '../requests/failure.js';
 import {
   callerDisconnected,
+  noUpstream,
+  notRunFailureOf,
   queueFull,
   upstreamFailed,
   upstreamTimeout,
@@ -78,10 +80,12 @@
 }
 
 /** Failure of a call for which no memory was reserved in time. */
-export function queueFailureOf({
-  possibleRuns,
-}: GenerationState): RequestFailure {
-  return possibleRuns === 0 ? queueFull : upstreamFailed;
+export function queueFailureOf(
+  {possibleRuns}: GenerationState,
+  isAnyReachable: boolean,
+): RequestFailure {
+  if (possibleRuns > 0) return upstreamFailed;
+  return isAnyReachable ? queueFull : noUpstream;
 }
 
 /** Failure of a call whose last attempt failed. */
@@ -89,6 +93,6 @@
   possibleRuns,
   lastError,
 }: GenerationState): RequestFailure {
-  if (possibleRuns === 0) return queueFull;
+  if (possibleRuns === 0) return notRunFailureOf(lastError);
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -27,6 +27,7 @@
 import type {GenerationState, PrefilledCache} from './generation-run.js';
 import {ReservationQueue, canDecode} from './reservation-queue.js';
 import type {EngineReservation} from './reservation-queue.js';
+import {retryLimitOf} from './retry-limit.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {choosePoolByWeight} from './passthrough-parts.js';
@@ -36,9 +37,6 @@
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
 
-/** Maximum attempts at decode engines for one call, including refused ones. */
-const maximumAttempts = 4;
-
 /**
  * Multiple of the first-token target after which a waiting call is refused. Up
  * to this time, a refusal is still useful to the caller.
@@ -155,12 +153,13 @@
   ): boolean {
     const {clock, retryBudget, observer} = this.parts;
     const {call, pool} = state;
-    const {maximumTries, repeatable} = call.route.target;
-    if (clock.now() >= call.deadline) return false;
-    if (state.possibleRuns >= (repeatable ? maximumTries : 1)) return false;
-    if (state.attempts >= maximumAttempts) return false;
+    const limit = retryLimitOf(call, state, clock.now());
+    if (limit !== undefined) {
+      observer(call.id, {kind: 'retry-withheld', reason, limit});
+      return false;
+    }
     if (usesRetryBudget && !retryBudget.tryAcquire(pool.name)) {
-      observer(call.id, {kind: 'retry-withheld', reason});
+      observer(call.id, {kind: 'retry-withheld', reason, limit: 'budget'});
       return false;
     }
     observer(call.id, {kind: 'retried', reason, tries: state.attempts});
@@ -181,16 +180,14 @@
       avoidedUpstreams,
       signal,
     );
-    if (reserved.isErr)
-      return Result.err(
-        reserved.error === 'cancelled'
-          ? disconnectFailureOf(state)
-          : withResumption(
-              queueFailureOf(state),
-              this.queueFor(pool.name).remainingPause(),
-            ),
-      );
-    return Result.ok(reserved.value);
+    if (reserved.isOk) return Result.ok(reserved.value);
+    if (reserved.error === 'cancelled')
+      return Result.err(disconnectFailureOf(state));
+    const pause = this.queueFor(pool.name).remainingPause();
+    const isAnyReachable =
+      pause !== undefined || this.usableDecodeEngines(state).length > 0;
+    const failure = queueFailureOf(state, isAnyReachable);
+    return Result.err(withResumption(failure, pause));
   }
 
   /**
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -10,6 +10,7 @@
 import {
   callerDisconnected,
   noUpstream,
+  notRunFailureOf,
   upstreamFailed,
   upstreamTimeout,
   withResumption,
@@ -25,6 +26,7 @@
   provesCallNotRun,
 } from './call.js';
 import {minBy} from './min-by.js';
+import {retryLimitOf} from './retry-limit.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {choosePoolByWeight} from './passthrough-parts.js';
@@ -33,9 +35,6 @@
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
 
-/** Maximum attempts for one call, including refused ones. */
-const maximumAttempts = 4;
-
 /** Responses up to this size are buffered before they are passed on. */
 const maximumBufferedBytes = 1 << 20;
 
@@ -92,13 +91,18 @@
       serverErrorResponse: undefined,
       lastError: undefined,
     };
-    while (this.canAttempt(call, progress, signal)) {
+    while (!signal.aborted) {
+      const limit = retryLimitOf(call, progress, this.parts.clock.now());
+      const reason = progress.lastError?.kind ?? 'failed';
+      if (limit !== undefined) {
+        observer(call.id, {kind: 'retry-withheld', reason, limit});
+        break;
+      }
       const upstream = this.chooseUpstream(call, pool, progress.triedUpstreams);
       if (upstream === undefined) break;
       if (progress.attempts > 0) {
-        const reason = progress.lastError?.kind ?? 'failed';
         if (progress.sentAttempts > 0 && !retryBudget.tryAcquire(pool.name)) {
-          observer(call.id, {kind: 'retry-withheld', reason});
+          observer(call.id, {kind: 'retry-withheld', reason, limit: 'budget'});
           break;
         }
         observer(call.id, {kind: 'retried', reason, tries: progress.attempts});
@@ -120,17 +124,6 @@
     );
   }
 
-  private canAttempt(
-    call: RoutedCall,
-    progress: CallProgress,
-    signal: AbortSignal,
-  ): boolean {
-    const {repeatable, maximumTries} = call.route.target;
-    if (signal.aborted || this.parts.clock.now() >= call.deadline) return false;
-    if (progress.attempts >= maximumAttempts) return false;
-    return progress.possibleRuns < (repeatable ? maximumTries : 1);
-  }
-
   /**
    * Selects the least loaded upstream that was not tried yet. Falls back to
    * unusable upstreams if there is no other.
@@ -275,7 +268,7 @@
     return attempts === 0
       ? {...callerDisconnected, ran: 'not-run'}
       : callerDisconnected;
-  if (possibleRuns === 0) return noUpstream;
+  if (possibleRuns === 0) return notRunFailureOf(lastError);
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
 
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -10,6 +10,7 @@
   seededRandom,
 } from '../src/index.js';
 import type {Beat, FleetChange} from '../src/index.js';
+import {SlidingWindowCounter} from '../src/passthrough/sliding-window-counter.js';
 import {UpstreamHealth} from '../src/passthrough/upstream-health.js';
 
 class ShiftedWallClock extends VirtualClock {
@@ -92,6 +93,17 @@
   t.true(budget.tryAcquire('pool'));
 });
 
+test('no window holds more than the sum that is kept, whatever its phase', t => {
+  const windowMilliseconds = 10_000;
+  for (let phase = 0; phase < 500; phase += 50) {
+    const counter = new SlidingWindowCounter(windowMilliseconds);
+    counter.add(phase);
+    const lastMoment = phase + windowMilliseconds - 1;
+    t.is(counter.total(lastMoment), 1, String(phase));
+    t.is(counter.total(phase + 1.1 * windowMilliseconds), 0);
+  }
+});
+
 test('a host without known peers gets a small share of extra retries', t => {
   const budget = new PoolRetryBudget({
     clock: new VirtualClock(),
@@ -109,6 +121,9 @@
 class HeartbeatNetwork {
   readonly clock = new VirtualClock();
   readonly changes: string[] = [];
+  /** Senders of the heartbeats that were used, at any host. */
+  readonly received: string[] = [];
+  private readonly lastHeartbeats = new Map<string, Beat>();
   private readonly hosts = new Map<string, DiscoveredFleet>();
   private readonly isolatedAddresses = new Set<string>();
   /** Datagrams that the link of one host carries in ten milliseconds. */
@@ -134,7 +149,7 @@
         platformEpoch: undefined,
         platformEpochAgeMilliseconds: Infinity,
       }),
-      onHeartbeat: () => undefined,
+      onHeartbeat: heartbeat => this.received.push(heartbeat.host),
       onChange: (change: FleetChange) =>
         this.changes.push(`${name}: ${change.host} ${change.kind}`),
     });
@@ -157,8 +172,14 @@
     this.isolatedAddresses.clear();
   }
 
+  /** The last heartbeat that a host sent. */
+  lastHeartbeatOf(name: string): Beat {
+    return this.lastHeartbeats.get(name)!;
+  }
+
   private deliver(from: string, to: string, heartbeat: Beat): void {
     this.sentCount += 1;
+    this.lastHeartbeats.set(heartbeat.host, heartbeat);
     const interval = `${from} ${Math.floor(this.clock.now() / 10)}`;
     const count = (this.sentCounts.get(interval) ?? 0) + 1;
     this.sentCounts.set(interval, count);
@@ -231,10 +252,31 @@
   const b = network.add('b', ['a']);
   await network.clock.advance(1000);
   network.remove('a');
-  network.add('a', ['s'], 2n);
+  const restarted = network.add('a', ['s'], 2n);
   await network.clock.advance(1000);
   t.is(b.hostCount, 2);
+  t.is(restarted.hostCount, 2);
+  t.is(restarted.silentHostCount, 0);
+  t.true(a.hostCount > 0, 'the stopped process takes no part');
+});
+
+test('late heartbeats of an earlier process change nothing after a restart', async t => {
+  const network = new HeartbeatNetwork();
+  const a = network.add('a', ['a']);
+  network.add('b', ['a']);
+  await network.clock.advance(1000);
+  const late = network.lastHeartbeatOf('b');
+  network.remove('b');
+  const restarted = network.add('b', ['a'], 5n);
+  await network.clock.advance(1000);
+  network.changes.length = 0;
+  network.received.length = 0;
+  a.receive({...late, sequence: late.sequence + 1000n});
+  a.receive({...late, sequence: late.sequence + 1001n, leaving: true});
+  t.deepEqual(network.changes, []);
+  t.deepEqual(network.received, [], 'the state of the old process is not used');
   t.is(a.hostCount, 2);
+  t.is(restarted.hostCount, 2);
 });
 
 test('heartbeats of a large fleet fit through links with short queues', async t => {
--- a/packages/coordination/test/tools/virtual-hosts.ts
+++ b/packages/coordination/test/tools/virtual-hosts.ts
@@ -190,7 +190,9 @@
     const versions = [...this.hosts.values()].map(
       host => host.store.current.version,
     );
-    return [...new Set(versions)].sort();
+    return [...new Set(versions)].sort((left, right) =>
+      left < right ? -1 : 1,
+    );
   }
 
   /** Time until `version` is in force on all running hosts, up to a timeout. */
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -238,8 +238,8 @@
   callRetryWithheld: {
     number: 3106,
     level: 'warn',
-    text: 'a call was not retried because the retry budget is used up',
-    fields: ['request', 'reason'],
+    text: 'a failed call was not retried: limit says what forbids it',
+    fields: ['request', 'reason', 'limit'],
   },
   streamResumed: {
     number: 3107,
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -47,6 +47,7 @@
       return log.write('callRetryWithheld', {
         request: requestId,
         reason: event.reason,
+        limit: event.limit,
       });
     case 'resumed': {
       const {kind: _, ...fields} = event;
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -109,10 +109,12 @@
       case 'chosen':
         // Counted by its stage-done event.
         break;
+      case 'retry-withheld':
+        this.decisionCounter.inc({decision: event.kind, outcome: event.limit});
+        break;
       case 'admitted':
       case 'over-rate':
       case 'retried':
-      case 'retry-withheld':
       case 'resumed':
         this.decisionCounter.inc({decision: event.kind, outcome: ''});
     }
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -85,7 +85,7 @@
           signal: options.signal,
         },
       );
-      if (response.statusCode !== okStatus) return readFailure(response);
+      if (response.statusCode !== okStatus) return await readFailure(response);
       return await this.readEvents(options, response);
     } catch {
       return incompleteResult;
