End streams and answers that send bytes but make no progress

Cause: a byte now and then restarted the idle timeout, so a stream whose engine sent only comments was never resumed elsewhere, and a plain answer without an end was held past its deadline for good.

Change: a resumable stream is interrupted when bytes arrive but no numbered event for its idle timeout; an answer that is still being buffered is given up at its deadline. Streams whose events keep coming, however slowly, go on.

Before: two of the three new tests did not end within 100 s. After: all three pass, with the rest of the file (33).

Conclusion: progress is counted in events, not bytes.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -34,9 +34,17 @@
   const tokensPerEvent = state.pool.spec.engine?.tokensPerEvent ?? 1;
   const splitter = new EventStreamSplitter();
   const startedAt = clock.now();
+  const stallMilliseconds = bodyIdleTimeoutOf(
+    state.call,
+    state.call.deadline - startedAt,
+  );
+  let progressAt = startedAt;
   let events = 0;
   try {
     for await (const chunk of response.body) {
+      // Bytes that complete no event do not show that the engine makes progress.
+      if (clock.now() - progressAt > stallMilliseconds)
+        return interruptedBy(upstream, 'silent');
       for (const {bytes, id} of splitter.push(chunk)) {
         if (id !== undefined) {
           // A resumed stream may repeat events that the caller already has.
@@ -49,14 +57,18 @@
         const generatedEvents = Math.max(events, state.lastEventId ?? 0);
         load.setMemoryTokens(promptTokens + generatedEvents * tokensPerEvent);
         yield bytes;
+        // Comments do not count where the events of a stream have ids.
+        if (id !== undefined || state.lastEventId === undefined)
+          progressAt = clock.now();
       }
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return error;
-    if (error instanceof EventTooLongError) return brokenBy(upstream);
+    if (error instanceof EventTooLongError)
+      return interruptedBy(upstream, 'broken');
     throw error;
   }
-  if (splitter.pendingBytes > 0) return brokenBy(upstream);
+  if (splitter.pendingBytes > 0) return interruptedBy(upstream, 'broken');
   const now = clock.now();
   upstream.health.recordSuccess(now);
   if (events > 1) {
@@ -66,8 +78,11 @@
   return undefined;
 }
 
-function brokenBy({document}: TrackedUpstream): InterruptedResponseError {
-  return new InterruptedResponseError(upstreamId(document.name), 'broken');
+function interruptedBy(
+  {document}: TrackedUpstream,
+  reason: InterruptedResponseError['reason'],
+): InterruptedResponseError {
+  return new InterruptedResponseError(upstreamId(document.name), reason);
 }
 
 /** Maximum time between two chunks of the body of a response. */
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -6,6 +6,7 @@
 
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
+import {upstreamId} from '../ids.js';
 import type {RequestFailure} from '../requests/failure.js';
 import {
   callerDisconnected,
@@ -202,7 +203,11 @@
       signal,
     );
     const response = result.isOk
-      ? await bufferResponse(result.value)
+      ? await bufferResponse(
+          result.value,
+          upstream,
+          () => clock.now() > call.deadline,
+        )
       : Result.err<PassthroughResponse, PassthroughError>(result.error);
     load.release();
     const now = clock.now();
@@ -274,10 +279,12 @@
 
 /**
  * Buffers the body of a response. A longer body is streamed after the buffered
- * part.
+ * part. One that keeps sending bytes without an end is given up when `isOverdue`.
  */
 async function bufferResponse(
   response: PassthroughResponse,
+  {document}: TrackedUpstream,
+  isOverdue: () => boolean,
 ): Promise<Result<PassthroughResponse, PassthroughError>> {
   const iterator = response.body[Symbol.asyncIterator]();
   const chunks: Uint8Array[] = [];
@@ -289,6 +296,13 @@
         return Result.ok({...response, body: yieldChunks(chunks)});
       chunks.push(value);
       size += value.length;
+      if (isOverdue()) {
+        await iterator.return?.();
+        return Result.err({
+          kind: 'silent',
+          upstream: upstreamId(document.name),
+        });
+      }
     }
   } catch (error) {
     if (!(error instanceof InterruptedResponseError)) throw error;
