--- a/packages/standins/src/daemon-group.ts
+++ b/packages/standins/src/daemon-group.ts
@@ -14,6 +14,8 @@
 export interface DaemonGroupOptions {
   readonly engines?: Partial<FakeEngineOptions>;
   readonly claimRetentionMilliseconds?: number;
+  /** Silence after which a daemon suspects a stream. */
+  readonly upstreamSilenceMilliseconds?: number;
   /** Whether to put a proxy in front of each engine and the platform. */
   readonly usesProxies?: boolean;
 }
@@ -62,6 +64,7 @@
         operators: addresses[2 * count + index]!,
         platform,
         seeds: members.map(({address}) => address),
+        upstreamSilenceMilliseconds: options.upstreamSilenceMilliseconds,
       };
       return new DaemonProcess(daemonOptions);
     });
--- a/packages/standins/src/daemon-process.ts
+++ b/packages/standins/src/daemon-process.ts
@@ -19,6 +19,8 @@
   readonly peers: string;
   readonly platform: string;
   readonly seeds: readonly string[];
+  /** Silence after which a stream is suspect; the default if undefined. */
+  readonly upstreamSilenceMilliseconds?: number | undefined;
 }
 
 const daemonPath = fileURLToPath(
@@ -125,6 +127,7 @@
 }
 
 function settingsOf(options: DaemonOptions) {
+  const {upstreamSilenceMilliseconds} = options;
   return {
     host: options.host,
     failureDomain: options.failureDomain,
@@ -136,5 +139,8 @@
     platform: {addresses: [options.platform]},
     seeds: [...options.seeds],
     peerSecurity: {kind: 'plain'},
+    ...(upstreamSilenceMilliseconds !== undefined && {
+      upstreamSilenceMilliseconds,
+    }),
   };
 }
