Split what a host knows from the platform out of the passthrough daemon

The daemon had grown to 464 lines and mixed the wiring of its parts with the decision which configuration is in force and what proves it. That state is now PlatformState, which receives what the feed reads and what peers report.

--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -4,58 +4,39 @@
 import {
   DiscoveredFleet,
   EngineReleases,
-  ConfigurationFreshness,
   PassthroughHost,
-  PeerVersions,
-  RestoreEpochs,
   ReachabilityProbes,
   PoolRetryBudget,
-  RouteTable,
   UpstreamTable,
   UsageLimiter,
-  buildConfiguration,
   failureDomainId,
   hostId,
   seededRandom,
   systemClock,
 } from '@persimmonwick/coordination';
-import type {
-  AccountId,
-  AccountRate,
-  Beat,
-  UpstreamDocument,
-} from '@persimmonwick/coordination';
+import type {Beat, UpstreamDocument} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {FleetChangeLog} from './fleet-change-log.js';
 import {HeartbeatSocket} from './heartbeat-socket.js';
 import {PassthroughServer} from './passthrough-server.js';
-import type {CallSummary, CallerLimits} from './passthrough-server.js';
+import type {CallSummary} from './passthrough-server.js';
 import {EarlyListener} from './early-listener.js';
 import {HttpPassthroughTransport} from './http-transport.js';
 import {
   logCallEnd,
   logCallEvent,
   logUpstreamReachability,
-  logUpstreamChanges,
 } from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
 import type {PassthroughSettings} from './passthrough-settings.js';
 import type {PassthroughDaemon, PlatformAdapter} from './platform-adapter.js';
-import type {FeedSink, PublishedConfiguration} from './platform-feed.js';
+import {PlatformState} from './platform-state.js';
 import {mergeSettings} from './settings-change.js';
 import {serveMetrics, serveReadiness} from './status-server.js';
 import type {StatusServer} from './status-server.js';
 import {UpstreamConnections} from './upstream-connections.js';
 import type {UpstreamNotice} from './wire-format.js';
 
-/** Limits until the first configuration arrives. */
-const initialLimits: CallerLimits = {
-  headerBytes: 16 * 1024,
-  bodyBytes: 4 * 1024 * 1024,
-  headersTimeoutMilliseconds: 5000,
-  keepAliveTimeoutMilliseconds: 15_000,
-};
-
 /** Longest wait for the first configuration before calls are accepted. */
 const initialReadTimeoutMilliseconds = 400;
 
@@ -88,10 +69,7 @@
     : String(error);
 }
 
-class RunningDaemon implements PassthroughDaemon, FeedSink {
-  readonly freshness: ConfigurationFreshness;
-  readonly epochs = new RestoreEpochs(systemClock);
-  private readonly peerVersions = new PeerVersions(systemClock);
+class RunningDaemon implements PassthroughDaemon {
   /** Start time, which also serves as the incarnation. */
   private readonly startTimestamp = Date.now();
   private readonly upstreams = new UpstreamTable(systemClock);
@@ -108,15 +86,10 @@
   addresses = {callers: '', readiness: '', beats: ''};
   /** Current settings; some change while the host runs. */
   private settings: PassthroughSettings;
-  private routes: RouteTable | undefined;
-  private limits = initialLimits;
-  private hasUpstreams = false;
+  private readonly platform: PlatformState;
   /** Aborted once the first configuration and upstreams have been read. */
   private readonly initialReadController = new AbortController();
-  private supersededVersion: bigint | undefined;
-  private refusedVersion: bigint | undefined;
   private isDraining = false;
-  private isPlatformReachable: boolean | undefined;
   private closing: Promise<void> | undefined;
 
   constructor(
@@ -129,11 +102,13 @@
     const clock = systemClock;
     const random = seededRandom(randomInt(2 ** 31));
     const failureDomain = failureDomainId(settings.failureDomain);
-    this.freshness = new ConfigurationFreshness({
+    this.platform = new PlatformState({
       clock,
-      get maximumAgeMilliseconds() {
-        return currentSettings().keyProofMilliseconds;
-      },
+      log,
+      upstreams: this.upstreams,
+      maximumProofAge: () => this.settings.keyProofMilliseconds,
+      onLimits: () => this.server.applyLimits(),
+      onComplete: () => this.initialReadController.abort(),
     });
     this.heartbeatSocket = new HeartbeatSocket({
       onHeartbeat: heartbeat => this.fleet.receive(heartbeat),
@@ -153,9 +128,9 @@
       localState: () => ({
         usage: this.limiter.admittedTotals(),
         loads: this.upstreams.localLoads(),
-        configurationVersion: this.versionInForce ?? 0n,
-        platformEpoch: this.epochs.current,
-        platformEpochAgeMilliseconds: this.epochs.ageMilliseconds(),
+        configurationVersion: this.platform.versionInForce ?? 0n,
+        platformEpoch: this.platform.epochs.current,
+        platformEpochAgeMilliseconds: this.platform.epochs.ageMilliseconds(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
@@ -167,7 +142,7 @@
       get slack() {
         return currentSettings().limitSlack;
       },
-      rateOf: account => this.rateOf(account),
+      rateOf: account => this.platform.rateOf(account),
       silentHostCount: () => this.fleet.silentHostCount,
       hostCount,
     });
@@ -207,15 +182,15 @@
         logCallEvent(log, requestId, event);
       },
       onLoadChanged: () => this.fleet.scheduleHeartbeat(),
-      routes: () => this.routes,
-      freshness: this.freshness,
+      routes: () => this.platform.routes,
+      freshness: this.platform.freshness,
       limiter: this.limiter,
     });
     this.server = new PassthroughServer({
       clock,
       host: this.host,
       wireFormat: adapter.callerWire,
-      limits: () => this.limits,
+      limits: () => this.platform.limits,
       onEnd: summary => this.recordCallEnd(summary),
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
@@ -224,7 +199,7 @@
 
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
-    this.adapter.feed.start(this);
+    this.adapter.feed.start(this.platform);
     await this.heartbeatSocket.listen(listen.beats);
     this.fleet.start();
     const listener =
@@ -275,112 +250,19 @@
     return this.closing;
   }
 
-  private get versionInForce(): bigint | undefined {
-    return this.routes?.configuration.version;
-  }
-
-  onConfiguration(
-    published: PublishedConfiguration,
-    readStartedAt: number,
-  ): boolean {
-    const {version, documents, limits} = published;
-    if (this.peerVersions.provesLoss(version, readStartedAt)) {
-      this.reportSuperseded(version);
-      return false;
-    }
-    const currentVersion = this.versionInForce ?? -1n;
-    if (version < currentVersion) this.reportSuperseded(version);
-    if (version <= currentVersion) return version === currentVersion;
-    const configuration = buildConfiguration(version, documents);
-    if (configuration.isErr) {
-      this.reportRefused(version, configuration.error);
-      return false;
-    }
-    this.routes = new RouteTable(configuration.value);
-    this.limits = limits;
-    this.server.applyLimits();
-    this.endInitialReadIfComplete();
-    this.log.write('configurationApplied', {
-      version: Number(version),
-      documents: documents.length,
-      source: 'platform',
-    });
-    return true;
-  }
-
-  onRestore(epoch: number): void {
-    this.log.write('platformRestored', {
-      epoch,
-      version: Number(this.versionInForce ?? 0n),
-    });
-  }
-
-  /** Logs a version that is read again and again only once. */
-  private reportRefused(version: bigint, faults: readonly unknown[]): void {
-    if (version === this.refusedVersion) return;
-    this.refusedVersion = version;
-    this.log.write('configurationRefused', {
-      version: Number(version),
-      faults: JSON.stringify(faults.slice(0, 5)),
-    });
-  }
-
-  /** Logs a version that the store returns instead of a newer one, once. */
-  private reportSuperseded(version: bigint): void {
-    if (version === this.supersededVersion) return;
-    this.supersededVersion = version;
-    this.log.write('configurationSuperseded', {
-      version: Number(version),
-      inForce: Number(this.versionInForce ?? 0n),
-    });
-  }
-
-  onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
-    this.hasUpstreams = true;
-    this.endInitialReadIfComplete();
-    logUpstreamChanges(this.log, this.upstreams.replace(upstreams));
-  }
-
-  onReachability(isReachable: boolean, reason: string): void {
-    if (this.isPlatformReachable === isReachable) return;
-    this.isPlatformReachable = isReachable;
-    this.log.write(isReachable ? 'platformRegained' : 'platformLost', {
-      reason,
-      proofAge: Math.round(this.freshness.age()),
-    });
-  }
-
-  onReadFailure(subject: string, reason: string): void {
-    this.log.write('platformReadFailed', {subject, reason});
-  }
-
-  onMalformedValue(key: string, reason: string): void {
-    this.log.write('platformValueIgnored', {key, reason});
-  }
-
-  private endInitialReadIfComplete(): void {
-    if (this.hasUpstreams && this.routes !== undefined)
-      this.initialReadController.abort();
-  }
-
   private get isReady(): boolean {
-    if (this.isDraining || this.routes === undefined || !this.hasUpstreams)
-      return false;
+    if (this.isDraining || !this.platform.isComplete) return false;
     const {keyProofMilliseconds} = this.settings;
+    const proofAge = this.platform.freshness.age();
     return (
       keyProofMilliseconds === undefined ||
-      this.freshness.age() < keyProofMilliseconds * readyProofAgeFraction
+      proofAge < keyProofMilliseconds * readyProofAgeFraction
     );
   }
 
   private recordHeartbeat(heartbeat: Beat): void {
     this.upstreams.recordHeartbeat(heartbeat);
-    this.peerVersions.record(heartbeat.configurationVersion);
-    if (heartbeat.platformEpoch > 0n)
-      this.epochs.recordPeer(
-        Number(heartbeat.platformEpoch),
-        Number(heartbeat.platformEpochAgeMilliseconds),
-      );
+    this.platform.recordPeer(heartbeat);
     this.limiter.recordUsage(
       hostId(heartbeat.host),
       heartbeat.incarnation,
@@ -406,15 +288,6 @@
     this.log.write('upstreamPaused', {upstream, milliseconds: pause, asked});
   }
 
-  private rateOf(account: AccountId): AccountRate | undefined {
-    const spec = this.routes?.configuration.accounts.get(account)?.spec;
-    if (spec === undefined || spec.unlimited === true) return undefined;
-    return {
-      tokensPerSecond: spec.rateTokensPerSecond,
-      burstTokens: spec.burstTokens,
-    };
-  }
-
   private recordCallEnd(summary: CallSummary): void {
     this.metrics.recordCallEnd(summary);
     logCallEnd(this.log, summary);
@@ -427,9 +300,9 @@
       hosts: this.fleet.hostCount,
       silentHosts: this.fleet.silentHostCount,
       upstreams: this.upstreams.size,
-      configurationVersion: Number(this.versionInForce ?? 0n),
-      platformEpoch: this.epochs.current ?? 0,
-      proofAgeSeconds: this.freshness.age() / 1000,
+      configurationVersion: Number(this.platform.versionInForce ?? 0n),
+      platformEpoch: this.platform.epochs.current ?? 0,
+      proofAgeSeconds: this.platform.freshness.age() / 1000,
       connectionsOpened: this.connections.openedCount,
     };
   }
