Count an event that arrives in parts as progress

Cause: the check for progress ran before the events of a chunk were taken, so a sound stream was cut whose next event came in two parts, the second one over a second after the event before; repeated events of a resumed stream did not count either. Seen while reading the change.

Change: the check runs after the events of a chunk; repeated events count.

Before: the new test 'a slow stream whose events arrive in parts' fails. After: it passes with the other tests of streams.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -42,14 +42,13 @@
   let events = 0;
   try {
     for await (const chunk of response.body) {
-      // Bytes that complete no event do not show that the engine makes progress.
-      if (clock.now() - progressAt > stallMilliseconds)
-        return interruptedBy(upstream, 'silent');
       for (const {bytes, id} of splitter.push(chunk)) {
         if (id !== undefined) {
           // A resumed stream may repeat events that the caller already has.
-          if (state.lastEventId !== undefined && id <= state.lastEventId)
+          if (state.lastEventId !== undefined && id <= state.lastEventId) {
+            progressAt = clock.now();
             continue;
+          }
           state.lastEventId = id;
         }
         events += 1;
@@ -61,6 +60,9 @@
         if (id !== undefined || state.lastEventId === undefined)
           progressAt = clock.now();
       }
+      // Bytes that complete no event do not show that the engine makes progress.
+      if (clock.now() - progressAt > stallMilliseconds)
+        return interruptedBy(upstream, 'silent');
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return error;
