Let a process that is always late time out

Cause: each late timer of PauseAwareTimeout got a grace, and a process without processor time is late with each of them, so that a timeout never came. Seen while reading the change.

Change: one grace for each timeout.

Before: 'a process that stands still again and again times out' fails; after, the 8 tests of the folder pass.

--- a/packages/daemon/src/passthrough/pause-aware-timeout.ts
+++ b/packages/daemon/src/passthrough/pause-aware-timeout.ts
@@ -26,7 +26,7 @@
   /** Starts the time anew. */
   restart(): void {
     if (this.timer === undefined || this.isInGrace) {
-      this.startTimer(this.milliseconds);
+      this.startTimer(this.milliseconds, false);
       return;
     }
     this.expiresAt = performance.now() + this.milliseconds;
@@ -38,8 +38,8 @@
     this.timer = undefined;
   }
 
-  private startTimer(milliseconds: number): void {
-    this.isInGrace = milliseconds !== this.milliseconds;
+  private startTimer(milliseconds: number, isInGrace: boolean): void {
+    this.isInGrace = isInGrace;
     this.expiresAt = performance.now() + milliseconds;
     clearTimeout(this.timer);
     this.timer = setTimeout(() => this.expire(), milliseconds);
@@ -47,7 +47,8 @@
 
   private expire(): void {
     const isLate = performance.now() - this.expiresAt > lateTimerMilliseconds;
-    if (isLate) this.startTimer(graceMilliseconds);
+    // One grace is enough: a process that is always late must time out too.
+    if (isLate && !this.isInGrace) this.startTimer(graceMilliseconds, true);
     else this.onTimeout();
   }
 }
--- a/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
+++ b/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
@@ -60,3 +60,16 @@
     t.is(timeouts, 0);
   },
 );
+
+test.serial(
+  'a process that stands still again and again times out',
+  async t => {
+    let hasTimedOut = false;
+    new PauseAwareTimeout(timeoutMilliseconds, () => (hasTimedOut = true));
+    for (let pause = 0; pause < 4; pause += 1) {
+      standStill(300);
+      await sleep(0);
+    }
+    t.true(hasTimedOut);
+  },
+);
