Log who ended a stream, and when the process stood still

Callers saw streams closed in the middle of their answer. The log could not tell whether the engine broke off, the host took it for silent, or the host itself had stood still, and a resumption for which no engine was found left no line at all.

Change: event 3108 (streamInterrupted) says who ended a stream and why, with the events passed on, the time since the last byte and the last event, and the version in force; 3106 has the limit 'capacity' when no engine took the resumption; 1008 (processStalled) reports times in which the process did not run.

--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -90,6 +90,8 @@
       return 'it had been sent to the maximum number of upstreams';
     case 'route':
       return 'the route allows no further run';
+    case 'capacity':
+      return 'no engine took it in time';
     default:
       return 'no upstream was left or the logs do not show the limit';
   }
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -1,5 +1,7 @@
 /** Decisions that a host makes about calls, reported to logs and metrics. */
 
+import type {InterruptedResponseError} from './call.js';
+
 /** What forbids another attempt of a call. */
 export type RetryLimit =
   | 'deadline'
@@ -7,7 +9,17 @@
   | 'route'
   /** The call has been sent to as many upstreams as a host tries. */
   | 'attempts'
-  | 'budget';
+  | 'budget'
+  /** No engine took the call in time. */
+  | 'capacity';
+
+/** How far a stream had come when it was interrupted. */
+export interface StreamProgress {
+  /** Events passed on from this engine. */
+  readonly events: number;
+  readonly millisecondsSinceByte: number;
+  readonly millisecondsSinceEvent: number;
+}
 
 /** One decision about one call. Times are in milliseconds. */
 export type CallEvent =
@@ -71,6 +83,12 @@
       readonly reason: string;
       readonly limit: RetryLimit;
     }
+  | ({
+      readonly kind: 'interrupted';
+      readonly upstream: string;
+      /** `silent` and `cancelled` were decided by this host. */
+      readonly reason: InterruptedResponseError['reason'];
+    } & StreamProgress)
   | {
       readonly kind: 'resumed';
       readonly upstream: string;
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '../clock.js';
 import {upstreamId} from '../ids.js';
+import type {StreamProgress} from './call-events.js';
 import type {RoutedCall, PassthroughResponse} from './call.js';
 import {InterruptedResponseError} from './call.js';
 import {
@@ -11,7 +12,6 @@
 import type {GenerationState} from './generation-run.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
-import type {TrackedUpstream} from './upstream-table.js';
 
 /**
  * Time without a byte after which a resumable stream is moved to another
@@ -19,9 +19,15 @@
  */
 const resumableIdleTimeoutMilliseconds = 1000;
 
+/** An interrupted stream and its progress until then. */
+export interface StreamInterruption {
+  readonly error: InterruptedResponseError;
+  readonly progress: StreamProgress;
+}
+
 /**
- * Relays the events of one engine. Returns the error that interrupted the
- * stream, if any.
+ * Relays the events of one engine. Returns what interrupted the stream, if
+ * anything did.
  */
 export async function* relayEvents(
   clock: Clock,
@@ -29,7 +35,7 @@
   response: PassthroughResponse,
   {upstream, load}: EngineReservation,
   baselineInterval: BaselineDuration,
-): AsyncGenerator<Uint8Array, InterruptedResponseError | undefined> {
+): AsyncGenerator<Uint8Array, StreamInterruption | undefined> {
   const {promptTokens} = state.generation;
   const tokensPerEvent = state.pool.spec.engine?.tokensPerEvent ?? 1;
   const splitter = new EventStreamSplitter();
@@ -38,10 +44,26 @@
     state.call,
     state.call.deadline - startedAt,
   );
+  let byteAt = startedAt;
   let progressAt = startedAt;
   let events = 0;
+  const interruptedBy = (
+    error: InterruptedResponseError,
+  ): StreamInterruption => ({
+    error,
+    progress: {
+      events,
+      millisecondsSinceByte: clock.now() - byteAt,
+      millisecondsSinceEvent: clock.now() - progressAt,
+    },
+  });
+  const interruptedWith = (reason: InterruptedResponseError['reason']) =>
+    interruptedBy(
+      new InterruptedResponseError(upstreamId(upstream.document.name), reason),
+    );
   try {
     for await (const chunk of response.body) {
+      byteAt = clock.now();
       for (const {bytes, id} of splitter.push(chunk)) {
         if (id !== undefined) {
           // A resumed stream may repeat events that the caller already has.
@@ -62,15 +84,14 @@
       }
       // Bytes that complete no event do not show that the engine makes progress.
       if (clock.now() - progressAt > stallMilliseconds)
-        return interruptedBy(upstream, 'silent');
+        return interruptedWith('silent');
     }
   } catch (error) {
-    if (error instanceof InterruptedResponseError) return error;
-    if (error instanceof EventTooLongError)
-      return interruptedBy(upstream, 'broken');
+    if (error instanceof InterruptedResponseError) return interruptedBy(error);
+    if (error instanceof EventTooLongError) return interruptedWith('broken');
     throw error;
   }
-  if (splitter.pendingBytes > 0) return interruptedBy(upstream, 'broken');
+  if (splitter.pendingBytes > 0) return interruptedWith('broken');
   const now = clock.now();
   upstream.health.recordSuccess(now);
   if (events > 1) {
@@ -80,13 +101,6 @@
   return undefined;
 }
 
-function interruptedBy(
-  {document}: TrackedUpstream,
-  reason: InterruptedResponseError['reason'],
-): InterruptedResponseError {
-  return new InterruptedResponseError(upstreamId(document.name), reason);
-}
-
 /** Maximum time between two chunks of the body of a response. */
 export function bodyIdleTimeoutOf(
   {route}: RoutedCall,
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -18,6 +18,7 @@
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
 import {relayEvents, bodyIdleTimeoutOf} from './event-relay.js';
+import type {StreamInterruption} from './event-relay.js';
 import {
   attemptFailureOf,
   queueFailureOf,
@@ -334,8 +335,8 @@
         if (interruption === undefined) return;
         reservation.load.release();
         this.recordInterruptedStream(state, reservation, interruption);
-        const resumed = await this.resume(state, interruption);
-        if (resumed === undefined) throw interruption;
+        const resumed = await this.resume(state, interruption.error);
+        if (resumed === undefined) throw interruption.error;
         ({response, reservation} = resumed);
       }
     } finally {
@@ -347,10 +348,17 @@
   private recordInterruptedStream(
     state: GenerationState,
     reservation: EngineReservation,
-    interruption: InterruptedResponseError,
+    {error, progress}: StreamInterruption,
   ): void {
     const {health, document} = reservation.upstream;
-    if (interruption.reason === 'cancelled') return;
+    const {reason} = error;
+    this.parts.observer(state.call.id, {
+      kind: 'interrupted',
+      upstream: document.name,
+      reason,
+      ...progress,
+    });
+    if (reason === 'cancelled') return;
     state.avoidedUpstreams.add(document.name);
     health.recordFailure(this.parts.clock.now());
   }
@@ -367,7 +375,14 @@
     state.shouldSkipPrefillStage = false;
     const started = await this.start(state);
     this.releaseReusableCache(state);
-    if (started.isErr) return undefined;
+    if (started.isErr) {
+      observer(call.id, {
+        kind: 'retry-withheld',
+        reason: interruption.reason,
+        limit: 'capacity',
+      });
+      return undefined;
+    }
     if (started.value.response.status !== 200) {
       started.value.reservation.load.release();
       return undefined;
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -60,6 +60,12 @@
     text: 'the settings file can not be used; the previous settings stay in force',
     fields: ['path', 'fingerprint', 'reason'],
   },
+  processStalled: {
+    number: 1008,
+    level: 'warn',
+    text: 'the process did not run for some time; timeouts that ended meanwhile may have been its own delay',
+    fields: ['milliseconds'],
+  },
   configurationApplied: {
     number: 2001,
     level: 'info',
@@ -247,6 +253,20 @@
     text: 'a stream was resumed at another upstream',
     fields: ['request', 'upstream', 'afterEvent'],
   },
+  streamInterrupted: {
+    number: 3108,
+    level: 'info',
+    text: 'a stream ended early: broken by the upstream, or silent or cancelled as this host decided',
+    fields: [
+      'request',
+      'upstream',
+      'reason',
+      'events',
+      'millisecondsSinceByte',
+      'millisecondsSinceEvent',
+      'version',
+    ],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -17,6 +17,7 @@
 import type {Beat, UpstreamDocument} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {FleetChangeLog} from './fleet-change-log.js';
+import {EventLoopMonitor} from './event-loop-monitor.js';
 import {HeartbeatSocket} from './heartbeat-socket.js';
 import {PassthroughServer} from './passthrough-server.js';
 import type {CallSummary} from './passthrough-server.js';
@@ -82,6 +83,7 @@
   private readonly probes: ReachabilityProbes;
   private readonly server: PassthroughServer;
   private readonly metrics: PassthroughMetrics;
+  private readonly eventLoopMonitor: EventLoopMonitor;
   private readonly statusServers: StatusServer[] = [];
   addresses = {callers: '', readiness: '', beats: ''};
   /** Current settings; some change while the host runs. */
@@ -147,6 +149,9 @@
       hostCount,
     });
     this.metrics = new PassthroughMetrics(() => this.readGauges());
+    this.eventLoopMonitor = new EventLoopMonitor(milliseconds =>
+      log.write('processStalled', {milliseconds: Math.round(milliseconds)}),
+    );
     const transport = new HttpPassthroughTransport(
       this.connections,
       adapter.upstreamWire,
@@ -179,7 +184,8 @@
       }),
       observer: (requestId, event) => {
         this.metrics.recordEvent(event);
-        logCallEvent(log, requestId, event);
+        const version = String(this.platform.versionInForce ?? '');
+        logCallEvent(log, requestId, event, version);
       },
       onLoadChanged: () => this.fleet.scheduleHeartbeat(),
       routes: () => this.platform.routes,
@@ -329,6 +335,7 @@
     this.fleetChangeLog.close();
     this.host.close();
     this.probes.close();
+    this.eventLoopMonitor.close();
     this.connections.closeAll();
     this.heartbeatSocket.close();
     for (const server of this.statusServers) await server.close();
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -4,11 +4,12 @@
 import type {EventLog} from '../log/logger.js';
 import type {CallSummary} from './passthrough-server.js';
 
-/** Logs one event of a call. */
+/** Logs one event of a call. `version` is the configuration in force. */
 export function logCallEvent(
   log: EventLog,
   requestId: string,
   event: CallEvent,
+  version: string,
 ): void {
   switch (event.kind) {
     case 'admitted': {
@@ -49,6 +50,14 @@
         reason: event.reason,
         limit: event.limit,
       });
+    case 'interrupted': {
+      const {kind: _, ...fields} = event;
+      return log.write('streamInterrupted', {
+        request: requestId,
+        version,
+        ...roundNumbers(fields),
+      });
+    }
     case 'resumed': {
       const {kind: _, ...fields} = event;
       return log.write('streamResumed', {request: requestId, ...fields});
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -109,6 +109,9 @@
       case 'chosen':
         // Counted by its stage-done event.
         break;
+      case 'interrupted':
+        this.decisionCounter.inc({decision: event.kind, outcome: event.reason});
+        break;
       case 'retry-withheld':
         this.decisionCounter.inc({decision: event.kind, outcome: event.limit});
         break;
