Give a silent engine up only once another one is reserved

Callers saw streams of a resumable route closed in the middle of their answer, 12 s before the deadline, while the engine worked on.

Cause: a silent engine was cancelled first, after 1 s without a byte or event, or 2 s without a response, and whether the call may go on elsewhere was asked afterwards. Of the class: a resource is released before its replacement is acquired.

Evidence: the record has 1 ms between the end of the run and the close, too short to ask another engine, and 1,215 ms between the start of the run and its end.

Change: StallMonitor watches an attempt and seeks a replacement while the attempt stays open; it is cancelled only when limits, budget and a reservation at another engine are there, and kept if it goes on meanwhile. Without one it ends at the deadline. The idle timeout of the transport and the check of progress in the relay, which ended streams on their own, are removed. Retries are decided in one place (RetryGate); attempts are apart from the relay of events.

Why it works: no path from silence to a cancelled attempt is left that does not hold the reservation and the permission that the next attempt needs, except the deadline.

--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -152,11 +152,6 @@
   readonly reservationId?: string;
   /** Timeout for the headers of the response. */
   readonly headersTimeoutMilliseconds: number;
-  /**
-   * Maximum time between two chunks of the body. Defaults to the remaining
-   * time.
-   */
-  readonly bodyIdleTimeoutMilliseconds?: number;
 }
 
 /** The KV cache of a prompt at a prefill engine. It can be fetched once. */
--- /dev/null
+++ b/packages/coordination/src/passthrough/engine-replacement.ts
@@ -0,0 +1,72 @@
+/**
+ * Finds another engine for a generation whose engine is silent. The engine is
+ * given up only for a reservation at another one, because a slow engine may
+ * still complete the generation.
+ */
+
+import type {Result} from 'true-myth';
+import type {RequestFailure} from '../requests/failure.js';
+import type {RetryLimit} from './call-events.js';
+import type {GenerationState} from './generation-run.js';
+import type {EngineReservation} from './reservation-queue.js';
+import type {RetryGate, RetryRequest} from './retry-gate.js';
+import type {TrackedUpstream} from './upstream-table.js';
+
+export interface EngineReplacementParts {
+  readonly retryGate: RetryGate;
+  readonly reserve: (
+    signal: AbortSignal,
+  ) => Promise<Result<EngineReservation, RequestFailure>>;
+  readonly releaseReservation: (reservation: EngineReservation) => void;
+}
+
+export class EngineReplacement {
+  private reportedLimit: RetryLimit | undefined;
+
+  /** `possibleRuns` includes the attempt at the silent engine. */
+  constructor(
+    private readonly parts: EngineReplacementParts,
+    private readonly state: GenerationState,
+    private readonly engine: TrackedUpstream,
+    private readonly possibleRuns: number,
+  ) {}
+
+  /** Resolves with undefined if no engine may or can take over now. */
+  async find(signal: AbortSignal): Promise<EngineReservation | undefined> {
+    const {retryGate, reserve, releaseReservation} = this.parts;
+    const {avoidedUpstreams} = this.state;
+    const limit = retryGate.limitOf(this.retryRequest());
+    if (limit !== undefined) return this.withhold(limit);
+    const {name} = this.engine.document;
+    avoidedUpstreams.add(name);
+    const reserved = await reserve(signal);
+    if (reserved.isErr) {
+      avoidedUpstreams.delete(name);
+      return signal.aborted ? undefined : this.withhold('capacity');
+    }
+    if (!signal.aborted && retryGate.acquire(this.retryRequest()))
+      return reserved.value;
+    avoidedUpstreams.delete(name);
+    releaseReservation(reserved.value);
+    return undefined;
+  }
+
+  private retryRequest(): RetryRequest {
+    const {call, pool, attempts} = this.state;
+    const {possibleRuns} = this;
+    return {
+      call,
+      pool,
+      counts: {attempts, possibleRuns},
+      reason: 'silent',
+      usesRetryBudget: true,
+    };
+  }
+
+  /** Reports each limit once, although the search is repeated. */
+  private withhold(limit: RetryLimit): undefined {
+    if (limit === this.reportedLimit) return;
+    this.reportedLimit = limit;
+    this.parts.retryGate.reportWithheld(this.retryRequest(), limit);
+  }
+}
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '../clock.js';
 import {upstreamId} from '../ids.js';
 import type {StreamProgress} from './call-events.js';
-import type {RoutedCall, PassthroughResponse} from './call.js';
+import type {PassthroughResponse} from './call.js';
 import {InterruptedResponseError} from './call.js';
 import {
   EventStreamSplitter,
@@ -12,101 +12,120 @@
 import type {GenerationState} from './generation-run.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
-
-/**
- * Time without a byte after which a resumable stream is moved to another
- * engine.
- */
-const resumableIdleTimeoutMilliseconds = 1000;
+import type {StallMonitor} from './stall-monitor.js';
 
 /** An interrupted stream and its progress until then. */
 export interface StreamInterruption {
   readonly error: InterruptedResponseError;
   readonly progress: StreamProgress;
+  /** Engine that takes over a silent stream. */
+  readonly replacement: EngineReservation | undefined;
+}
+
+export interface EventRelayParts {
+  readonly clock: Clock;
+  readonly state: GenerationState;
+  readonly response: PassthroughResponse;
+  readonly reservation: EngineReservation;
+  readonly monitor: StallMonitor<EngineReservation>;
+  readonly baselineInterval: BaselineDuration;
 }
 
 /**
  * Relays the events of one engine. Returns what interrupted the stream, if
- * anything did.
+ * anything did. The caller of this function cancels the response.
  */
 export async function* relayEvents(
-  clock: Clock,
-  state: GenerationState,
-  response: PassthroughResponse,
-  {upstream, load}: EngineReservation,
-  baselineInterval: BaselineDuration,
+  parts: EventRelayParts,
 ): AsyncGenerator<Uint8Array, StreamInterruption | undefined> {
-  const {promptTokens} = state.generation;
-  const tokensPerEvent = state.pool.spec.engine?.tokensPerEvent ?? 1;
+  const {clock, state, response, reservation, monitor} = parts;
   const splitter = new EventStreamSplitter();
   const startedAt = clock.now();
-  const stallMilliseconds = bodyIdleTimeoutOf(
-    state.call,
-    state.call.deadline - startedAt,
-  );
   let byteAt = startedAt;
-  let progressAt = startedAt;
   let events = 0;
   const interruptedBy = (
     error: InterruptedResponseError,
-  ): StreamInterruption => ({
-    error,
-    progress: {
-      events,
-      millisecondsSinceByte: clock.now() - byteAt,
-      millisecondsSinceEvent: clock.now() - progressAt,
-    },
-  });
-  const interruptedWith = (reason: InterruptedResponseError['reason']) =>
-    interruptedBy(
-      new InterruptedResponseError(upstreamId(upstream.document.name), reason),
+    replacement?: EngineReservation,
+  ): StreamInterruption => {
+    const now = clock.now();
+    const millisecondsSinceByte = now - byteAt;
+    const millisecondsSinceEvent = now - monitor.lastProgressAt;
+    const progress = {events, millisecondsSinceByte, millisecondsSinceEvent};
+    return {error, progress, replacement};
+  };
+  const errorOf = (reason: InterruptedResponseError['reason']) =>
+    new InterruptedResponseError(
+      upstreamId(reservation.upstream.document.name),
+      reason,
     );
+  const chunks = response.body[Symbol.asyncIterator]();
   try {
-    for await (const chunk of response.body) {
+    for (;;) {
+      const next = await monitor.wait(chunks.next());
+      if (next.kind === 'replaced')
+        return interruptedBy(errorOf('silent'), next.replacement);
+      if (next.kind === 'overdue') return interruptedBy(errorOf('silent'));
+      if (next.value.done === true) break;
       byteAt = clock.now();
-      for (const {bytes, id} of splitter.push(chunk)) {
-        if (id !== undefined) {
-          // A resumed stream may repeat events that the caller already has.
-          if (state.lastEventId !== undefined && id <= state.lastEventId) {
-            progressAt = clock.now();
-            continue;
-          }
-          state.lastEventId = id;
+      monitor.recordActivity();
+      for (const event of splitter.push(next.value.value)) {
+        const isRepeated = recordEventId(state, event.id);
+        if (!isRepeated) {
+          events += 1;
+          recordMemory(state, reservation, events);
+          monitor.suspend();
+          yield event.bytes;
+          monitor.resume();
         }
-        events += 1;
-        // Event ids are assumed to count the events of a generation from 1.
-        const generatedEvents = Math.max(events, state.lastEventId ?? 0);
-        load.setMemoryTokens(promptTokens + generatedEvents * tokensPerEvent);
-        yield bytes;
-        // Comments do not count where the events of a stream have ids.
-        if (id !== undefined || state.lastEventId === undefined)
-          progressAt = clock.now();
+        // Comments are no progress where the events of a stream have ids.
+        if (event.id !== undefined || state.lastEventId === undefined)
+          monitor.recordProgress();
       }
-      // Bytes that complete no event do not show that the engine makes progress.
-      if (clock.now() - progressAt > stallMilliseconds)
-        return interruptedWith('silent');
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return interruptedBy(error);
-    if (error instanceof EventTooLongError) return interruptedWith('broken');
+    if (error instanceof EventTooLongError)
+      return interruptedBy(errorOf('broken'));
     throw error;
   }
-  if (splitter.pendingBytes > 0) return interruptedWith('broken');
-  const now = clock.now();
-  upstream.health.recordSuccess(now);
-  if (events > 1) {
-    const interval = (now - startedAt) / events;
-    upstream.health.recordDurationRatio(now, baselineInterval.record(interval));
-  }
+  if (splitter.pendingBytes > 0) return interruptedBy(errorOf('broken'));
+  recordCompletedStream(parts, startedAt, events);
   return undefined;
 }
 
-/** Maximum time between two chunks of the body of a response. */
-export function bodyIdleTimeoutOf(
-  {route}: RoutedCall,
-  remainingMilliseconds: number,
-): number {
-  return route.target.resumable === true
-    ? Math.min(resumableIdleTimeoutMilliseconds, remainingMilliseconds)
-    : remainingMilliseconds;
+/**
+ * Records the id of an event. Returns whether the caller already has the event,
+ * which a resumed stream may repeat.
+ */
+function recordEventId(state: GenerationState, id: number | undefined) {
+  if (id === undefined) return false;
+  if (state.lastEventId !== undefined && id <= state.lastEventId) return true;
+  state.lastEventId = id;
+  return false;
+}
+
+function recordMemory(
+  {generation, pool, lastEventId}: GenerationState,
+  {load}: EngineReservation,
+  events: number,
+): void {
+  const tokensPerEvent = pool.spec.engine?.tokensPerEvent ?? 1;
+  // Event ids are assumed to count the events of a generation from 1.
+  const generatedEvents = Math.max(events, lastEventId ?? 0);
+  load.setMemoryTokens(
+    generation.promptTokens + generatedEvents * tokensPerEvent,
+  );
+}
+
+function recordCompletedStream(
+  {clock, reservation, baselineInterval}: EventRelayParts,
+  startedAt: number,
+  events: number,
+): void {
+  const {health} = reservation.upstream;
+  const now = clock.now();
+  health.recordSuccess(now);
+  if (events <= 1) return;
+  const interval = (now - startedAt) / events;
+  health.recordDurationRatio(now, baselineInterval.record(interval));
 }
--- /dev/null
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -0,0 +1,376 @@
+/**
+ * Attempts of generations at engines. Memory of a decode engine is reserved
+ * first. A prefill engine then computes the KV cache of the prompt, and the
+ * decode engine fetches the cache and streams the output.
+ */
+
+import {Result} from 'true-myth';
+import type {PoolDocument} from '../generated/documents.js';
+import {upstreamId} from '../ids.js';
+import {AbortScope} from '../placement/abort-scope.js';
+import type {RequestFailure} from '../requests/failure.js';
+import {withResumption} from './call-failures.js';
+import type {
+  RoutedCall,
+  PassthroughResponse,
+  PassthroughError,
+  TransportResult,
+} from './call.js';
+import {mayHaveBeenSent, provesCallNotRun} from './call.js';
+import {EngineReplacement} from './engine-replacement.js';
+import {
+  attemptFailureOf,
+  queueFailureOf,
+  disconnectFailureOf,
+  estimateMemoryTokens,
+} from './generation-run.js';
+import type {GenerationState, PrefilledCache} from './generation-run.js';
+import {ReservationQueue, canDecode} from './reservation-queue.js';
+import type {EngineReservation} from './reservation-queue.js';
+import {RetryGate} from './retry-gate.js';
+import {recordAttemptFailure} from './record-attempt-failure.js';
+import type {PassthroughParts} from './passthrough-parts.js';
+import {PrefillStage} from './prefill-stage.js';
+import {StallMonitor} from './stall-monitor.js';
+import type {TrackedUpstream} from './upstream-table.js';
+
+/**
+ * Multiple of the first-token target after which a waiting call is refused. Up
+ * to this time, a refusal is still useful to the caller.
+ */
+const queueTimeoutTargetFactor = 2.7;
+
+/** Queue timeout of routes without a first-token target. */
+const defaultQueueTimeoutMilliseconds = 2500;
+
+/**
+ * Time without the head of a response after which another engine is sought, if
+ * another attempt is allowed.
+ */
+const headStallMilliseconds = 2000;
+
+/** A generation whose engine has begun its response. */
+export interface StartedGeneration {
+  readonly response: PassthroughResponse;
+  readonly reservation: EngineReservation;
+  /** Owns the attempt, which ends when the scope is closed. */
+  readonly attempt: AbortScope;
+}
+
+interface FailedAttempt {
+  readonly error: PassthroughError;
+  /** Engine that takes over from a silent one. */
+  readonly replacement: EngineReservation | undefined;
+}
+
+interface AwaitedHead {
+  readonly result: Result<PassthroughResponse, PassthroughError>;
+  readonly replacement: EngineReservation | undefined;
+}
+
+export interface MonitorOptions {
+  readonly stallMilliseconds: number;
+  /** Attempts that may have run the call, with the one that is watched. */
+  readonly possibleRuns: number;
+}
+
+export class GenerationAttempts {
+  private readonly queues = new Map<string, ReservationQueue>();
+  private readonly latestPools = new Map<string, PoolDocument>();
+  private readonly prefillStage: PrefillStage;
+  private readonly retryGate: RetryGate;
+
+  constructor(private readonly parts: PassthroughParts) {
+    this.retryGate = new RetryGate(parts);
+    this.prefillStage = new PrefillStage(parts);
+  }
+
+  close(): void {
+    for (const queue of this.queues.values()) queue.close();
+  }
+
+  /** Number of calls that wait for memory. */
+  get waitingCallCount(): number {
+    return [...this.queues.values()].reduce((sum, {length}) => sum + length, 0);
+  }
+
+  /** Records the newest document of a pool. */
+  updatePool(pool: PoolDocument): void {
+    this.latestPools.set(pool.name, pool);
+  }
+
+  /**
+   * Finds an engine that answers, with retries where they are allowed. The first
+   * attempt uses `replacement`, if there is one.
+   */
+  async start(
+    state: GenerationState,
+    replacement?: EngineReservation,
+  ): Promise<Result<StartedGeneration, RequestFailure>> {
+    const {signal} = state;
+    const {releases, upstreams} = this.parts;
+    let granted = replacement;
+    for (;;) {
+      const reserved: Result<EngineReservation, RequestFailure> =
+        granted === undefined
+          ? await this.reserve(state, signal, this.queuedAtOf(state))
+          : Result.ok(granted);
+      if (reserved.isErr) return Result.err(reserved.error);
+      const reservation = reserved.value;
+      const cache = await this.prefillStage.prefill(state, reservation);
+      if (signal.aborted) {
+        releases.releaseReservation(reservation);
+        state.reusableCache = cache;
+        return Result.err(disconnectFailureOf(state));
+      }
+      if (!upstreams.acquireRequest(reservation.upstream.document.name)) {
+        // The engine asked for a pause after it had granted the reservation.
+        releases.releaseReservation(reservation);
+        state.reusableCache = cache;
+        granted = undefined;
+        continue;
+      }
+      const started = await this.sendAttempt(state, reservation, cache);
+      if (started.isOk) return Result.ok(started.value);
+      const {error} = started.error;
+      granted = started.error.replacement;
+      if (signal.aborted) {
+        if (granted !== undefined) releases.releaseReservation(granted);
+        return Result.err(disconnectFailureOf(state));
+      }
+      if (
+        granted === undefined &&
+        !this.acquireRetry(state, error.kind, mayHaveBeenSent(error))
+      )
+        return Result.err(attemptFailureOf(state));
+    }
+  }
+
+  /**
+   * Acquires permission for another attempt. Takes from the retry budget only if
+   * `usesRetryBudget` is set.
+   */
+  acquireRetry(
+    state: GenerationState,
+    reason: string,
+    usesRetryBudget: boolean,
+  ): boolean {
+    const {call, pool} = state;
+    const counts = state;
+    return this.retryGate.acquire({
+      call,
+      pool,
+      counts,
+      reason,
+      usesRetryBudget,
+    });
+  }
+
+  /** Reserves memory. The queue timeout counts from the clock time `queuedAt`. */
+  private async reserve(
+    state: GenerationState,
+    signal: AbortSignal,
+    queuedAt: number,
+  ): Promise<Result<EngineReservation, RequestFailure>> {
+    const {call, generation, avoidedUpstreams, pool} = state;
+    if (this.usableDecodeEngines(state).length === 0) avoidedUpstreams.clear();
+    const queueDeadline = Math.min(
+      call.deadline,
+      queuedAt + queueTimeoutOf(call),
+    );
+    const tokens = estimateMemoryTokens(generation);
+    const reserved = await this.queueFor(pool.name).reserve(
+      call,
+      tokens,
+      queueDeadline,
+      avoidedUpstreams,
+      signal,
+    );
+    if (reserved.isOk) return Result.ok(reserved.value);
+    if (reserved.error === 'cancelled')
+      return Result.err(disconnectFailureOf(state));
+    const pause = this.queueFor(pool.name).remainingPause();
+    const isAnyReachable =
+      pause !== undefined || this.usableDecodeEngines(state).length > 0;
+    const failure = queueFailureOf(state, isAnyReachable);
+    return Result.err(withResumption(failure, pause));
+  }
+
+  /** The queue timeout starts again when an interrupted stream is resumed. */
+  private queuedAtOf({call, lastEventId}: GenerationState): number {
+    return lastEventId === call.lastEventId
+      ? call.arrivedAt
+      : this.parts.clock.now();
+  }
+
+  private usableDecodeEngines({
+    pool,
+    avoidedUpstreams,
+  }: GenerationState): TrackedUpstream[] {
+    const now = this.parts.clock.now();
+    return this.parts.upstreams
+      .acceptingOf(pool)
+      .filter(
+        ({document, health}) =>
+          canDecode(document.labels ?? {}) &&
+          health.isUsable(now) &&
+          !avoidedUpstreams.has(document.name),
+      );
+  }
+
+  private async sendAttempt(
+    state: GenerationState,
+    reservation: EngineReservation,
+    cache: PrefilledCache | undefined,
+  ): Promise<Result<StartedGeneration, FailedAttempt>> {
+    const {clock, transport, observer} = this.parts;
+    const {call} = state;
+    const engine = reservation.upstream;
+    const startedAt = clock.now();
+    const remainingMilliseconds = call.deadline - startedAt;
+    state.attempts += 1;
+    const attempt = new AbortScope(state.signal);
+    const sent = transport.send(
+      engine.document,
+      call,
+      {
+        remainingMilliseconds,
+        needsNewConnection: true,
+        headersTimeoutMilliseconds: remainingMilliseconds,
+        lastEventId: state.lastEventId,
+        cache: cache?.source,
+        reservationId:
+          startedAt < reservation.reservedUntil
+            ? reservation.reservationId
+            : undefined,
+      },
+      attempt.signal,
+    );
+    const {result, replacement} = await this.awaitHead(state, engine, sent);
+    const now = clock.now();
+    observer(call.id, {
+      kind: 'stage-done',
+      purpose: 'run',
+      upstream: engine.document.name,
+      outcome: result.isOk ? String(result.value.status) : result.error.kind,
+      took: now - startedAt,
+    });
+    if (result.isOk) {
+      state.possibleRuns += 1;
+      return Result.ok({response: result.value, reservation, attempt});
+    }
+    attempt.close();
+    state.lastError = result.error;
+    if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
+    this.parts.releases.releaseReservation(reservation);
+    this.handleFailedAttempt(state, engine, cache, result.error, now);
+    return Result.err({error: result.error, replacement});
+  }
+
+  /** Waits for the head of the response, or for another engine. */
+  private async awaitHead(
+    state: GenerationState,
+    engine: TrackedUpstream,
+    sent: TransportResult<PassthroughResponse>,
+  ): Promise<AwaitedHead> {
+    if (this.isLastAttempt(state))
+      return {result: await sent, replacement: undefined};
+    const monitor = this.monitorAttempt(state, engine, {
+      stallMilliseconds: headStallMilliseconds,
+      possibleRuns: state.possibleRuns + 1,
+    });
+    const head = await monitor.wait(sent);
+    monitor.close();
+    if (head.kind === 'ready')
+      return {result: head.value, replacement: undefined};
+    const upstream = upstreamId(engine.document.name);
+    return {
+      result: Result.err({kind: 'silent', upstream}),
+      replacement: head.kind === 'replaced' ? head.replacement : undefined,
+    };
+  }
+
+  /** Watches an attempt that may be replaced by one at another engine. */
+  monitorAttempt(
+    state: GenerationState,
+    engine: TrackedUpstream,
+    {stallMilliseconds, possibleRuns}: MonitorOptions,
+  ): StallMonitor<EngineReservation> {
+    const {clock, releases} = this.parts;
+    const releaseReplacement = (reservation: EngineReservation) =>
+      releases.releaseReservation(reservation);
+    const replacement = new EngineReplacement(
+      {
+        retryGate: this.retryGate,
+        reserve: signal => this.reserve(state, signal, clock.now()),
+        releaseReservation: releaseReplacement,
+      },
+      state,
+      engine,
+      possibleRuns,
+    );
+    const {repeatable} = state.call.route.target;
+    return new StallMonitor({
+      clock,
+      stallMilliseconds,
+      deadline: state.call.deadline,
+      findReplacement: signal =>
+        repeatable ? replacement.find(signal) : Promise.resolve(undefined),
+      releaseReplacement,
+    });
+  }
+
+  private handleFailedAttempt(
+    state: GenerationState,
+    engine: TrackedUpstream,
+    cache: PrefilledCache | undefined,
+    error: PassthroughError,
+    now: number,
+  ): void {
+    // A call that was unreachable or misdirected cannot have fetched the KV
+    // cache.
+    const canReuseCache =
+      error.kind === 'misdirected' || error.kind === 'unreachable';
+    if (canReuseCache) state.reusableCache = cache;
+    else if (cache !== undefined)
+      this.parts.releases.releaseCache(cache.source);
+    // The engine held a reservation, so a refusal is attributed to the KV
+    // cache, which is mostly no longer available.
+    if (cache !== undefined && error.kind === 'refused') {
+      this.prefillStage.recordLostCache(cache.source.upstream.name);
+      state.shouldSkipPrefillStage = true;
+      return;
+    }
+    state.avoidedUpstreams.add(engine.document.name);
+    recordAttemptFailure(engine, error, now);
+  }
+
+  releaseReusableCache(state: GenerationState): void {
+    if (state.reusableCache === undefined) return;
+    this.parts.releases.releaseCache(state.reusableCache.source);
+    state.reusableCache = undefined;
+  }
+
+  private isLastAttempt({call, possibleRuns}: GenerationState): boolean {
+    const {repeatable, maximumTries} = call.route.target;
+    return !repeatable || possibleRuns + 1 >= maximumTries;
+  }
+
+  private queueFor(name: string): ReservationQueue {
+    const existing = this.queues.get(name);
+    if (existing !== undefined) return existing;
+    const created = new ReservationQueue(this.parts, () =>
+      this.latestPools.get(name)!,
+    );
+    this.queues.set(name, created);
+    return created;
+  }
+}
+
+/** Time for which a call waits for memory. */
+function queueTimeoutOf({route}: RoutedCall): number {
+  const {firstTokenTargetMilliseconds} = route;
+  return firstTokenTargetMilliseconds === undefined
+    ? defaultQueueTimeoutMilliseconds
+    : firstTokenTargetMilliseconds * queueTimeoutTargetFactor;
+}
--- a/packages/coordination/src/passthrough/pool-retry-budget.ts
+++ b/packages/coordination/src/passthrough/pool-retry-budget.ts
@@ -44,15 +44,20 @@
     this.countsOf(pool).calls.add(this.parts.clock.now());
   }
 
-  /** Acquires one retry; returns false if the budget is used up. */
-  tryAcquire(pool: string): boolean {
+  /** Returns whether the budget allows one more retry now. */
+  canAcquire(pool: string): boolean {
     const {clock, ratio, extra, hostCount} = this.parts;
     const {calls, retries} = this.countsOf(pool);
     const now = clock.now();
     const share = extra / Math.max(minimumAssumedHosts, hostCount());
     const allowed = usableFraction * (ratio * calls.total(now) + share);
-    if (retries.total(now) + 1 > allowed) return false;
-    retries.add(now);
+    return retries.total(now) + 1 <= allowed;
+  }
+
+  /** Acquires one retry; returns false if the budget is used up. */
+  tryAcquire(pool: string): boolean {
+    if (!this.canAcquire(pool)) return false;
+    this.countsOf(pool).retries.add(this.parts.clock.now());
     return true;
   }
 
--- /dev/null
+++ b/packages/coordination/src/passthrough/stall-monitor.ts
@@ -0,0 +1,160 @@
+/**
+ * Watches one attempt of a call. An attempt without progress may have failed, or
+ * its upstream may only be slow, so it is kept until a replacement is available.
+ */
+
+import type {Clock} from '../clock.js';
+import {lateTimerMilliseconds} from '../placement/abort-scope.js';
+
+export interface StallMonitorParts<Replacement> {
+  readonly clock: Clock;
+  /**
+   * Time without a sign of life after which a replacement is sought. Twice this
+   * time may pass without progress.
+   */
+  readonly stallMilliseconds: number;
+  /** Clock time from which a stalled attempt is given up without one. */
+  readonly deadline: number;
+  /**
+   * Resolves with undefined if no replacement is available now. `signal` is
+   * aborted when none is needed any more.
+   */
+  readonly findReplacement: (
+    signal: AbortSignal,
+  ) => Promise<Replacement | undefined>;
+  /** Frees a replacement that was found too late. */
+  readonly releaseReplacement: (replacement: Replacement) => void;
+}
+
+/** Why an attempt is to be given up. */
+export type Abandonment<Replacement> =
+  | {readonly kind: 'replaced'; readonly replacement: Replacement}
+  /** The deadline has passed without progress. */
+  | {readonly kind: 'overdue'};
+
+/** What `wait` resolves with. */
+export type MonitoredResult<Value, Replacement> =
+  {readonly kind: 'ready'; readonly value: Value} | Abandonment<Replacement>;
+
+/** Time between two searches for a replacement. */
+const searchIntervalMilliseconds = 250;
+
+/** Time to read what arrived while the process stood still. */
+const graceMilliseconds = 50;
+
+export class StallMonitor<Replacement> {
+  private readonly closing = new AbortController();
+  private progressAt: number;
+  /** Clock time of the last sign of life, progress or not. */
+  private activityAt: number;
+  private nextSearchAt = -Infinity;
+  private search: AbortController | undefined;
+  private suspendedAt: number | undefined;
+  private abandonment: Abandonment<Replacement> | undefined;
+  /** Ends the pending `wait`, if there is one. */
+  private endWait: ((reason: Abandonment<Replacement>) => void) | undefined;
+
+  constructor(private readonly parts: StallMonitorParts<Replacement>) {
+    this.progressAt = parts.clock.now();
+    this.activityAt = this.progressAt;
+    void this.watch();
+  }
+
+  /** Clock time of the last progress. */
+  get lastProgressAt(): number {
+    return this.progressAt;
+  }
+
+  recordProgress(): void {
+    this.progressAt = this.parts.clock.now();
+    this.activityAt = this.progressAt;
+    this.search?.abort();
+  }
+
+  /** Records a sign of life that is no progress. It postpones a search once. */
+  recordActivity(): void {
+    this.activityAt = this.parts.clock.now();
+  }
+
+  /** Stops the time while the upstream is not waited for. */
+  suspend(): void {
+    this.suspendedAt = this.parts.clock.now();
+    this.search?.abort();
+  }
+
+  resume(): void {
+    const {suspendedAt} = this;
+    if (suspendedAt === undefined) return;
+    const suspension = this.parts.clock.now() - suspendedAt;
+    this.progressAt += suspension;
+    this.activityAt += suspension;
+    this.suspendedAt = undefined;
+  }
+
+  /** Waits for `work`, unless the attempt is to be given up before. */
+  wait<Value>(
+    work: Promise<Value>,
+  ): Promise<MonitoredResult<Value, Replacement>> {
+    return new Promise((resolve, reject) => {
+      this.endWait = resolve;
+      work.then(value => resolve({kind: 'ready', value}), reject);
+      if (this.abandonment !== undefined) resolve(this.abandonment);
+    });
+  }
+
+  close(): void {
+    this.closing.abort();
+    this.search?.abort();
+  }
+
+  private async watch(): Promise<void> {
+    const {clock, deadline, stallMilliseconds} = this.parts;
+    while (!this.closing.signal.aborted) {
+      const now = clock.now();
+      if (this.suspendedAt !== undefined) {
+        await this.sleepUntil(now + searchIntervalMilliseconds);
+        continue;
+      }
+      const stalledAt = Math.min(
+        this.activityAt + stallMilliseconds,
+        this.progressAt + 2 * stallMilliseconds,
+      );
+      const overdueAt = Math.max(deadline, stalledAt);
+      const searchAt = Math.max(this.nextSearchAt, stalledAt);
+      if (now >= overdueAt) return this.abandon({kind: 'overdue'});
+      if (now < searchAt) await this.sleepUntil(Math.min(overdueAt, searchAt));
+      else if (await this.replace()) return;
+    }
+  }
+
+  /** Searches once. Returns whether the attempt was given up. */
+  private async replace(): Promise<boolean> {
+    const {clock, findReplacement, releaseReplacement} = this.parts;
+    const search = new AbortController();
+    this.search = search;
+    const replacement = await findReplacement(search.signal);
+    this.search = undefined;
+    this.nextSearchAt = clock.now() + searchIntervalMilliseconds;
+    if (replacement === undefined) return false;
+    if (search.signal.aborted) {
+      releaseReplacement(replacement);
+      return false;
+    }
+    this.abandon({kind: 'replaced', replacement});
+    return true;
+  }
+
+  private abandon(reason: Abandonment<Replacement>): void {
+    this.abandonment = reason;
+    this.endWait?.(reason);
+  }
+
+  private async sleepUntil(time: number): Promise<void> {
+    const {clock} = this.parts;
+    const {signal} = this.closing;
+    await clock.sleep(time - clock.now(), signal);
+    // What arrived while the process stood still has not been read yet.
+    if (clock.now() - time > lateTimerMilliseconds)
+      await clock.sleep(graceMilliseconds, signal);
+  }
+}
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -244,7 +244,7 @@
   callRetryWithheld: {
     number: 3106,
     level: 'warn',
-    text: 'a failed call was not retried: limit says what forbids it',
+    text: 'a failed or silent call was not attempted again: limit says what forbids it',
     fields: ['request', 'reason', 'limit'],
   },
   streamResumed: {
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -154,9 +154,6 @@
     signal: AbortSignal,
   ): TransportResult<PassthroughResponse> {
     const {headersTimeoutMilliseconds, needsNewConnection} = options;
-    // Without an idle timeout, the remaining time of the call limits the body.
-    const {bodyIdleTimeoutMilliseconds = options.remainingMilliseconds} =
-      options;
     return sendRequest({
       upstream: upstreamId(upstream.name),
       connection: this.connections.acquire(
@@ -170,7 +167,7 @@
         body: call.body.length > 0 ? Buffer.from(call.body) : null,
       },
       headersTimeoutMilliseconds,
-      bodyIdleTimeoutMilliseconds,
+      bodyIdleTimeoutMilliseconds: options.remainingMilliseconds,
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
