Give a silent plain service up only for a permitted attempt elsewhere

Callers of repeatable plain calls got 504 after twice the target (0.6 s in the test, deadline 2.9 s) although the upstream would have answered.

The attempt was ended first, and the retry budget or the lack of another upstream forbade the next one afterwards.

Change: the first response of an attempt is watched by the same StallMonitor; the attempt ends only for another usable upstream and a retry that was acquired. The decision to retry is that of RetryGate, as for generations. Buffering of responses moved to a file of its own, unchanged.

Evidence: 'a slow repeatable call is not cut when the retry budget forbids another' failed before (504) and passes now.

--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -7,7 +7,9 @@
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import {upstreamId} from '../ids.js';
+import {AbortScope} from '../placement/abort-scope.js';
 import type {RequestFailure} from '../requests/failure.js';
+import type {RetryLimit} from './call-events.js';
 import {
   callerDisconnected,
   noUpstream,
@@ -20,36 +22,32 @@
   RoutedCall,
   PassthroughResponse,
   PassthroughError,
+  TransportResult,
 } from './call.js';
-import {
-  InterruptedResponseError,
-  mayHaveBeenSent,
-  provesCallNotRun,
-} from './call.js';
+import {mayHaveBeenSent, provesCallNotRun} from './call.js';
+import {bufferResponse} from './buffered-response.js';
 import {minBy} from './min-by.js';
-import {retryLimitOf} from './retry-limit.js';
+import {RetryGate} from './retry-gate.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {choosePoolByWeight} from './passthrough-parts.js';
 import {BaselineDuration} from './reference-time.js';
+import {StallMonitor} from './stall-monitor.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
 
-/** Responses up to this size are buffered before they are passed on. */
-const maximumBufferedBytes = 1 << 20;
-
 /** Lowest status that reports a failure of the upstream. */
 const firstServerErrorStatus = 500;
 
 /**
- * Timeout of an attempt while another one is allowed, as a multiple of the
- * first-token target.
+ * Time without a response after which another upstream is sought, as a multiple
+ * of the first-token target.
  */
-const responseTimeoutTargetFactor = 2;
+const responseStallTargetFactor = 2;
 
-/** The same timeout on a route without a first-token target. */
-const defaultResponseTimeoutMilliseconds = 1000;
+/** The same time on a route without a first-token target. */
+const defaultResponseStallMilliseconds = 1000;
 
 /**
  * An upstream in another failure domain is treated as having this many more
@@ -73,14 +71,30 @@
   lastError: PassthroughError | undefined;
 }
 
+/** Outcome of one attempt. */
+interface PlainAttempt {
+  /** Ends the call, if there is one. */
+  readonly response: PassthroughResponse | undefined;
+  /** Upstream that takes over from a silent one. */
+  readonly replacement: TrackedUpstream | undefined;
+}
+
+interface AwaitedHead {
+  readonly result: Result<PassthroughResponse, PassthroughError>;
+  readonly replacement: TrackedUpstream | undefined;
+}
+
 export class PlainCallForwarder {
   private readonly baselineDurations = new Map<string, BaselineDuration>();
+  private readonly retryGate: RetryGate;
 
-  constructor(private readonly parts: PassthroughParts) {}
+  constructor(private readonly parts: PassthroughParts) {
+    this.retryGate = new RetryGate(parts);
+  }
 
   /** Forwards `call`. `signal` is aborted when the caller disconnects. */
   async forward(call: RoutedCall, signal: AbortSignal): Promise<CallResult> {
-    const {random, retryBudget, observer, upstreams} = this.parts;
+    const {random, retryBudget, upstreams} = this.parts;
     const pool = choosePoolByWeight(call.route, random);
     if (pool === undefined) return Result.err(noUpstream);
     retryBudget.recordCall(pool.name);
@@ -92,30 +106,19 @@
       serverErrorResponse: undefined,
       lastError: undefined,
     };
+    let replacement: TrackedUpstream | undefined;
     while (!signal.aborted) {
-      const limit = retryLimitOf(call, progress, this.parts.clock.now());
-      const reason = progress.lastError?.kind ?? 'failed';
-      if (limit !== undefined) {
-        observer(call.id, {kind: 'retry-withheld', reason, limit});
-        break;
-      }
-      const upstream = this.chooseUpstream(call, pool, progress.triedUpstreams);
+      const upstream = replacement ?? this.nextUpstream(call, pool, progress);
       if (upstream === undefined) break;
-      if (progress.attempts > 0) {
-        if (progress.sentAttempts > 0 && !retryBudget.tryAcquire(pool.name)) {
-          observer(call.id, {kind: 'retry-withheld', reason, limit: 'budget'});
-          break;
-        }
-        observer(call.id, {kind: 'retried', reason, tries: progress.attempts});
-      }
-      const response = await this.sendAttempt(
+      const attempt = await this.sendAttempt(
         call,
         pool,
         upstream,
         progress,
         signal,
       );
-      if (response !== undefined) return Result.ok(response);
+      if (attempt.response !== undefined) return Result.ok(attempt.response);
+      replacement = attempt.replacement;
     }
     if (progress.serverErrorResponse !== undefined)
       return Result.ok(progress.serverErrorResponse);
@@ -125,14 +128,39 @@
     );
   }
 
+  /** The upstream of the next attempt; undefined if none is allowed. */
+  private nextUpstream(
+    call: RoutedCall,
+    pool: PoolDocument,
+    progress: CallProgress,
+  ): TrackedUpstream | undefined {
+    const request = {
+      call,
+      pool,
+      counts: progress,
+      reason: progress.lastError?.kind ?? 'failed',
+      usesRetryBudget: progress.sentAttempts > 0,
+    };
+    const limit = this.retryGate.limitOf(request);
+    if (limit !== undefined) {
+      this.retryGate.reportWithheld(request, limit);
+      return undefined;
+    }
+    const upstream = this.chooseUpstream(call, pool, progress.triedUpstreams);
+    if (upstream !== undefined && progress.attempts > 0)
+      this.retryGate.acquire(request);
+    return upstream;
+  }
+
   /**
    * Selects the least loaded upstream that was not tried yet. Falls back to
-   * unusable upstreams if there is no other.
+   * unusable upstreams if there is no other, unless `requiresUsable` is set.
    */
   private chooseUpstream(
     call: RoutedCall,
     pool: PoolDocument,
     triedUpstreams: ReadonlySet<string>,
+    requiresUsable = false,
   ): TrackedUpstream | undefined {
     const {clock, upstreams, random, failureDomain, observer} = this.parts;
     const now = clock.now();
@@ -141,7 +169,7 @@
       ({document}) => !triedUpstreams.has(document.name),
     );
     const usable = untried.filter(each => each.health.isUsable(now));
-    const candidates = usable.length > 0 ? usable : untried;
+    const candidates = usable.length > 0 || requiresUsable ? usable : untried;
     const scoreOf = ({document, localLoad, health}: TrackedUpstream) => {
       const domainPenalty =
         document.spec.failureDomain === failureDomain
@@ -171,50 +199,133 @@
     return chosen;
   }
 
-  /** Makes one attempt. A returned response ends the call. */
+  /** Makes one attempt. */
   private async sendAttempt(
     call: RoutedCall,
     pool: PoolDocument,
     upstream: TrackedUpstream,
     progress: CallProgress,
     signal: AbortSignal,
-  ): Promise<PassthroughResponse | undefined> {
-    const {clock, transport, upstreams, observer} = this.parts;
-    const {repeatable, maximumTries} = call.route.target;
-    const {name} = upstream.document;
+  ): Promise<PlainAttempt> {
+    const {clock, transport, upstreams} = this.parts;
     const startedAt = clock.now();
     const remainingMilliseconds = call.deadline - startedAt;
-    const isLastAttempt =
-      !repeatable || progress.possibleRuns + 1 >= maximumTries;
-    progress.triedUpstreams.add(name);
+    progress.triedUpstreams.add(upstream.document.name);
     progress.attempts += 1;
     upstream.health.recordAttempt(startedAt);
     const load = upstreams.addLoad(upstream, {calls: 1});
-    const result = await transport.send(
+    const attempt = new AbortScope(signal);
+    const sent = transport.send(
       upstream.document,
       call,
       {
         remainingMilliseconds,
-        needsNewConnection: !repeatable,
-        headersTimeoutMilliseconds: isLastAttempt
-          ? remainingMilliseconds
-          : Math.min(remainingMilliseconds, responseTimeoutOf(call)),
+        needsNewConnection: !call.route.target.repeatable,
+        headersTimeoutMilliseconds: remainingMilliseconds,
       },
-      signal,
+      attempt.signal,
     );
-    const response = result.isOk
+    const head = await this.awaitHead(call, pool, upstream, progress, sent);
+    const response = head.result.isOk
       ? await bufferResponse(
-          result.value,
+          head.result.value,
           upstream,
           () => clock.now() > call.deadline,
         )
-      : Result.err<PassthroughResponse, PassthroughError>(result.error);
+      : Result.err<PassthroughResponse, PassthroughError>(head.result.error);
+    if (response.isErr) attempt.close();
     load.release();
+    const {replacement} = head;
+    return {
+      response: this.recordAttempt(
+        call,
+        pool,
+        upstream,
+        progress,
+        response,
+        startedAt,
+      ),
+      replacement,
+    };
+  }
+
+  /** Waits for the head of the response, or for another upstream. */
+  private async awaitHead(
+    call: RoutedCall,
+    pool: PoolDocument,
+    {document}: TrackedUpstream,
+    progress: CallProgress,
+    sent: TransportResult<PassthroughResponse>,
+  ): Promise<AwaitedHead> {
+    const {repeatable, maximumTries} = call.route.target;
+    if (!repeatable || progress.possibleRuns + 1 >= maximumTries)
+      return {result: await sent, replacement: undefined};
+    const monitor = new StallMonitor<TrackedUpstream>({
+      clock: this.parts.clock,
+      stallMilliseconds: responseStallOf(call),
+      deadline: call.deadline,
+      findReplacement: this.replacementSearch(call, pool, progress),
+      releaseReplacement: () => undefined,
+    });
+    const head = await monitor.wait(sent);
+    monitor.close();
+    if (head.kind === 'ready')
+      return {result: head.value, replacement: undefined};
+    return {
+      result: Result.err({kind: 'silent', upstream: upstreamId(document.name)}),
+      replacement: head.kind === 'replaced' ? head.replacement : undefined,
+    };
+  }
+
+  /**
+   * Returns a search for an upstream that takes over from a silent one. Each
+   * limit is reported once.
+   */
+  private replacementSearch(
+    call: RoutedCall,
+    pool: PoolDocument,
+    progress: CallProgress,
+  ): () => Promise<TrackedUpstream | undefined> {
+    const {retryGate} = this;
+    const {attempts, triedUpstreams} = progress;
+    const request = {
+      call,
+      pool,
+      counts: {attempts, possibleRuns: progress.possibleRuns + 1},
+      reason: 'silent',
+      usesRetryBudget: true,
+    };
+    let reportedLimit: RetryLimit | undefined;
+    const withhold = (limit: RetryLimit) => {
+      if (limit !== reportedLimit) retryGate.reportWithheld(request, limit);
+      reportedLimit = limit;
+      return undefined;
+    };
+    return async () => {
+      const limit = retryGate.limitOf(request);
+      if (limit !== undefined) return withhold(limit);
+      const chosen = this.chooseUpstream(call, pool, triedUpstreams, true);
+      if (chosen === undefined) return withhold('capacity');
+      retryGate.acquire(request);
+      return chosen;
+    };
+  }
+
+  /** Records the outcome of an attempt. A returned response ends the call. */
+  private recordAttempt(
+    call: RoutedCall,
+    pool: PoolDocument,
+    upstream: TrackedUpstream,
+    progress: CallProgress,
+    response: Result<PassthroughResponse, PassthroughError>,
+    startedAt: number,
+  ): PassthroughResponse | undefined {
+    const {clock, observer} = this.parts;
     const now = clock.now();
     observer(call.id, {
       kind: 'stage-done',
       purpose: 'run',
-      upstream: name,
+      upstream: upstream.document.name,
       outcome: response.isOk
         ? String(response.value.status)
         : response.error.kind,
@@ -234,7 +345,7 @@
     }
     upstream.health.recordFailure(now);
     progress.serverErrorResponse = response.value;
-    return repeatable ? undefined : response.value;
+    return call.route.target.repeatable ? undefined : response.value;
   }
 
   private recordError(
@@ -258,11 +369,11 @@
   }
 }
 
-function responseTimeoutOf({route}: RoutedCall): number {
+function responseStallOf({route}: RoutedCall): number {
   const {firstTokenTargetMilliseconds} = route;
   return firstTokenTargetMilliseconds === undefined
-    ? defaultResponseTimeoutMilliseconds
-    : firstTokenTargetMilliseconds * responseTimeoutTargetFactor;
+    ? defaultResponseStallMilliseconds
+    : firstTokenTargetMilliseconds * responseStallTargetFactor;
 }
 
 function failureOf(
@@ -276,57 +387,3 @@
   if (possibleRuns === 0) return notRunFailureOf(lastError);
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
-
-/**
- * Buffers the body of a response. A longer body is streamed after the buffered
- * part. One that keeps sending bytes without an end is given up when `isOverdue`.
- */
-async function bufferResponse(
-  response: PassthroughResponse,
-  {document}: TrackedUpstream,
-  isOverdue: () => boolean,
-): Promise<Result<PassthroughResponse, PassthroughError>> {
-  const iterator = response.body[Symbol.asyncIterator]();
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  try {
-    while (size <= maximumBufferedBytes) {
-      const {done, value} = await iterator.next();
-      if (done === true)
-        return Result.ok({...response, body: yieldChunks(chunks)});
-      chunks.push(value);
-      size += value.length;
-      if (isOverdue()) {
-        await iterator.return?.();
-        return Result.err({
-          kind: 'silent',
-          upstream: upstreamId(document.name),
-        });
-      }
-    }
-  } catch (error) {
-    if (!(error instanceof InterruptedResponseError)) throw error;
-    return Result.err({kind: error.reason, upstream: error.upstream});
-  }
-  return Result.ok({...response, body: yieldChunksAndRest(chunks, iterator)});
-}
-
-async function* yieldChunks(chunks: Uint8Array[]): AsyncGenerator<Uint8Array> {
-  yield* chunks;
-}
-
-async function* yieldChunksAndRest(
-  chunks: Uint8Array[],
-  iterator: AsyncIterator<Uint8Array>,
-): AsyncGenerator<Uint8Array> {
-  try {
-    yield* chunks;
-    for (;;) {
-      const {done, value} = await iterator.next();
-      if (done === true) return;
-      yield value;
-    }
-  } finally {
-    await iterator.return?.();
-  }
-}
