Seek a replacement early enough when little time is left

A stream with a deadline of 900 ms that sent comments without end was kept for 2 s. Half of the time that is left is now the longest time without a sign of life, so that a stalled attempt ends at its deadline and a replacement has time to run.

--- a/packages/coordination/src/passthrough/stall-monitor.ts
+++ b/packages/coordination/src/passthrough/stall-monitor.ts
@@ -10,7 +10,7 @@
   readonly clock: Clock;
   /**
    * Time without a sign of life after which a replacement is sought. Twice this
-   * time may pass without progress.
+   * time may pass without progress. At most half of the time to the deadline.
    */
   readonly stallMilliseconds: number;
   /** Clock time from which a stalled attempt is given up without one. */
@@ -44,6 +44,7 @@
 
 export class StallMonitor<Replacement> {
   private readonly closing = new AbortController();
+  private readonly stallMilliseconds: number;
   private progressAt: number;
   /** Clock time of the last sign of life, progress or not. */
   private activityAt: number;
@@ -57,6 +58,11 @@
   constructor(private readonly parts: StallMonitorParts<Replacement>) {
     this.progressAt = parts.clock.now();
     this.activityAt = this.progressAt;
+    // Half of the remaining time is left for a replacement.
+    this.stallMilliseconds = Math.min(
+      parts.stallMilliseconds,
+      Math.max(0, parts.deadline - this.progressAt) / 2,
+    );
     void this.watch();
   }
 
@@ -108,7 +114,8 @@
   }
 
   private async watch(): Promise<void> {
-    const {clock, deadline, stallMilliseconds} = this.parts;
+    const {stallMilliseconds} = this;
+    const {clock, deadline} = this.parts;
     while (!this.closing.signal.aborted) {
       const now = clock.now();
       if (this.suspendedAt !== undefined) {
