Survive the end of a response without a length while it is paused

What callers saw: the process of the host ended, and with it every call on it. A server that sends a response without a length (or any response with `Connection: close`) and then closes or resets the connection was enough, if the caller read slowly at that moment.

Cause: the host paused such a response through the HTTP client, which pauses its parser. The client finishes the parser when the connection ends; it asserts that the parser is not paused, and the assertion is thrown in a socket event.

Change: the connection itself is paused, below the client. The parser is never paused. A pause ends with its response, so that a connection that goes back to the pool reads again.

Open: HttpEngine and HttpServiceSender read through the client's own streams, which pause the same parser.

--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -301,8 +301,8 @@
         }
         body = new ResponseBody({
           upstream,
-          pause: () => controller.pause(),
-          resume: () => controller.resume(),
+          pause: () => connection.pauseReading(),
+          resume: () => connection.resumeReading(),
           cancel: () => fail('cancelled'),
           idleTimeoutMilliseconds: exchange.bodyIdleTimeoutMilliseconds,
         });
--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -4,9 +4,9 @@
  * upstream may have closed it or dropped its connection state.
  */
 
-import type {Socket} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
-import {Client, buildConnector} from 'undici';
+import {Client} from 'undici';
+import {UpstreamSocket} from './upstream-socket.js';
 
 /** A connection in use by one call. */
 export interface UpstreamConnection {
@@ -16,6 +16,10 @@
    * ends this way is truncated, but the HTTP client reports it as complete.
    */
   readonly hasSocketFailed: () => boolean;
+  /** Stops reading from the connection until `resumeReading` is called. */
+  pauseReading(): void;
+  /** Has no effect once the connection was released or destroyed. */
+  resumeReading(): void;
   /** Returns the connection to the pool after a complete, valid response. */
   release(): void;
   /** Closes the connection at once and fails the call in flight. */
@@ -43,9 +47,7 @@
   private readonly idleConnections = new Map<string, IdleConnection[]>();
   private readonly openClients = new Set<Client>();
   private readonly clientsWithFailedSocket = new WeakSet<Client>();
-  private readonly connectSocket = buildConnector({
-    timeout: connectTimeoutMilliseconds,
-  });
+  private readonly sockets = new WeakMap<Client, UpstreamSocket>();
   private readonly sweepTimer: NodeJS.Timeout;
   /** Number of connections opened since the start. */
   openedCount = 0;
@@ -67,9 +69,16 @@
     return {
       client,
       hasSocketFailed: () => this.clientsWithFailedSocket.has(client),
+      pauseReading: () => {
+        if (!isReleased) this.sockets.get(client)?.pauseReading();
+      },
+      resumeReading: () => {
+        if (!isReleased) this.sockets.get(client)?.resumeReading();
+      },
       release: () => {
         if (isReleased) return;
         isReleased = true;
+        this.sockets.get(client)?.clearPause();
         this.storeIdle(address, client);
       },
       destroy: () => {
@@ -100,15 +109,21 @@
     this.openedCount += 1;
     const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: (options, callback) =>
-        this.connectSocket(options, (...result) => {
-          // Added before the HTTP client's listeners. `hasSocketFailed` is then
-          // true when the client reports the end of the response.
-          watchForSocketFailure(result[1], () =>
-            this.clientsWithFailedSocket.add(client),
-          );
-          callback(...result);
-        }),
+      connect: ({hostname, port}, callback) => {
+        const socket = new UpstreamSocket();
+        this.sockets.set(client, socket);
+        // Added before the HTTP client's listeners. `hasSocketFailed` is then
+        // true when the client reports the end of the response.
+        watchForSocketFailure(socket, () =>
+          this.clientsWithFailedSocket.add(client),
+        );
+        const onConnectError = (error: Error) => callback(error, null);
+        socket.once('error', onConnectError).once('connect', () => {
+          socket.off('error', onConnectError);
+          callback(null, socket);
+        });
+        socket.open(hostname, Number(port), connectTimeoutMilliseconds);
+      },
       // The transport enforces timeouts itself, because it needs their reason.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -150,11 +165,11 @@
  * that case the socket has no remote address, unlike after an orderly close.
  */
 function watchForSocketFailure(
-  socket: Socket | null,
+  socket: UpstreamSocket,
   onFailure: () => void,
 ): void {
-  socket?.once('error', onFailure);
-  socket?.once('end', () => {
+  socket.once('error', onFailure);
+  socket.once('end', () => {
     if (socket.remoteAddress === undefined) onFailure();
   });
 }
