Bound the bodies that the host itself reads or discards

What callers saw: an engine that answers a prefill, a reservation or a release with bytes that don't end filled the memory of the host until its process ended, or, if the bytes came slowly, held the call until its caller gave up, and a release forever. A refusal with an endless body held its connection: that of a refused release for good, that of a refused call as long as the call.

Cause: parseBody collected all bytes, and each byte restarted the idle timeout. Nobody reads the body of a refusal; it was paused at 64 KiB, where the idle timeout has no effect, or its idle timeout restarted with each byte.

Change: a body that doesn't go to the caller may have 32 KiB. The body of an engine's answer ends within the time that its head has, at least 100 ms after the head; that of a refusal within 400 ms. Both count whether bytes keep coming or not. Then the connection is closed. Bodies that go to the caller have no such limits.

--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -17,6 +17,7 @@
 import type {Dispatcher} from 'undici';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
 import {ResponseBody} from './response-body.js';
+import type {SmallBodyLimits} from './response-body.js';
 import {canConnect} from './can-connect.js';
 import {connectTimeoutMilliseconds} from './upstream-connections.js';
 import type {
@@ -36,6 +37,12 @@
 /** Timeout of reservations and releases, which engines answer from RAM. */
 const engineRequestTimeoutMilliseconds = 400;
 
+/** Largest body of an engine's answer, and of a refusal. */
+const maximumSmallBodyBytes = 32 * 1024;
+
+/** Least time in which a small body may arrive after its head. */
+const minimumSmallBodyTimeoutMilliseconds = 100;
+
 /** Headers that apply to a single connection and are not forwarded. */
 export const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
@@ -56,6 +63,11 @@
   readonly request: Dispatcher.DispatchOptions;
   readonly headersTimeoutMilliseconds: number;
   readonly bodyIdleTimeoutMilliseconds: number;
+  /**
+   * Whether the host reads the body itself. Such a body is small, and the whole
+   * response arrives within `headersTimeoutMilliseconds`.
+   */
+  readonly hasSmallBody: boolean;
   readonly signal: AbortSignal;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
@@ -81,7 +93,7 @@
     signal: AbortSignal,
   ): TransportResult<PassthroughResponse> {
     const headers = this.wireFormat.callHeaders(upstream, call, options);
-    return this.sendCall(upstream, call, headers, options, signal);
+    return this.sendCall(upstream, call, headers, options, signal, false);
   }
 
   async prefill(
@@ -97,6 +109,7 @@
       headers,
       options,
       signal,
+      true,
     );
     return this.parseBody(upstream, response, body =>
       this.wireFormat.parseCacheHandle(body),
@@ -152,6 +165,7 @@
     headers: readonly Header[],
     options: AttemptOptions,
     signal: AbortSignal,
+    hasSmallBody: boolean,
   ): TransportResult<PassthroughResponse> {
     const {headersTimeoutMilliseconds, needsNewConnection} = options;
     return sendRequest({
@@ -168,6 +182,7 @@
       },
       headersTimeoutMilliseconds,
       bodyIdleTimeoutMilliseconds: options.remainingMilliseconds,
+      hasSmallBody,
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
@@ -187,6 +202,7 @@
       request: {method, path, headers: headers.flat(), body: body ?? null},
       headersTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
       bodyIdleTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
+      hasSmallBody: true,
       signal,
       classify: classifyEngineResponse,
       onHead: (status, responseHeaders) =>
@@ -249,6 +265,7 @@
 function sendRequest(exchange: Exchange): TransportResult<PassthroughResponse> {
   const {upstream, connection, request, signal, headersTimeoutMilliseconds} =
     exchange;
+  const startedAt = performance.now();
   return new Promise(resolve => {
     let wasSent = false;
     let body: ResponseBody | undefined;
@@ -305,6 +322,7 @@
           resume: () => connection.resumeReading(),
           cancel: () => fail('cancelled'),
           idleTimeoutMilliseconds: exchange.bodyIdleTimeoutMilliseconds,
+          limits: smallBodyLimitsOf(exchange, kind, startedAt),
         });
         if (kind === 'ran')
           settle(
@@ -331,6 +349,31 @@
   });
 }
 
+/**
+ * Limits of the body of a response of `kind`; undefined if the caller gets the
+ * body. `startedAt` is the time at which the request was sent.
+ */
+function smallBodyLimitsOf(
+  {hasSmallBody, headersTimeoutMilliseconds}: Exchange,
+  kind: ResponseKind,
+  startedAt: number,
+): SmallBodyLimits | undefined {
+  const maximumBytes = maximumSmallBodyBytes;
+  // Nobody reads the body of a response that did not run the call.
+  if (kind !== 'ran')
+    return {
+      maximumBytes,
+      timeoutMilliseconds: engineRequestTimeoutMilliseconds,
+    };
+  if (!hasSmallBody) return undefined;
+  const elapsedMilliseconds = performance.now() - startedAt;
+  const timeoutMilliseconds = Math.max(
+    minimumSmallBodyTimeoutMilliseconds,
+    headersTimeoutMilliseconds - elapsedMilliseconds,
+  );
+  return {maximumBytes, timeoutMilliseconds};
+}
+
 function bodyFailureReason(kind: ErrorKind): 'broken' | 'silent' | 'cancelled' {
   return kind === 'cancelled' || kind === 'silent' ? kind : 'broken';
 }
--- a/packages/daemon/src/passthrough/response-body.ts
+++ b/packages/daemon/src/passthrough/response-body.ts
@@ -7,6 +7,13 @@
 /** Buffered bytes above which the upstream is paused for a slow reader. */
 const pauseThresholdBytes = 64 * 1024;
 
+/** Limits of a body that is small and complete soon if it is valid. */
+export interface SmallBodyLimits {
+  readonly maximumBytes: number;
+  /** Time in which the whole body arrives, whether bytes keep coming or not. */
+  readonly timeoutMilliseconds: number;
+}
+
 export interface ResponseBodyParts {
   readonly upstream: UpstreamId;
   readonly pause: () => void;
@@ -15,25 +22,40 @@
   readonly cancel: () => void;
   /** Longest wait for the next chunk while the upstream is not paused. */
   readonly idleTimeoutMilliseconds: number;
+  /** If undefined, the body may have any length and duration. */
+  readonly limits?: SmallBodyLimits | undefined;
 }
 
 /** Buffers chunks from one producer for one consumer. */
 export class ResponseBody implements AsyncIterable<Uint8Array> {
   private readonly chunks: Uint8Array[] = [];
   private bufferedBytes = 0;
+  private receivedBytes = 0;
   private isPaused = false;
   private state: 'open' | 'complete' | InterruptedResponseError = 'open';
   private wakeReader: (() => void) | undefined;
   private readonly idleTimeout: PauseAwareTimeout;
+  private readonly totalTimeout: PauseAwareTimeout | undefined;
 
   constructor(private readonly parts: ResponseBodyParts) {
     this.idleTimeout = new PauseAwareTimeout(
       parts.idleTimeoutMilliseconds,
       () => this.onIdle(),
     );
+    if (parts.limits !== undefined)
+      this.totalTimeout = new PauseAwareTimeout(
+        parts.limits.timeoutMilliseconds,
+        () => this.giveUp('silent'),
+      );
   }
 
   push(chunk: Uint8Array): void {
+    if (this.state !== 'open') return;
+    this.receivedBytes += chunk.length;
+    if (this.receivedBytes > (this.parts.limits?.maximumBytes ?? Infinity)) {
+      this.giveUp('broken');
+      return;
+    }
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes > pauseThresholdBytes && !this.isPaused) {
@@ -82,6 +104,7 @@
   private close(state: 'complete' | InterruptedResponseError): void {
     if (this.state !== 'open') return;
     this.idleTimeout.clear();
+    this.totalTimeout?.clear();
     this.state = state;
     this.wakeReader?.();
   }
@@ -89,7 +112,11 @@
   private onIdle(): void {
     // A paused upstream sends nothing. Its resumption restarts the timeout.
     if (this.isPaused) return;
-    this.fail('silent');
+    this.giveUp('silent');
+  }
+
+  private giveUp(reason: InterruptedResponseError['reason']): void {
+    this.fail(reason);
     this.parts.cancel();
   }
 
--- /dev/null
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -0,0 +1,74 @@
+/** Helpers for tests of the transport against raw TCP servers. */
+
+import type {ExecutionContext} from 'ava';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {systemClock} from '@persimmonwick/coordination';
+import type {RoutedCall, UpstreamDocument} from '@persimmonwick/coordination';
+import {HttpPassthroughTransport} from '../../src/passthrough/http-transport.js';
+import {UpstreamConnections} from '../../src/passthrough/upstream-connections.js';
+import type {UpstreamWireFormat} from '../../src/passthrough/wire-format.js';
+
+const engineRequest = () => ({
+  method: 'POST' as const,
+  path: '/engine',
+  headers: [],
+});
+
+const wireFormat: UpstreamWireFormat = {
+  callHeaders: () => [],
+  prefillHeaders: () => [],
+  classifyResponse: (_call, status) => (status === 503 ? 'refused' : 'ran'),
+  parseNotice: () => ({isLeaving: false, pauseMilliseconds: undefined}),
+  parseCacheHandle: body => body,
+  cacheReleaseRequest: engineRequest,
+  reservationRequest: engineRequest,
+  parseReservationId: body => body,
+  reservationReleaseRequest: engineRequest,
+};
+
+export const sampleCall = {
+  method: 'POST',
+  target: '/',
+  body: new Uint8Array(),
+} as Partial<RoutedCall> as RoutedCall;
+
+export const sleep = (milliseconds: number) =>
+  new Promise(resolve => setTimeout(resolve, milliseconds));
+
+export interface TestTransport {
+  readonly transport: HttpPassthroughTransport;
+  readonly connections: UpstreamConnections;
+}
+
+export function createTransport(t: ExecutionContext): TestTransport {
+  const connections = new UpstreamConnections(systemClock);
+  t.teardown(() => connections.closeAll());
+  const transport = new HttpPassthroughTransport(
+    connections,
+    wireFormat,
+    () => undefined,
+  );
+  return {transport, connections};
+}
+
+export function upstreamAt(port: number): UpstreamDocument {
+  const spec = {address: `127.0.0.1:${port}`};
+  return {name: 'u-1', spec} as UpstreamDocument;
+}
+
+/** Listens on a free port and calls `onRequest` for each connection. */
+export async function serveRaw(
+  t: ExecutionContext,
+  onRequest: (socket: Socket) => void,
+): Promise<number> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => onRequest(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => server.close());
+  return (server.address() as AddressInfo).port;
+}
--- a/packages/daemon/test/passthrough/unframed-responses.test.ts
+++ b/packages/daemon/test/passthrough/unframed-responses.test.ts
@@ -1,21 +1,18 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {once} from 'node:events';
-import {createServer as createHttpServer} from 'node:http';
-import {createServer} from 'node:net';
+import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {InterruptedResponseError} from '@persimmonwick/coordination';
+import type {PassthroughResponse} from '@persimmonwick/coordination';
+import type {HttpPassthroughTransport} from '../../src/passthrough/http-transport.js';
 import {
-  InterruptedResponseError,
-  systemClock,
-} from '@persimmonwick/coordination';
-import type {
-  PassthroughResponse,
-  RoutedCall,
-  UpstreamDocument,
-} from '@persimmonwick/coordination';
-import {HttpPassthroughTransport} from '../../src/passthrough/http-transport.js';
-import {UpstreamConnections} from '../../src/passthrough/upstream-connections.js';
-import type {UpstreamWireFormat} from '../../src/passthrough/wire-format.js';
+  createTransport,
+  sampleCall,
+  serveRaw,
+  sleep,
+  upstreamAt,
+} from './transport-tools.js';
 
 const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 
@@ -23,34 +20,14 @@
 const partBytes = 100 * 1024;
 const partCount = 3;
 
-const wireFormat = {
-  callHeaders: () => [],
-  classifyResponse: () => 'ran',
-  parseNotice: () => ({isLeaving: false, pauseMilliseconds: undefined}),
-} as unknown as UpstreamWireFormat;
-
-const sleep = (milliseconds: number) =>
-  new Promise(resolve => setTimeout(resolve, milliseconds));
-
-function createTransport(t: ExecutionContext) {
-  const connections = new UpstreamConnections(systemClock);
-  t.teardown(() => connections.closeAll());
-  const transport = new HttpPassthroughTransport(
-    connections,
-    wireFormat,
-    () => undefined,
-  );
-  return {transport, connections};
-}
-
 async function sendTo(
   transport: HttpPassthroughTransport,
   port: number,
   needsNewConnection: boolean,
 ): Promise<PassthroughResponse> {
   const response = await transport.send(
-    {name: 'u-1', spec: {address: `127.0.0.1:${port}`}} as UpstreamDocument,
-    {method: 'POST', target: '/', body: new Uint8Array()} as RoutedCall,
+    upstreamAt(port),
+    sampleCall,
     {
       remainingMilliseconds: 5000,
       needsNewConnection,
@@ -72,23 +49,16 @@
   parts: number,
   endResponse: (socket: Socket) => void,
 ): Promise<PassthroughResponse> {
-  const server = createServer(socket => {
-    socket.on('error', () => undefined);
-    socket.once('data', () => {
-      socket.write(head);
-      void (async () => {
-        for (let part = 0; part < parts; part += 1) {
-          socket.write(Buffer.alloc(partBytes, 'x'));
-          await sleep(20);
-        }
-        endResponse(socket);
-      })();
-    });
+  const port = await serveRaw(t, socket => {
+    socket.write(head);
+    void (async () => {
+      for (let part = 0; part < parts; part += 1) {
+        socket.write(Buffer.alloc(partBytes, 'x'));
+        await sleep(20);
+      }
+      endResponse(socket);
+    })();
   });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  t.teardown(() => server.close());
-  const {port} = server.address() as AddressInfo;
   return sendTo(createTransport(t).transport, port, true);
 }
 
@@ -135,7 +105,7 @@
 
 test('a connection is used again after its response paused it at the end', async t => {
   const body = 'x'.repeat(partBytes);
-  const server = createHttpServer((_request, response) => {
+  const server = createServer((_request, response) => {
     response.setHeader('Content-Length', body.length);
     response.end(body);
   });
