Give up a response whose head or framing does not end

What callers saw: a server that sends informational responses, blank lines or a status text without end was read, as fast as it sent, until the deadline of the call (2 s if another attempt was allowed), and chunk extensions without end until the idle timeout; so was a connection that had gone back to the pool. What this costs the other calls of the host was not measured.

Cause: the HTTP client limits header lines (16 KiB in one head) and nothing else of the framing.

Change: a connection counts the bytes since the last end of a final head or data of a body; above 64 KiB the next read closes it, and the attempt fails as broken. What has been counted was parsed before, so that a head whose body follows in the same read isn't concerned. A server that is silent, or sends little, still has until the deadline.

--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -309,6 +309,7 @@
       onResponseStart(controller, status, headers) {
         // Informational (1xx) responses precede the final one.
         if (status < 200 || isSettled) return;
+        connection.recordProgress();
         const kind = exchange.classify(status, headers);
         // A misdirected request was answered by another process.
         if (kind !== 'misdirected') exchange.onHead(status, headers);
@@ -331,6 +332,7 @@
         else settle(Result.err({kind, upstream}));
       },
       onResponseData(_controller, chunk) {
+        connection.recordProgress();
         body?.push(chunk);
       },
       onResponseEnd() {
--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -16,6 +16,8 @@
    * ends this way is truncated, but the HTTP client reports it as complete.
    */
   readonly hasSocketFailed: () => boolean;
+  /** Records that the final head or data of the body has arrived. */
+  recordProgress(): void;
   /** Stops reading from the connection until `resumeReading` is called. */
   pauseReading(): void;
   /** Has no effect once the connection was released or destroyed. */
@@ -69,6 +71,7 @@
     return {
       client,
       hasSocketFailed: () => this.clientsWithFailedSocket.has(client),
+      recordProgress: () => this.sockets.get(client)?.recordProgress(),
       pauseReading: () => {
         if (!isReleased) this.sockets.get(client)?.pauseReading();
       },
@@ -78,7 +81,7 @@
       release: () => {
         if (isReleased) return;
         isReleased = true;
-        this.sockets.get(client)?.clearPause();
+        this.sockets.get(client)?.endResponse();
         this.storeIdle(address, client);
       },
       destroy: () => {
--- a/packages/daemon/test/passthrough/endless-responses.test.ts
+++ b/packages/daemon/test/passthrough/endless-responses.test.ts
@@ -16,6 +16,7 @@
 const sentBytesLimit = 128 << 20;
 
 const neverAborted = new AbortController().signal;
+const okHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
 const unframedHead = 'HTTP/1.1 200 OK\r\n\r\n';
 const refusedHead = 'HTTP/1.1 503 Busy\r\n\r\n';
 const fast = {partBytes: 64 * 1024, pauseMilliseconds: 0};
@@ -121,3 +122,90 @@
   await transport.releaseReservation(upstreamAt(server.port), 'id');
   await checkEnded(t, server);
 });
+
+const endlessHeads: Record<string, readonly [head: string, part: string]> = {
+  'header lines': ['HTTP/1.1 200 OK\r\n', 'a: b\r\n'],
+  'a header value': ['HTTP/1.1 200 OK\r\na: ', 'b'],
+  'a header name': ['HTTP/1.1 200 OK\r\na', 'a'],
+  'a status text': ['HTTP/1.1 200 ', 'x'],
+  'informational responses': ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
+  'early hints': ['', 'HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n'],
+  'blank lines': ['', '\r\n'],
+  'no HTTP at all': ['', '%'],
+};
+
+for (const [name, [head, part]] of Object.entries(endlessHeads)) {
+  test(`a fast endless head of ${name} is given up at once`, async t => {
+    const repeated = part.repeat(fast.partBytes / part.length);
+    const server = await serveEndless(t, head, repeated, fast);
+    const {transport} = createTransport(t);
+    const startedAt = performance.now();
+    const sent = await transport.send(
+      upstreamAt(server.port),
+      sampleCall,
+      {...options, headersTimeoutMilliseconds: 5000},
+      neverAborted,
+    );
+    t.is(sent.isErr && sent.error.kind, 'broken');
+    t.true(performance.now() - startedAt < 3000);
+    await checkEnded(t, server);
+  });
+
+  test(`a slow endless head of ${name} is given up in time`, async t => {
+    const server = await serveEndless(t, head, part, slow);
+    const {transport} = createTransport(t);
+    const startedAt = performance.now();
+    const sent = await transport.send(
+      upstreamAt(server.port),
+      sampleCall,
+      options,
+      neverAborted,
+    );
+    t.true(sent.isErr && ['broken', 'silent'].includes(sent.error.kind));
+    t.true(performance.now() - startedAt < 1500);
+    await checkEnded(t, server);
+  });
+}
+
+test('blank lines after a complete response do not reach the next request', async t => {
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx';
+  const part = '\r\n'.repeat(fast.partBytes / 2);
+  const server = await serveEndless(t, head, part, fast);
+  const {transport} = createTransport(t);
+  const reserved = await transport.reserve(
+    upstreamAt(server.port),
+    1,
+    1000,
+    neverAborted,
+  );
+  t.true(reserved.isOk);
+  await checkEnded(t, server);
+});
+
+for (const [name, part] of Object.entries({
+  'chunk extensions': 'x',
+  trailers: 'a: b\r\n',
+}))
+  test(`endless ${name} end a response`, async t => {
+    const head = name === 'trailers' ? `${okHead}0\r\n` : `${okHead}1;`;
+    const repeated = part.repeat(fast.partBytes / part.length);
+    const server = await serveEndless(t, head, repeated, fast);
+    const {transport} = createTransport(t);
+    const sent = await transport.send(
+      upstreamAt(server.port),
+      sampleCall,
+      {...options, bodyIdleTimeoutMilliseconds: 5000},
+      neverAborted,
+    );
+    const outcome = await Promise.race([
+      (async () => {
+        for await (const _ of sent.unwrapOr(undefined)?.body ?? []);
+      })().then(
+        () => 'complete',
+        () => 'failed',
+      ),
+      sleep(2500).then(() => 'pending'),
+    ]);
+    t.is(outcome, 'failed');
+    await checkEnded(t, server);
+  });
