--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -34,6 +34,18 @@
   body: new Uint8Array(),
 } as Partial<RoutedCall> as RoutedCall;
 
+/** A call whose body is not limited by its deadline. */
+export const sampleStream = {
+  ...sampleCall,
+  generation: {
+    model: 'm-1',
+    promptTokens: 1,
+    maximumOutputTokens: 1,
+    expectedOutputTokens: undefined,
+    promptParts: [],
+  },
+};
+
 export const sleep = (milliseconds: number) =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
 
