End the response to a plain call at the deadline of the call

What callers saw: a plain response that sends bytes without end and more than 1 MiB was passed on for as long as it went, past the deadline of the call; one that sends its last bytes late and then nothing was waited for for up to twice the time of the call (1609 ms at a deadline of 900 ms).

Cause: the time that remains for the call limited only the time between two parts of the body, and the check of the deadline applied only to the first MiB.

Change: the remaining time of the call limits its whole body, at least 100 ms after the head. At its end the caller gets 504 if nothing was passed on yet, else its connection is closed, so that the response doesn't look complete. The connection to the server is closed, too. Streams of generations are as before.

--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -15,9 +15,10 @@
 } from '@persimmonwick/coordination';
 import {Result} from 'true-myth';
 import type {Dispatcher} from 'undici';
+import {remainingLimits, smallBodyLimits} from './body-limits.js';
+import type {BodyLimits} from './body-limits.js';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
 import {ResponseBody} from './response-body.js';
-import type {SmallBodyLimits} from './response-body.js';
 import {canConnect} from './can-connect.js';
 import {connectTimeoutMilliseconds} from './upstream-connections.js';
 import type {
@@ -37,12 +38,6 @@
 /** Timeout of reservations and releases, which engines answer from RAM. */
 const engineRequestTimeoutMilliseconds = 400;
 
-/** Largest body of an engine's answer, and of a refusal. */
-const maximumSmallBodyBytes = 32 * 1024;
-
-/** Least time in which a small body may arrive after its head. */
-const minimumSmallBodyTimeoutMilliseconds = 100;
-
 /** Headers that apply to a single connection and are not forwarded. */
 export const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
@@ -63,11 +58,8 @@
   readonly request: Dispatcher.DispatchOptions;
   readonly headersTimeoutMilliseconds: number;
   readonly bodyIdleTimeoutMilliseconds: number;
-  /**
-   * Whether the host reads the body itself. Such a body is small, and the whole
-   * response arrives within `headersTimeoutMilliseconds`.
-   */
-  readonly hasSmallBody: boolean;
+  /** Limits of the body, whose time starts with the request; none if undefined. */
+  readonly bodyLimits: BodyLimits | undefined;
   readonly signal: AbortSignal;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
@@ -93,7 +85,15 @@
     signal: AbortSignal,
   ): TransportResult<PassthroughResponse> {
     const headers = this.wireFormat.callHeaders(upstream, call, options);
-    return this.sendCall(upstream, call, headers, options, signal, false);
+    // The relay of events decides how long a stream may take.
+    const limits =
+      call.generation === undefined
+        ? {
+            maximumBytes: Infinity,
+            timeoutMilliseconds: options.remainingMilliseconds,
+          }
+        : undefined;
+    return this.sendCall(upstream, call, headers, options, signal, limits);
   }
 
   async prefill(
@@ -109,7 +109,7 @@
       headers,
       options,
       signal,
-      true,
+      smallBodyLimits(options.headersTimeoutMilliseconds),
     );
     return this.parseBody(upstream, response, body =>
       this.wireFormat.parseCacheHandle(body),
@@ -165,7 +165,7 @@
     headers: readonly Header[],
     options: AttemptOptions,
     signal: AbortSignal,
-    hasSmallBody: boolean,
+    bodyLimits: BodyLimits | undefined,
   ): TransportResult<PassthroughResponse> {
     const {headersTimeoutMilliseconds, needsNewConnection} = options;
     return sendRequest({
@@ -182,7 +182,7 @@
       },
       headersTimeoutMilliseconds,
       bodyIdleTimeoutMilliseconds: options.remainingMilliseconds,
-      hasSmallBody,
+      bodyLimits,
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
@@ -202,7 +202,7 @@
       request: {method, path, headers: headers.flat(), body: body ?? null},
       headersTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
       bodyIdleTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
-      hasSmallBody: true,
+      bodyLimits: smallBodyLimits(engineRequestTimeoutMilliseconds),
       signal,
       classify: classifyEngineResponse,
       onHead: (status, responseHeaders) =>
@@ -323,7 +323,7 @@
           resume: () => connection.resumeReading(),
           cancel: () => fail('cancelled'),
           idleTimeoutMilliseconds: exchange.bodyIdleTimeoutMilliseconds,
-          limits: smallBodyLimitsOf(exchange, kind, startedAt),
+          limits: bodyLimitsOf(exchange, kind, startedAt),
         });
         if (kind === 'ran')
           settle(
@@ -352,28 +352,19 @@
 }
 
 /**
- * Limits of the body of a response of `kind`; undefined if the caller gets the
- * body. `startedAt` is the time at which the request was sent.
+ * Limits of the body of a response of `kind` from its head on. `startedAt` is the
+ * time at which the request was sent.
  */
-function smallBodyLimitsOf(
-  {hasSmallBody, headersTimeoutMilliseconds}: Exchange,
+function bodyLimitsOf(
+  {bodyLimits}: Exchange,
   kind: ResponseKind,
   startedAt: number,
-): SmallBodyLimits | undefined {
-  const maximumBytes = maximumSmallBodyBytes;
+): BodyLimits | undefined {
   // Nobody reads the body of a response that did not run the call.
-  if (kind !== 'ran')
-    return {
-      maximumBytes,
-      timeoutMilliseconds: engineRequestTimeoutMilliseconds,
-    };
-  if (!hasSmallBody) return undefined;
-  const elapsedMilliseconds = performance.now() - startedAt;
-  const timeoutMilliseconds = Math.max(
-    minimumSmallBodyTimeoutMilliseconds,
-    headersTimeoutMilliseconds - elapsedMilliseconds,
+  if (kind !== 'ran') return smallBodyLimits(engineRequestTimeoutMilliseconds);
+  return (
+    bodyLimits && remainingLimits(bodyLimits, performance.now() - startedAt)
   );
-  return {maximumBytes, timeoutMilliseconds};
 }
 
 function bodyFailureReason(kind: ErrorKind): 'broken' | 'silent' | 'cancelled' {
--- a/packages/daemon/src/passthrough/response-body.ts
+++ b/packages/daemon/src/passthrough/response-body.ts
@@ -2,18 +2,12 @@
 
 import {InterruptedResponseError} from '@persimmonwick/coordination';
 import type {UpstreamId} from '@persimmonwick/coordination';
+import type {BodyLimits} from './body-limits.js';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
 
 /** Buffered bytes above which the upstream is paused for a slow reader. */
 const pauseThresholdBytes = 64 * 1024;
 
-/** Limits of a body that is small and complete soon if it is valid. */
-export interface SmallBodyLimits {
-  readonly maximumBytes: number;
-  /** Time in which the whole body arrives, whether bytes keep coming or not. */
-  readonly timeoutMilliseconds: number;
-}
-
 export interface ResponseBodyParts {
   readonly upstream: UpstreamId;
   readonly pause: () => void;
@@ -23,7 +17,7 @@
   /** Longest wait for the next chunk while the upstream is not paused. */
   readonly idleTimeoutMilliseconds: number;
   /** If undefined, the body may have any length and duration. */
-  readonly limits?: SmallBodyLimits | undefined;
+  readonly limits?: BodyLimits | undefined;
 }
 
 /** Buffers chunks from one producer for one consumer. */
