Don't count comments as progress of a stream

What callers saw: an engine that answers a generation with comments of an event stream without end, fast or slow, before any event with an id kept the call past its deadline, with its connection and its load (2309 and 2302 ms at a deadline of 900 ms, where the test's caller gave up).

Cause: where no event with an id had arrived, every frame counted as progress, comments and unknown fields, too.

Change: a frame without an id counts only if it has data, and as before only where no other has an id. The stream then ends at the deadline, or is resumed after the second without progress that holds for resumable streams.

Before: the 4 tests with endless-comments fail (2301 to 2309 ms, bound 1400 ms). After: they pass, with the other tests of streams and events (20 tests).

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -77,8 +77,9 @@
           yield event.bytes;
           monitor.resume();
         }
-        // Comments are no progress where the events of a stream have ids.
-        if (event.id !== undefined || state.lastEventId === undefined)
+        // Comments do not count, nor events without ids where others have ids.
+        const hasIds = state.lastEventId !== undefined;
+        if (event.id !== undefined || (event.hasData && !hasIds))
           monitor.recordProgress();
       }
     }
--- a/packages/coordination/src/passthrough/event-stream-splitter.ts
+++ b/packages/coordination/src/passthrough/event-stream-splitter.ts
@@ -16,6 +16,8 @@
    * Numeric id of the event; undefined for comments and events without an id.
    */
   readonly id: number | undefined;
+  /** Whether the event has data; comments and unknown fields have none. */
+  readonly hasData: boolean;
 }
 
 /**
@@ -43,7 +45,7 @@
       const end = findEventEnd(bytes, start);
       if (end === undefined) break;
       const event = bytes.subarray(start, end);
-      frames.push({bytes: event, id: eventIdOf(event)});
+      frames.push(parseEvent(event));
       start = end;
     }
     this.pending = Buffer.from(bytes.subarray(start));
@@ -71,7 +73,12 @@
   return undefined;
 }
 
-function eventIdOf(event: Buffer): number | undefined {
-  const match = /^id:[ ]?(\d+)\r?$/m.exec(event.toString('latin1'));
-  return match === null ? undefined : Number(match[1]);
+function parseEvent(event: Buffer): EventFrame {
+  const text = event.toString('latin1');
+  const match = /^id:[ ]?(\d+)\r?$/m.exec(text);
+  return {
+    bytes: event,
+    id: match === null ? undefined : Number(match[1]),
+    hasData: /^data(:|\r?$)/m.test(text),
+  };
 }
