Start the queue timeout again for a stream interrupted before its first event

What callers saw: a resumable stream whose engine answered and then sent no event for a second was broken off, although another engine was idle.

Cause: the queue timeout starts again for a resumed stream, which was recognized by the id of an event that the caller had. Without an event the timeout counted from the arrival of the call and had passed (810 ms in the test's site) when the second without progress ended; the reservation at the other engine expired at once.

Change: the state of a generation says that a stream was interrupted; resume sets it, and the queue timeout starts anew from then on, as it did before for streams with an event.

Before: 'endless-comments: a resumable stream continues at another engine', fast and slow, fails (the log: callRetried with reason silent, then requestFailed, with no second engine asked). After: both pass, with the tests of unframed streams that are resumed.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -197,10 +197,8 @@
   }
 
   /** The queue timeout starts again when an interrupted stream is resumed. */
-  private queuedAtOf({call, lastEventId}: GenerationState): number {
-    return lastEventId === call.lastEventId
-      ? call.arrivedAt
-      : this.parts.clock.now();
+  private queuedAtOf({call, isInterrupted}: GenerationState): number {
+    return isInterrupted ? this.parts.clock.now() : call.arrivedAt;
   }
 
   private usableDecodeEngines({
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -52,6 +52,8 @@
    * engine failed or led to another process.
    */
   reusableCache: PrefilledCache | undefined;
+  /** Whether a stream was interrupted that an engine had started. */
+  isInterrupted: boolean;
   /** Id of the last event that the caller has. */
   lastEventId: number | undefined;
   lastError: PassthroughError | undefined;
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -64,6 +64,7 @@
       possibleRuns: 0,
       shouldSkipPrefillStage: false,
       reusableCache: undefined,
+      isInterrupted: false,
       lastEventId: call.lastEventId,
       lastError: undefined,
     };
@@ -158,6 +159,7 @@
     )
       return undefined;
     state.shouldSkipPrefillStage = false;
+    state.isInterrupted = true;
     const started = await this.attempts.start(state, replacement);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) {
