--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -70,17 +70,16 @@
       monitor.recordActivity();
       for (const event of splitter.push(next.value.value)) {
         const isRepeated = recordEventId(state, event.id);
+        // Comments do not count, nor events without ids where others have ids.
+        const hasIds = state.lastEventId !== undefined;
+        const isProgress = event.id !== undefined || (event.hasData && !hasIds);
+        if (isProgress) monitor.suspend();
         if (!isRepeated) {
           events += 1;
           recordMemory(state, reservation, events);
-          monitor.suspend();
           yield event.bytes;
-          monitor.resume();
         }
-        // Comments do not count, nor events without ids where others have ids.
-        const hasIds = state.lastEventId !== undefined;
-        if (event.id !== undefined || (event.hasData && !hasIds))
-          monitor.recordProgress();
+        if (isProgress) monitor.resume();
       }
     }
   } catch (error) {
--- a/packages/coordination/src/passthrough/stall-monitor.ts
+++ b/packages/coordination/src/passthrough/stall-monitor.ts
@@ -50,7 +50,7 @@
   private activityAt: number;
   private nextSearchAt = -Infinity;
   private search: AbortController | undefined;
-  private suspendedAt: number | undefined;
+  private isSuspended = false;
   private abandonment: Abandonment<Replacement> | undefined;
   /** Ends the pending `wait`, if there is one. */
   private endWait: ((reason: Abandonment<Replacement>) => void) | undefined;
@@ -71,30 +71,22 @@
     return this.progressAt;
   }
 
-  recordProgress(): void {
-    this.progressAt = this.parts.clock.now();
-    this.activityAt = this.progressAt;
-    this.search?.abort();
-  }
-
   /** Records a sign of life that is no progress. It postpones a search once. */
   recordActivity(): void {
     this.activityAt = this.parts.clock.now();
   }
 
-  /** Stops the time while the upstream is not waited for. */
+  /** Stops the time while progress is passed on to a caller that may be slow. */
   suspend(): void {
-    this.suspendedAt = this.parts.clock.now();
+    this.isSuspended = true;
     this.search?.abort();
   }
 
+  /** Records the progress that was passed on. */
   resume(): void {
-    const {suspendedAt} = this;
-    if (suspendedAt === undefined) return;
-    const suspension = this.parts.clock.now() - suspendedAt;
-    this.progressAt += suspension;
-    this.activityAt += suspension;
-    this.suspendedAt = undefined;
+    this.isSuspended = false;
+    this.progressAt = this.parts.clock.now();
+    this.activityAt = this.progressAt;
   }
 
   /** Waits for `work`, unless the attempt is to be given up before. */
@@ -118,7 +110,7 @@
     const {clock, deadline} = this.parts;
     while (!this.closing.signal.aborted) {
       const now = clock.now();
-      if (this.suspendedAt !== undefined) {
+      if (this.isSuspended) {
         await this.sleepUntil(now + searchIntervalMilliseconds);
         continue;
       }
--- a/packages/coordination/test/stall-monitor.test.ts
+++ b/packages/coordination/test/stall-monitor.test.ts
@@ -5,6 +5,11 @@
 
 const never = new Promise<never>(() => undefined);
 
+function recordProgress(monitor: StallMonitor<string>): void {
+  monitor.suspend();
+  monitor.resume();
+}
+
 /** A monitor whose searches find what `available` holds. */
 function createMonitor(options: {deadline?: number} = {}) {
   const time = new VirtualClock();
@@ -44,7 +49,7 @@
   const work = time.sleep(1010).then(() => 'event');
   const result = await time.runUntil(monitor.wait(work));
   t.deepEqual(result, {kind: 'ready', value: 'event'});
-  monitor.recordProgress();
+  recordProgress(monitor);
   await time.advance(100);
   t.deepEqual(released, ['engine-2']);
   monitor.close();
@@ -61,7 +66,7 @@
   for (let event = 0; event < 10; event += 1) {
     const next = await time.runUntil(monitor.wait(time.sleep(700)));
     t.is(next.kind, 'ready');
-    monitor.recordProgress();
+    recordProgress(monitor);
   }
   monitor.close();
 });
@@ -100,7 +105,7 @@
   await time.advance(2000);
   clock.resume();
   t.is((await time.runUntil(waiting)).kind, 'ready');
-  monitor.recordProgress();
+  recordProgress(monitor);
   t.is(found.searches, 0);
   monitor.close();
 });
