Split an unfinished event in time proportional to its bytes

What callers saw: a server that sends an event without end in small pieces took the processor of the host for seconds, in which no other call went on.

Cause: each piece was appended by copying all bytes of the event so far, and the whole event was searched for its end again.

Change: the buffer doubles its size, only the new bytes are searched, and an end that spans two pieces is found from the last two bytes of the buffer.

--- a/packages/coordination/src/passthrough/event-stream-splitter.ts
+++ b/packages/coordination/src/passthrough/event-stream-splitter.ts
@@ -31,31 +31,68 @@
 }
 
 export class EventStreamSplitter {
-  private pending = Buffer.alloc(0);
+  /** Bytes of the incomplete event, followed by unused space. */
+  private buffer = Buffer.alloc(0);
+  private bufferedBytes = 0;
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Uint8Array): EventFrame[] {
-    const bytes =
-      this.pending.length === 0
-        ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength)
-        : Buffer.concat([this.pending, chunk]);
+    const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
     const frames: EventFrame[] = [];
     let start = 0;
     for (;;) {
-      const end = findEventEnd(bytes, start);
+      const end = this.findEndAcross(bytes) ?? findEventEnd(bytes, start);
       if (end === undefined) break;
-      const event = bytes.subarray(start, end);
-      frames.push(parseEvent(event));
+      frames.push(parseEvent(this.takeEvent(bytes.subarray(start, end))));
       start = end;
     }
-    this.pending = Buffer.from(bytes.subarray(start));
-    if (this.pending.length > maximumEventBytes) throw new EventTooLongError();
+    this.append(bytes.subarray(start));
+    if (this.bufferedBytes > maximumEventBytes) throw new EventTooLongError();
     return frames;
   }
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.pending.length;
+    return this.bufferedBytes;
+  }
+
+  /**
+   * Returns the index in `bytes` after a blank line that begins in the buffer;
+   * undefined if there is none.
+   */
+  private findEndAcross(bytes: Buffer): number | undefined {
+    const last = this.buffer[this.bufferedBytes - 1];
+    const isAfterLineFeed = this.bufferedBytes > 0 && last === lineFeed;
+    if (isAfterLineFeed && bytes[0] === lineFeed) return 1;
+    if (isAfterLineFeed && bytes[0] === carriageReturn && bytes[1] === lineFeed)
+      return 2;
+    const isAfterBoth =
+      this.bufferedBytes > 1 &&
+      last === carriageReturn &&
+      this.buffer[this.bufferedBytes - 2] === lineFeed;
+    return isAfterBoth && bytes[0] === lineFeed ? 1 : undefined;
+  }
+
+  /** Returns the buffered bytes with `rest`, and empties the buffer. */
+  private takeEvent(rest: Buffer): Buffer {
+    if (this.bufferedBytes === 0) return rest;
+    const buffered = this.buffer.subarray(0, this.bufferedBytes);
+    const event = Buffer.concat([buffered, rest]);
+    this.buffer = Buffer.alloc(0);
+    this.bufferedBytes = 0;
+    return event;
+  }
+
+  private append(bytes: Buffer): void {
+    const size = this.bufferedBytes + bytes.length;
+    if (size > this.buffer.length) {
+      // Doubling the size makes the cost of all copies proportional to the size.
+      const grown = Buffer.alloc(Math.max(size, 2 * this.buffer.length));
+      this.buffer.copy(grown, 0, 0, this.bufferedBytes);
+      this.buffer = grown;
+    }
+    bytes.copy(this.buffer, this.bufferedBytes);
+    this.bufferedBytes = size;
   }
 }
 
