Judge a response by the failure of its own connection

Cause: the HTTP client destroys the socket after a response without a length, with an error event. The pool kept the client, which was marked as failed; on its next socket the complete response counted as reset, and as broken.

Change: the mark ends with the next socket of the client, and a socket that the client no longer uses doesn't set it.

--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/passthrough/upstream-connections.ts
@@ -115,11 +115,14 @@
       connect: ({hostname, port}, callback) => {
         const socket = new UpstreamSocket();
         this.sockets.set(client, socket);
+        this.clientsWithFailedSocket.delete(client);
         // Added before the HTTP client's listeners. `hasSocketFailed` is then
         // true when the client reports the end of the response.
-        watchForSocketFailure(socket, () =>
-          this.clientsWithFailedSocket.add(client),
-        );
+        watchForSocketFailure(socket, () => {
+          // The client may already have another socket.
+          if (this.sockets.get(client) === socket)
+            this.clientsWithFailedSocket.add(client);
+        });
         const onConnectError = (error: Error) => callback(error, null);
         socket.once('error', onConnectError).once('connect', () => {
           socket.off('error', onConnectError);
