Keep a search for a replacement from harming other calls and engines

Found in review of the search that replaces silent attempts, each with a test that failed before: - a stream of a route that is repeatable but not resumable was cut after 1 s of silence: a search began although the route allows no resumption; - an aborted search marked sound engines as unreachable, one after the other, and a reservation that was granted meanwhile stayed at its engine: the request for a reservation now ends by its own timeout and is released if it comes too late; - a search that finds no engine held up the other calls of the pool; - the search could reserve at the silent engine itself, and its end could take back that an engine is avoided which had failed meanwhile: it has a set of its own; - a search that takes long postponed the end at the deadline, and a replacement that nobody took kept its reservation; - an event that arrived while the process stood still lost against a replacement.

Two faults of the same class remain and are listed: the replacement may still refuse the run after the first attempt was given up.

--- a/packages/coordination/src/passthrough/engine-replacement.ts
+++ b/packages/coordination/src/passthrough/engine-replacement.ts
@@ -16,6 +16,7 @@
   readonly retryGate: RetryGate;
   readonly reserve: (
     signal: AbortSignal,
+    avoidedUpstreams: ReadonlySet<string>,
   ) => Promise<Result<EngineReservation, RequestFailure>>;
   readonly releaseReservation: (reservation: EngineReservation) => void;
 }
@@ -38,15 +39,14 @@
     const limit = retryGate.limitOf(this.retryRequest());
     if (limit !== undefined) return this.withhold(limit);
     const {name} = this.engine.document;
-    avoidedUpstreams.add(name);
-    const reserved = await reserve(signal);
-    if (reserved.isErr) {
-      avoidedUpstreams.delete(name);
+    const reserved = await reserve(
+      signal,
+      new Set([...avoidedUpstreams, name]),
+    );
+    if (reserved.isErr)
       return signal.aborted ? undefined : this.withhold('capacity');
-    }
     if (!signal.aborted && retryGate.acquire(this.retryRequest()))
       return reserved.value;
-    avoidedUpstreams.delete(name);
     releaseReservation(reserved.value);
     return undefined;
   }
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -72,6 +72,8 @@
   readonly stallMilliseconds: number;
   /** Attempts that may have run the call, with the one that is watched. */
   readonly possibleRuns: number;
+  /** Whether the call may go on at another engine. */
+  readonly isReplaceable: boolean;
 }
 
 export class GenerationAttempts {
@@ -171,9 +173,15 @@
     state: GenerationState,
     signal: AbortSignal,
     queuedAt: number,
+    searchAvoids?: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
-    const {call, generation, avoidedUpstreams, pool} = state;
-    if (this.usableDecodeEngines(state).length === 0) avoidedUpstreams.clear();
+    const {call, generation, pool} = state;
+    if (
+      searchAvoids === undefined &&
+      this.usableDecodeEngines(state).length === 0
+    )
+      state.avoidedUpstreams.clear();
+    const avoidedUpstreams = searchAvoids ?? state.avoidedUpstreams;
     const queueDeadline = Math.min(
       call.deadline,
       queuedAt + queueTimeoutOf(call),
@@ -276,6 +284,7 @@
     const monitor = this.monitorAttempt(state, engine, {
       stallMilliseconds: headStallMilliseconds,
       possibleRuns: state.possibleRuns + 1,
+      isReplaceable: state.call.route.target.repeatable,
     });
     const head = await monitor.wait(sent);
     monitor.close();
@@ -292,7 +301,7 @@
   monitorAttempt(
     state: GenerationState,
     engine: TrackedUpstream,
-    {stallMilliseconds, possibleRuns}: MonitorOptions,
+    {stallMilliseconds, possibleRuns, isReplaceable}: MonitorOptions,
   ): StallMonitor<EngineReservation> {
     const {clock, releases} = this.parts;
     const releaseReplacement = (reservation: EngineReservation) =>
@@ -300,20 +309,20 @@
     const replacement = new EngineReplacement(
       {
         retryGate: this.retryGate,
-        reserve: signal => this.reserve(state, signal, clock.now()),
+        reserve: (signal, avoided) =>
+          this.reserve(state, signal, clock.now(), avoided),
         releaseReservation: releaseReplacement,
       },
       state,
       engine,
       possibleRuns,
     );
-    const {repeatable} = state.call.route.target;
     return new StallMonitor({
       clock,
       stallMilliseconds,
       deadline: state.call.deadline,
       findReplacement: signal =>
-        repeatable ? replacement.find(signal) : Promise.resolve(undefined),
+        isReplaceable ? replacement.find(signal) : Promise.resolve(undefined),
       releaseReplacement,
     });
   }
@@ -339,6 +348,7 @@
       state.shouldSkipPrefillStage = true;
       return;
     }
+    if (state.signal.aborted) return;
     state.avoidedUpstreams.add(engine.document.name);
     recordAttemptFailure(engine, error, now);
   }
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -108,6 +108,7 @@
     const monitor = this.attempts.monitorAttempt(state, reservation.upstream, {
       stallMilliseconds: streamStallMilliseconds,
       possibleRuns: state.possibleRuns,
+      isReplaceable: state.call.route.target.resumable ?? false,
     });
     try {
       return yield* relayEvents({
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -57,6 +57,8 @@
 
 /** Outcome of the attempts of one call so far. */
 interface CallProgress {
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
   readonly triedUpstreams: Set<string>;
   attempts: number;
   /**
@@ -99,6 +101,7 @@
     if (pool === undefined) return Result.err(noUpstream);
     retryBudget.recordCall(pool.name);
     const progress: CallProgress = {
+      signal,
       triedUpstreams: new Set(),
       attempts: 0,
       sentAttempts: 0,
@@ -110,13 +113,7 @@
     while (!signal.aborted) {
       const upstream = replacement ?? this.nextUpstream(call, pool, progress);
       if (upstream === undefined) break;
-      const attempt = await this.sendAttempt(
-        call,
-        pool,
-        upstream,
-        progress,
-        signal,
-      );
+      const attempt = await this.sendAttempt(call, pool, upstream, progress);
       if (attempt.response !== undefined) return Result.ok(attempt.response);
       replacement = attempt.replacement;
     }
@@ -205,7 +202,6 @@
     pool: PoolDocument,
     upstream: TrackedUpstream,
     progress: CallProgress,
-    signal: AbortSignal,
   ): Promise<PlainAttempt> {
     const {clock, transport, upstreams} = this.parts;
     const startedAt = clock.now();
@@ -214,7 +210,7 @@
     progress.attempts += 1;
     upstream.health.recordAttempt(startedAt);
     const load = upstreams.addLoad(upstream, {calls: 1});
-    const attempt = new AbortScope(signal);
+    const attempt = new AbortScope(progress.signal);
     const sent = transport.send(
       upstream.document,
       call,
@@ -357,7 +353,8 @@
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.possibleRuns += 1;
     if (mayHaveBeenSent(error)) progress.sentAttempts += 1;
-    recordAttemptFailure(upstream, error, now);
+    // What a caller's disconnect ends says nothing about the upstream.
+    if (!progress.signal.aborted) recordAttemptFailure(upstream, error, now);
   }
 
   private baselineDurationFor({name}: PoolDocument): BaselineDuration {
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -39,6 +39,8 @@
   isReserving: boolean;
 }
 
+const neverAborted = new AbortController().signal;
+
 /** Estimated time for the prefill and the first token after it. */
 const estimatedStartMilliseconds = 250;
 
@@ -113,9 +115,7 @@
           resolve(result);
         },
       };
-      const onAbort = () => {
-        if (!entry.isReserving) entry.settle(Result.err('cancelled'));
-      };
+      const onAbort = () => entry.settle(Result.err('cancelled'));
       signal.addEventListener('abort', onAbort);
       this.waiting.add(entry);
       if (signal.aborted) onAbort();
@@ -159,7 +159,11 @@
       const upstream = this.chooseEngine(entry, now);
       // No call overtakes one that waits for memory, because large calls would
       // starve.
-      if (upstream === undefined) break;
+      if (upstream === undefined) {
+        // One that avoids engines waits for fewer of them than the others.
+        if (entry.avoidedUpstreams.size === 0) break;
+        continue;
+      }
       entry.isReserving = true;
       void this.reserveAt(entry, upstream);
     }
@@ -267,7 +271,8 @@
       upstream.document,
       tokens,
       lifetimeMilliseconds,
-      entry.signal,
+      // Not aborted with the call: a reservation that is granted must be released.
+      neverAborted,
     );
     const now = clock.now();
     observer(call.id, {
@@ -281,7 +286,10 @@
     if (reserved.isOk) {
       const reservedUntil = startedAt + lifetimeMilliseconds;
       const reservationId = reserved.value;
-      entry.settle(Result.ok({upstream, reservationId, reservedUntil, load}));
+      const reservation = {upstream, reservationId, reservedUntil, load};
+      if (entry.signal.aborted)
+        this.parts.releases.releaseReservation(reservation);
+      else entry.settle(Result.ok(reservation));
       return;
     }
     load.release();
--- a/packages/coordination/src/passthrough/stall-monitor.ts
+++ b/packages/coordination/src/passthrough/stall-monitor.ts
@@ -51,6 +51,7 @@
   private nextSearchAt = -Infinity;
   private search: AbortController | undefined;
   private isSuspended = false;
+  /** Decided while no `wait` was pending. */
   private abandonment: Abandonment<Replacement> | undefined;
   /** Ends the pending `wait`, if there is one. */
   private endWait: ((reason: Abandonment<Replacement>) => void) | undefined;
@@ -94,15 +95,29 @@
     work: Promise<Value>,
   ): Promise<MonitoredResult<Value, Replacement>> {
     return new Promise((resolve, reject) => {
+      const {abandonment} = this;
+      this.abandonment = undefined;
       this.endWait = resolve;
-      work.then(value => resolve({kind: 'ready', value}), reject);
-      if (this.abandonment !== undefined) resolve(this.abandonment);
+      work.then(
+        value => {
+          this.endWait = undefined;
+          resolve({kind: 'ready', value});
+        },
+        error => {
+          this.endWait = undefined;
+          reject(error);
+        },
+      );
+      if (abandonment !== undefined) resolve(abandonment);
     });
   }
 
   close(): void {
     this.closing.abort();
     this.search?.abort();
+    if (this.abandonment?.kind === 'replaced')
+      this.parts.releaseReplacement(this.abandonment.replacement);
+    this.abandonment = undefined;
   }
 
   private async watch(): Promise<void> {
@@ -122,30 +137,44 @@
       const searchAt = Math.max(this.nextSearchAt, stalledAt);
       if (now >= overdueAt) return this.abandon({kind: 'overdue'});
       if (now < searchAt) await this.sleepUntil(Math.min(overdueAt, searchAt));
-      else if (await this.replace()) return;
+      else if (await this.replace(overdueAt)) return;
     }
   }
 
-  /** Searches once. Returns whether the attempt was given up. */
-  private async replace(): Promise<boolean> {
+  /**
+   * Searches once, at most until the clock time `overdueAt`. Returns whether the
+   * attempt was given up.
+   */
+  private async replace(overdueAt: number): Promise<boolean> {
     const {clock, findReplacement, releaseReplacement} = this.parts;
     const search = new AbortController();
     this.search = search;
-    const replacement = await findReplacement(search.signal);
+    const finding = findReplacement(search.signal);
+    const timer = new AbortController();
+    const timeout = clock.sleep(overdueAt - clock.now(), timer.signal);
+    const isFound = await Promise.race([
+      finding.then(() => true),
+      timeout.then(() => false),
+    ]);
+    timer.abort();
+    if (!isFound) search.abort();
+    // An event that arrived during the search is read first.
+    else await clock.sleep(graceMilliseconds, search.signal);
     this.search = undefined;
     this.nextSearchAt = clock.now() + searchIntervalMilliseconds;
-    if (replacement === undefined) return false;
     if (search.signal.aborted) {
-      releaseReplacement(replacement);
+      void finding.then(found => found && releaseReplacement(found));
       return false;
     }
+    const replacement = await finding;
+    if (replacement === undefined) return false;
     this.abandon({kind: 'replaced', replacement});
     return true;
   }
 
   private abandon(reason: Abandonment<Replacement>): void {
-    this.abandonment = reason;
-    this.endWait?.(reason);
+    if (this.endWait === undefined) this.abandonment = reason;
+    else this.endWait(reason);
   }
 
   private async sleepUntil(time: number): Promise<void> {
--- /dev/null
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -0,0 +1,296 @@
+import test from 'ava';
+import {Result} from 'true-myth';
+import {
+  EngineReleases,
+  PoolRetryBudget,
+  UpstreamTable,
+  VirtualClock,
+  failureDomainId,
+  seededRandom,
+  upstreamId,
+} from '../src/index.js';
+import type {
+  PassthroughError,
+  PassthroughTransport,
+  RoutedCall,
+  UpstreamDocument,
+} from '../src/index.js';
+import type {PoolDocument} from '../src/generated/documents.js';
+import type {GenerationState} from '../src/passthrough/generation-run.js';
+import {EngineReplacement} from '../src/passthrough/engine-replacement.js';
+import {PrefillStage} from '../src/passthrough/prefill-stage.js';
+import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
+import {RetryGate} from '../src/passthrough/retry-gate.js';
+import {StallMonitor} from '../src/passthrough/stall-monitor.js';
+import {PausableClock} from './tools/pausable-clock.js';
+
+const pool = {
+  kind: 'Pool',
+  name: 'engines',
+  spec: {
+    upstreams: {},
+    engine: {slots: 8, memoryTokens: 20_000, reservationMilliseconds: 2000},
+  },
+} as unknown as PoolDocument;
+
+function createParts(
+  transport: Partial<PassthroughTransport>,
+  stage = 'decode',
+) {
+  const clock = new VirtualClock();
+  const upstreams = new UpstreamTable(clock);
+  const documents = ['d-1', 'd-2', 'd-3'].map(
+    name =>
+      ({
+        kind: 'Upstream',
+        name,
+        labels: {stage},
+        spec: {address: `${name}:1`, failureDomain: 'zone-a'},
+      }) as unknown as UpstreamDocument,
+  );
+  upstreams.replace(new Map(documents.map(each => [each.name, each])));
+  const full = {
+    releaseReservation: () => Promise.resolve(Result.ok(undefined)),
+    releaseCache: () => Promise.resolve(Result.ok(undefined)),
+    ...transport,
+  } as PassthroughTransport;
+  const parts = {
+    clock,
+    random: seededRandom(1),
+    failureDomain: failureDomainId('zone-a'),
+    transport: full,
+    upstreams,
+    releases: new EngineReleases(full, upstreams),
+    retryBudget: new PoolRetryBudget({
+      clock,
+      ratio: 1,
+      extra: 1000,
+      windowMilliseconds: 10_000,
+      hostCount: () => 1,
+    }),
+    observer: () => undefined,
+  };
+  const tracked = (name: string) =>
+    upstreams.acceptingOf(pool).find(each => each.document.name === name)!;
+  return {clock, parts, tracked};
+}
+
+const callAt = (arrivedAt: number) =>
+  ({
+    id: `call-${arrivedAt}`,
+    arrivedAt,
+    urgency: 1,
+    deadline: 14_000,
+    route: {target: {repeatable: true, maximumTries: 2, resumable: true}},
+  }) as unknown as RoutedCall;
+
+const errorOf = (kind: 'unreachable' | 'refused', {name}: UpstreamDocument) =>
+  Result.err<string, PassthroughError>({kind, upstream: upstreamId(name)});
+
+test('an aborted search marks no engine as unreachable', async t => {
+  // As HttpPassthroughTransport does before the connection is made.
+  const {clock, parts, tracked} = createParts({
+    reserve: (upstream, _tokens, _lifetime, signal) =>
+      new Promise(resolve => {
+        const end = () => resolve(errorOf('unreachable', upstream));
+        if (signal.aborted) end();
+        else signal.addEventListener('abort', end);
+      }),
+  });
+  const engines = ['d-1', 'd-2', 'd-3'].map(tracked);
+  const queue = new ReservationQueue(parts, () => pool);
+  const search = new AbortController();
+  let outcome: unknown = 'pending';
+  void queue
+    .reserve(callAt(0), 150, 2500, new Set(), search.signal)
+    .then(result => (outcome = result.isOk ? 'ok' : result.error));
+  await clock.advance(10);
+  search.abort();
+  await clock.advance(300);
+  queue.close();
+  t.deepEqual(
+    engines
+      .filter(({health}) => !health.isUsable(clock.now()))
+      .map(({document}) => document.name),
+    [],
+  );
+  t.is(outcome, 'cancelled');
+});
+
+test('a search that finds no engine does not hold up other calls', async t => {
+  const {clock, parts, tracked} = createParts({
+    reserve: async upstream =>
+      upstream.name === 'd-1'
+        ? Result.ok('hold-1')
+        : errorOf('refused', upstream),
+  });
+  for (const name of ['d-2', 'd-3']) {
+    const engine = tracked(name);
+    parts.upstreams.addLoad(engine, {calls: 8, memoryTokens: 20_000});
+    engine.lastReservationAttemptAt = 0;
+  }
+  const queue = new ReservationQueue(parts, () => pool);
+  const {signal} = new AbortController();
+  void queue.reserve(callAt(0), 150, 14_000, new Set(['d-1']), signal);
+  await clock.advance(100);
+  let reservedAt = Infinity;
+  void queue.reserve(callAt(100), 150, 2600, new Set(), signal).then(result => {
+    if (result.isOk) reservedAt = clock.now();
+  });
+  await clock.advance(2000);
+  queue.close();
+  t.true(reservedAt <= 300, `reserved at ${reservedAt} ms`);
+});
+
+test('a prefill whose reservation has expired is not a failure of its engine', async t => {
+  // As HttpPassthroughTransport does with an engine that does not respond.
+  const asked: number[] = [];
+  const {clock, parts, tracked} = createParts(
+    {
+      prefill: async (upstream, _call, {headersTimeoutMilliseconds}) => {
+        asked.push(headersTimeoutMilliseconds);
+        await clock.sleep(headersTimeoutMilliseconds);
+        return errorOf('unreachable', upstream);
+      },
+    },
+    'prefill',
+  );
+  const engines = ['d-1', 'd-2', 'd-3'].map(tracked);
+  const state = {
+    call: callAt(0),
+    pool,
+    generation: {promptTokens: 100},
+    signal: new AbortController().signal,
+    prefillAttempts: 0,
+    shouldSkipPrefillStage: false,
+    reusableCache: undefined,
+  } as unknown as GenerationState;
+  const load = {setMemoryTokens: () => {}, release: () => {}};
+  const upstream = engines[0]!;
+  await clock.runUntil(
+    new PrefillStage(parts).prefill(state, {
+      upstream,
+      reservationId: 'hold-1',
+      reservedUntil: 1000,
+      load,
+    }),
+  );
+  t.deepEqual(asked, [1000], 'no prefill is begun without time left');
+  t.true(
+    engines.filter(({health}) => !health.isUsable(clock.now())).length <= 1,
+  );
+});
+
+test('a monitor that is closed releases a replacement that nobody took', async t => {
+  const clock = new VirtualClock();
+  const released: string[] = [];
+  const monitor = new StallMonitor<string>({
+    clock,
+    stallMilliseconds: 1000,
+    deadline: 10_000,
+    findReplacement: () => Promise.resolve('engine-2'),
+    releaseReplacement: each => released.push(each),
+  });
+  await clock.advance(1100);
+  monitor.close();
+  await clock.advance(10);
+  t.deepEqual(released, ['engine-2']);
+});
+
+test('an aborted search does not end the avoidance of an engine that failed meanwhile', async t => {
+  const {clock, parts, tracked} = createParts({});
+  const avoidedUpstreams = new Set<string>();
+  const state = {call: callAt(0), pool, attempts: 1, avoidedUpstreams};
+  const search = new AbortController();
+  const replacement = new EngineReplacement(
+    {
+      retryGate: new RetryGate(parts),
+      reserve: async signal => {
+        await clock.sleep(300, signal);
+        return Result.err({code: 'caller-gone', message: '', ran: 'unknown'});
+      },
+      releaseReservation: () => undefined,
+    },
+    state as unknown as GenerationState,
+    tracked('d-1'),
+    1,
+  );
+  const finding = replacement.find(search.signal);
+  await clock.advance(50);
+  // The stream breaks: the monitor is closed and its engine is avoided.
+  search.abort();
+  avoidedUpstreams.add('d-1');
+  await clock.runUntil(finding);
+  t.true(avoidedUpstreams.has('d-1'));
+});
+
+test('a search for another engine never reserves at the silent one', async t => {
+  const {clock, parts, tracked} = createParts({
+    reserve: async () => Result.ok('hold-1'),
+  });
+  for (const name of ['d-2', 'd-3']) tracked(name).health.suspendUntil(9000);
+  const {GenerationAttempts} =
+    await import('../src/passthrough/generation-attempts.js');
+  const attempts = new GenerationAttempts(parts);
+  attempts.updatePool(pool);
+  const state = {
+    call: callAt(0),
+    pool,
+    generation: {promptTokens: 100, maximumOutputTokens: 50},
+    signal: new AbortController().signal,
+    avoidedUpstreams: new Set<string>(),
+    attempts: 1,
+    possibleRuns: 1,
+    lastEventId: 2,
+  } as unknown as GenerationState;
+  const monitor = attempts.monitorAttempt(state, tracked('d-1'), {
+    stallMilliseconds: 1000,
+    possibleRuns: 1,
+    isReplaceable: true,
+  });
+  let found: string | undefined;
+  void monitor.wait(new Promise<never>(() => undefined)).then(result => {
+    found =
+      result.kind === 'replaced'
+        ? result.replacement.upstream.document.name
+        : result.kind;
+  });
+  await clock.advance(3000);
+  monitor.close();
+  attempts.close();
+  t.is(found, undefined);
+});
+
+test('a search that takes long does not postpone the end at the deadline', async t => {
+  const clock = new VirtualClock();
+  const monitor = new StallMonitor<string>({
+    clock,
+    stallMilliseconds: 1000,
+    deadline: 3000,
+    // The longest time of a reservation: connecting and the response.
+    findReplacement: () => clock.sleep(650).then(() => undefined),
+    releaseReplacement: () => undefined,
+  });
+  await clock.runUntil(monitor.wait(new Promise<never>(() => undefined)));
+  t.true(clock.now() <= 3250, `${clock.now()} ms`);
+});
+
+test('a pause of the process during a search is no silence of the upstream', async t => {
+  const time = new VirtualClock();
+  const clock = new PausableClock(time);
+  const monitor = new StallMonitor<string>({
+    clock,
+    stallMilliseconds: 1000,
+    deadline: 10_000,
+    findReplacement: () => clock.sleep(20).then(() => 'engine-2'),
+    releaseReplacement: () => undefined,
+  });
+  // An event that arrives in the pause is read 10 ms after it.
+  const waiting = monitor.wait(time.sleep(3020));
+  await time.advance(1010);
+  clock.pause();
+  await time.advance(2000);
+  clock.resume();
+  t.is((await time.runUntil(waiting)).kind, 'ready');
+  monitor.close();
+});
