Pass an engine's own failure on unchanged

Callers got a closed connection in place of an engine's 504 with a short JSON body, and its run was repeated: each body was relayed as a stream of events, and a body without the end of an event counted as broken off. Only a response with status 200 is relayed as events now.

Before: 'a failure of an engine that is no event stream is passed on' fails.

--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -23,6 +23,12 @@
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
 
+/** Status of a response that is a stream of events. */
+const eventStreamStatus = 200;
+
+/** Lowest status that reports a failure of the engine. */
+const firstServerErrorStatus = 500;
+
 /** Time without an event after which another engine is sought. */
 const streamStallMilliseconds = 1000;
 
@@ -72,7 +78,11 @@
     this.attempts.releaseReusableCache(state);
     if (started.isErr) return Result.err(started.error);
     const {response} = started.value;
-    return Result.ok({...response, body: this.relay(state, started.value)});
+    const body =
+      response.status === eventStreamStatus
+        ? this.relay(state, started.value)
+        : this.relayUnchanged(started.value);
+    return Result.ok({...response, body});
   }
 
   /**
@@ -98,6 +108,24 @@
     }
   }
 
+  /** Relays a response that is no event stream. */
+  private async *relayUnchanged({
+    response,
+    reservation,
+    attempt,
+  }: StartedGeneration): AsyncGenerator<Uint8Array> {
+    const {clock, onLoadChanged} = this.parts;
+    if (response.status >= firstServerErrorStatus)
+      reservation.upstream.health.recordFailure(clock.now());
+    try {
+      yield* response.body;
+    } finally {
+      attempt.close();
+      reservation.load.release();
+      onLoadChanged?.();
+    }
+  }
+
   /** Relays the events of one engine, and ends the attempt there. */
   private async *relayAttempt(
     state: GenerationState,
@@ -168,7 +196,7 @@
       return undefined;
     }
     const {response, reservation, attempt} = started.value;
-    if (response.status !== 200) {
+    if (response.status !== eventStreamStatus) {
       attempt.close();
       reservation.load.release();
       return undefined;
