Log which prompt parts a generation had when its engine was lost

Callers saw streams of many accounts cut at once, and 502 for calls whose engine had not answered yet. The log named the engines and the calls, but not what the calls had in common.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -93,6 +93,14 @@
       readonly kind: 'resumed';
       readonly upstream: string;
       readonly afterEvent: number;
+    }
+  | {
+      readonly kind: 'connection-lost';
+      readonly upstream: string;
+      /** Events that the upstream sent in this attempt. */
+      readonly events: number;
+      /** Ids of the prompt parts, separated by spaces, without the last part. */
+      readonly parts: string;
     };
 
 /** Receives each decision about the call with the id `call`. */
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -70,6 +70,7 @@
       monitor.recordActivity();
       for (const event of splitter.push(next.value.value)) {
         const isRepeated = recordEventId(state, event.id);
+        if (event.id !== undefined) state.attemptEvents += 1;
         // Comments do not count, nor events without ids where others have ids.
         const hasIds = state.lastEventId !== undefined;
         const isProgress = event.id !== undefined || (event.hasData && !hasIds);
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -17,6 +17,7 @@
   TransportResult,
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
+import {reportLostConnection} from './engine-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
 import {
   attemptFailureOf,
@@ -235,6 +236,7 @@
     const startedAt = clock.now();
     const remainingMilliseconds = call.deadline - startedAt;
     state.attempts += 1;
+    state.attemptEvents = 0;
     const attempt = new AbortScope(state.signal);
     const sent = transport.send(
       engine.document,
@@ -268,6 +270,8 @@
     attempt.close();
     state.lastError = result.error;
     if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
+    if (result.error.kind === 'broken')
+      reportLostConnection(this.parts, state, engine);
     this.parts.releases.releaseReservation(reservation);
     this.handleFailedAttempt(state, engine, cache, result.error, now);
     return Result.err({error: result.error, replacement});
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -40,6 +40,8 @@
   /** Decode engines that failed; cleared when no other one is usable. */
   readonly avoidedUpstreams: Set<string>;
   attempts: number;
+  /** Events with an id that the engine of the current attempt has sent. */
+  attemptEvents: number;
   prefillAttempts: number;
   /**
    * Number of attempts that may have run the call; limited by `maximumTries`.
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -14,6 +14,7 @@
 import {relayEvents} from './event-relay.js';
 import type {StreamInterruption} from './event-relay.js';
 import {GenerationAttempts} from './generation-attempts.js';
+import {reportLostConnection} from './engine-losses.js';
 import type {StartedGeneration} from './generation-attempts.js';
 import type {GenerationState} from './generation-run.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -66,6 +67,7 @@
       signal,
       avoidedUpstreams: new Set(),
       attempts: 0,
+      attemptEvents: 0,
       prefillAttempts: 0,
       possibleRuns: 0,
       shouldSkipPrefillStage: false,
@@ -168,6 +170,8 @@
       ...progress,
     });
     if (reason === 'cancelled') return;
+    if (reason === 'broken')
+      reportLostConnection(this.parts, state, reservation.upstream);
     state.avoidedUpstreams.add(document.name);
     health.recordFailure(this.parts.clock.now());
   }
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -267,6 +267,12 @@
       'version',
     ],
   },
+  connectionLost: {
+    number: 3110,
+    level: 'warn',
+    text: 'the connection to an engine failed after a generation was sent to it',
+    fields: ['request', 'upstream', 'events', 'parts'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -62,6 +62,10 @@
       const {kind: _, ...fields} = event;
       return log.write('streamResumed', {request: requestId, ...fields});
     }
+    case 'connection-lost': {
+      const {kind: _, ...fields} = event;
+      return log.write('connectionLost', {request: requestId, ...fields});
+    }
   }
 }
 
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -119,6 +119,7 @@
       case 'over-rate':
       case 'retried':
       case 'resumed':
+      case 'connection-lost':
         this.decisionCounter.inc({decision: event.kind, outcome: ''});
     }
   }
