Quarantine prompt parts that crash engines

Callers saw streams cut and engines gone for seconds, again and again. One part of a prompt crashed each engine that began to answer it. A host sent such a call to a second engine at once, and the next call with the part to a further one; nothing remembered the part, and no host told another.

Nearly all other parts occur in a single call (292 parts in 313 calls), and one harmless part was in the same calls as the part that crashes engines.

Change: an engine that goes down (a probe shows it) before the first event of an attempt makes all parts but the last one suspect. An event clears the parts of its prompt. Parts that were in the same losses are told apart by the first prompt with one of them. A prompt that may have crashed an engine is sent to no second one, unless its parts are sound or many engines were lost at once. Heartbeats carry losses, quarantined parts and objections, repeated and sent early. A process that takes the place of another starts with fresh health.

Why it works: an engine that crashes on a part never sends an event for it, so the part is never cleared, and sound parts are cleared by their first event anywhere. Hosts add up losses, so the first two crashes of the fleet are enough.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -279,6 +279,12 @@
 export type {PassthroughRoute} from './passthrough/route-table.js';
 export {PoolRetryBudget} from './passthrough/pool-retry-budget.js';
 export type {PoolRetryBudgetParts} from './passthrough/pool-retry-budget.js';
+export {PromptQuarantine} from './passthrough/prompt-quarantine.js';
+export type {
+  PromptQuarantineParts,
+  QuarantineChange,
+  QuarantineReport,
+} from './passthrough/prompt-quarantine.js';
 export {UsageLimiter} from './passthrough/usage-limiter.js';
 export type {
   AccountRate,
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -11,7 +11,9 @@
   | 'attempts'
   | 'budget'
   /** No engine took the call in time. */
-  | 'capacity';
+  | 'capacity'
+  /** An engine went down before its first event, maybe by this prompt. */
+  | 'prompt';
 
 /** How far a stream had come when it was interrupted. */
 export interface StreamProgress {
@@ -101,6 +103,11 @@
       readonly events: number;
       /** Ids of the prompt parts, separated by spaces, without the last part. */
       readonly parts: string;
+    }
+  | {
+      readonly kind: 'quarantine-refused';
+      readonly part: string;
+      readonly remaining: number;
     };
 
 /** Receives each decision about the call with the id `call`. */
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -37,6 +37,19 @@
   retryAfterMilliseconds: 1500,
 };
 
+/** Failure of a call with a prompt part that is in quarantine. */
+export function promptQuarantined(
+  retryAfterMilliseconds: number,
+  ran: 'not-run' | 'unknown',
+): RequestFailure {
+  return {
+    code: 'prompt-quarantined',
+    message: 'a part of the prompt has crashed engines and is not forwarded',
+    ran,
+    retryAfterMilliseconds,
+  };
+}
+
 /**
  * Failure of a call that ran nowhere: its upstreams were full if the last one
  * refused it, else none could be reached.
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -16,6 +16,7 @@
 import type {FailureDomainId, HostId} from '../ids.js';
 import {hostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
+import type {QuarantineReport} from './prompt-quarantine.js';
 
 /** Sends heartbeats, and drops those that cannot be sent. */
 export interface HeartbeatSender {
@@ -32,6 +33,8 @@
   readonly platformEpoch: number | undefined;
   /** Time since this epoch was learned; infinite for the first one. */
   readonly platformEpochAgeMilliseconds: number;
+  /** Evidence about prompt parts that crash engines. */
+  readonly quarantine: QuarantineReport;
 }
 
 /** Ages above this are reported as this. */
@@ -344,7 +347,7 @@
   private createHeartbeat(): Beat {
     const {self, incarnation, failureDomain, localState} = this.parts;
     this.sequence += 1n;
-    const {usage, loads, ...platform} = localState();
+    const {usage, loads, quarantine, ...platform} = localState();
     return {
       host: self,
       incarnation,
@@ -358,6 +361,7 @@
       usage,
       loads,
       known: this.nextKnownHosts(),
+      ...quarantine,
       configurationVersion: platform.configurationVersion,
       platformEpoch: BigInt(platform.platformEpoch ?? 0),
       platformEpochAgeMilliseconds: BigInt(
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -29,6 +29,8 @@
   readonly reservation: EngineReservation;
   readonly monitor: StallMonitor<EngineReservation>;
   readonly baselineInterval: BaselineDuration;
+  /** Called when the engine has shown that it can answer. */
+  readonly onFirstEvent: () => void;
 }
 
 /**
@@ -70,7 +72,10 @@
       monitor.recordActivity();
       for (const event of splitter.push(next.value.value)) {
         const isRepeated = recordEventId(state, event.id);
-        if (event.id !== undefined) state.attemptEvents += 1;
+        if (event.id !== undefined) {
+          state.attemptEvents += 1;
+          if (state.attemptEvents === 1) parts.onFirstEvent();
+        }
         // Comments do not count, nor events without ids where others have ids.
         const hasIds = state.lastEventId !== undefined;
         const isProgress = event.id !== undefined || (event.hasData && !hasIds);
@@ -90,6 +95,7 @@
     throw error;
   }
   if (splitter.pendingBytes > 0) return interruptedBy(errorOf('broken'));
+  if (state.attemptEvents === 0) parts.onFirstEvent();
   recordCompletedStream(parts, startedAt, events);
   return undefined;
 }
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -17,7 +17,7 @@
   TransportResult,
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
-import {reportLostConnection} from './engine-losses.js';
+import type {EngineLosses} from './engine-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
 import {
   attemptFailureOf,
@@ -83,7 +83,10 @@
   private readonly prefillStage: PrefillStage;
   private readonly retryGate: RetryGate;
 
-  constructor(private readonly parts: PassthroughParts) {
+  constructor(
+    private readonly parts: PassthroughParts,
+    private readonly engineLosses: EngineLosses,
+  ) {
     this.retryGate = new RetryGate(parts);
     this.prefillStage = new PrefillStage(parts);
   }
@@ -121,10 +124,13 @@
       if (reserved.isErr) return Result.err(reserved.error);
       const reservation = reserved.value;
       const cache = await this.prefillStage.prefill(state, reservation);
-      if (signal.aborted) {
+      const stopped = signal.aborted
+        ? disconnectFailureOf(state)
+        : this.engineLosses.refusalOf(state);
+      if (stopped !== undefined) {
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
-        return Result.err(disconnectFailureOf(state));
+        return Result.err(stopped);
       }
       if (!upstreams.acquireRequest(reservation.upstream.document.name)) {
         // The engine asked for a pause after it had granted the reservation.
@@ -160,13 +166,10 @@
   ): boolean {
     const {call, pool} = state;
     const counts = state;
-    return this.retryGate.acquire({
-      call,
-      pool,
-      counts,
-      reason,
-      usesRetryBudget,
-    });
+    const request = {call, pool, counts, reason, usesRetryBudget};
+    if (!state.isPromptSuspect) return this.retryGate.acquire(request);
+    this.retryGate.reportWithheld(request, 'prompt');
+    return false;
   }
 
   /** Reserves memory. The queue timeout counts from the clock time `queuedAt`. */
@@ -177,6 +180,8 @@
     searchAvoids?: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
     const {call, generation, pool} = state;
+    const refusal = this.engineLosses.refusalOf(state);
+    if (refusal !== undefined) return Result.err(refusal);
     if (
       searchAvoids === undefined &&
       this.usableDecodeEngines(state).length === 0
@@ -195,6 +200,11 @@
       avoidedUpstreams,
       signal,
     );
+    const laterRefusal = this.engineLosses.refusalOf(state);
+    if (laterRefusal !== undefined) {
+      if (reserved.isOk) this.parts.releases.releaseReservation(reserved.value);
+      return Result.err(laterRefusal);
+    }
     if (reserved.isOk) return Result.ok(reserved.value);
     if (reserved.error === 'cancelled')
       return Result.err(disconnectFailureOf(state));
@@ -270,10 +280,10 @@
     attempt.close();
     state.lastError = result.error;
     if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
-    if (result.error.kind === 'broken')
-      reportLostConnection(this.parts, state, engine);
     this.parts.releases.releaseReservation(reservation);
     this.handleFailedAttempt(state, engine, cache, result.error, now);
+    if (result.error.kind === 'broken')
+      await this.engineLosses.record(state, engine);
     return Result.err({error: result.error, replacement});
   }
 
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -42,6 +42,11 @@
   attempts: number;
   /** Events with an id that the engine of the current attempt has sent. */
   attemptEvents: number;
+  /**
+   * Whether an engine went down before its first event, and a part of the prompt
+   * may be the cause.
+   */
+  isPromptSuspect: boolean;
   prefillAttempts: number;
   /**
    * Number of attempts that may have run the call; limited by `maximumTries`.
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -14,7 +14,7 @@
 import {relayEvents} from './event-relay.js';
 import type {StreamInterruption} from './event-relay.js';
 import {GenerationAttempts} from './generation-attempts.js';
-import {reportLostConnection} from './engine-losses.js';
+import {EngineLosses} from './engine-losses.js';
 import type {StartedGeneration} from './generation-attempts.js';
 import type {GenerationState} from './generation-run.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -35,10 +35,12 @@
 
 export class GenerationForwarder {
   private readonly baselineEventInterval = new BaselineDuration();
+  private readonly engineLosses: EngineLosses;
   private readonly attempts: GenerationAttempts;
 
   constructor(private readonly parts: PassthroughParts) {
-    this.attempts = new GenerationAttempts(parts);
+    this.engineLosses = new EngineLosses(parts);
+    this.attempts = new GenerationAttempts(parts, this.engineLosses);
   }
 
   close(): void {
@@ -68,6 +70,7 @@
       avoidedUpstreams: new Set(),
       attempts: 0,
       attemptEvents: 0,
+      isPromptSuspect: false,
       prefillAttempts: 0,
       possibleRuns: 0,
       shouldSkipPrefillStage: false,
@@ -101,6 +104,8 @@
         const interruption = yield* this.relayAttempt(state, current);
         if (interruption === undefined) return;
         this.recordInterruptedStream(state, current.reservation, interruption);
+        if (interruption.error.reason === 'broken')
+          await this.engineLosses.record(state, current.reservation.upstream);
         const resumed = await this.resume(state, interruption);
         if (resumed === undefined) throw interruption.error;
         current = resumed;
@@ -148,6 +153,7 @@
         reservation,
         monitor,
         baselineInterval,
+        onFirstEvent: () => this.engineLosses.recordSuccess(state),
       });
     } finally {
       monitor.close();
@@ -170,8 +176,6 @@
       ...progress,
     });
     if (reason === 'cancelled') return;
-    if (reason === 'broken')
-      reportLostConnection(this.parts, state, reservation.upstream);
     state.avoidedUpstreams.add(document.name);
     health.recordFailure(this.parts.clock.now());
   }
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -5,6 +5,8 @@
 
 import {Result} from 'true-myth';
 import type {Beat} from '../generated/messages/persimmonwick/beat.js';
+import {maximumPartIdLength} from './prompt-part-ids.js';
+import {maximumReportedParts} from './prompt-quarantine.js';
 
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
 const maximumPort = 65_535;
@@ -15,6 +17,7 @@
 /** Returns `heartbeat` if all its values are plausible, else the first fault. */
 export function checkHeartbeat(heartbeat: Beat): Result<Beat, string> {
   const {host, address, usage, loads, known} = heartbeat;
+  const {lostParts, quarantinedParts, soundParts} = heartbeat;
   if (!isName(host)) return Result.err('the host has no valid name');
   if (!isHostAddress(address))
     return Result.err(`${address.slice(0, maximumNameLength)} is no address`);
@@ -25,6 +28,25 @@
     return Result.err('an upstream has no valid name');
   if (!known.every(each => isName(each.host) && isHostAddress(each.address)))
     return Result.err('a known host has no valid name or address');
+  if (!lostParts.every(each => isPartId(each.part) && isName(each.upstream)))
+    return Result.err('a lost prompt part has no valid id or upstream');
+  if (
+    !quarantinedParts.every(
+      ({part, companions}) =>
+        isPartId(part) &&
+        companions.length <= maximumReportedParts &&
+        companions.every(isPartId),
+    )
+  )
+    return Result.err('a quarantined prompt part has no valid id');
+  if (!soundParts.every(isPartId))
+    return Result.err('a sound prompt part has no valid id');
+  if (
+    [lostParts, quarantinedParts, soundParts].some(
+      ({length}) => length > maximumReportedParts,
+    )
+  )
+    return Result.err('there are more prompt parts than a host reports');
   return Result.ok(heartbeat);
 }
 
@@ -34,6 +56,10 @@
   return port > 0 && port <= maximumPort;
 }
 
+function isPartId(part: string): boolean {
+  return part !== '' && part.length <= maximumPartIdLength;
+}
+
 function isName(name: string): boolean {
   return name !== '' && name.length <= maximumNameLength;
 }
--- a/packages/coordination/src/passthrough/reachability-probes.ts
+++ b/packages/coordination/src/passthrough/reachability-probes.ts
@@ -104,7 +104,15 @@
   ): Promise<void> {
     const {clock, upstreams, transport, onChange} = this.parts;
     const {signal} = this.closing;
+    const {startedAt} = upstream.document.spec;
     while (!signal.aborted && upstreams.isListed(upstream)) {
+      if (upstream.document.spec.startedAt !== startedAt) {
+        // Another process is listed, about which nothing is known yet.
+        upstream.health.endSuspension();
+        upstreams.notifyCapacity();
+        onChange(upstream.document.name, true);
+        return;
+      }
       upstream.health.suspendUntil(
         clock.now() + probeIntervalMilliseconds + suspensionMarginMilliseconds,
       );
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -153,7 +153,10 @@
     const pause = this.remainingPause() ?? 0;
     // A call that no engine will take before its deadline is refused at once.
     for (const entry of [...this.waiting])
-      if (!entry.isReserving && now + pause >= entry.queueDeadline)
+      if (
+        !entry.isReserving &&
+        (now + pause >= entry.queueDeadline || this.isQuarantined(entry))
+      )
         entry.settle(Result.err('expired'));
     for (const entry of this.inPriorityOrder(now)) {
       const upstream = this.chooseEngine(entry, now);
@@ -171,6 +174,11 @@
     this.schedule(Math.max(pollIntervalMilliseconds, pause));
   }
 
+  private isQuarantined({call}: QueuedCall): boolean {
+    const promptParts = call.generation?.promptParts ?? [];
+    return this.parts.quarantine.findQuarantined(promptParts) !== undefined;
+  }
+
   /**
    * Calls that can still meet their target come first, ordered by urgency and
    * arrival.
--- a/packages/coordination/src/passthrough/retry-limit.ts
+++ b/packages/coordination/src/passthrough/retry-limit.ts
@@ -18,7 +18,7 @@
   {route, deadline}: RoutedCall,
   {attempts, possibleRuns}: AttemptCounts,
   now: number,
-): Exclude<RetryLimit, 'budget'> | undefined {
+): Exclude<RetryLimit, 'budget' | 'prompt'> | undefined {
   const {repeatable, maximumTries} = route.target;
   if (now >= deadline) return 'deadline';
   if (possibleRuns >= (repeatable ? maximumTries : 1)) return 'route';
--- /dev/null
+++ b/packages/coordination/src/passthrough/suspect-part.ts
@@ -0,0 +1,73 @@
+/** What is known about a prompt part that may crash engines. */
+
+import type {EngineLoss} from './engine-loss.js';
+
+/**
+ * Lost engines after which a part is quarantined, if the first and the last loss
+ * are far enough apart. Engines that are lost at once may have another cause in
+ * common.
+ */
+const quarantineLosses = 2;
+const separateLossesMilliseconds = 150;
+
+/** Losses after which a part is quarantined although they were simultaneous. */
+const simultaneousQuarantineLosses = 8;
+
+/** Duration of a quarantine after the last loss. */
+export const quarantineMilliseconds = 600_000;
+
+export interface Suspect {
+  readonly losses: EngineLoss[];
+  lastLossAt: number;
+  /**
+   * Other parts that may be the cause instead, because they were in all losses.
+   * A prompt without one of them is still forwarded: its outcome tells them
+   * apart. Each observation can only remove entries.
+   */
+  companions: string[];
+  areCompanionsKnown: boolean;
+  /** Whether the losses were enough; kept after the quarantine has lapsed. */
+  isConvicted: boolean;
+  isQuarantined: boolean;
+}
+
+export function newSuspect(): Suspect {
+  return {
+    losses: [],
+    lastLossAt: -Infinity,
+    companions: [],
+    areCompanionsKnown: false,
+    isConvicted: false,
+    isQuarantined: false,
+  };
+}
+
+export function restrictCompanions(
+  suspect: Suspect,
+  companions: readonly string[],
+): void {
+  suspect.companions = suspect.areCompanionsKnown
+    ? suspect.companions.filter(each => companions.includes(each))
+    : [...companions];
+  suspect.areCompanionsKnown = true;
+}
+
+/** Removes the losses until `time`. They are in the order of their times. */
+export function removeBefore(losses: EngineLoss[], time: number): void {
+  while (losses.length > 0 && losses[0]!.at <= time) losses.shift();
+}
+
+/** `losses` are in the order of their times. */
+export function areEnough(losses: readonly EngineLoss[]): boolean {
+  if (losses.length >= simultaneousQuarantineLosses) return true;
+  if (losses.length < quarantineLosses) return false;
+  return losses.at(-1)!.at - losses[0]!.at >= separateLossesMilliseconds;
+}
+
+export function remainingOf({lastLossAt}: Suspect, now: number): number {
+  return lastLossAt + quarantineMilliseconds - now;
+}
+
+export function ageOf({lastLossAt}: Suspect, now: number): number {
+  return Math.max(0, Math.round(now - lastLossAt));
+}
--- a/packages/coordination/src/passthrough/upstream-health.ts
+++ b/packages/coordination/src/passthrough/upstream-health.ts
@@ -135,6 +135,22 @@
     this.slownessAt = now;
   }
 
+  /** Ends the suspension without a judgement on the process. */
+  endSuspension(): void {
+    this.unreachableUntil = -Infinity;
+    this.unreachableBackoffMilliseconds = initialUnreachableBackoffMilliseconds;
+  }
+
+  /** Forgets all observations, for another process of the same name. */
+  reset(): void {
+    this.unreachableUntil = -Infinity;
+    this.unreachableBackoffMilliseconds = initialUnreachableBackoffMilliseconds;
+    this.misdirectedUntil = -Infinity;
+    this.nextTrialAt = -Infinity;
+    this.lastFailureShare = 0;
+    this.lastSlowness = 1;
+  }
+
   private setFailureShare(now: number, share: number): void {
     this.lastFailureShare = share;
     this.failureShareAt = now;
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -278,7 +278,11 @@
     if (existing !== undefined) {
       const isSameProcess =
         existing.document.spec.startedAt === document.spec.startedAt;
-      if (!isSameProcess) existing.pausedUntil = -Infinity;
+      if (!isSameProcess) {
+        existing.pausedUntil = -Infinity;
+        existing.reservationBackoffUntil = -Infinity;
+        existing.health.reset();
+      }
       existing.document = document;
       return existing;
     }
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -24,6 +24,7 @@
   | 'queue-full'
   | 'target-unreachable'
   | 'no-upstream'
+  | 'prompt-quarantined'
   | 'upstream-failed'
   | 'upstream-timeout'
   | 'caller-gone'
@@ -79,6 +80,7 @@
     case 'queue-full':
     case 'target-unreachable':
     case 'no-upstream':
+    case 'prompt-quarantined':
     case 'claim-unavailable':
     case 'draining':
     case 'not-ready':
--- /dev/null
+++ b/packages/coordination/test/engine-losses.test.ts
@@ -0,0 +1,120 @@
+import test from 'ava';
+import {PromptQuarantine, UpstreamTable, VirtualClock} from '../src/index.js';
+import type {UpstreamDocument} from '../src/index.js';
+import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import type {GenerationState} from '../src/passthrough/generation-run.js';
+import type {PassthroughParts} from '../src/passthrough/passthrough-parts.js';
+
+/** Four engines, of which those in `down` accept no connections. */
+class Site {
+  readonly clock = new VirtualClock();
+  readonly upstreams = new UpstreamTable(this.clock);
+  readonly down = new Set<string>();
+  readonly quarantine = new PromptQuarantine({
+    clock: this.clock,
+    onChange: () => undefined,
+    onLearned: () => undefined,
+  });
+  readonly losses = new EngineLosses({
+    clock: this.clock,
+    upstreams: this.upstreams,
+    quarantine: this.quarantine,
+    transport: {
+      probe: ({name}: UpstreamDocument) =>
+        Promise.resolve(!this.down.has(name)),
+    },
+    observer: () => undefined,
+  } as unknown as PassthroughParts);
+
+  constructor() {
+    const documents = ['d-1', 'd-2', 'd-3', 'd-4'].map(
+      name =>
+        ({
+          kind: 'Upstream',
+          name,
+          labels: {service: 'test'},
+          spec: {address: `${name}:80`, failureDomain: 'a'},
+        }) as UpstreamDocument,
+    );
+    this.upstreams.replace(new Map(documents.map(each => [each.name, each])));
+  }
+
+  stateOf(attemptEvents = 0): GenerationState {
+    const promptParts = ['first', 'second', 'last'].map(id => ({
+      id,
+      tokens: 10,
+    }));
+    return {
+      call: {id: 'call'},
+      generation: {promptParts},
+      pool: {spec: {upstreams: {service: 'test'}}},
+      attemptEvents,
+      possibleRuns: 1,
+      isPromptSuspect: false,
+    } as unknown as GenerationState;
+  }
+
+  /** Records a lost connection; returns whether a retry is withheld. */
+  async lose(name: string, attemptEvents = 0): Promise<boolean> {
+    const state = this.stateOf(attemptEvents);
+    const engine = this.upstreams
+      .inFailureDomain('a')
+      .find(({document}) => document.name === name)!;
+    await this.losses.record(state, engine);
+    return state.isPromptSuspect;
+  }
+
+  get suspectCount(): number {
+    return this.quarantine.report().lostParts.length;
+  }
+}
+
+test('an engine that goes down before its first event makes the prompt suspect', async t => {
+  const site = new Site();
+  site.down.add('d-1');
+  t.true(await site.lose('d-1'));
+  t.is(site.suspectCount, 2);
+});
+
+test('a connection that fails while its engine goes on accuses no prompt', async t => {
+  const site = new Site();
+  t.false(await site.lose('d-1'));
+  t.is(site.suspectCount, 0);
+});
+
+test('a stream that had begun accuses no prompt', async t => {
+  const site = new Site();
+  site.down.add('d-1');
+  t.false(await site.lose('d-1', 1));
+  t.is(site.suspectCount, 0);
+});
+
+test('a prompt of sound parts may be retried', async t => {
+  const site = new Site();
+  site.losses.recordSuccess(site.stateOf());
+  site.down.add('d-1');
+  t.false(await site.lose('d-1'));
+});
+
+test('prompts may be retried when many engines are lost at once', async t => {
+  const site = new Site();
+  site.down.add('d-1').add('d-2');
+  await site.lose('d-1', 7);
+  await site.clock.advance(50);
+  t.false(await site.lose('d-2'));
+  await site.clock.advance(200);
+  t.true(await site.lose('d-2'));
+});
+
+test('a quarantined prompt is refused with the time that is left', async t => {
+  const site = new Site();
+  site.down.add('d-1').add('d-2');
+  await site.lose('d-1');
+  await site.clock.advance(10_000);
+  await site.lose('d-2');
+  await site.clock.advance(10_000);
+  const refusal = site.losses.refusalOf(site.stateOf());
+  t.is(refusal?.code, 'prompt-quarantined');
+  t.is(refusal?.ran, 'unknown');
+  t.is(refusal?.retryAfterMilliseconds, 590_000);
+});
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -148,6 +148,7 @@
         configurationVersion: 1n,
         platformEpoch: undefined,
         platformEpochAgeMilliseconds: Infinity,
+        quarantine: {lostParts: [], quarantinedParts: [], soundParts: []},
       }),
       onHeartbeat: heartbeat => this.received.push(heartbeat.host),
       onChange: (change: FleetChange) =>
--- a/packages/coordination/test/reachability.test.ts
+++ b/packages/coordination/test/reachability.test.ts
@@ -125,3 +125,27 @@
   await network.clock.advance(1000);
   t.true(network.probed.filter(name => name === 'a-1').length <= 3);
 });
+
+test('a process that takes the place of another starts with fresh health', async t => {
+  const network = new Network();
+  const listWithStart = (startedAt: number) => {
+    const document = documentOf('a-1', 'a');
+    network.upstreams.replace(
+      new Map([['a-1', {...document, spec: {...document.spec, startedAt}}]]),
+    );
+  };
+  listWithStart(1);
+  const {health} = network.find('a-1');
+  for (let count = 0; count < 9; count += 1)
+    health.recordFailure(network.clock.now());
+  network.unreachable.add('a-1');
+  network.failConnection('a-1');
+  await network.clock.advance(1000);
+  t.false(network.isUsable('a-1'));
+  network.unreachable.delete('a-1');
+  listWithStart(2);
+  await network.clock.advance(350);
+  t.true(network.isUsable('a-1'));
+  t.is(network.find('a-1').health.failureShare(network.clock.now()), 0);
+  t.is(network.changes.at(-1), 'a-1 reachable');
+});
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -174,6 +174,30 @@
     text: 'an upstream asked to be sent nothing for some time',
     fields: ['upstream', 'milliseconds', 'asked'],
   },
+  partSuspected: {
+    number: 2206,
+    level: 'warn',
+    text: 'an engine went down before its first event for a prompt with this part',
+    fields: ['part', 'upstream', 'losses', 'source'],
+  },
+  partQuarantined: {
+    number: 2207,
+    level: 'error',
+    text: 'a prompt part crashes engines; generations with it are refused',
+    fields: ['part', 'losses', 'source', 'milliseconds'],
+  },
+  partReleased: {
+    number: 2208,
+    level: 'info',
+    text: 'generations with a prompt part are forwarded again',
+    fields: ['part', 'reason'],
+  },
+  suspectDropped: {
+    number: 2209,
+    level: 'warn',
+    text: 'too many prompt parts are suspect; the oldest is no longer tracked',
+    fields: ['part'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
@@ -267,6 +291,12 @@
       'version',
     ],
   },
+  callQuarantined: {
+    number: 3109,
+    level: 'warn',
+    text: 'a generation was refused because a part of its prompt is in quarantine',
+    fields: ['request', 'part', 'remaining'],
+  },
   connectionLost: {
     number: 3110,
     level: 'warn',
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -157,6 +157,7 @@
     case 'headers-too-large':
     case 'request-timeout':
     case 'rate-exceeded':
+    case 'prompt-quarantined':
     case 'caller-gone':
       return false;
   }
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -5,6 +5,7 @@
   DiscoveredFleet,
   EngineReleases,
   PassthroughHost,
+  PromptQuarantine,
   ReachabilityProbes,
   PoolRetryBudget,
   UpstreamTable,
@@ -26,6 +27,7 @@
 import {
   logCallEnd,
   logCallEvent,
+  logQuarantineChange,
   logUpstreamReachability,
 } from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
@@ -74,6 +76,7 @@
   /** Start time, which also serves as the incarnation. */
   private readonly startTimestamp = Date.now();
   private readonly upstreams = new UpstreamTable(systemClock);
+  private readonly quarantine: PromptQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
@@ -116,6 +119,14 @@
       onHeartbeat: heartbeat => this.fleet.receive(heartbeat),
       onError: (address, reason) => log.write('beatFailed', {address, reason}),
     });
+    this.quarantine = new PromptQuarantine({
+      clock,
+      onChange: change => {
+        this.metrics.recordQuarantine(change);
+        logQuarantineChange(log, change);
+      },
+      onLearned: () => this.fleet.scheduleHeartbeat(),
+    });
     this.fleet = new DiscoveredFleet({
       clock,
       random,
@@ -133,6 +144,7 @@
         configurationVersion: this.platform.versionInForce ?? 0n,
         platformEpoch: this.platform.epochs.current,
         platformEpochAgeMilliseconds: this.platform.epochs.ageMilliseconds(),
+        quarantine: this.quarantine.report(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
@@ -182,6 +194,7 @@
           return currentSettings().retries.extra;
         },
       }),
+      quarantine: this.quarantine,
       observer: (requestId, event) => {
         this.metrics.recordEvent(event);
         const version = String(this.platform.versionInForce ?? '');
@@ -269,6 +282,7 @@
   private recordHeartbeat(heartbeat: Beat): void {
     this.upstreams.recordHeartbeat(heartbeat);
     this.platform.recordPeer(heartbeat);
+    this.quarantine.recordPeer(heartbeat);
     this.limiter.recordUsage(
       hostId(heartbeat.host),
       heartbeat.incarnation,
@@ -306,6 +320,7 @@
       hosts: this.fleet.hostCount,
       silentHosts: this.fleet.silentHostCount,
       upstreams: this.upstreams.size,
+      quarantinedParts: this.quarantine.size,
       configurationVersion: Number(this.platform.versionInForce ?? 0n),
       platformEpoch: this.platform.epochs.current ?? 0,
       proofAgeSeconds: this.platform.freshness.age() / 1000,
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -1,6 +1,10 @@
 /** Log entries for the events of a passthrough host. */
 
-import type {CallEvent, UpstreamDocument} from '@persimmonwick/coordination';
+import type {
+  CallEvent,
+  QuarantineChange,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import type {CallSummary} from './passthrough-server.js';
 
@@ -66,6 +70,35 @@
       const {kind: _, ...fields} = event;
       return log.write('connectionLost', {request: requestId, ...fields});
     }
+    case 'quarantine-refused': {
+      const {kind: _, ...fields} = event;
+      return log.write('callQuarantined', {request: requestId, ...fields});
+    }
+  }
+}
+
+/** Logs a change of the quarantine of prompt parts. */
+export function logQuarantineChange(
+  log: EventLog,
+  change: QuarantineChange,
+): void {
+  switch (change.kind) {
+    case 'suspected': {
+      const {kind: _, ...fields} = change;
+      return log.write('partSuspected', fields);
+    }
+    case 'quarantined': {
+      const {part, losses, source, remainingMilliseconds} = change;
+      const milliseconds = Math.round(remainingMilliseconds);
+      return log.write('partQuarantined', {part, losses, source, milliseconds});
+    }
+    case 'released':
+      return log.write('partReleased', {
+        part: change.part,
+        reason: change.reason,
+      });
+    case 'dropped':
+      return log.write('suspectDropped', {part: change.part});
   }
 }
 
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -3,7 +3,7 @@
 import {Counter, Gauge, Registry} from 'prom-client';
 import {build} from 'hdr-histogram-js';
 import type {Histogram} from 'hdr-histogram-js';
-import type {CallEvent} from '@persimmonwick/coordination';
+import type {CallEvent, QuarantineChange} from '@persimmonwick/coordination';
 import type {CallSummary} from './passthrough-server.js';
 
 /** Gauges that are read on each scrape. */
@@ -13,6 +13,7 @@
   readonly hosts: number;
   readonly silentHosts: number;
   readonly upstreams: number;
+  readonly quarantinedParts: number;
   readonly configurationVersion: number;
   /** Restore epoch of the platform's store; 0 if it reports none. */
   readonly platformEpoch: number;
@@ -31,6 +32,7 @@
   private readonly decisionCounter: Counter<'decision' | 'outcome'>;
 
   private readonly noticeCounter: Counter<'notice'>;
+  private readonly quarantineCounter: Counter<'change' | 'detail'>;
 
   constructor(gauges: () => PassthroughGauges) {
     const registers = [this.registry];
@@ -52,6 +54,12 @@
       labelNames: ['notice'],
       registers,
     });
+    this.quarantineCounter = new Counter({
+      name: 'persimmonwick_prompt_quarantine_changes_total',
+      help: 'Prompt parts suspected, quarantined, released and dropped',
+      labelNames: ['change', 'detail'],
+      registers,
+    });
     this.registerLatencyGauge();
     const names: readonly (keyof PassthroughGauges)[] = [
       'inFlight',
@@ -59,6 +67,7 @@
       'hosts',
       'silentHosts',
       'upstreams',
+      'quarantinedParts',
       'configurationVersion',
       'platformEpoch',
       'proofAgeSeconds',
@@ -97,6 +106,21 @@
     this.noticeCounter.inc({notice});
   }
 
+  recordQuarantine(change: QuarantineChange): void {
+    const {kind} = change;
+    switch (kind) {
+      case 'suspected':
+      case 'quarantined':
+        this.quarantineCounter.inc({change: kind, detail: change.source});
+        break;
+      case 'released':
+        this.quarantineCounter.inc({change: kind, detail: change.reason});
+        break;
+      case 'dropped':
+        this.quarantineCounter.inc({change: kind, detail: ''});
+    }
+  }
+
   recordEvent(event: CallEvent): void {
     switch (event.kind) {
       case 'stage-done':
@@ -120,6 +144,7 @@
       case 'retried':
       case 'resumed':
       case 'connection-lost':
+      case 'quarantine-refused':
         this.decisionCounter.inc({decision: event.kind, outcome: ''});
     }
   }
