Keep a silent plain service asked while another one is

Callers of a repeatable call got 502 when the service that replaced a silent one was full, although the silent one would have answered after 1.8 s of 2.9 s. The attempt at the first service was ended when the second one was chosen, which secures nothing.

Change: the second attempt joins the first; the first response ends the call and the other attempt. The number of tries and the retry budget bound both.

Before: 'a slow plain call is not lost to a replacement that is full' fails (502); after, it passes.

--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -6,7 +6,6 @@
 
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
-import {upstreamId} from '../ids.js';
 import {AbortScope} from '../placement/abort-scope.js';
 import type {RequestFailure} from '../requests/failure.js';
 import type {RetryLimit} from './call-events.js';
@@ -27,6 +26,8 @@
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
 import {bufferResponse} from './buffered-response.js';
 import {minBy} from './min-by.js';
+import {firstResponse} from './plain-attempt.js';
+import type {PlainAttempt} from './plain-attempt.js';
 import {RetryGate} from './retry-gate.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -73,19 +74,6 @@
   lastError: PassthroughError | undefined;
 }
 
-/** Outcome of one attempt. */
-interface PlainAttempt {
-  /** Ends the call, if there is one. */
-  readonly response: PassthroughResponse | undefined;
-  /** Upstream that takes over from a silent one. */
-  readonly replacement: TrackedUpstream | undefined;
-}
-
-interface AwaitedHead {
-  readonly result: Result<PassthroughResponse, PassthroughError>;
-  readonly replacement: TrackedUpstream | undefined;
-}
-
 export class PlainCallForwarder {
   private readonly baselineDurations = new Map<string, BaselineDuration>();
   private readonly retryGate: RetryGate;
@@ -109,13 +97,11 @@
       serverErrorResponse: undefined,
       lastError: undefined,
     };
-    let replacement: TrackedUpstream | undefined;
     while (!signal.aborted) {
-      const upstream = replacement ?? this.nextUpstream(call, pool, progress);
+      const upstream = this.nextUpstream(call, pool, progress);
       if (upstream === undefined) break;
-      const attempt = await this.sendAttempt(call, pool, upstream, progress);
-      if (attempt.response !== undefined) return Result.ok(attempt.response);
-      replacement = attempt.replacement;
+      const response = await this.attempt(call, pool, upstream, progress);
+      if (response !== undefined) return Result.ok(response);
     }
     if (progress.serverErrorResponse !== undefined)
       return Result.ok(progress.serverErrorResponse);
@@ -196,13 +182,32 @@
     return chosen;
   }
 
-  /** Makes one attempt. */
-  private async sendAttempt(
+  /**
+   * Makes one attempt. A second one joins it while the upstream is silent; the
+   * first response ends the call.
+   */
+  private async attempt(
+    call: RoutedCall,
+    pool: PoolDocument,
+    upstream: TrackedUpstream,
+    progress: CallProgress,
+  ): Promise<PassthroughResponse | undefined> {
+    const first = this.send(call, pool, upstream, progress);
+    const other = await this.awaitHead(call, pool, first, progress);
+    if (other === undefined) return first.outcome;
+    const second = this.send(call, pool, other, progress);
+    const winner = await firstResponse(first, second);
+    if (winner?.attempt === second)
+      upstream.health.recordFailure(this.parts.clock.now());
+    return winner?.response;
+  }
+
+  private send(
     call: RoutedCall,
     pool: PoolDocument,
     upstream: TrackedUpstream,
     progress: CallProgress,
-  ): Promise<PlainAttempt> {
+  ): PlainAttempt {
     const {clock, transport, upstreams} = this.parts;
     const startedAt = clock.now();
     const remainingMilliseconds = call.deadline - startedAt;
@@ -210,8 +215,8 @@
     progress.attempts += 1;
     upstream.health.recordAttempt(startedAt);
     const load = upstreams.addLoad(upstream, {calls: 1});
-    const attempt = new AbortScope(progress.signal);
-    const sent = transport.send(
+    const scope = new AbortScope(progress.signal);
+    const head = transport.send(
       upstream.document,
       call,
       {
@@ -219,43 +224,40 @@
         needsNewConnection: !call.route.target.repeatable,
         headersTimeoutMilliseconds: remainingMilliseconds,
       },
-      attempt.signal,
+      scope.signal,
     );
-    const head = await this.awaitHead(call, pool, upstream, progress, sent);
-    const response = head.result.isOk
-      ? await bufferResponse(
-          head.result.value,
-          upstream,
-          () => clock.now() > call.deadline,
-        )
-      : Result.err<PassthroughResponse, PassthroughError>(head.result.error);
-    if (response.isErr) attempt.close();
-    load.release();
-    const {replacement} = head;
-    return {
-      response: this.recordAttempt(
-        call,
-        pool,
-        upstream,
-        progress,
-        response,
-        startedAt,
-      ),
-      replacement,
+    const finish = async () => {
+      const response = await this.buffer(call, upstream, await head);
+      load.release();
+      return this.record(call, pool, upstream, progress, response, startedAt);
     };
+    return {upstream, scope, head, outcome: finish()};
+  }
+
+  private async buffer(
+    call: RoutedCall,
+    upstream: TrackedUpstream,
+    head: Result<PassthroughResponse, PassthroughError>,
+  ): Promise<Result<PassthroughResponse, PassthroughError>> {
+    const {clock} = this.parts;
+    if (head.isErr) return Result.err(head.error);
+    const isOverdue = () => clock.now() > call.deadline;
+    return bufferResponse(head.value, upstream, isOverdue);
   }
 
-  /** Waits for the head of the response, or for another upstream. */
+  /**
+   * Waits for the head of the response. Resolves with another upstream if the
+   * call is to be sent there as well.
+   */
   private async awaitHead(
     call: RoutedCall,
     pool: PoolDocument,
-    {document}: TrackedUpstream,
+    {head}: PlainAttempt,
     progress: CallProgress,
-    sent: TransportResult<PassthroughResponse>,
-  ): Promise<AwaitedHead> {
+  ): Promise<TrackedUpstream | undefined> {
     const {repeatable, maximumTries} = call.route.target;
     if (!repeatable || progress.possibleRuns + 1 >= maximumTries)
-      return {result: await sent, replacement: undefined};
+      return undefined;
     const monitor = new StallMonitor<TrackedUpstream>({
       clock: this.parts.clock,
       stallMilliseconds: responseStallOf(call),
@@ -263,19 +265,14 @@
       findReplacement: this.replacementSearch(call, pool, progress),
       releaseReplacement: () => undefined,
     });
-    const head = await monitor.wait(sent);
+    const next = await monitor.wait(head);
     monitor.close();
-    if (head.kind === 'ready')
-      return {result: head.value, replacement: undefined};
-    return {
-      result: Result.err({kind: 'silent', upstream: upstreamId(document.name)}),
-      replacement: head.kind === 'replaced' ? head.replacement : undefined,
-    };
+    return next.kind === 'replaced' ? next.replacement : undefined;
   }
 
   /**
-   * Returns a search for an upstream that takes over from a silent one. Each
-   * limit is reported once.
+   * Returns a search for another upstream beside a silent one. Each limit is
+   * reported once.
    */
   private replacementSearch(
     call: RoutedCall,
@@ -308,7 +305,7 @@
   }
 
   /** Records the outcome of an attempt. A returned response ends the call. */
-  private recordAttempt(
+  private record(
     call: RoutedCall,
     pool: PoolDocument,
     upstream: TrackedUpstream,
