Keep a stalled completion until its replacement is secured

What callers saw: with 40 open streams and a deadline of 20 s, a pause of 1.3 s of both decode engines ended 22 (stalled) and 20 (silent) of them with upstream-timeout, although the engines went on afterwards.

Two silent connections of 400 ms ended the attempt and cancelled it at its engine; only then were the retry budget and the admission asked. Streams that the budget of 20 retries did not cover were lost.

Change: StallMonitor moves to src/ and watches the decode. After 800 ms without a token the engine is ejected, as before, and AttemptAdmission looks for a retry of the budget and a reservation of engines. The attempt is cancelled only for both, goes on if tokens arrive meanwhile, and else ends at the deadline of the request. A silent connection is opened again at the same offset, each time after a longer silence (up to 1.6 s); broken connections, refusals and unreachable engines end the attempt as before. Progress after a stall counts as a success for the health of the engine. StallMonitor.close frees a replacement that no wait resolved with; the retry taken for it is returned.

Why it works: nothing is released before what replaces it is held, so the budget and the queue decide about a second attempt and no longer about the first one.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -12,7 +12,7 @@
 import type {GenerationState} from './generation-run.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
-import type {StallMonitor} from './stall-monitor.js';
+import type {StallMonitor} from '../stall-monitor.js';
 
 /** An interrupted stream and its progress until then. */
 export interface StreamInterruption {
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -32,7 +32,7 @@
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {PrefillStage} from './prefill-stage.js';
-import {StallMonitor} from './stall-monitor.js';
+import {StallMonitor} from '../stall-monitor.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -21,7 +21,6 @@
   RoutedCall,
   PassthroughResponse,
   PassthroughError,
-  TransportResult,
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
 import {bufferResponse} from './buffered-response.js';
@@ -33,7 +32,7 @@
 import type {PassthroughParts} from './passthrough-parts.js';
 import {choosePoolByWeight} from './passthrough-parts.js';
 import {BaselineDuration} from './reference-time.js';
-import {StallMonitor} from './stall-monitor.js';
+import {StallMonitor} from '../stall-monitor.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -9,18 +9,23 @@
   CompletionRequest,
 } from '../requests/completion.js';
 import type {
+  DecodedToken,
   EngineAttempt,
   PrefillResult,
   UpstreamError,
 } from '../upstreams/engine.js';
-import {callWithTimeout} from './abort-scope.js';
+import {StallMonitor} from '../stall-monitor.js';
+import type {Abandonment} from '../stall-monitor.js';
+import {AbortScope, callWithTimeout} from './abort-scope.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import {CacheTransfer} from './cache-transfer.js';
+import type {AttemptAdmission} from './attempt-admission.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
 import {readTokens} from './token-stream.js';
+import type {StreamResult} from './token-stream.js';
 
 /** Progress of a completion over all its attempts. */
 export interface CompletionProgress {
@@ -33,7 +38,13 @@
 /** Outcome of an attempt. */
 export type AttemptResult =
   | {readonly kind: 'complete'}
-  | {readonly kind: 'failed'; readonly error: UpstreamError};
+  | {readonly kind: 'failed'; readonly error: UpstreamError}
+  /** Stalled, and given up for `placement`, which the next attempt uses. */
+  | {
+      readonly kind: 'replaced';
+      readonly error: UpstreamError;
+      readonly placement: Placement;
+    };
 
 type TokenEvent = Extract<CompletionEvent, {kind: 'token'}>;
 
@@ -43,7 +54,9 @@
   readonly placer: Placer;
   readonly links: LinkView;
   readonly cleaner: AttemptCleaner;
+  /** Time without a token after which a connection counts as silent. */
   readonly silenceMilliseconds: number;
+  readonly admission: AttemptAdmission;
 }
 
 const prefillTimeoutBaseMilliseconds = 500;
@@ -55,10 +68,13 @@
 const minimumExpectedPrefillMilliseconds = 200;
 /** Tokens needed before the decode speed is measured. */
 const minimumObservedTokens = 4;
+/** Silent connections in a row after which a decode counts as stalled. */
+const silentConnectionsOfStall = 2;
 
 export class AttemptRunner {
   private readonly contactedEngines = new Set<EngineState>();
   private decodeStartedAt = 0;
+  private isDecodeStalled = false;
   /** Prefilled tokens that no decode engine has imported yet. */
   private untransferredTokens = 0;
 
@@ -165,51 +181,139 @@
   private async *decode(
     signal: AbortSignal,
   ): AsyncGenerator<TokenEvent, AttemptResult> {
-    const {clock, silenceMilliseconds} = this.parts;
     const {decode} = this.placement;
     this.progress.isDecodeStarted = true;
-    this.decodeStartedAt = clock.now();
+    const scope = new AbortScope(signal);
+    const tokensExpectedAt = this.startDecodeTime(decode);
+    const monitor = this.monitorDecode(decode, tokensExpectedAt, scope.signal);
+    const tokens = this.readDecodedTokens(
+      decode,
+      tokensExpectedAt,
+      monitor,
+      scope.signal,
+    );
+    try {
+      for (;;) {
+        const item = await monitor.wait(tokens.next());
+        if (item.kind !== 'ready') return this.abandonDecode(decode, item);
+        if (item.value.done === true)
+          return this.recordDecodeResult(decode, item.value.value);
+        const {offset, text} = item.value.value;
+        monitor.suspend();
+        this.recordDecodeContinued(decode);
+        this.progress.deliveredTokens += 1;
+        yield {kind: 'token', offset, text};
+        monitor.resume();
+      }
+    } finally {
+      monitor.close();
+      // Closes the connection when the attempt ends early; the value is unused.
+      scope.close();
+      await tokens.return({kind: 'complete'});
+    }
+  }
+
+  /** Returns the clock time from which missing tokens count as silence. */
+  private startDecodeTime(decode: EngineState): number {
+    this.decodeStartedAt = this.parts.clock.now();
     const firstOffset = this.progress.deliveredTokens;
-    const regenerationMilliseconds =
-      firstOffset === 0
-        ? 0
-        : this.parts.placer.cost.decodeMilliseconds(decode, firstOffset);
-    const tokens = readTokens(
+    if (firstOffset === 0) return this.decodeStartedAt;
+    const {cost} = this.parts.placer;
+    const regenerationMilliseconds = cost.decodeMilliseconds(
+      decode,
+      firstOffset,
+    );
+    return this.decodeStartedAt + timeoutFactor * regenerationMilliseconds;
+  }
+
+  private readDecodedTokens(
+    decode: EngineState,
+    tokensExpectedAt: number,
+    monitor: StallMonitor<Placement>,
+    signal: AbortSignal,
+  ): AsyncGenerator<DecodedToken, StreamResult> {
+    const {clock, silenceMilliseconds} = this.parts;
+    return readTokens(
       {
         clock,
         engine: decode.engine,
         silenceMilliseconds,
-        tokensExpectedAt:
-          clock.now() + timeoutFactor * regenerationMilliseconds,
+        tokensExpectedAt,
         onCheck: nextOffset => this.recordDecodeProgress(decode, nextOffset),
+        onDuplicate: () => monitor.recordActivity(),
+        onProcessPause: () => {
+          if (clock.now() >= tokensExpectedAt) monitor.resume();
+        },
       },
       {
         ...this.attempt,
         maximumTokens: this.request.maximumTokens,
-        offset: firstOffset,
+        offset: this.progress.deliveredTokens,
         priority: priorityOf(this.request),
       },
       signal,
     );
-    try {
-      for (;;) {
-        const item = await tokens.next();
-        if (item.done === true)
-          return this.recordDecodeResult(decode, item.value);
-        const {offset, text} = item.value;
-        this.progress.deliveredTokens += 1;
-        yield {kind: 'token', offset, text};
-      }
-    } finally {
-      // Closes the connection when the consumer stops early; the value is unused.
-      await tokens.return({kind: 'complete'});
+  }
+
+  /** Watches the decode from one silence before `tokensExpectedAt`. */
+  private monitorDecode(
+    decode: EngineState,
+    tokensExpectedAt: number,
+    signal: AbortSignal,
+  ): StallMonitor<Placement> {
+    const {clock, silenceMilliseconds, admission} = this.parts;
+    const monitor = new StallMonitor<Placement>({
+      clock,
+      stallMilliseconds: silentConnectionsOfStall * silenceMilliseconds,
+      // The deadline of the request aborts the attempt.
+      deadline: Infinity,
+      findReplacement: searchSignal => {
+        this.recordDecodeStalled(decode);
+        return admission.findReplacement(searchSignal);
+      },
+      releaseReplacement: placement => admission.releaseReplacement(placement),
+    });
+    const watchAt = tokensExpectedAt - silenceMilliseconds;
+    if (watchAt <= clock.now()) return monitor;
+    const deliveredTokens = this.progress.deliveredTokens;
+    monitor.suspend();
+    void clock.sleep(watchAt - clock.now(), signal).then(() => {
+      if (this.progress.deliveredTokens === deliveredTokens) monitor.resume();
+    });
+    return monitor;
+  }
+
+  private abandonDecode(
+    decode: EngineState,
+    abandonment: Abandonment<Placement>,
+  ): AttemptResult {
+    const {id} = decode.engine;
+    const error: UpstreamError = {kind: 'silent', upstream: id};
+    switch (abandonment.kind) {
+      case 'replaced':
+        return {kind: 'replaced', error, placement: abandonment.replacement};
+      case 'overdue':
+        return {kind: 'failed', error};
     }
   }
 
+  /** Ejects the engine once for each stall, so that others are chosen. */
+  private recordDecodeStalled(decode: EngineState): void {
+    if (this.isDecodeStalled) return;
+    this.isDecodeStalled = true;
+    this.recordError(decode, {kind: 'silent', upstream: decode.engine.id});
+  }
+
+  private recordDecodeContinued(decode: EngineState): void {
+    if (!this.isDecodeStalled) return;
+    this.isDecodeStalled = false;
+    decode.health.recordSuccess();
+  }
+
   private recordDecodeResult(
     decode: EngineState,
-    result: AttemptResult,
-  ): AttemptResult {
+    result: StreamResult,
+  ): StreamResult {
     if (result.kind === 'failed') this.recordError(decode, result.error);
     else decode.health.recordSuccess();
     return result;
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -4,7 +4,7 @@
  * however a completion ends.
  */
 
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {FailureDomainId} from '../ids.js';
@@ -23,6 +23,7 @@
 import {AbortScope} from './abort-scope.js';
 import {AttemptCleaner} from './attempt-cleaner.js';
 import type {AttemptRegistry} from './attempt-cleaner.js';
+import {AttemptAdmission} from './attempt-admission.js';
 import {AttemptRunner} from './attempt-runner.js';
 import type {CompletionProgress} from './attempt-runner.js';
 import {createWordBlockHasher} from './cache-view.js';
@@ -41,6 +42,7 @@
 import type {PlacementPolicy} from './placement-policy.js';
 import {Placer} from './placer.js';
 import {RetryBudget} from './retry-budget.js';
+import type {Admission} from './waiting-request.js';
 
 export type {EngineDirectory} from './engine-view.js';
 
@@ -154,19 +156,20 @@
       deliveredTokens: 0,
       isDecodeStarted: false,
     };
-    const arrivedAt = this.parts.clock.now();
+    const attemptAdmission = new AttemptAdmission(
+      {dispatcher: this.dispatcher, retryBudget: this.retryBudget},
+      request,
+      progress,
+      this.parts.clock.now(),
+    );
     this.retryBudget.deposit();
     let lastError: UpstreamError | undefined;
+    let nextPlacement: Placement | undefined;
     for (;;) {
-      const admission = await this.dispatcher.admit(
-        {...request, promptTokens: progress.promptTokens},
-        {
-          arrivedAt,
-          deliveredTokens: progress.deliveredTokens,
-          isRetry: lastError !== undefined,
-        },
-        signal,
-      );
+      const admission: Admission =
+        nextPlacement === undefined
+          ? await attemptAdmission.admit(lastError !== undefined, signal)
+          : Result.ok(nextPlacement);
       const stopReason = stopReasonOf(callerSignal, signal);
       if (admission.isErr || stopReason !== undefined) {
         if (admission.isOk) admission.value.close();
@@ -175,17 +178,9 @@
         return;
       }
       request.observer?.dequeued();
-      const attemptRunner = new AttemptRunner(
-        {
-          clock: this.parts.clock,
-          placer: this.placer,
-          links: this.links,
-          cleaner: this.cleaner,
-          silenceMilliseconds:
-            this.parts.silenceMilliseconds ?? defaultSilenceMilliseconds,
-        },
+      const attemptRunner = this.createAttemptRunner(
         request,
-        this.createAttempt(request),
+        attemptAdmission,
         admission.value,
         progress,
       );
@@ -200,6 +195,8 @@
         return;
       }
       lastError = result.error;
+      nextPlacement = result.kind === 'replaced' ? result.placement : undefined;
+      if (nextPlacement !== undefined) continue;
       const attemptStopReason = stopReasonOf(callerSignal, signal);
       if (attemptStopReason !== undefined || !this.retryBudget.withdraw()) {
         const failure = failureOf(
@@ -214,6 +211,29 @@
     }
   }
 
+  private createAttemptRunner(
+    request: CompletionRequest,
+    admission: AttemptAdmission,
+    placement: Placement,
+    progress: CompletionProgress,
+  ): AttemptRunner {
+    return new AttemptRunner(
+      {
+        clock: this.parts.clock,
+        placer: this.placer,
+        links: this.links,
+        cleaner: this.cleaner,
+        silenceMilliseconds:
+          this.parts.silenceMilliseconds ?? defaultSilenceMilliseconds,
+        admission,
+      },
+      request,
+      this.createAttempt(request),
+      placement,
+      progress,
+    );
+  }
+
   private createAttempt({request}: CompletionRequest): EngineAttempt {
     return {
       request,
--- a/packages/coordination/src/placement/retry-budget.ts
+++ b/packages/coordination/src/placement/retry-budget.ts
@@ -12,10 +12,20 @@
     this.retries = Math.min(maximumRetries, this.retries + retriesPerRequest);
   }
 
+  /** Whether `withdraw` would succeed now. */
+  canWithdraw(): boolean {
+    return this.retries >= 1;
+  }
+
   /** Takes one retry. Returns false when the budget is exhausted. */
   withdraw(): boolean {
-    if (this.retries < 1) return false;
+    if (!this.canWithdraw()) return false;
     this.retries -= 1;
     return true;
   }
+
+  /** Gives back a retry that was taken and not used. */
+  returnRetry(): void {
+    this.retries = Math.min(maximumRetries, this.retries + 1);
+  }
 }
--- a/packages/coordination/src/placement/token-stream.ts
+++ b/packages/coordination/src/placement/token-stream.ts
@@ -1,6 +1,7 @@
 /**
  * Reads the tokens of one attempt from a decode engine, in order and each once.
- * Reconnects when a connection goes silent or breaks.
+ * Reconnects when a connection goes silent or breaks. Silence alone never ends
+ * the stream; its consumer aborts it.
  */
 
 import type {Clock} from '../clock.js';
@@ -21,7 +22,10 @@
 export interface TokenStreamParts {
   readonly clock: Clock;
   readonly engine: Engine;
-  /** Time without a token after which a connection counts as silent. */
+  /**
+   * Time without a token after which a connection counts as silent. It grows
+   * while connections in a row deliver nothing.
+   */
   readonly silenceMilliseconds: number;
   /**
    * Time before which a missing token does not count as silence. A new engine
@@ -30,14 +34,29 @@
   readonly tokensExpectedAt: number;
   /** Called at each silence check, with the index of the next token. */
   readonly onCheck: (nextOffset: number) => void;
+  /** Called for a token that was already received. */
+  readonly onDuplicate?: () => void;
+  /**
+   * Called when a silence check shows that this process stood still, so that
+   * the time without a token counts anew.
+   */
+  readonly onProcessPause?: () => void;
 }
 
 /**
- * Consecutive failed connections at the same offset after which the stream
- * fails. The connection that delivered the last token counts as the first.
+ * Consecutive failed connections at the same offset after which one that
+ * breaks ends the stream. The connection that delivered the last token counts
+ * as the first.
  */
 const maximumFailedConnections = 2;
 
+/**
+ * Upper bound of the factor by which the time until a connection counts as
+ * silent grows. It bounds the connections that wait at an engine that stands
+ * still.
+ */
+const maximumSilenceFactor = 4;
+
 /** Yields tokens starting at the request's offset. */
 export async function* readTokens(
   parts: TokenStreamParts,
@@ -48,7 +67,11 @@
   let failedConnections = 0;
   for (;;) {
     const connection = new Connection(
-      parts,
+      {
+        ...parts,
+        silenceMilliseconds:
+          parts.silenceMilliseconds * silenceFactorAfter(failedConnections),
+      },
       {...request, offset: nextOffset},
       signal,
     );
@@ -57,12 +80,20 @@
     nextOffset = connection.nextOffset;
     if (result.kind === 'complete') return result;
     failedConnections = nextOffset > previousOffset ? 1 : failedConnections + 1;
-    const hasFailed =
-      !canResume(result.error) || failedConnections >= maximumFailedConnections;
+    const canReconnect =
+      result.error.kind === 'silent' ||
+      failedConnections < maximumFailedConnections;
+    const hasFailed = !canResume(result.error) || !canReconnect;
     if (signal.aborted || hasFailed) return result;
   }
 }
 
+/** The first two connections at an offset get the same time. */
+function silenceFactorAfter(failedConnections: number): number {
+  const doublings = Math.max(0, failedConnections - 1);
+  return Math.min(maximumSilenceFactor, 2 ** doublings);
+}
+
 function canResume(error: UpstreamError): boolean {
   switch (error.kind) {
     case 'silent':
@@ -104,7 +135,10 @@
           return this.failureOf({kind: 'malformed', upstream: engine.id});
         this.waitingSince = clock.now();
         // A token that was already received is a duplicate.
-        if (token.offset < this.nextOffset) continue;
+        if (token.offset < this.nextOffset) {
+          this.parts.onDuplicate?.();
+          continue;
+        }
         this.nextOffset += 1;
         // While the consumer processes the token, the engine is not silent.
         this.waitingSince = undefined;
@@ -156,8 +190,10 @@
       // Tokens that arrived while this process stood still are read next.
       const isLate =
         clock.now() - now - sleepMilliseconds > lateTimerMilliseconds;
-      if (isLate && this.waitingSince !== undefined)
+      if (isLate && this.waitingSince !== undefined) {
         this.waitingSince = clock.now();
+        this.parts.onProcessPause?.();
+      }
       onCheck(this.nextOffset);
     }
   }
--- a/packages/coordination/src/passthrough/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -3,8 +3,8 @@
  * its upstream may only be slow, so it is kept until a replacement is available.
  */
 
-import type {Clock} from '../clock.js';
-import {lateTimerMilliseconds} from '../placement/abort-scope.js';
+import type {Clock} from './clock.js';
+import {lateTimerMilliseconds} from './placement/abort-scope.js';
 
 export interface StallMonitorParts<Replacement> {
   readonly clock: Clock;
@@ -51,8 +51,9 @@
   private nextSearchAt = -Infinity;
   private search: AbortController | undefined;
   private isSuspended = false;
-  /** Decided while no `wait` was pending. */
   private abandonment: Abandonment<Replacement> | undefined;
+  /** Whether `wait` has resolved with the abandonment. */
+  private isAbandonmentTaken = false;
   /** Ends the pending `wait`, if there is one. */
   private endWait: ((reason: Abandonment<Replacement>) => void) | undefined;
 
@@ -91,33 +92,28 @@
   }
 
   /** Waits for `work`, unless the attempt is to be given up before. */
-  wait<Value>(
+  async wait<Value>(
     work: Promise<Value>,
   ): Promise<MonitoredResult<Value, Replacement>> {
-    return new Promise((resolve, reject) => {
-      const {abandonment} = this;
-      this.abandonment = undefined;
-      this.endWait = resolve;
-      work.then(
-        value => {
-          this.endWait = undefined;
-          resolve({kind: 'ready', value});
-        },
-        error => {
-          this.endWait = undefined;
-          reject(error);
-        },
-      );
-      if (abandonment !== undefined) resolve(abandonment);
-    });
+    const result = await new Promise<MonitoredResult<Value, Replacement>>(
+      (resolve, reject) => {
+        this.endWait = resolve;
+        work.then(value => resolve({kind: 'ready', value}), reject);
+        if (this.abandonment !== undefined) resolve(this.abandonment);
+      },
+    );
+    if (result.kind !== 'ready') this.isAbandonmentTaken = true;
+    return result;
   }
 
+  /** Ends the search, and frees a replacement that no `wait` resolved with. */
   close(): void {
     this.closing.abort();
     this.search?.abort();
-    if (this.abandonment?.kind === 'replaced')
-      this.parts.releaseReplacement(this.abandonment.replacement);
-    this.abandonment = undefined;
+    const {abandonment} = this;
+    if (abandonment?.kind !== 'replaced' || this.isAbandonmentTaken) return;
+    this.isAbandonmentTaken = true;
+    this.parts.releaseReplacement(abandonment.replacement);
   }
 
   private async watch(): Promise<void> {
@@ -173,8 +169,8 @@
   }
 
   private abandon(reason: Abandonment<Replacement>): void {
-    if (this.endWait === undefined) this.abandonment = reason;
-    else this.endWait(reason);
+    this.abandonment = reason;
+    this.endWait?.(reason);
   }
 
   private async sleepUntil(time: number): Promise<void> {
--- a/packages/coordination/test/placement-parts.test.ts
+++ b/packages/coordination/test/placement-parts.test.ts
@@ -150,6 +150,36 @@
   t.is(connections, 1);
 });
 
+test('an engine that stays silent is connected to ever more rarely', async t => {
+  const clock = new VirtualClock();
+  const connectedAt: number[] = [];
+  const engine = {
+    id: upstreamId('d1'),
+    async *decode(_request: DecodeRequest, signal: AbortSignal) {
+      connectedAt.push(clock.now());
+      await once(signal, 'abort');
+      yield Result.err({kind: 'cancelled', upstream: upstreamId('d1')});
+    },
+  } as unknown as Engine;
+  const caller = new AbortController();
+  const tokens = readTokens(
+    {
+      clock,
+      engine,
+      silenceMilliseconds: 400,
+      tokensExpectedAt: 0,
+      onCheck: () => {},
+    },
+    {...attempt, maximumTokens: 3, offset: 0, priority: 0},
+    caller.signal,
+  );
+  const end = tokens.next();
+  await clock.advance(5000);
+  t.deepEqual(connectedAt, [0, 400, 800, 1600, 3200, 4800]);
+  caller.abort();
+  t.true((await clock.runUntil(end)).done);
+});
+
 test('tokens of another request or attempt are malformed', async t => {
   for (const other of [
     {request: requestId('request-2')},
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -23,7 +23,7 @@
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
 import {RetryGate} from '../src/passthrough/retry-gate.js';
-import {StallMonitor} from '../src/passthrough/stall-monitor.js';
+import {StallMonitor} from '../src/stall-monitor.js';
 import {PausableClock} from './tools/pausable-clock.js';
 
 const pool = {
--- a/packages/coordination/test/stall-monitor.test.ts
+++ b/packages/coordination/test/stall-monitor.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {VirtualClock} from '../src/index.js';
-import {StallMonitor} from '../src/passthrough/stall-monitor.js';
+import {StallMonitor} from '../src/stall-monitor.js';
 import {PausableClock} from './tools/pausable-clock.js';
 
 const never = new Promise<never>(() => undefined);
@@ -121,3 +121,22 @@
   t.deepEqual(released, ['engine-2']);
   t.is(found.searches, 1);
 });
+
+test('a replacement that nothing waited for is freed when the monitor closes', async t => {
+  const {time, monitor, found, released} = createMonitor();
+  found.available = 'engine-2';
+  await time.advance(1100);
+  t.deepEqual(released, []);
+  monitor.close();
+  monitor.close();
+  t.deepEqual(released, ['engine-2']);
+});
+
+test('a replacement that was handed over is not freed by the monitor', async t => {
+  const {time, monitor, found, released} = createMonitor();
+  found.available = 'engine-2';
+  const result = await time.runUntil(monitor.wait(never));
+  t.is(result.kind, 'replaced');
+  monitor.close();
+  t.deepEqual(released, []);
+});
