List transfers that are given up before a replacement is secured

Cause, from the code: CacheTransfer cancels a transfer after its timeout and then looks for another engine; without one the attempt ends and the retry budget is asked. It is the cause of docs/incidents/stream-cut-after-silence.md and is not fixed here.

--- a/packages/coordination/test/placement-silence.test.ts
+++ b/packages/coordination/test/placement-silence.test.ts
@@ -81,3 +81,36 @@
   await fleet.clock.advance(10_000);
   t.is(totalHeldTokens(fleet), 0);
 });
+
+/**
+ * Both decode engines have a fault for 1.3 s while 40 requests wait for a
+ * prefill or a transfer.
+ */
+async function checkTransfersAreKept(
+  t: ExecutionContext,
+  fault: SimulatedEngineFault,
+): Promise<void> {
+  const {fleet, runner} = makeFleet();
+  const requests = Array.from({length: 40}, () =>
+    startRequest(fleet, runner, {
+      service: 'deferrable',
+      prompt: 'word '.repeat(4_000),
+      promptTokens: 4_000,
+    }),
+  );
+  await fleet.clock.advance(101);
+  for (const name of decodeEngines) fleet.engine(name).fail(fault);
+  await fleet.clock.advance(1300);
+  for (const name of decodeEngines) fleet.engine(name).fail({kind: 'none'});
+  await fleet.clock.runUntil(Promise.all(requests.map(({done}) => done)));
+  const failures = requests
+    .filter(({events}) => !isCompleteStream(events))
+    .map(({events}) => JSON.stringify(events.at(-1)));
+  t.is(failures.length, 0, `${failures.length}: ${failures[0]}`);
+}
+
+test('transfers to engines that stall for a while are kept', t =>
+  checkTransfersAreKept(t, {kind: 'stalled'}));
+
+test('transfers to engines that are silent for a while are kept', t =>
+  checkTransfersAreKept(t, {kind: 'silent'}));
