Allow one abort listener for each probed upstream

What operators saw: MaxListenersExceededWarning (11 abort listeners added to [AbortSignal]) on hosts while a failure domain was cut off.

Cause: the probes of all unreachable upstreams share the signal that ends them when the host closes. Each probe or wait between two probes adds one listener, so that more than 10 unreachable upstreams exceed the default limit. Listeners don't leak: the new test counts at most one for each of 40 upstreams, and none after the upstreams are reachable again, before the change, too.

Their number is bounded by the number of upstreams, because each has at most one series of probes. The test keeps both counts.

Before: 'a cut of a large failure domain adds one listener for each upstream and no warning' fails with one MaxListenersExceededWarning. After: the 6 tests of the file pass.

--- a/packages/coordination/src/passthrough/reachability-probes.ts
+++ b/packages/coordination/src/passthrough/reachability-probes.ts
@@ -6,6 +6,7 @@
  * one of them is unreachable.
  */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../clock.js';
 import type {PassthroughTransport} from './call.js';
 import type {TrackedUpstream, UpstreamTable} from './upstream-table.js';
@@ -43,6 +44,8 @@
   private readonly unsubscribe: () => void;
 
   constructor(private readonly parts: ReachabilityProbesParts) {
+    // Each upstream that is being probed adds one listener.
+    setMaxListeners(0, this.closing.signal);
     this.unsubscribe = parts.upstreams.subscribeUnreachable(upstream =>
       this.startProbing(upstream),
     );
--- a/packages/coordination/test/reachability.test.ts
+++ b/packages/coordination/test/reachability.test.ts
@@ -1,3 +1,4 @@
+import {getEventListeners} from 'node:events';
 import test from 'ava';
 import {ReachabilityProbes, UpstreamTable, VirtualClock} from '../src/index.js';
 import type {UpstreamDocument} from '../src/index.js';
@@ -21,6 +22,8 @@
   readonly changes: string[] = [];
   readonly unreachable = new Set<string>();
   readonly probed: string[] = [];
+  /** Signals of the probes. */
+  readonly signals: AbortSignal[] = [];
   readonly probes: ReachabilityProbes;
 
   constructor() {
@@ -28,7 +31,9 @@
     this.probes = new ReachabilityProbes({
       clock: this.clock,
       upstreams: this.upstreams,
-      transport: {probe: document => this.probe(document.name)},
+      transport: {
+        probe: (document, signal) => this.probe(document.name, signal),
+      },
       onChange: (name, isReachable) =>
         this.changes.push(
           `${name} ${isReachable ? 'reachable' : 'unreachable'}`,
@@ -58,11 +63,12 @@
     this.find(name).health.recordUnreachable(this.clock.now());
   }
 
-  private async probe(name: string): Promise<boolean> {
+  private async probe(name: string, signal: AbortSignal): Promise<boolean> {
     this.probed.push(name);
+    this.signals.push(signal);
     // Fails if the upstream is unreachable at the start or the end of the probe.
     const isUnreachable = this.unreachable.has(name);
-    await this.clock.sleep(isUnreachable ? 250 : 2);
+    await this.clock.sleep(isUnreachable ? 250 : 2, signal);
     return !isUnreachable && !this.unreachable.has(name);
   }
 }
@@ -149,3 +155,27 @@
   t.is(network.find('a-1').health.failureShare(network.clock.now()), 0);
   t.is(network.changes.at(-1), 'a-1 reachable');
 });
+
+test('a cut of a large failure domain adds one listener for each upstream and no warning', async t => {
+  const warnings: Error[] = [];
+  const onWarning = (warning: Error) => warnings.push(warning);
+  process.on('warning', onWarning);
+  t.teardown(() => process.off('warning', onWarning));
+  const network = new Network();
+  const names = Array.from({length: 40}, (_, index) => `a-${index}`);
+  network.list(...names);
+  for (const name of names) network.unreachable.add(name);
+  network.failConnection('a-0');
+  await network.clock.advance(1000);
+  const listenerCounts = () =>
+    network.signals.map(signal => getEventListeners(signal, 'abort').length);
+  t.true(Math.max(...listenerCounts()) <= names.length);
+  network.unreachable.clear();
+  await network.clock.advance(1000);
+  t.is(Math.max(...listenerCounts()), 0);
+  await new Promise(resolve => setImmediate(resolve));
+  t.deepEqual(
+    warnings.map(({name}) => name),
+    [],
+  );
+});
