Move connections and exchanges out of the passthrough folder

The clients of engines and plain services need the connections, response bodies and limits of passed-through calls. They move to src/connections, and so do sendRequest (exchange.ts, from http-transport.ts) and its types.

Only the import paths of tests change.

--- a/packages/daemon/src/passthrough/upstream-connections.ts
+++ b/packages/daemon/src/connections/upstream-connections.ts
@@ -11,6 +11,7 @@
 /** A connection in use by one call. */
 export interface UpstreamConnection {
   readonly client: Client;
+  readonly connectTimeoutMilliseconds: number;
   /**
    * True when the socket ended with an error. A response without a length that
    * ends this way is truncated, but the HTTP client reports it as complete.
@@ -31,12 +32,20 @@
 /** Longest idle time after which a connection is reused. */
 const maximumIdleMilliseconds = 1000;
 
-/** Idle connections kept per upstream address. */
-const maximumIdleConnections = 4;
+export interface ConnectionLimits {
+  /** Idle connections kept per upstream address. */
+  readonly maximumIdleConnections: number;
+  readonly connectTimeoutMilliseconds: number;
+}
 
 /** Timeout of connecting, which takes a few milliseconds in a data centre. */
 export const connectTimeoutMilliseconds = 250;
 
+const defaultLimits: ConnectionLimits = {
+  maximumIdleConnections: 4,
+  connectTimeoutMilliseconds,
+};
+
 /** Interval at which expired idle connections are closed. */
 const sweepIntervalMilliseconds = 1000;
 
@@ -54,7 +63,10 @@
   /** Number of connections opened since the start. */
   openedCount = 0;
 
-  constructor(private readonly clock: Clock) {
+  constructor(
+    private readonly clock: Clock,
+    private readonly limits: ConnectionLimits = defaultLimits,
+  ) {
     this.sweepTimer = setInterval(
       () => this.closeExpired(),
       sweepIntervalMilliseconds,
@@ -70,6 +82,7 @@
     let isReleased = false;
     return {
       client,
+      connectTimeoutMilliseconds: this.limits.connectTimeoutMilliseconds,
       hasSocketFailed: () => this.clientsWithFailedSocket.has(client),
       recordProgress: () => this.sockets.get(client)?.recordProgress(),
       pauseReading: () => {
@@ -128,7 +141,11 @@
           socket.off('error', onConnectError);
           callback(null, socket);
         });
-        socket.open(hostname, Number(port), connectTimeoutMilliseconds);
+        socket.open(
+          hostname,
+          Number(port),
+          this.limits.connectTimeoutMilliseconds,
+        );
       },
       // The transport enforces timeouts itself, because it needs their reason.
       headersTimeout: 0,
@@ -143,7 +160,7 @@
   private storeIdle(address: string, client: Client): void {
     const idle = this.idleConnections.get(address) ?? [];
     this.idleConnections.set(address, idle);
-    if (idle.length >= maximumIdleConnections) this.close(client);
+    if (idle.length >= this.limits.maximumIdleConnections) this.close(client);
     else idle.push({client, idleSince: this.clock.now()});
   }
 
--- a/packages/daemon/src/passthrough/index.ts
+++ b/packages/daemon/src/passthrough/index.ts
@@ -5,6 +5,6 @@
 export type {PassthroughSettings} from './passthrough-settings.js';
 export type * from './platform-feed.js';
 export type * from './wire-format.js';
-export {hopByHopHeaders} from './http-transport.js';
+export {hopByHopHeaders} from '../connections/exchange.js';
 export {createEventLog} from '../log/logger.js';
 export type {EventLog} from '../log/logger.js';
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -37,7 +37,7 @@
 import {mergeSettings} from './settings-change.js';
 import {serveMetrics, serveReadiness} from './status-server.js';
 import type {StatusServer} from './status-server.js';
-import {UpstreamConnections} from './upstream-connections.js';
+import {UpstreamConnections} from '../connections/upstream-connections.js';
 import type {UpstreamNotice} from './wire-format.js';
 
 /** Longest wait for the first configuration before calls are accepted. */
--- a/packages/daemon/src/passthrough/wire-format.ts
+++ b/packages/daemon/src/passthrough/wire-format.ts
@@ -9,6 +9,7 @@
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {Result} from 'true-myth';
+import type {ResponseKind} from '../connections/exchange.js';
 
 /** Request line and headers as received. */
 export interface RequestHead {
@@ -32,20 +33,6 @@
   failureHeaders(failure: RequestFailure): readonly Header[];
 }
 
-/** Classification of a response by its head. */
-export type ResponseKind =
-  /** The upstream executed the call; this is its response. */
-  | 'ran'
-  /** The upstream did not execute the call and never will. */
-  | 'refused'
-  /** Another process has the address; it did not execute the call. */
-  | 'misdirected'
-  /**
-   * The response belongs to another call or can't be passed on. The connection
-   * is closed.
-   */
-  | 'foreign';
-
 /** What the head of a response says about the upstream itself. */
 export interface UpstreamNotice {
   /** Whether the upstream announces that it is leaving. */
--- a/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
+++ b/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {stat} from 'node:fs';
 import {fileURLToPath} from 'node:url';
-import {PauseAwareTimeout} from '../../src/passthrough/pause-aware-timeout.js';
+import {PauseAwareTimeout} from '../../src/connections/pause-aware-timeout.js';
 
 const timeoutMilliseconds = 40;
 
--- a/packages/daemon/test/passthrough/response-body.test.ts
+++ b/packages/daemon/test/passthrough/response-body.test.ts
@@ -3,7 +3,7 @@
   InterruptedResponseError,
   upstreamId,
 } from '@persimmonwick/coordination';
-import {ResponseBody} from '../../src/passthrough/response-body.js';
+import {ResponseBody} from '../../src/connections/response-body.js';
 
 const bytesAbovePauseThreshold = 80 * 1024;
 const idleTimeoutMilliseconds = 30;
--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -7,7 +7,7 @@
 import {systemClock} from '@persimmonwick/coordination';
 import type {RoutedCall, UpstreamDocument} from '@persimmonwick/coordination';
 import {HttpPassthroughTransport} from '../../src/passthrough/http-transport.js';
-import {UpstreamConnections} from '../../src/passthrough/upstream-connections.js';
+import {UpstreamConnections} from '../../src/connections/upstream-connections.js';
 import type {UpstreamWireFormat} from '../../src/passthrough/wire-format.js';
 
 const engineRequest = () => ({
