Survive the end of a service's response while it is paused

What callers saw: the process of the host ended, and with it every call on it, when a plain service sent a response without a length and closed or reset the connection while the caller read slowly. A response without a length that was reset counted as complete. A service that sent informational responses without end held a call for longer than the timeout of a head.

Cause: HttpServiceSender read through the streams of the HTTP client, which pause its parser, and the client asserts at the end of a connection that the parser is not paused. The client reports the end of a reset response without a length as complete, and each informational response restarts its timeout.

Change: the sender uses the connections and sendRequest of passed-through calls, which pause below the client, see resets and bound the head in bytes and time.

Before, each alone, in upstreams/service-responses: '1 parts ... that end', '1 parts ... that are reset' and '3 parts ... that are reset while they are paused' end the process with AssertionError assert(!this.paused); 'a response that is reset while its reader waits', 'a reset that follows the last bytes at once' and the 4 endless heads of informational responses and early hints fail. '3 parts ... that end', 'a response shorter than its length' and the 2 of blank lines pass before, too. After: all 13 pass.

--- a/packages/daemon/src/upstreams/http-error.ts
+++ b/packages/daemon/src/upstreams/http-error.ts
@@ -1,6 +1,31 @@
 /** Mapping of HTTP client errors to upstream errors. */
 
-import type {UpstreamError, UpstreamId} from '@persimmonwick/coordination';
+import type {
+  PassthroughError,
+  UpstreamError,
+  UpstreamId,
+} from '@persimmonwick/coordination';
+
+/**
+ * Converts the failure of a request whose response head did not arrive. If
+ * `signal` is aborted, the result is `cancelled`.
+ */
+export function requestError(
+  {kind, upstream}: PassthroughError,
+  signal: AbortSignal,
+): UpstreamError {
+  if (signal.aborted) return {kind: 'cancelled', upstream};
+  switch (kind) {
+    case 'unreachable':
+    case 'silent':
+    case 'cancelled':
+      return {kind, upstream};
+    case 'broken':
+    case 'refused':
+    case 'misdirected':
+      return {kind: 'broken', upstream};
+  }
+}
 
 /**
  * Converts an error thrown while sending a request or reading its response. If
--- a/packages/daemon/src/upstreams/http-service-sender.ts
+++ b/packages/daemon/src/upstreams/http-service-sender.ts
@@ -1,43 +1,31 @@
 /** HTTP client for plain services, the upstreams that are not engines. */
 
-import type {IncomingHttpHeaders} from 'node:http';
-import {upstreamId} from '@persimmonwick/coordination';
+import {upstreamId, systemClock} from '@persimmonwick/coordination';
 import type {
+  Header,
   ServiceResponse,
   ServiceCall,
   ServiceSender,
   Upstream,
   UpstreamError,
 } from '@persimmonwick/coordination';
-import {Result} from 'true-myth';
-import {Agent} from 'undici';
+import type {Result} from 'true-myth';
 import type {Dispatcher} from 'undici';
-import {toUpstreamError} from './http-error.js';
+import {sendRequest} from '../connections/exchange.js';
+import {createConnections} from './product-connections.js';
+import {requestError} from './http-error.js';
 
-const droppedResponseHeaders = new Set([
-  'connection',
-  'keep-alive',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  // Only this host sets the following headers.
-  'x-request-id',
-  'x-persimmonwick-ran',
-]);
+/** Headers that only this host sets. */
+const droppedResponseHeaders = new Set(['x-request-id', 'x-persimmonwick-ran']);
 
 export class HttpServiceSender implements ServiceSender {
-  private readonly agent: Agent;
+  private readonly connections = createConnections(systemClock);
 
-  constructor(timeoutMilliseconds: number) {
-    this.agent = new Agent({
-      headersTimeout: timeoutMilliseconds,
-      bodyTimeout: timeoutMilliseconds,
-      pipelining: 1,
-    });
-  }
+  constructor(private readonly timeoutMilliseconds: number) {}
 
-  async close(): Promise<void> {
-    await this.agent.destroy();
+  close(): Promise<void> {
+    this.connections.closeAll();
+    return Promise.resolve();
   }
 
   async send(
@@ -45,32 +33,40 @@
     call: ServiceCall,
     signal: AbortSignal,
   ): Promise<Result<ServiceResponse, UpstreamError>> {
-    try {
-      const response = await this.agent.request({
-        origin: `http://${upstream.spec.address}`,
+    const response = await sendRequest({
+      upstream: upstreamId(upstream.name),
+      connection: this.connections.acquire(upstream.spec.address, false),
+      request: {
         path: call.path,
         method: call.method as Dispatcher.HttpMethod,
         headers: call.headers,
-        body: call.body,
-        signal,
-      });
-      return Result.ok({
-        status: response.statusCode,
-        headers: forwardedResponseHeaders(response.headers),
-        body: response.body,
-      });
-    } catch (error) {
-      return Result.err(
-        toUpstreamError(error, upstreamId(upstream.name), signal),
-      );
-    }
+        body: call.body ?? null,
+      },
+      headersTimeoutMilliseconds: this.timeoutMilliseconds,
+      bodyIdleTimeoutMilliseconds: this.timeoutMilliseconds,
+      // The signal of the call bounds the time of the body.
+      bodyLimits: () => undefined,
+      signal,
+      classify: () => 'ran',
+    });
+    return response
+      .map(({status, headers, body}) => ({
+        status,
+        headers: forwardedResponseHeaders(headers),
+        body,
+      }))
+      .mapErr(error => requestError(error, signal));
   }
 }
 
-function forwardedResponseHeaders(headers: IncomingHttpHeaders) {
+/** Groups headers by their names in lower case. */
+function forwardedResponseHeaders(headers: readonly Header[]) {
   const forwarded: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers))
-    if (value !== undefined && !droppedResponseHeaders.has(name))
-      forwarded[name] = value;
+  for (const [name, value] of headers) {
+    const key = name.toLowerCase();
+    if (droppedResponseHeaders.has(key)) continue;
+    const previous = forwarded[key];
+    forwarded[key] = previous === undefined ? value : [previous, value].flat();
+  }
   return forwarded;
 }
