Bound the answers of engines and read resets as failures

What callers saw: an engine whose answer or refusal goes on without end took memory (128 MiB of 128 MiB sent in the test) or, sent slowly, held the request until its caller ended it; so did an endless head of informational responses and an endless line of a stream of tokens. A JSON answer without a length that was reset counted as complete.

Cause: HttpEngine read whole bodies without a bound through the streams of the HTTP client, whose timeouts start again with each part.

Change: the engine client uses the connections and sendRequest of passed-through calls. A JSON body has at most 16 MiB and a refusal 32 KiB, both within the configured time of a request; an event of a stream has at most 1 Mi characters, above which the stream is malformed. A stream of tokens has no limit on its body; the reader of its tokens decides on silence.

--- a/packages/daemon/src/upstreams/http-engine.ts
+++ b/packages/daemon/src/upstreams/http-engine.ts
@@ -13,38 +13,39 @@
   UpstreamError,
   UpstreamId,
 } from '@persimmonwick/coordination';
-import {upstreamId} from '@persimmonwick/coordination';
+import {systemClock, upstreamId} from '@persimmonwick/coordination';
 import {createParser} from 'eventsource-parser';
 import {Result} from 'true-myth';
-import {Pool} from 'undici';
-import type {Dispatcher} from 'undici';
-import {toUpstreamError} from './http-error.js';
+import {smallBodyLimits} from '../connections/body-limits.js';
+import type {BodyLimits} from '../connections/body-limits.js';
+import {sendRequest} from '../connections/exchange.js';
+import {createConnections} from './product-connections.js';
+import {requestError, responseError} from './http-error.js';
 
-const maximumConnectionsPerEngine = 256;
 const okStatus = 200;
 
+/** Largest JSON body of an engine; a page of cache events is the largest. */
+const maximumJsonBytes = 16 << 20;
+
+/** Most characters of one event in a stream of tokens. */
+const maximumEventCharacters = 1 << 20;
+
+type Body = AsyncIterable<Uint8Array>;
+
 /** Client for one engine. */
 export class HttpEngine implements Engine {
-  readonly id: UpstreamId;
-  private readonly pool: Pool;
+  private readonly connections = createConnections(systemClock);
 
   constructor(
-    id: UpstreamId,
+    readonly id: UpstreamId,
     readonly address: string,
-    bodyTimeoutMilliseconds: number,
-  ) {
-    this.id = id;
-    this.pool = new Pool(`http://${address}`, {
-      connections: maximumConnectionsPerEngine,
-      pipelining: 1,
-      bodyTimeout: bodyTimeoutMilliseconds,
-      // 0 disables the timeout; the signal of the call bounds the wait.
-      headersTimeout: 0,
-    });
-  }
+    /** Longest time until a head or a JSON body is complete. */
+    private readonly timeoutMilliseconds: number,
+  ) {}
 
-  async close(): Promise<void> {
-    await this.pool.destroy();
+  close(): Promise<void> {
+    this.connections.closeAll();
+    return Promise.resolve();
   }
 
   load: Engine['load'] = signal => this.getJson<LoadReport>('/load', signal);
@@ -86,47 +87,52 @@
     request: DecodeRequest,
     signal: AbortSignal,
   ): AsyncGenerator<Result<DecodedToken, UpstreamError>> {
+    const response = await this.send(
+      'POST',
+      '/decode',
+      request,
+      signal,
+      undefined,
+    );
+    if (response.isErr) {
+      yield Result.err(requestError(response.error, signal));
+      return;
+    }
+    const {status, body} = response.value;
     try {
-      const response = await this.send('POST', '/decode', request, signal);
-      if (response.statusCode !== okStatus) {
-        yield Result.err(await this.readErrorResponse(response));
-        return;
-      }
-      const parsed: DecodedToken[] = [];
-      const parser = createParser({
-        onEvent: event => parsed.push(JSON.parse(event.data) as DecodedToken),
-      });
-      const decoder = new TextDecoder();
-      for await (const chunk of response.body) {
-        parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
-        for (const token of parsed.splice(0)) yield Result.ok(token);
-      }
+      if (status === okStatus) yield* readEvents(body);
+      else yield Result.err(await this.readErrorResponse(body));
     } catch (error) {
-      yield Result.err(toUpstreamError(error, this.id, signal));
+      yield Result.err(responseError(error, this.id, signal));
     }
   }
 
-  private getJson<Body>(path: string, signal: AbortSignal) {
-    return this.requestJson<Body>('GET', path, undefined, signal);
+  private getJson<Value>(path: string, signal: AbortSignal) {
+    return this.requestJson<Value>('GET', path, undefined, signal);
   }
 
-  private postJson<Body>(path: string, body: object, signal: AbortSignal) {
-    return this.requestJson<Body>('POST', path, body, signal);
+  private postJson<Value>(path: string, body: object, signal: AbortSignal) {
+    return this.requestJson<Value>('POST', path, body, signal);
   }
 
-  private async requestJson<Body>(
+  private async requestJson<Value>(
     method: 'GET' | 'POST',
     path: string,
     body: object | undefined,
     signal: AbortSignal,
-  ): Promise<Result<Body, UpstreamError>> {
+  ): Promise<Result<Value, UpstreamError>> {
+    const response = await this.send(method, path, body, signal, {
+      maximumBytes: maximumJsonBytes,
+      timeoutMilliseconds: this.timeoutMilliseconds,
+    });
+    if (response.isErr) return Result.err(requestError(response.error, signal));
     try {
-      const response = await this.send(method, path, body, signal);
-      if (response.statusCode !== okStatus)
-        return Result.err(await this.readErrorResponse(response));
-      return Result.ok((await response.body.json()) as Body);
+      if (response.value.status !== okStatus)
+        return Result.err(await this.readErrorResponse(response.value.body));
+      const text = await readText(response.value.body);
+      return Result.ok(JSON.parse(text) as Value);
     } catch (error) {
-      return Result.err(toUpstreamError(error, this.id, signal));
+      return Result.err(responseError(error, this.id, signal));
     }
   }
 
@@ -135,20 +141,30 @@
     path: string,
     body: object | undefined,
     signal: AbortSignal,
-  ): Promise<Dispatcher.ResponseData> {
-    return this.pool.request({
-      method,
-      path,
-      headers: body && {'content-type': 'application/json'},
-      body: body && JSON.stringify(body),
+    okBodyLimits: BodyLimits | undefined,
+  ) {
+    return sendRequest({
+      upstream: this.id,
+      connection: this.connections.acquire(this.address, false),
+      request: {
+        method,
+        path,
+        headers: body ? {'content-type': 'application/json'} : {},
+        body: body ? JSON.stringify(body) : null,
+      },
+      headersTimeoutMilliseconds: this.timeoutMilliseconds,
+      bodyIdleTimeoutMilliseconds: this.timeoutMilliseconds,
+      bodyLimits: status =>
+        status === okStatus
+          ? okBodyLimits
+          : smallBodyLimits(this.timeoutMilliseconds),
       signal,
+      classify: () => 'ran',
     });
   }
 
-  private async readErrorResponse(
-    response: Dispatcher.ResponseData,
-  ): Promise<UpstreamError> {
-    const text = await response.body.text();
+  private async readErrorResponse(body: Body): Promise<UpstreamError> {
+    const text = await readText(body);
     try {
       const {code} = JSON.parse(text) as {code?: unknown};
       return {kind: 'refused', upstream: this.id, code: String(code)};
@@ -158,11 +174,39 @@
   }
 }
 
+async function readText(body: Body): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/**
+ * Yields the tokens of a stream of events. Throws a SyntaxError if an event is
+ * not JSON or too long.
+ */
+async function* readEvents(
+  body: Body,
+): AsyncGenerator<Result<DecodedToken, UpstreamError>> {
+  const parsed: DecodedToken[] = [];
+  const parser = createParser({
+    maxBufferSize: maximumEventCharacters,
+    onEvent: event => parsed.push(JSON.parse(event.data) as DecodedToken),
+    onError: ({type, message}) => {
+      if (type === 'max-buffer-size-exceeded') throw new SyntaxError(message);
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const chunk of body) {
+    parser.feed(decoder.decode(chunk, {stream: true}));
+    for (const token of parsed.splice(0)) yield Result.ok(token);
+  }
+}
+
 /** Keeps one client per upstream name and address. */
 export class HttpEngineDirectory implements EngineDirectory {
   private readonly engines = new Map<string, HttpEngine>();
 
-  constructor(private readonly bodyTimeoutMilliseconds: number) {}
+  constructor(private readonly timeoutMilliseconds: number) {}
 
   engineOf(upstream: Upstream): HttpEngine {
     const key = `${upstream.name} ${upstream.spec.address}`;
@@ -171,7 +215,7 @@
     const engine = new HttpEngine(
       upstreamId(upstream.name),
       upstream.spec.address,
-      this.bodyTimeoutMilliseconds,
+      this.timeoutMilliseconds,
     );
     this.engines.set(key, engine);
     return engine;
--- a/packages/daemon/src/upstreams/http-error.ts
+++ b/packages/daemon/src/upstreams/http-error.ts
@@ -1,5 +1,6 @@
-/** Mapping of HTTP client errors to upstream errors. */
+/** Mapping of failures of requests and responses to upstream errors. */
 
+import {InterruptedResponseError} from '@persimmonwick/coordination';
 import type {
   PassthroughError,
   UpstreamError,
@@ -28,24 +29,17 @@
 }
 
 /**
- * Converts an error thrown while sending a request or reading its response. If
- * `signal` is aborted, the result is `cancelled`.
+ * Converts an error thrown while reading a response. If `signal` is aborted,
+ * the result is `cancelled`.
  */
-export function toUpstreamError(
+export function responseError(
   error: unknown,
   upstream: UpstreamId,
   signal: AbortSignal,
 ): UpstreamError {
   if (signal.aborted) return {kind: 'cancelled', upstream};
   if (error instanceof SyntaxError) return {kind: 'malformed', upstream};
-  switch ((error as NodeJS.ErrnoException).code) {
-    case 'ECONNREFUSED':
-    case 'UND_ERR_CONNECT_TIMEOUT':
-      return {kind: 'unreachable', upstream};
-    case 'UND_ERR_BODY_TIMEOUT':
-    case 'UND_ERR_HEADERS_TIMEOUT':
-      return {kind: 'silent', upstream};
-    default:
-      return {kind: 'broken', upstream};
-  }
+  if (error instanceof InterruptedResponseError)
+    return {kind: error.reason, upstream};
+  return {kind: 'broken', upstream};
 }
