Let a part that crashes engines not escape its quarantine

Found in review, each with a test that failed before (quarantine-escape): - a response without a length that ends empty, as that of a process which goes down does, or a stream of comments, cleared the parts of its prompt; a stream without an event is broken off now; - hosts renewed the soundness of a part for each other without end: only an own success contradicts an accusation; - a prompt that holds a part last cleared it; - 1,024 new suspects dropped a part in quarantine; - reports in another order convicted a sound part that calls have in common: its companions are computed from the losses known now; - a sound call whose engine a quarantined part had crashed was not retried; - a second prefill ignored the quarantine, and a probe that took 120 ms was no loss.

--- a/packages/coordination/src/passthrough/bounded-map.ts
+++ b/packages/coordination/src/passthrough/bounded-map.ts
@@ -8,6 +8,10 @@
       undefined,
   ) {}
 
+  get size(): number {
+    return this.values.size;
+  }
+
   get(key: Key): Value | undefined {
     return this.values.get(key);
   }
--- a/packages/coordination/src/passthrough/engine-losses.ts
+++ b/packages/coordination/src/passthrough/engine-losses.ts
@@ -13,7 +13,7 @@
  * Time for the probe of an engine after its connection failed. The machine of a
  * process that went down refuses connections at once.
  */
-const probeTimeoutMilliseconds = 100;
+const probeTimeoutMilliseconds = 250;
 
 /**
  * Engines lost at once, as a fraction of the engines of a pool and as a number,
@@ -80,6 +80,7 @@
     // A single connection can fail while the engine goes on.
     if (!(await this.isDown(engine))) return;
     engine.health.recordUnreachable(clock.now());
+    if (quarantine.isExplained(document, promptParts)) return;
     state.isPromptSuspect =
       !quarantine.isKnownSound(promptParts) && !this.isWideFailure(state);
     quarantine.recordLoss(document, promptParts);
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -45,6 +45,7 @@
   const startedAt = clock.now();
   let byteAt = startedAt;
   let events = 0;
+  let hasAnswered = false;
   const interruptedBy = (
     error: InterruptedResponseError,
     replacement?: EngineReservation,
@@ -76,6 +77,7 @@
           state.attemptEvents += 1;
           if (state.attemptEvents === 1) parts.onFirstEvent();
         }
+        if (event.hasData) hasAnswered = true;
         // Comments do not count, nor events without ids where others have ids.
         const hasIds = state.lastEventId !== undefined;
         const isProgress = event.id !== undefined || (event.hasData && !hasIds);
@@ -95,7 +97,10 @@
     throw error;
   }
   if (splitter.pendingBytes > 0) return interruptedBy(errorOf('broken'));
-  if (state.attemptEvents === 0) parts.onFirstEvent();
+  if (state.attemptEvents === 0 && hasAnswered) parts.onFirstEvent();
+  // A process that goes down ends a response without a length like a complete one.
+  if (!hasAnswered && state.lastEventId === undefined)
+    return interruptedBy(errorOf('broken'));
   recordCompletedStream(parts, startedAt, events);
   return undefined;
 }
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -53,7 +53,8 @@
     state: GenerationState,
     reservation: EngineReservation,
   ): Promise<PrefilledCache | undefined> {
-    const {retryBudget} = this.parts;
+    const {retryBudget, quarantine} = this.parts;
+    const {promptParts} = state.generation;
     const reusable = this.takeReusableCache(state);
     if (reusable !== undefined) return reusable;
     if (state.shouldSkipPrefillStage) return undefined;
@@ -62,6 +63,8 @@
       const engine = this.choosePrefillEngine(state, triedEngines);
       if (engine === undefined || state.signal.aborted) return undefined;
       if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
+      if (quarantine.findQuarantined(promptParts) !== undefined)
+        return undefined;
       // The first prefill of a call does not use the retry budget.
       if (state.prefillAttempts > 0 && !retryBudget.tryAcquire(state.pool.name))
         return undefined;
--- a/packages/coordination/src/passthrough/prompt-quarantine.ts
+++ b/packages/coordination/src/passthrough/prompt-quarantine.ts
@@ -17,7 +17,7 @@
 import {BoundedMap} from './bounded-map.js';
 import {isSameLoss} from './engine-loss.js';
 import type {EngineLoss} from './engine-loss.js';
-import {partIdsOf, suspectableIdsOf} from './prompt-part-ids.js';
+import {suspectableIdsOf} from './prompt-part-ids.js';
 import {
   ageOf,
   areEnough,
@@ -96,9 +96,10 @@
 
 export class PromptQuarantine {
   /** Clock time of the last success of each part. */
-  private readonly successes = new BoundedMap<string, number>(
-    maximumSoundParts,
-  );
+  private readonly successes = new BoundedMap<
+    string,
+    {readonly at: number; readonly isOwn: boolean}
+  >(maximumSoundParts);
   private readonly suspects = new BoundedMap<string, Suspect>(
     maximumSuspects,
     (part, suspect) => this.onDropped(part, suspect),
@@ -126,7 +127,11 @@
     for (const part of ids) {
       const suspect = this.suspects.get(part);
       if (suspect === undefined || !suspect.isQuarantined) continue;
-      if (!suspect.companions.every(each => ids.includes(each))) continue;
+      const companions =
+        suspect.losses.length > 1
+          ? this.companionsOf(part, suspect)
+          : suspect.companions;
+      if (!companions.every(each => ids.includes(each))) continue;
       const remainingMilliseconds = remainingOf(suspect, now);
       if (remainingMilliseconds > 0) return {part, remainingMilliseconds};
     }
@@ -141,8 +146,8 @@
   /** Records that an engine sent an event for a prompt. */
   recordSuccess(promptParts: readonly PromptPart[]): void {
     const now = this.parts.clock.now();
-    for (const part of partIdsOf(promptParts)) {
-      this.successes.set(part, now);
+    for (const part of suspectableIdsOf(promptParts)) {
+      this.successes.set(part, {at: now, isOwn: true});
       this.clear(part);
     }
   }
@@ -163,6 +168,23 @@
     if (added.length > 0) this.parts.onLearned();
   }
 
+  /** Whether a quarantined part that is not in the prompt was in the same loss. */
+  isExplained(
+    {name, spec}: UpstreamDocument,
+    promptParts: readonly PromptPart[],
+  ): boolean {
+    const at = this.parts.clock.now();
+    const {startedAt = 0} = spec;
+    const loss: EngineLoss = {upstream: name, startedAt, at, isOwn: true};
+    const ids = suspectableIdsOf(promptParts);
+    return [...this.suspects.entries()].some(
+      ([part, {isQuarantined, losses}]) =>
+        isQuarantined &&
+        !ids.includes(part) &&
+        losses.some(known => isSameLoss(known, loss)),
+    );
+  }
+
   /** Records the evidence in the heartbeat of another host. */
   recordPeer({
     lostParts,
@@ -172,7 +194,8 @@
     const now = this.parts.clock.now();
     for (const part of soundParts) {
       // A repeated report must not prolong the effect of one success.
-      if (!this.isSound(part)) this.successes.set(part, now);
+      if (!this.isSound(part))
+        this.successes.set(part, {at: now, isOwn: false});
       this.clear(part);
     }
     const added = lostParts
@@ -222,14 +245,16 @@
   }
 
   private isSound(part: string): boolean {
-    const succeededAt = this.successes.get(part);
+    const success = this.successes.get(part);
     return (
-      succeededAt !== undefined &&
-      this.parts.clock.now() - succeededAt < soundMilliseconds
+      success !== undefined &&
+      this.parts.clock.now() - success.at < soundMilliseconds
     );
   }
 
   private contradict(part: string, now: number): void {
+    // Soundness that a peer reported would otherwise be passed on forever.
+    if (this.successes.get(part)?.isOwn !== true) return;
     const isNew = !this.contradictions.has(part);
     this.contradictions.set(part, now);
     if (isNew) this.parts.onLearned();
@@ -262,6 +287,7 @@
       losses.some(known => isSameLoss(known, loss))
     )
       return false;
+    this.makeRoom(part);
     this.suspects.set(part, suspect);
     losses.push(loss);
     losses.sort((left, right) => left.at - right.at);
@@ -275,6 +301,17 @@
     return true;
   }
 
+  /** Drops the oldest suspect that is not in quarantine if there are too many. */
+  private makeRoom(part: string): void {
+    if (this.suspects.has(part) || this.suspects.size < maximumSuspects) return;
+    for (const [other, suspect] of this.suspects.entries()) {
+      if (suspect.isQuarantined) continue;
+      this.suspects.delete(other);
+      this.onDropped(other, suspect);
+      return;
+    }
+  }
+
   /** Quarantines those of `candidates` that have had enough losses. */
   private judge(candidates: readonly string[], source: 'self' | 'peer'): void {
     for (const part of new Set(candidates)) {
--- /dev/null
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -0,0 +1,339 @@
+import test from 'ava';
+import {PromptQuarantine, VirtualClock} from '../src/index.js';
+import type {UpstreamDocument} from '../src/index.js';
+import {relayEvents} from '../src/passthrough/event-relay.js';
+import {PrefillStage} from '../src/passthrough/prefill-stage.js';
+import {EngineLosses} from '../src/passthrough/engine-losses.js';
+
+function engine(name: string, startedAt = 1): UpstreamDocument {
+  return {
+    kind: 'Upstream',
+    name,
+    spec: {address: `${name}:80`, failureDomain: 'a', startedAt},
+  } as UpstreamDocument;
+}
+let promptCount = 0;
+function prompt(...ids: string[]) {
+  return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
+}
+class Host {
+  readonly quarantine: PromptQuarantine;
+  changes: string[] = [];
+  constructor(clock: VirtualClock) {
+    this.quarantine = new PromptQuarantine({
+      clock,
+      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
+      onLearned: () => undefined,
+    });
+  }
+  lose(name: string, ...ids: string[]): void {
+    this.quarantine.recordLoss(engine(name), prompt(...ids));
+  }
+  succeed(...ids: string[]): void {
+    this.quarantine.recordSuccess(prompt(...ids));
+  }
+  refuses(...ids: string[]): boolean {
+    return this.quarantine.findQuarantined(prompt(...ids)) !== undefined;
+  }
+  hear(other: Host): void {
+    this.quarantine.recordPeer(other.quarantine.report());
+  }
+}
+function exchange(hosts: Host[]) {
+  for (const a of hosts) for (const b of hosts) if (a !== b) b.hear(a);
+}
+
+test('one success counts as sound for a bounded time in a fleet', async t => {
+  const clock = new VirtualClock();
+  const hosts = [0, 1, 2, 3].map(() => new Host(clock));
+  hosts[0]!.succeed('bad'); // one success, then the part crashes each engine
+  let crashes = 0;
+  let refused: number | undefined;
+  for (let second = 1; second <= 1800; second += 1) {
+    await clock.advance(1000);
+    if (second % 5 === 0) {
+      const host = hosts[(second / 5) % 4]!;
+      if (host.refuses('bad')) {
+        refused = second;
+        break;
+      }
+      crashes += 1;
+      host.lose(`d-${second}`, 'bad');
+    }
+    exchange(hosts);
+  }
+  t.log({crashes, refused});
+  t.true(refused !== undefined && refused <= 300);
+});
+
+test('a quarantined part survives 1,024 suspects of a wide failure', async t => {
+  const clock = new VirtualClock();
+  const host = new Host(clock);
+  host.lose('d-1', 'bad');
+  await clock.advance(500);
+  host.lose('d-2', 'bad');
+  t.true(host.refuses('bad'));
+  await clock.advance(5000);
+  for (let i = 0; i < 1024; i += 1) host.lose('d-3', `s${i}`);
+  t.true(host.refuses('bad'));
+});
+
+test('reports in another order convict no common part alone', async t => {
+  const clock = new VirtualClock();
+  const [bad1, sound1, bad2, sound2, e] = Array.from(
+    {length: 5},
+    () => new Host(clock),
+  ) as [Host, Host, Host, Host, Host];
+  bad1.lose('d-1', 'first', 'bad');
+  sound1.lose('d-1', 'first', 'x');
+  await clock.advance(1000);
+  bad2.lose('d-2', 'first', 'bad');
+  sound2.lose('d-2', 'first', 'y');
+  for (const h of [sound1, sound2, bad1, bad2]) e.hear(h);
+  t.true(e.refuses('first', 'bad'));
+  t.false(e.refuses('first', 'z'), 'sound at e');
+  await clock.advance(5000);
+  exchange([bad1, sound1, bad2, sound2, e]);
+  t.deepEqual(
+    [bad1, sound1, bad2, sound2, e].map(h => h.refuses('first', 'z')),
+    [false, false, false, false, false],
+  );
+});
+
+test('a waiting sound call at an engine that the bad part crashes elsewhere convicts nothing', async t => {
+  const clock = new VirtualClock();
+  const [a, b] = [new Host(clock), new Host(clock)];
+  a.lose('d-1', 'first', 'bad');
+  await clock.advance(500);
+  a.lose('d-2', 'first', 'bad');
+  await clock.advance(500);
+  t.false(a.refuses('first', 'x'));
+  b.lose('d-3', 'first', 'bad'); // b has not heard yet
+  a.lose('d-3', 'first', 'x'); // a's sound call waited there
+  exchange([a, b]);
+  exchange([a, b]);
+  t.deepEqual(
+    [a.refuses('first', 'z'), b.refuses('first', 'z')],
+    [false, false],
+  );
+  let t0 = 0;
+  while (t0 < 900 && a.refuses('first', 'z')) {
+    await clock.advance(1000);
+    exchange([a, b]);
+    t0 += 1;
+  }
+  t.log(`route refused for ${t0} s`);
+});
+
+test('an event of a prompt clears not its last part', async t => {
+  const clock = new VirtualClock();
+  const host = new Host(clock);
+  host.lose('d-1', 'bad');
+  await clock.advance(500);
+  host.lose('d-2', 'bad');
+  host.quarantine.recordSuccess([
+    {id: 'first', tokens: 1},
+    {id: 'bad', tokens: 1},
+  ]);
+  t.true(host.refuses('bad'));
+});
+
+test('a loss is noticed though the probe is answered late by a busy host', async t => {
+  const clock = new VirtualClock();
+  const host = new Host(clock);
+  const losses = new EngineLosses({
+    clock,
+    quarantine: host.quarantine,
+    observer: () => undefined,
+    upstreams: {acceptingOf: () => []},
+    transport: {probe: () => clock.sleep(120).then(() => false)},
+  } as never);
+  const state = {
+    call: {id: 'c'},
+    generation: {promptParts: prompt('bad')},
+    pool: {},
+    attemptEvents: 0,
+    possibleRuns: 1,
+    isPromptSuspect: false,
+  } as never;
+  const done = losses.record(state, {
+    document: engine('d-1'),
+    health: {recordUnreachable: () => undefined},
+  } as never);
+  await clock.advance(1000);
+  await done;
+  t.true(host.quarantine.report().lostParts.length > 0);
+});
+
+test('a sound prompt whose engine a quarantined part has crashed may be retried', async t => {
+  const clock = new VirtualClock();
+  const host = new Host(clock);
+  host.lose('d-1', 'bad');
+  await clock.advance(500);
+  host.lose('d-2', 'bad');
+  host.lose('d-3', 'bad');
+  const losses = new EngineLosses({
+    clock,
+    quarantine: host.quarantine,
+    observer: () => undefined,
+    upstreams: {acceptingOf: () => Array.from({length: 20})},
+    transport: {probe: () => Promise.resolve(false)},
+  } as never);
+  const state = {
+    call: {id: 'c'},
+    generation: {promptParts: prompt('first', 'new')},
+    pool: {},
+    attemptEvents: 0,
+    possibleRuns: 1,
+    isPromptSuspect: false,
+  };
+  await losses.record(
+    state as never,
+    {
+      document: engine('d-3'),
+      health: {recordUnreachable: () => undefined},
+    } as never,
+  );
+  t.false(state.isPromptSuspect);
+});
+
+test('an empty complete stream clears no part', async t => {
+  const clock = new VirtualClock();
+  let cleared = 0;
+  const relay = relayEvents({
+    clock,
+    state: {
+      generation: {promptTokens: 1},
+      pool: {spec: {}},
+      attemptEvents: 0,
+      lastEventId: undefined,
+    },
+    response: {
+      status: 200,
+      headers: [],
+      body: (async function* () {
+        if (clock.now() < 0) yield new Uint8Array();
+      })(),
+    },
+    reservation: {
+      upstream: {
+        document: engine('d-1'),
+        health: {recordSuccess: () => undefined},
+      },
+      load: {},
+    },
+    monitor: {
+      lastProgressAt: 0,
+      wait: async (work: Promise<unknown>) => ({
+        kind: 'ready',
+        value: await work,
+      }),
+      recordActivity() {},
+      suspend() {},
+      resume() {},
+    },
+    baselineInterval: {},
+    onFirstEvent: () => (cleared += 1),
+  } as never);
+  const {value} = await relay.next();
+  t.like(value, {error: {reason: 'broken'}});
+  t.is(cleared, 0);
+});
+
+test('a stream of comments only clears no part', async t => {
+  const clock = new VirtualClock();
+  let cleared = 0;
+  const relay = relayEvents({
+    clock,
+    state: {
+      generation: {promptTokens: 1},
+      pool: {spec: {}},
+      attemptEvents: 0,
+      lastEventId: undefined,
+    },
+    response: {
+      status: 200,
+      headers: [],
+      body: (async function* () {
+        yield Buffer.from(': ping\n\n');
+      })(),
+    },
+    reservation: {
+      upstream: {
+        document: engine('d-1'),
+        health: {recordSuccess: () => undefined},
+      },
+      load: {setMemoryTokens() {}},
+    },
+    monitor: {
+      lastProgressAt: 0,
+      wait: async (work: Promise<unknown>) => ({
+        kind: 'ready',
+        value: await work,
+      }),
+      recordActivity() {},
+      suspend() {},
+      resume() {},
+    },
+    baselineInterval: {},
+    onFirstEvent: () => (cleared += 1),
+  } as never);
+  for await (const _ of relay);
+  t.is(cleared, 0);
+});
+
+test('a prompt that is quarantined during its first prefill is sent to no second one', async t => {
+  const clock = new VirtualClock();
+  const host = new Host(clock);
+  host.lose('d-1', 'bad');
+  await clock.advance(500);
+  let prefills = 0;
+  const up = (name: string) => ({
+    document: {...engine(name), labels: {stage: 'prefill'}},
+    localLoad: {promptTokens: 0},
+    health: {
+      isUsable: () => true,
+      failureShare: () => 0,
+      slowness: () => 1,
+      recordAttempt() {},
+      recordFailure() {},
+    },
+  });
+  const stage = new PrefillStage({
+    clock,
+    quarantine: host.quarantine,
+    observer: () => undefined,
+    random: {next: () => 0.5},
+    retryBudget: {tryAcquire: () => true},
+    upstreams: {
+      acceptingOf: () => [up('p-1'), up('p-2')],
+      reportedLoad: () => ({promptTokens: 0}),
+      addLoad: () => ({release() {}}),
+    },
+    transport: {
+      prefill: () => {
+        prefills += 1;
+        host.lose('d-2', 'bad'); // heard meanwhile
+        return Promise.resolve({
+          isOk: false,
+          isErr: true,
+          error: {kind: 'broken'},
+        });
+      },
+    },
+  } as never);
+  await stage.prefill(
+    {
+      call: {id: 'c', arrivedAt: 0, deadline: 1e6},
+      pool: {name: 'p', spec: {}},
+      generation: {promptTokens: 10, promptParts: prompt('bad')},
+      signal: new AbortController().signal,
+      prefillAttempts: 0,
+      shouldSkipPrefillStage: false,
+      reusableCache: undefined,
+    } as never,
+    {reservedUntil: Infinity} as never,
+  );
+  t.true(host.refuses('bad'));
+  t.is(prefills, 1);
+});
