--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -1,51 +1,18 @@
 import test from 'ava';
-import {PromptQuarantine, VirtualClock} from '../src/index.js';
-import type {UpstreamDocument} from '../src/index.js';
+import {VirtualClock} from '../src/index.js';
 import {relayEvents} from '../src/passthrough/event-relay.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {EngineLosses} from '../src/passthrough/engine-losses.js';
-
-function engine(name: string, startedAt = 1): UpstreamDocument {
-  return {
-    kind: 'Upstream',
-    name,
-    spec: {address: `${name}:80`, failureDomain: 'a', startedAt},
-  } as UpstreamDocument;
-}
-let promptCount = 0;
-function prompt(...ids: string[]) {
-  return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
-}
-class Host {
-  readonly quarantine: PromptQuarantine;
-  changes: string[] = [];
-  constructor(clock: VirtualClock) {
-    this.quarantine = new PromptQuarantine({
-      clock,
-      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
-      onLearned: () => undefined,
-    });
-  }
-  lose(name: string, ...ids: string[]): void {
-    this.quarantine.recordLoss(engine(name), prompt(...ids));
-  }
-  succeed(...ids: string[]): void {
-    this.quarantine.recordSuccess(prompt(...ids));
-  }
-  refuses(...ids: string[]): boolean {
-    return this.quarantine.findQuarantined(prompt(...ids)) !== undefined;
-  }
-  hear(other: Host): void {
-    this.quarantine.recordPeer(other.quarantine.report());
-  }
-}
-function exchange(hosts: Host[]) {
-  for (const a of hosts) for (const b of hosts) if (a !== b) b.hear(a);
-}
+import {
+  QuarantineHost,
+  engine,
+  exchange,
+  prompt,
+} from './tools/quarantine-hosts.js';
 
 test('one success counts as sound for a bounded time in a fleet', async t => {
   const clock = new VirtualClock();
-  const hosts = [0, 1, 2, 3].map(() => new Host(clock));
+  const hosts = [0, 1, 2, 3].map(() => new QuarantineHost(clock));
   hosts[0]!.succeed('bad'); // one success, then the part crashes each engine
   let crashes = 0;
   let refused: number | undefined;
@@ -68,7 +35,7 @@
 
 test('a quarantined part survives 1,024 suspects of a wide failure', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   host.lose('d-1', 'bad');
   await clock.advance(500);
   host.lose('d-2', 'bad');
@@ -82,8 +49,14 @@
   const clock = new VirtualClock();
   const [bad1, sound1, bad2, sound2, e] = Array.from(
     {length: 5},
-    () => new Host(clock),
-  ) as [Host, Host, Host, Host, Host];
+    () => new QuarantineHost(clock),
+  ) as [
+    QuarantineHost,
+    QuarantineHost,
+    QuarantineHost,
+    QuarantineHost,
+    QuarantineHost,
+  ];
   bad1.lose('d-1', 'first', 'bad');
   sound1.lose('d-1', 'first', 'x');
   await clock.advance(1000);
@@ -102,7 +75,7 @@
 
 test('a waiting sound call at an engine that the bad part crashes elsewhere convicts nothing', async t => {
   const clock = new VirtualClock();
-  const [a, b] = [new Host(clock), new Host(clock)];
+  const [a, b] = [new QuarantineHost(clock), new QuarantineHost(clock)];
   a.lose('d-1', 'first', 'bad');
   await clock.advance(500);
   a.lose('d-2', 'first', 'bad');
@@ -127,7 +100,7 @@
 
 test('an event of a prompt clears not its last part', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   host.lose('d-1', 'bad');
   await clock.advance(500);
   host.lose('d-2', 'bad');
@@ -140,7 +113,7 @@
 
 test('a loss is noticed though the probe is answered late by a busy host', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const losses = new EngineLosses({
     clock,
     quarantine: host.quarantine,
@@ -167,7 +140,7 @@
 
 test('a sound prompt whose engine a quarantined part has crashed may be retried', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   host.lose('d-1', 'bad');
   await clock.advance(500);
   host.lose('d-2', 'bad');
@@ -284,7 +257,7 @@
 
 test('a prompt that is quarantined during its first prefill is sent to no second one', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   host.lose('d-1', 'bad');
   await clock.advance(500);
   let prefills = 0;
--- a/packages/coordination/test/quarantine-limits.test.ts
+++ b/packages/coordination/test/quarantine-limits.test.ts
@@ -1,54 +1,21 @@
 import test from 'ava';
-import {
-  PromptQuarantine,
-  VirtualClock,
-  Beat,
-  checkHeartbeat,
-} from '../src/index.js';
+import {VirtualClock, Beat, checkHeartbeat} from '../src/index.js';
 import type {QuarantineReport, UpstreamDocument} from '../src/index.js';
 import {EngineLosses} from '../src/passthrough/engine-losses.js';
-
-function engine(name: string, startedAt = 1): UpstreamDocument {
-  return {
-    kind: 'Upstream',
-    name,
-    spec: {address: `${name}:80`, failureDomain: 'a', startedAt},
-  } as UpstreamDocument;
-}
-let promptCount = 0;
-function prompt(...ids: string[]) {
-  return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
-}
-class Host {
-  readonly quarantine: PromptQuarantine;
-  changes: string[] = [];
-  constructor(clock: VirtualClock) {
-    this.quarantine = new PromptQuarantine({
-      clock,
-      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
-      onLearned: () => undefined,
-    });
-  }
-  lose(name: string, ...ids: string[]): void {
-    this.quarantine.recordLoss(engine(name), prompt(...ids));
-  }
-  succeed(...ids: string[]): void {
-    this.quarantine.recordSuccess(prompt(...ids));
-  }
-  refuses(...ids: string[]): boolean {
-    return this.quarantine.findQuarantined(prompt(...ids)) !== undefined;
-  }
-  hear(other: Host): void {
-    this.quarantine.recordPeer(other.quarantine.report());
-  }
-}
-function exchange(hosts: Host[]) {
-  for (const a of hosts) for (const b of hosts) if (a !== b) b.hear(a);
-}
+import {
+  QuarantineHost,
+  engine,
+  exchange,
+  prompt,
+} from './tools/quarantine-hosts.js';
 
 test('sound calls that failed before the bad one do not crowd it out', async t => {
   const clock = new VirtualClock();
-  const [a, b, c] = [new Host(clock), new Host(clock), new Host(clock)];
+  const [a, b, c] = [
+    new QuarantineHost(clock),
+    new QuarantineHost(clock),
+    new QuarantineHost(clock),
+  ];
   for (let i = 0; i < 16; i += 1) a.lose('d-1', 'first', `sa${i}`);
   a.lose('d-1', 'first', 'bad');
   await clock.advance(2000);
@@ -64,7 +31,7 @@
 
 test('a part that still comes stays in quarantine', async t => {
   const clock = new VirtualClock();
-  const hosts = Array.from({length: 4}, () => new Host(clock));
+  const hosts = Array.from({length: 4}, () => new QuarantineHost(clock));
   hosts[0]!.lose('d-1', 'bad');
   await clock.advance(500);
   hosts[1]!.lose('d-2', 'bad');
@@ -84,7 +51,7 @@
 
 test('a part beyond the 64th or a long id is quarantined', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const many = Array.from({length: 70}, (_, i) => `p${i}`);
   for (const name of ['d-1', 'd-2', 'd-3']) {
     host.lose(name, ...many, 'bad');
@@ -97,7 +64,7 @@
 
 test('worst report fits a datagram', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const ids = Array.from(
     {length: 40},
     (_, i) => 'f'.repeat(124) + String(1000 + i),
@@ -132,7 +99,7 @@
 
 test('two connection resets at once at engines that go on allow no retry of a bad prompt', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const losses = new EngineLosses({
     clock,
     quarantine: host.quarantine,
@@ -164,7 +131,7 @@
 
 test('a conviction of a sound part by rolling crashes ends before ten minutes', async t => {
   const clock = new VirtualClock();
-  const hosts = [0, 1, 2].map(() => new Host(clock));
+  const hosts = [0, 1, 2].map(() => new QuarantineHost(clock));
   // A caller whose parts are rarely used; engines go down one after another for another reason.
   hosts[0]!.lose('d-1', 'key-part');
   await clock.advance(3000);
@@ -182,7 +149,7 @@
 
 test('a wide failure quarantines no part', async t => {
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const losses = new EngineLosses({
     clock,
     quarantine: host.quarantine,
@@ -210,7 +177,7 @@
 
 test('a cut that hosts notice 200 ms apart quarantines no part', async t => {
   const clock = new VirtualClock();
-  const [a, b] = [new Host(clock), new Host(clock)];
+  const [a, b] = [new QuarantineHost(clock), new QuarantineHost(clock)];
   for (let i = 0; i < 10; i += 1) a.lose(`d-${i}`, 'key', `a${i}`);
   await clock.advance(200);
   for (let i = 10; i < 20; i += 1) b.lose(`d-${i}`, 'key', `b${i}`);
@@ -221,7 +188,7 @@
 test('a cut that only this host sees accuses no cold part', async t => {
   // The host's own link is cut: each connect fails at once, the resets arrive over half a second.
   const clock = new VirtualClock();
-  const host = new Host(clock);
+  const host = new QuarantineHost(clock);
   const losses = new EngineLosses({
     clock,
     quarantine: host.quarantine,
--- /dev/null
+++ b/packages/coordination/test/tools/quarantine-hosts.ts
@@ -0,0 +1,42 @@
+/** Hosts that exchange evidence about prompt parts, without a network. */
+
+import {PromptQuarantine} from '../../src/index.js';
+import type {UpstreamDocument, VirtualClock} from '../../src/index.js';
+
+export function engine(name: string, startedAt = 1): UpstreamDocument {
+  return {
+    kind: 'Upstream',
+    name,
+    spec: {address: `${name}:80`, failureDomain: 'a', startedAt},
+  } as UpstreamDocument;
+}
+let promptCount = 0;
+export function prompt(...ids: string[]) {
+  return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
+}
+export class QuarantineHost {
+  readonly quarantine: PromptQuarantine;
+  readonly changes: string[] = [];
+  constructor(clock: VirtualClock) {
+    this.quarantine = new PromptQuarantine({
+      clock,
+      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
+      onLearned: () => undefined,
+    });
+  }
+  lose(name: string, ...ids: string[]): void {
+    this.quarantine.recordLoss(engine(name), prompt(...ids));
+  }
+  succeed(...ids: string[]): void {
+    this.quarantine.recordSuccess(prompt(...ids));
+  }
+  refuses(...ids: string[]): boolean {
+    return this.quarantine.findQuarantined(prompt(...ids)) !== undefined;
+  }
+  hear(other: QuarantineHost): void {
+    this.quarantine.recordPeer(other.quarantine.report());
+  }
+}
+export function exchange(hosts: QuarantineHost[]) {
+  for (const a of hosts) for (const b of hosts) if (a !== b) b.hear(a);
+}
