Log the request limit that an upstream names

What callers saw: an upstream got more requests than the limit that it had named. The logs name the upstream of each request and no limit, so that it can't be told whether hosts know of a limit at all, each hold to it alone, or learn of it too late.

Change: the header is read from the head of each response, and its first statement, a change and its end are logged as 2210 and 2211 and counted. No decision depends on it yet. A value that is no decimal number is ignored.

Evidence: the test of both events fails without the change, since there are no such events.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -285,6 +285,8 @@
   QuarantineChange,
   QuarantineReport,
 } from './passthrough/prompt-quarantine.js';
+export {UpstreamRequestLimits} from './passthrough/upstream-request-limits.js';
+export type {RequestLimitChange} from './passthrough/upstream-request-limits.js';
 export {UsageLimiter} from './passthrough/usage-limiter.js';
 export type {
   AccountRate,
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -198,6 +198,18 @@
     text: 'too many prompt parts are suspect; the oldest is no longer tracked',
     fields: ['part'],
   },
+  upstreamLimited: {
+    number: 2210,
+    level: 'info',
+    text: 'an upstream named how many requests a second it takes from all hosts',
+    fields: ['upstream', 'perSecond', 'source', 'age'],
+  },
+  upstreamUnlimited: {
+    number: 2211,
+    level: 'info',
+    text: 'an upstream no longer names a limit of its requests',
+    fields: ['upstream', 'source', 'age'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -177,9 +177,7 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    const notice = this.wireFormat.parseNotice(status, headers);
-    if (notice.isLeaving || notice.pauseMilliseconds !== undefined)
-      this.onNotice(upstream, notice);
+    this.onNotice(upstream, this.wireFormat.parseNotice(status, headers));
   }
 
   /** Sends a request whose response has no value. */
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -8,6 +8,7 @@
   PromptQuarantine,
   ReachabilityProbes,
   PoolRetryBudget,
+  UpstreamRequestLimits,
   UpstreamTable,
   UsageLimiter,
   failureDomainId,
@@ -28,6 +29,7 @@
   logCallEnd,
   logCallEvent,
   logQuarantineChange,
+  logRequestLimitChange,
   logUpstreamReachability,
 } from './passthrough-log.js';
 import {PassthroughMetrics} from './passthrough-metrics.js';
@@ -76,6 +78,7 @@
   /** Start time, which also serves as the incarnation. */
   private readonly startTimestamp = Date.now();
   private readonly upstreams = new UpstreamTable(systemClock);
+  private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: PromptQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
   private readonly limiter: UsageLimiter;
@@ -119,6 +122,13 @@
       onHeartbeat: heartbeat => this.fleet.receive(heartbeat),
       onError: (address, reason) => log.write('beatFailed', {address, reason}),
     });
+    this.requestLimits = new UpstreamRequestLimits({
+      clock,
+      onChange: change => {
+        this.metrics.recordNotice('request-limit');
+        logRequestLimitChange(log, change);
+      },
+    });
     this.quarantine = new PromptQuarantine({
       clock,
       onChange: change => {
@@ -293,9 +303,16 @@
 
   private recordNotice(
     document: UpstreamDocument,
-    {isLeaving, pauseMilliseconds}: UpstreamNotice,
+    {isLeaving, pauseMilliseconds, requestLimit}: UpstreamNotice,
   ): void {
     const upstream = document.name;
+    if (requestLimit.kind !== 'unreadable')
+      this.requestLimits.recordStatement(
+        document,
+        requestLimit.kind === 'limit'
+          ? requestLimit.requestsPerSecond
+          : undefined,
+      );
     if (isLeaving && this.upstreams.recordLeaving(document)) {
       this.metrics.recordNotice('leaving');
       this.log.write('upstreamLeaving', {upstream});
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -3,6 +3,7 @@
 import type {
   CallEvent,
   QuarantineChange,
+  RequestLimitChange,
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
@@ -102,6 +103,16 @@
   }
 }
 
+/** Logs that an upstream named, changed or no longer names a request limit. */
+export function logRequestLimitChange(
+  log: EventLog,
+  {upstream, requestsPerSecond, source, ageMilliseconds}: RequestLimitChange,
+): void {
+  const common = {upstream, source, age: Math.round(ageMilliseconds)};
+  if (requestsPerSecond === undefined) log.write('upstreamUnlimited', common);
+  else log.write('upstreamLimited', {...common, perSecond: requestsPerSecond});
+}
+
 /** Logs the outcome of a call. */
 export function logCallEnd(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -102,7 +102,7 @@
   }
 
   /** Counts what upstreams say about themselves in responses. */
-  recordNotice(notice: 'leaving' | 'pause'): void {
+  recordNotice(notice: 'leaving' | 'pause' | 'request-limit'): void {
     this.noticeCounter.inc({notice});
   }
 
--- a/packages/daemon/src/passthrough/wire-format.ts
+++ b/packages/daemon/src/passthrough/wire-format.ts
@@ -39,8 +39,16 @@
   readonly isLeaving: boolean;
   /** Time for which the upstream wants no requests from this host. */
   readonly pauseMilliseconds: number | undefined;
+  readonly requestLimit: RequestLimitNotice;
 }
 
+/** What a response says about the requests that its upstream takes. */
+export type RequestLimitNotice =
+  | {readonly kind: 'none'}
+  /** Requests of all hosts together. */
+  | {readonly kind: 'limit'; readonly requestsPerSecond: number}
+  | {readonly kind: 'unreadable'};
+
 /** A control request to an engine, such as a reservation. */
 export interface EngineRequest {
   readonly method: 'DELETE' | 'POST';
--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -20,7 +20,11 @@
   callHeaders: () => [],
   prefillHeaders: () => [],
   classifyResponse: (_call, status) => (status === 503 ? 'refused' : 'ran'),
-  parseNotice: () => ({isLeaving: false, pauseMilliseconds: undefined}),
+  parseNotice: () => ({
+    isLeaving: false,
+    pauseMilliseconds: undefined,
+    requestLimit: {kind: 'none'},
+  }),
   parseCacheHandle: body => body,
   cacheReleaseRequest: engineRequest,
   reservationRequest: engineRequest,
