Hold the requests of all hosts to the limits that upstreams name

What callers saw: an upstream that had named a limit of 4 requests a second got 30 in 4 s, another one with 2.7 got 22; allowed were 29 and 21.

Cause: no host knew of such limits; the header was only passed on. Class: a limit of what all hosts send together that no host can hold by itself, like rates of accounts and retry budgets.

Change: each host keeps a token bucket of each upstream that names a limit and subtracts what all hosts report in their heartbeats. First attempts, retries, second attempts, prefills, reservations with their run, and releases all take from it. A limited upstream is chosen as if it had twice its load; without tokens it is not eligible. A plain call waits if it can be sent in time, else it is refused at once with the time until the next request may go. In a fleet that is too large for a small limit only some hosts send, by rendezvous hashing. Limits and their ends are shared with the age of the response.

Why it works: a host learns of the limit with its own first response or the first heartbeat after it. The bucket refills at the limit, and what hosts send before they know of each other is a debt that all of them repay; the number of senders keeps that debt within the tolerance.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -104,6 +104,15 @@
       /** Ids of the prompt parts, separated by spaces, without the last part. */
       readonly parts: string;
     }
+  /** The limits that the upstreams of a plain call named are reached. */
+  | {
+      readonly kind: 'limit-reached';
+      /** Time until one of them may be sent the call. */
+      readonly wait: number;
+      /** Calls that are to be sent before this one. */
+      readonly ahead: number;
+      readonly outcome: 'waits' | 'refused';
+    }
   | {
       readonly kind: 'quarantine-refused';
       readonly part: string;
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -62,13 +62,16 @@
 
 /**
  * Adds when to come back to a failure that proves that nothing ran, if all
- * upstreams asked for a pause that lasts `milliseconds` more.
+ * upstreams asked for a pause or reached a limit for `milliseconds` more. The
+ * time is infinite if only other hosts may send to them.
  */
 export function withResumption(
   failure: RequestFailure,
   milliseconds: number | undefined,
 ): RequestFailure {
-  return milliseconds === undefined || failure.ran !== 'not-run'
+  return milliseconds === undefined ||
+    milliseconds === Infinity ||
+    failure.ran !== 'not-run'
     ? failure
     : {...failure, retryAfterMilliseconds: milliseconds};
 }
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -11,6 +11,7 @@
 import type {
   AccountUsage,
   Beat,
+  RequestLimitReport,
   UpstreamLoad,
 } from '../generated/messages/persimmonwick/beat.js';
 import type {FailureDomainId, HostId} from '../ids.js';
@@ -35,6 +36,7 @@
   readonly platformEpochAgeMilliseconds: number;
   /** Evidence about prompt parts that crash engines. */
   readonly quarantine: QuarantineReport;
+  readonly requestLimits: RequestLimitReport[];
 }
 
 /** Ages above this are reported as this. */
@@ -136,6 +138,7 @@
   private nextDestination = 0;
   private heartbeatTask: Promise<void> | undefined;
   private readonly startedAt: number;
+  private cachedHosts: readonly HostId[] | undefined;
 
   constructor(private readonly parts: DiscoveredFleetParts) {
     this.startedAt = parts.clock.now();
@@ -150,6 +153,12 @@
     return this.peers.size + 1;
   }
 
+  /** All known hosts, including this one. A change replaces the array. */
+  get hosts(): readonly HostId[] {
+    this.cachedHosts ??= [this.parts.self, ...this.peers.keys()];
+    return this.cachedHosts;
+  }
+
   /** Number of known hosts that are currently silent. */
   get silentHostCount(): number {
     return [...this.peers.values()].filter(peer => peer.state === 'silent')
@@ -215,6 +224,7 @@
         state,
       };
       this.peers.set(host, peer);
+      this.cachedHosts = undefined;
       this.hostsByAddress.set(address, host);
       onChange({kind: 'joined', host});
       this.sendReply(address);
@@ -251,6 +261,7 @@
     const peer = this.peers.get(host);
     if (peer === undefined) return false;
     this.forgetAddress(peer);
+    this.cachedHosts = undefined;
     return this.peers.delete(host);
   }
 
@@ -347,7 +358,7 @@
   private createHeartbeat(): Beat {
     const {self, incarnation, failureDomain, localState} = this.parts;
     this.sequence += 1n;
-    const {usage, loads, quarantine, ...platform} = localState();
+    const {usage, loads, quarantine, requestLimits, ...platform} = localState();
     return {
       host: self,
       incarnation,
@@ -362,6 +373,7 @@
       loads,
       known: this.nextKnownHosts(),
       ...quarantine,
+      requestLimits,
       configurationVersion: platform.configurationVersion,
       platformEpoch: BigInt(platform.platformEpoch ?? 0),
       platformEpochAgeMilliseconds: BigInt(
--- a/packages/coordination/src/passthrough/engine-releases.ts
+++ b/packages/coordination/src/passthrough/engine-releases.ts
@@ -1,29 +1,47 @@
 /**
  * Frees reservations and KV caches that are not used. An upstream that asked for
- * a pause gets few of these requests; what they would free expires there.
+ * a pause or named a limit gets few of these requests; what they would free
+ * expires there.
  */
 
 import type {CacheSource, PassthroughTransport} from './call.js';
 import type {EngineReservation} from './reservation-queue.js';
+import type {UpstreamRequestLimits} from './upstream-request-limits.js';
 import type {UpstreamTable} from './upstream-table.js';
 
 export class EngineReleases {
   constructor(
     private readonly transport: PassthroughTransport,
     private readonly upstreams: UpstreamTable,
+    private readonly requestLimits: UpstreamRequestLimits,
   ) {}
 
   releaseCache(source: CacheSource): void {
-    if (this.upstreams.acquireRequest(source.upstream.name))
+    if (this.acquireRequest(source.upstream.name))
       void this.transport.releaseCache(source);
   }
 
-  /** Also removes the load of the reservation. */
+  /** Releases a reservation and its load. No run has been sent with it. */
   releaseReservation(reservation: EngineReservation): void {
+    // The request of the run was acquired together with the reservation.
+    this.requestLimits.refund(reservation.upstream.document.name);
+    this.releaseUsedReservation(reservation);
+  }
+
+  /** Releases a reservation and its load after a run that failed. */
+  releaseUsedReservation(reservation: EngineReservation): void {
     const {upstream, reservationId, load} = reservation;
     load.release();
     if (reservationId === undefined) return;
-    if (this.upstreams.acquireRequest(upstream.document.name))
+    if (this.acquireRequest(upstream.document.name))
       void this.transport.releaseReservation(upstream.document, reservationId);
   }
+
+  private acquireRequest(upstream: string): boolean {
+    return (
+      this.requestLimits.canSend(upstream, 1) &&
+      this.upstreams.acquireRequest(upstream) &&
+      this.requestLimits.tryAcquire(upstream)
+    );
+  }
 }
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -280,7 +280,7 @@
     attempt.close();
     state.lastError = result.error;
     if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
-    this.parts.releases.releaseReservation(reservation);
+    this.parts.releases.releaseUsedReservation(reservation);
     this.handleFailedAttempt(state, engine, cache, result.error, now);
     if (result.error.kind === 'broken')
       await this.engineLosses.record(state, engine);
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -7,6 +7,7 @@
 import type {Beat} from '../generated/messages/persimmonwick/beat.js';
 import {maximumPartIdLength} from './prompt-part-ids.js';
 import {maximumReportedParts} from './prompt-quarantine.js';
+import {maximumReportedLimits} from './upstream-request-limits.js';
 
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
 const maximumPort = 65_535;
@@ -47,6 +48,15 @@
     )
   )
     return Result.err('there are more prompt parts than a host reports');
+  const {requestLimits} = heartbeat;
+  if (requestLimits.length > maximumReportedLimits)
+    return Result.err('there are more request limits than a host reports');
+  for (const {upstream, requestsPerSecond} of requestLimits)
+    if (
+      !isName(upstream) ||
+      !(requestsPerSecond >= 0 && requestsPerSecond < Infinity)
+    )
+      return Result.err('a request limit has no valid upstream or amount');
   return Result.ok(heartbeat);
 }
 
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -10,6 +10,7 @@
 import type {PoolRetryBudget} from './pool-retry-budget.js';
 import type {PromptQuarantine} from './prompt-quarantine.js';
 import type {PassthroughRoute} from './route-table.js';
+import type {UpstreamRequestLimits} from './upstream-request-limits.js';
 import type {UpstreamTable} from './upstream-table.js';
 
 export interface PassthroughParts {
@@ -19,6 +20,7 @@
   readonly transport: PassthroughTransport;
   readonly upstreams: UpstreamTable;
   readonly releases: EngineReleases;
+  readonly requestLimits: UpstreamRequestLimits;
   readonly retryBudget: PoolRetryBudget;
   readonly quarantine: PromptQuarantine;
   readonly observer: CallObserver;
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -13,6 +13,7 @@
   callerDisconnected,
   noUpstream,
   notRunFailureOf,
+  queueFull,
   upstreamFailed,
   upstreamTimeout,
   withResumption,
@@ -24,7 +25,6 @@
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
 import {bufferResponse} from './buffered-response.js';
-import {minBy} from './min-by.js';
 import {firstResponse} from './plain-attempt.js';
 import type {PlainAttempt} from './plain-attempt.js';
 import {RetryGate} from './retry-gate.js';
@@ -33,6 +33,7 @@
 import {choosePoolByWeight} from './passthrough-parts.js';
 import {BaselineDuration} from './reference-time.js';
 import {StallMonitor} from '../stall-monitor.js';
+import {ServiceSelector} from './service-selector.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
@@ -49,12 +50,6 @@
 /** The same time on a route without a first-token target. */
 const defaultResponseStallMilliseconds = 1000;
 
-/**
- * An upstream in another failure domain is treated as having this many more
- * calls. Also the amplitude of the random tie-break.
- */
-const remoteDomainPenaltyCalls = 0.5;
-
 /** Outcome of the attempts of one call so far. */
 interface CallProgress {
   /** Aborted when the caller disconnects. */
@@ -71,14 +66,18 @@
   /** Complete response that reports a failure of the upstream. */
   serverErrorResponse: PassthroughResponse | undefined;
   lastError: PassthroughError | undefined;
+  /** Time until the limits of the upstreams allow the call, if they did not. */
+  limitWaitMilliseconds: number | undefined;
 }
 
 export class PlainCallForwarder {
   private readonly baselineDurations = new Map<string, BaselineDuration>();
   private readonly retryGate: RetryGate;
+  private readonly selector: ServiceSelector;
 
   constructor(private readonly parts: PassthroughParts) {
     this.retryGate = new RetryGate(parts);
+    this.selector = new ServiceSelector(parts);
   }
 
   /** Forwards `call`. `signal` is aborted when the caller disconnects. */
@@ -95,9 +94,10 @@
       possibleRuns: 0,
       serverErrorResponse: undefined,
       lastError: undefined,
+      limitWaitMilliseconds: undefined,
     };
     while (!signal.aborted) {
-      const upstream = this.nextUpstream(call, pool, progress);
+      const upstream = await this.nextUpstream(call, pool, progress);
       if (upstream === undefined) break;
       const response = await this.attempt(call, pool, upstream, progress);
       if (response !== undefined) return Result.ok(response);
@@ -111,11 +111,11 @@
   }
 
   /** The upstream of the next attempt; undefined if none is allowed. */
-  private nextUpstream(
+  private async nextUpstream(
     call: RoutedCall,
     pool: PoolDocument,
     progress: CallProgress,
-  ): TrackedUpstream | undefined {
+  ): Promise<TrackedUpstream | undefined> {
     const request = {
       call,
       pool,
@@ -128,57 +128,22 @@
       this.retryGate.reportWithheld(request, limit);
       return undefined;
     }
-    const upstream = this.chooseUpstream(call, pool, progress.triedUpstreams);
-    if (upstream !== undefined && progress.attempts > 0)
-      this.retryGate.acquire(request);
-    return upstream;
-  }
-
-  /**
-   * Selects the least loaded upstream that was not tried yet. Falls back to
-   * unusable upstreams if there is no other, unless `requiresUsable` is set.
-   */
-  private chooseUpstream(
-    call: RoutedCall,
-    pool: PoolDocument,
-    triedUpstreams: ReadonlySet<string>,
-    requiresUsable = false,
-  ): TrackedUpstream | undefined {
-    const {clock, upstreams, random, failureDomain, observer} = this.parts;
-    const now = clock.now();
-    const live = upstreams.acceptingOf(pool);
-    const untried = live.filter(
-      ({document}) => !triedUpstreams.has(document.name),
-    );
-    const usable = untried.filter(each => each.health.isUsable(now));
-    const candidates = usable.length > 0 || requiresUsable ? usable : untried;
-    const scoreOf = ({document, localLoad, health}: TrackedUpstream) => {
-      const domainPenalty =
-        document.spec.failureDomain === failureDomain
-          ? 0
-          : remoteDomainPenaltyCalls;
-      const calls =
-        localLoad.calls + upstreams.reportedLoad(document.name).calls;
-      const failurePenalty = 1 + 4 * health.failureShare(now);
-      return (
-        (calls + domainPenalty + 1) * health.slowness(now) * failurePenalty +
-        random.next() * remoteDomainPenaltyCalls
-      );
-    };
-    const chosen = minBy(candidates, scoreOf);
-    if (chosen !== undefined)
-      observer(call.id, {
-        kind: 'chosen',
-        purpose: 'run',
-        upstream: chosen.document.name,
-        candidates: candidates.length,
-        load:
-          chosen.localLoad.calls +
-          upstreams.reportedLoad(chosen.document.name).calls,
-        slowness: chosen.health.slowness(now),
-        waited: now - call.arrivedAt,
-      });
-    return chosen;
+    const {signal, triedUpstreams, attempts} = progress;
+    const choice =
+      attempts === 0
+        ? await this.selector.chooseInTime(call, pool, signal)
+        : this.selector.choose(call, pool, {triedUpstreams, ahead: 0});
+    switch (choice.kind) {
+      case 'chosen':
+        if (attempts > 0) this.retryGate.acquire(request);
+        return choice.upstream;
+      case 'limited':
+        progress.limitWaitMilliseconds = choice.waitMilliseconds;
+        if (attempts > 0) this.retryGate.reportWithheld(request, 'capacity');
+        return undefined;
+      case 'none':
+        return undefined;
+    }
   }
 
   /**
@@ -213,6 +178,7 @@
     progress.triedUpstreams.add(upstream.document.name);
     progress.attempts += 1;
     upstream.health.recordAttempt(startedAt);
+    this.parts.requestLimits.acquire(upstream.document.name, 1);
     const load = upstreams.addLoad(upstream, {calls: 1});
     const scope = new AbortScope(progress.signal);
     const head = transport.send(
@@ -296,10 +262,11 @@
     return async () => {
       const limit = retryGate.limitOf(request);
       if (limit !== undefined) return withhold(limit);
-      const chosen = this.chooseUpstream(call, pool, triedUpstreams, true);
-      if (chosen === undefined) return withhold('capacity');
+      const options = {triedUpstreams, ahead: 0, requiresUsable: true};
+      const choice = this.selector.choose(call, pool, options);
+      if (choice.kind !== 'chosen') return withhold('capacity');
       retryGate.acquire(request);
-      return chosen;
+      return choice.upstream;
     };
   }
 
@@ -370,13 +337,15 @@
 }
 
 function failureOf(
-  {possibleRuns, attempts, lastError}: CallProgress,
+  {possibleRuns, attempts, lastError, limitWaitMilliseconds}: CallProgress,
   signal: AbortSignal,
 ): RequestFailure {
   if (signal.aborted)
     return attempts === 0
       ? {...callerDisconnected, ran: 'not-run'}
       : callerDisconnected;
+  if (possibleRuns === 0 && limitWaitMilliseconds !== undefined)
+    return withResumption(queueFull, limitWaitMilliseconds);
   if (possibleRuns === 0) return notRunFailureOf(lastError);
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -93,7 +93,7 @@
     state: GenerationState,
     triedEngines: ReadonlySet<string>,
   ): TrackedUpstream | undefined {
-    const {clock, upstreams, random, observer} = this.parts;
+    const {clock, upstreams, requestLimits, random, observer} = this.parts;
     const now = clock.now();
     const candidates = upstreams
       .acceptingOf(state.pool)
@@ -102,6 +102,7 @@
           document.labels?.['stage'] === 'prefill' &&
           health.isUsable(now) &&
           !triedEngines.has(document.name) &&
+          requestLimits.canSend(document.name, 1) &&
           (this.cacheBackoffUntil.get(document.name) ?? 0) <= now,
       );
     const {promptTokens} = state.generation;
@@ -116,6 +117,7 @@
         queued *
         health.slowness(now) *
         failurePenalty *
+        requestLimits.penaltyOf(document.name) *
         (1 + 0.1 * random.next())
       );
     });
@@ -145,6 +147,7 @@
     const promptLoad = {calls: 1, promptTokens};
     const load = upstreams.addLoad(engine, promptLoad);
     engine.health.recordAttempt(startedAt);
+    this.parts.requestLimits.acquire(engine.document.name, 1);
     state.prefillAttempts += 1;
     const remainingMilliseconds = call.deadline - startedAt;
     const handle = await transport.prefill(
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -11,6 +11,7 @@
 import type {RoutedCall} from './call.js';
 import {minBy} from './min-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
+import {maximumPauseMilliseconds} from './upstream-table.js';
 import type {LoadHandle, TrackedUpstream} from './upstream-table.js';
 
 /** Engine memory reserved for one call. */
@@ -124,14 +125,30 @@
   }
 
   /**
-   * Time until a decode engine can be asked, in milliseconds; undefined unless
-   * all of them have asked for a pause.
+   * Time until a decode engine can be asked behind `ahead` other calls, in
+   * milliseconds; undefined unless all of them have asked for a pause or have
+   * reached the limit that they named.
    */
-  remainingPause(): number | undefined {
-    return this.parts.upstreams.remainingPauseOf(
-      this.currentPool(),
-      ({document}) => canDecode(document.labels ?? {}),
+  remainingPause(ahead = 0): number | undefined {
+    const {upstreams, requestLimits} = this.parts;
+    const pool = this.currentPool();
+    const isEligible = ({document}: TrackedUpstream) =>
+      canDecode(document.labels ?? {});
+    const pause = upstreams.remainingPauseOf(pool, isEligible);
+    if (pause !== undefined) return pause;
+    const engines = upstreams.acceptingOf(pool).filter(isEligible);
+    const wait = requestLimits.shortestWait(
+      engines.map(({document}) => document.name),
+      this.requestsPerCall(),
+      ahead,
     );
+    return wait > 0 ? wait : undefined;
+  }
+
+  /** Requests of one call to its decode engine: a reservation and the run. */
+  private requestsPerCall(): number {
+    const {engine} = this.currentPool().spec;
+    return (engine?.reservationMilliseconds ?? 0) > 0 ? 2 : 1;
   }
 
   private schedule(milliseconds: number): void {
@@ -152,12 +169,14 @@
     const now = this.parts.clock.now();
     const pause = this.remainingPause() ?? 0;
     // A call that no engine will take before its deadline is refused at once.
-    for (const entry of [...this.waiting])
-      if (
-        !entry.isReserving &&
-        (now + pause >= entry.queueDeadline || this.isQuarantined(entry))
-      )
+    let ahead = 0;
+    for (const entry of [...this.waiting]) {
+      if (entry.isReserving) continue;
+      const wait = this.remainingPause(ahead) ?? 0;
+      if (now + wait >= entry.queueDeadline || this.isQuarantined(entry))
         entry.settle(Result.err('expired'));
+      else ahead += 1;
+    }
     for (const entry of this.inPriorityOrder(now)) {
       const upstream = this.chooseEngine(entry, now);
       // No call overtakes one that waits for memory, because large calls would
@@ -171,7 +190,12 @@
       void this.reserveAt(entry, upstream);
     }
     // While all engines have asked for a pause, there is nothing to check.
-    this.schedule(Math.max(pollIntervalMilliseconds, pause));
+    this.schedule(
+      Math.max(
+        pollIntervalMilliseconds,
+        Math.min(pause, maximumPauseMilliseconds),
+      ),
+    );
   }
 
   private isQuarantined({call}: QueuedCall): boolean {
@@ -204,8 +228,9 @@
     {tokens, avoidedUpstreams, call}: QueuedCall,
     now: number,
   ): TrackedUpstream | undefined {
-    const {upstreams, random, observer} = this.parts;
+    const {upstreams, requestLimits, random, observer} = this.parts;
     const pool = this.currentPool();
+    const requests = this.requestsPerCall();
     const capacityTokens = pool.spec.engine?.memoryTokens ?? Infinity;
     const slots = pool.spec.engine?.slots ?? Infinity;
     const candidates = upstreams
@@ -226,6 +251,7 @@
           now >= upstream.reservationBackoffUntil &&
           upstream.health.isUsable(now) &&
           !avoidedUpstreams.has(upstream.document.name) &&
+          requestLimits.canSend(upstream.document.name, requests) &&
           (hasCapacity ||
             now - upstream.lastReservationAttemptAt >=
               fullEngineRetryMilliseconds),
@@ -235,7 +261,8 @@
       ({upstream, usedTokens, hasCapacity}) =>
         ((usedTokens + tokens) / capacityTokens) *
           upstream.health.slowness(now) *
-          (1 + 4 * upstream.health.failureShare(now)) +
+          (1 + 4 * upstream.health.failureShare(now)) *
+          requestLimits.penaltyOf(upstream.document.name) +
         (hasCapacity ? 0 : 10) +
         0.02 * random.next(),
     );
@@ -268,6 +295,8 @@
     this.parts.onLoadChanged?.();
     const startedAt = clock.now();
     upstream.health.recordAttempt(startedAt);
+    const {name} = upstream.document;
+    this.parts.requestLimits.acquire(name, this.requestsPerCall());
     if (lifetimeMilliseconds === 0) {
       const reservedUntil = Infinity;
       entry.settle(
@@ -301,6 +330,8 @@
       return;
     }
     load.release();
+    // The request of the run is not sent.
+    this.parts.requestLimits.refund(name);
     switch (reserved.error.kind) {
       case 'refused':
         upstream.reservationBackoffUntil =
--- /dev/null
+++ b/packages/coordination/src/passthrough/service-selector.ts
@@ -0,0 +1,161 @@
+/** Selects upstreams for calls of plain services. */
+
+import type {PoolDocument} from '../generated/documents.js';
+import type {RoutedCall} from './call.js';
+import {minBy} from './min-by.js';
+import type {PassthroughParts} from './passthrough-parts.js';
+import type {TrackedUpstream} from './upstream-table.js';
+
+/**
+ * An upstream in another failure domain is treated as having this many more
+ * calls. Also the amplitude of the random tie-break.
+ */
+const remoteDomainPenaltyCalls = 0.5;
+
+/**
+ * Fraction of the first-token target for which a call may wait until the limits
+ * of its upstreams allow it.
+ */
+const limitWaitTargetFraction = 0.5;
+
+/** The same time on a route without a first-token target. */
+const defaultLimitWaitMilliseconds = 250;
+
+export type ServiceChoice =
+  | {readonly kind: 'chosen'; readonly upstream: TrackedUpstream}
+  /** The limits that the upstreams named are reached. */
+  | {readonly kind: 'limited'; readonly waitMilliseconds: number}
+  | {readonly kind: 'none'};
+
+export interface ServiceSelectionOptions {
+  readonly triedUpstreams: ReadonlySet<string>;
+  /** Calls that are to be sent before this one. */
+  readonly ahead: number;
+  /** Whether to choose no unusable upstream if there is no other. */
+  readonly requiresUsable?: boolean;
+}
+
+export class ServiceSelector {
+  /** Calls that wait for the limits of the upstreams of each pool. */
+  private readonly waitingLines = new Map<string, Set<RoutedCall>>();
+
+  constructor(private readonly parts: PassthroughParts) {}
+
+  /**
+   * Selects an upstream for the first attempt of a call. If the limits of all
+   * upstreams are reached, calls that can be sent in time wait in the order of
+   * their arrival. `signal` ends the wait.
+   */
+  async chooseInTime(
+    call: RoutedCall,
+    pool: PoolDocument,
+    signal: AbortSignal,
+  ): Promise<ServiceChoice> {
+    const {clock, observer} = this.parts;
+    const line = this.waitingLineOf(pool);
+    const latest = call.arrivedAt + limitWaitOf(call);
+    const triedUpstreams = new Set<string>();
+    try {
+      for (;;) {
+        const ahead = line.has(call) ? [...line].indexOf(call) : line.size;
+        const choice = this.choose(call, pool, {triedUpstreams, ahead});
+        if (choice.kind !== 'limited') return choice;
+        const {waitMilliseconds} = choice;
+        const canWait = clock.now() + waitMilliseconds <= latest;
+        observer(call.id, {
+          kind: 'limit-reached',
+          wait: waitMilliseconds,
+          ahead,
+          outcome: canWait ? 'waits' : 'refused',
+        });
+        if (!canWait) return choice;
+        line.add(call);
+        await clock.sleep(waitMilliseconds, signal);
+        if (signal.aborted) return choice;
+      }
+    } finally {
+      line.delete(call);
+    }
+  }
+
+  /** Selects the least loaded upstream that was not tried yet. */
+  choose(
+    call: RoutedCall,
+    pool: PoolDocument,
+    {triedUpstreams, ahead, requiresUsable = false}: ServiceSelectionOptions,
+  ): ServiceChoice {
+    const {clock, upstreams, requestLimits} = this.parts;
+    const now = clock.now();
+    const untried = upstreams
+      .acceptingOf(pool)
+      .filter(({document}) => !triedUpstreams.has(document.name));
+    const usable = untried.filter(each => each.health.isUsable(now));
+    const candidates = usable.length > 0 || requiresUsable ? usable : untried;
+    const waitMilliseconds = requestLimits.shortestWait(
+      candidates.map(({document}) => document.name),
+      1,
+      ahead,
+    );
+    if (waitMilliseconds > 0) return {kind: 'limited', waitMilliseconds};
+    const sendable = candidates.filter(({document}) =>
+      requestLimits.canSend(document.name, 1),
+    );
+    const chosen = minBy(sendable, each => this.costOf(each, now));
+    if (chosen === undefined) return {kind: 'none'};
+    this.reportChoice(call, chosen, sendable.length, now);
+    return {kind: 'chosen', upstream: chosen};
+  }
+
+  private costOf(
+    {document, localLoad, health}: TrackedUpstream,
+    now: number,
+  ): number {
+    const {upstreams, requestLimits, failureDomain, random} = this.parts;
+    const domainPenalty =
+      document.spec.failureDomain === failureDomain
+        ? 0
+        : remoteDomainPenaltyCalls;
+    const calls = localLoad.calls + upstreams.reportedLoad(document.name).calls;
+    const failurePenalty = 1 + 4 * health.failureShare(now);
+    return (
+      (calls + domainPenalty + 1) *
+        health.slowness(now) *
+        failurePenalty *
+        requestLimits.penaltyOf(document.name) +
+      random.next() * remoteDomainPenaltyCalls
+    );
+  }
+
+  private reportChoice(
+    call: RoutedCall,
+    {document, localLoad, health}: TrackedUpstream,
+    candidates: number,
+    now: number,
+  ): void {
+    const {upstreams, observer} = this.parts;
+    observer(call.id, {
+      kind: 'chosen',
+      purpose: 'run',
+      upstream: document.name,
+      candidates,
+      load: localLoad.calls + upstreams.reportedLoad(document.name).calls,
+      slowness: health.slowness(now),
+      waited: now - call.arrivedAt,
+    });
+  }
+
+  private waitingLineOf({name}: PoolDocument): Set<RoutedCall> {
+    const existing = this.waitingLines.get(name);
+    if (existing !== undefined) return existing;
+    const created = new Set<RoutedCall>();
+    this.waitingLines.set(name, created);
+    return created;
+  }
+}
+
+function limitWaitOf({route}: RoutedCall): number {
+  const {firstTokenTargetMilliseconds} = route;
+  return firstTokenTargetMilliseconds === undefined
+    ? defaultLimitWaitMilliseconds
+    : firstTokenTargetMilliseconds * limitWaitTargetFraction;
+}
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -149,6 +149,7 @@
         platformEpoch: undefined,
         platformEpochAgeMilliseconds: Infinity,
         quarantine: {lostParts: [], quarantinedParts: [], soundParts: []},
+        requestLimits: [],
       }),
       onHeartbeat: heartbeat => this.received.push(heartbeat.host),
       onChange: (change: FleetChange) =>
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -3,6 +3,7 @@
 import {relayEvents} from '../src/passthrough/event-relay.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import {createRequestLimits} from './tools/unlimited.js';
 import {
   QuarantineHost,
   engine,
@@ -278,6 +279,7 @@
     observer: () => undefined,
     random: {next: () => 0.5},
     retryBudget: {tryAcquire: () => true},
+    requestLimits: createRequestLimits(clock),
     upstreams: {
       acceptingOf: () => [up('p-1'), up('p-2')],
       reportedLoad: () => ({promptTokens: 0}),
--- a/packages/coordination/test/quarantine-fleet.test.ts
+++ b/packages/coordination/test/quarantine-fleet.test.ts
@@ -41,6 +41,7 @@
         platformEpoch: undefined,
         platformEpochAgeMilliseconds: Infinity,
         quarantine: this.quarantine.report(),
+        requestLimits: [],
       }),
       onHeartbeat: heartbeat => this.quarantine.recordPeer(heartbeat),
       onChange: () => undefined,
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -25,6 +25,7 @@
 import {RetryGate} from '../src/passthrough/retry-gate.js';
 import {StallMonitor} from '../src/stall-monitor.js';
 import {PausableClock} from './tools/pausable-clock.js';
+import {createRequestLimits} from './tools/unlimited.js';
 
 const pool = {
   kind: 'Pool',
@@ -56,13 +57,15 @@
     releaseCache: () => Promise.resolve(Result.ok(undefined)),
     ...transport,
   } as PassthroughTransport;
+  const requestLimits = createRequestLimits(clock);
   const parts = {
     clock,
+    requestLimits,
     random: seededRandom(1),
     failureDomain: failureDomainId('zone-a'),
     transport: full,
     upstreams,
-    releases: new EngineReleases(full, upstreams),
+    releases: new EngineReleases(full, upstreams, requestLimits),
     retryBudget: new PoolRetryBudget({
       clock,
       ratio: 1,
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -315,6 +315,12 @@
     text: 'the connection to an engine failed after a generation was sent to it',
     fields: ['request', 'upstream', 'events', 'parts'],
   },
+  callLimited: {
+    number: 3111,
+    level: 'info',
+    text: 'a plain call waits or was refused because its upstreams have reached the limits that they named',
+    fields: ['request', 'wait', 'ahead', 'outcome'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -124,6 +124,10 @@
     });
     this.requestLimits = new UpstreamRequestLimits({
       clock,
+      self: hostId(settings.host),
+      hosts: () => this.fleet.hosts,
+      silentHostCount: () => this.fleet.silentHostCount,
+      onLearned: () => this.fleet.scheduleHeartbeat(),
       onChange: change => {
         this.metrics.recordNotice('request-limit');
         logRequestLimitChange(log, change);
@@ -155,6 +159,7 @@
         platformEpoch: this.platform.epochs.current,
         platformEpochAgeMilliseconds: this.platform.epochs.ageMilliseconds(),
         quarantine: this.quarantine.report(),
+        requestLimits: this.requestLimits.report(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
@@ -192,7 +197,12 @@
       failureDomain,
       transport,
       upstreams: this.upstreams,
-      releases: new EngineReleases(transport, this.upstreams),
+      releases: new EngineReleases(
+        transport,
+        this.upstreams,
+        this.requestLimits,
+      ),
+      requestLimits: this.requestLimits,
       retryBudget: new PoolRetryBudget({
         clock,
         hostCount,
@@ -293,12 +303,11 @@
     this.upstreams.recordHeartbeat(heartbeat);
     this.platform.recordPeer(heartbeat);
     this.quarantine.recordPeer(heartbeat);
-    this.limiter.recordUsage(
-      hostId(heartbeat.host),
-      heartbeat.incarnation,
-      Number(heartbeat.ageMilliseconds),
-      heartbeat.usage,
-    );
+    const {incarnation, usage, requestLimits} = heartbeat;
+    const host = hostId(heartbeat.host);
+    const age = Number(heartbeat.ageMilliseconds);
+    this.limiter.recordUsage(host, incarnation, age, usage);
+    this.requestLimits.recordPeer(host, incarnation, age, requestLimits);
   }
 
   private recordNotice(
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -71,6 +71,13 @@
       const {kind: _, ...fields} = event;
       return log.write('connectionLost', {request: requestId, ...fields});
     }
+    case 'limit-reached': {
+      const {kind: _, ...fields} = event;
+      return log.write('callLimited', {
+        request: requestId,
+        ...roundNumbers(fields),
+      });
+    }
     case 'quarantine-refused': {
       const {kind: _, ...fields} = event;
       return log.write('callQuarantined', {request: requestId, ...fields});
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -133,6 +133,12 @@
       case 'chosen':
         // Counted by its stage-done event.
         break;
+      case 'limit-reached':
+        this.decisionCounter.inc({
+          decision: event.kind,
+          outcome: event.outcome,
+        });
+        break;
       case 'interrupted':
         this.decisionCounter.inc({decision: event.kind, outcome: event.reason});
         break;
