Log failed connections of plain calls, and what repetitions have in common

What callers saw: one request that came again and again crashed each server that ran it. The logs show when servers went down, but no failed connection of a plain call, and nothing by which two attempts of one request are known.

Change: a request gets a fingerprint of its method, host, path, caller and body, the same for all its repetitions. Event 3110 is written for plain calls too and holds it, so that an id that recurs at several servers names the cause, as ids of prompt parts do. No decision depends on it yet.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -103,6 +103,8 @@
       readonly events: number;
       /** Ids of the prompt parts, separated by spaces, without the last part. */
       readonly parts: string;
+      /** The same for all repetitions of the request. */
+      readonly fingerprint: string;
     }
   /** The limits that the upstreams of a plain call named are reached. */
   | {
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -69,6 +69,8 @@
   readonly deadline: number;
   /** 0 is the most urgent. */
   readonly urgency: number;
+  /** The same for all repetitions of a request. */
+  readonly fingerprint: string;
 }
 
 /** Why an upstream gave no response that can be passed on. */
--- a/packages/coordination/src/passthrough/engine-losses.ts
+++ b/packages/coordination/src/passthrough/engine-losses.ts
@@ -74,6 +74,7 @@
         .slice(0, -1)
         .map(({id}) => id)
         .join(' '),
+      fingerprint: call.fingerprint,
     });
     this.recordLostConnection(document.name);
     if (attemptEvents > 0) return;
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -13,6 +13,7 @@
   pathWithoutQuery,
 } from '../requests/authentication.js';
 import type {RequestFailure} from '../requests/failure.js';
+import {fingerprintOf} from '../requests/request-fingerprint.js';
 import {noConfiguration, staleConfiguration} from './call-failures.js';
 import type {RoutedCall, IncomingCall, PassthroughResponse} from './call.js';
 import {GenerationForwarder} from './generations.js';
@@ -129,6 +130,7 @@
       route,
       deadline: incoming.arrivedAt + effectiveTimeoutMilliseconds,
       urgency: this.accountSpec(account)?.urgency ?? route.urgency,
+      fingerprint: fingerprintOf({...incoming, body}, account ?? ''),
     };
   }
 
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -291,7 +291,7 @@
       took: now - startedAt,
     });
     if (response.isErr) {
-      this.recordError(upstream, response.error, progress, now);
+      this.recordError(call, upstream, response.error, progress, now);
       return undefined;
     }
     progress.sentAttempts += 1;
@@ -308,6 +308,7 @@
   }
 
   private recordError(
+    call: RoutedCall,
     upstream: TrackedUpstream,
     error: PassthroughError,
     progress: CallProgress,
@@ -316,6 +317,14 @@
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.possibleRuns += 1;
     if (mayHaveBeenSent(error)) progress.sentAttempts += 1;
+    if (error.kind === 'broken')
+      this.parts.observer(call.id, {
+        kind: 'connection-lost',
+        upstream: upstream.document.name,
+        events: 0,
+        parts: '',
+        fingerprint: call.fingerprint,
+      });
     // What a caller's disconnect ends says nothing about the upstream.
     if (!progress.signal.aborted) recordAttemptFailure(upstream, error, now);
   }
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -312,8 +312,8 @@
   connectionLost: {
     number: 3110,
     level: 'warn',
-    text: 'the connection to an engine failed after a generation was sent to it',
-    fields: ['request', 'upstream', 'events', 'parts'],
+    text: 'the connection to an upstream failed after a call was sent to it',
+    fields: ['request', 'upstream', 'events', 'parts', 'fingerprint'],
   },
   callLimited: {
     number: 3111,
