Rename the quarantine of prompt parts after requests

No change of behaviour. The quarantine is about to hold repeated requests of plain services too; its class, the observation of lost upstreams and their tests are named after requests and upstreams. Files are moved, among them two test files (prompt-quarantine, engine-losses); no assertion is changed.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -279,12 +279,12 @@
 export type {PassthroughRoute} from './passthrough/route-table.js';
 export {PoolRetryBudget} from './passthrough/pool-retry-budget.js';
 export type {PoolRetryBudgetParts} from './passthrough/pool-retry-budget.js';
-export {PromptQuarantine} from './passthrough/prompt-quarantine.js';
+export {RequestQuarantine} from './passthrough/request-quarantine.js';
 export type {
-  PromptQuarantineParts,
+  RequestQuarantineParts,
   QuarantineChange,
   QuarantineReport,
-} from './passthrough/prompt-quarantine.js';
+} from './passthrough/request-quarantine.js';
 export {UpstreamRequestLimits} from './passthrough/upstream-request-limits.js';
 export type {RequestLimitChange} from './passthrough/upstream-request-limits.js';
 export {UsageLimiter} from './passthrough/usage-limiter.js';
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -17,7 +17,7 @@
 import type {FailureDomainId, HostId} from '../ids.js';
 import {hostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
-import type {QuarantineReport} from './prompt-quarantine.js';
+import type {QuarantineReport} from './request-quarantine.js';
 
 /** Sends heartbeats, and drops those that cannot be sent. */
 export interface HeartbeatSender {
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -17,7 +17,7 @@
   TransportResult,
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun} from './call.js';
-import type {EngineLosses} from './engine-losses.js';
+import type {UpstreamLosses} from './upstream-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
 import {
   attemptFailureOf,
@@ -85,7 +85,7 @@
 
   constructor(
     private readonly parts: PassthroughParts,
-    private readonly engineLosses: EngineLosses,
+    private readonly upstreamLosses: UpstreamLosses,
   ) {
     this.retryGate = new RetryGate(parts);
     this.prefillStage = new PrefillStage(parts);
@@ -126,7 +126,7 @@
       const cache = await this.prefillStage.prefill(state, reservation);
       const stopped = signal.aborted
         ? disconnectFailureOf(state)
-        : this.engineLosses.refusalOf(state);
+        : this.upstreamLosses.refusalOf(state);
       if (stopped !== undefined) {
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
@@ -167,7 +167,7 @@
     const {call, pool} = state;
     const counts = state;
     const request = {call, pool, counts, reason, usesRetryBudget};
-    if (!state.isPromptSuspect) return this.retryGate.acquire(request);
+    if (!state.isSuspect) return this.retryGate.acquire(request);
     this.retryGate.reportWithheld(request, 'prompt');
     return false;
   }
@@ -180,7 +180,7 @@
     searchAvoids?: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
     const {call, generation, pool} = state;
-    const refusal = this.engineLosses.refusalOf(state);
+    const refusal = this.upstreamLosses.refusalOf(state);
     if (refusal !== undefined) return Result.err(refusal);
     if (
       searchAvoids === undefined &&
@@ -200,7 +200,7 @@
       avoidedUpstreams,
       signal,
     );
-    const laterRefusal = this.engineLosses.refusalOf(state);
+    const laterRefusal = this.upstreamLosses.refusalOf(state);
     if (laterRefusal !== undefined) {
       if (reserved.isOk) this.parts.releases.releaseReservation(reserved.value);
       return Result.err(laterRefusal);
@@ -283,7 +283,7 @@
     this.parts.releases.releaseUsedReservation(reservation);
     this.handleFailedAttempt(state, engine, cache, result.error, now);
     if (result.error.kind === 'broken')
-      await this.engineLosses.record(state, engine);
+      await this.upstreamLosses.record(state, engine);
     return Result.err({error: result.error, replacement});
   }
 
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -46,7 +46,7 @@
    * Whether an engine went down before its first event, and a part of the prompt
    * may be the cause.
    */
-  isPromptSuspect: boolean;
+  isSuspect: boolean;
   prefillAttempts: number;
   /**
    * Number of attempts that may have run the call; limited by `maximumTries`.
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -14,7 +14,7 @@
 import {relayEvents} from './event-relay.js';
 import type {StreamInterruption} from './event-relay.js';
 import {GenerationAttempts} from './generation-attempts.js';
-import {EngineLosses} from './engine-losses.js';
+import {UpstreamLosses} from './upstream-losses.js';
 import type {StartedGeneration} from './generation-attempts.js';
 import type {GenerationState} from './generation-run.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -35,12 +35,12 @@
 
 export class GenerationForwarder {
   private readonly baselineEventInterval = new BaselineDuration();
-  private readonly engineLosses: EngineLosses;
+  private readonly upstreamLosses: UpstreamLosses;
   private readonly attempts: GenerationAttempts;
 
   constructor(private readonly parts: PassthroughParts) {
-    this.engineLosses = new EngineLosses(parts);
-    this.attempts = new GenerationAttempts(parts, this.engineLosses);
+    this.upstreamLosses = new UpstreamLosses(parts);
+    this.attempts = new GenerationAttempts(parts, this.upstreamLosses);
   }
 
   close(): void {
@@ -70,7 +70,7 @@
       avoidedUpstreams: new Set(),
       attempts: 0,
       attemptEvents: 0,
-      isPromptSuspect: false,
+      isSuspect: false,
       prefillAttempts: 0,
       possibleRuns: 0,
       shouldSkipPrefillStage: false,
@@ -105,7 +105,7 @@
         if (interruption === undefined) return;
         this.recordInterruptedStream(state, current.reservation, interruption);
         if (interruption.error.reason === 'broken')
-          await this.engineLosses.record(state, current.reservation.upstream);
+          await this.upstreamLosses.record(state, current.reservation.upstream);
         const resumed = await this.resume(state, interruption);
         if (resumed === undefined) throw interruption.error;
         current = resumed;
@@ -153,7 +153,7 @@
         reservation,
         monitor,
         baselineInterval,
-        onFirstEvent: () => this.engineLosses.recordSuccess(state),
+        onFirstEvent: () => this.upstreamLosses.recordSuccess(state),
       });
     } finally {
       monitor.close();
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -5,8 +5,8 @@
 
 import {Result} from 'true-myth';
 import type {Beat} from '../generated/messages/persimmonwick/beat.js';
-import {maximumPartIdLength} from './prompt-part-ids.js';
-import {maximumReportedParts} from './prompt-quarantine.js';
+import {maximumPartIdLength} from './crash-traits.js';
+import {maximumReportedParts} from './request-quarantine.js';
 import {maximumReportedLimits} from './upstream-request-limits.js';
 
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -8,7 +8,7 @@
 import type {PassthroughTransport} from './call.js';
 import type {EngineReleases} from './engine-releases.js';
 import type {PoolRetryBudget} from './pool-retry-budget.js';
-import type {PromptQuarantine} from './prompt-quarantine.js';
+import type {RequestQuarantine} from './request-quarantine.js';
 import type {PassthroughRoute} from './route-table.js';
 import type {UpstreamRequestLimits} from './upstream-request-limits.js';
 import type {UpstreamTable} from './upstream-table.js';
@@ -22,7 +22,7 @@
   readonly releases: EngineReleases;
   readonly requestLimits: UpstreamRequestLimits;
   readonly retryBudget: PoolRetryBudget;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly observer: CallObserver;
   /**
    * Called when a reservation is requested and when a stream has ended, to
--- a/packages/coordination/src/passthrough/prompt-quarantine.ts
+++ b/packages/coordination/src/passthrough/request-quarantine.ts
@@ -15,9 +15,9 @@
 import type {UpstreamDocument} from '../generated/documents.js';
 import type {PromptPart} from './call.js';
 import {BoundedMap} from './bounded-map.js';
-import {isSameLoss} from './engine-loss.js';
-import type {EngineLoss} from './engine-loss.js';
-import {suspectableIdsOf} from './prompt-part-ids.js';
+import {isSameLoss} from './upstream-loss.js';
+import type {UpstreamLoss} from './upstream-loss.js';
+import {suspectableIdsOf} from './crash-traits.js';
 import {
   ageOf,
   areEnough,
@@ -26,8 +26,8 @@
   remainingOf,
   removeBefore,
   restrictCompanions,
-} from './suspect-part.js';
-import type {Suspect} from './suspect-part.js';
+} from './suspect.js';
+import type {Suspect} from './suspect.js';
 
 /** A loss without another one counts for this long. */
 const suspicionMilliseconds = 300_000;
@@ -81,7 +81,7 @@
   /** The limit of tracked parts was reached; the oldest suspect was dropped. */
   | {readonly kind: 'dropped'; readonly part: string};
 
-export interface PromptQuarantineParts {
+export interface RequestQuarantineParts {
   readonly clock: Clock;
   readonly onChange: (change: QuarantineChange) => void;
   /** Called when peers should learn something soon. */
@@ -94,7 +94,7 @@
   'lostParts' | 'quarantinedParts' | 'soundParts'
 >;
 
-export class PromptQuarantine {
+export class RequestQuarantine {
   /** Clock time of the last success of each part. */
   private readonly successes = new BoundedMap<
     string,
@@ -110,7 +110,7 @@
   );
   private quarantinedCount = 0;
 
-  constructor(private readonly parts: PromptQuarantineParts) {}
+  constructor(private readonly parts: RequestQuarantineParts) {}
 
   /** Number of parts in quarantine. */
   get size(): number {
@@ -159,7 +159,7 @@
   ): void {
     const at = this.parts.clock.now();
     const {startedAt = 0} = spec;
-    const loss: EngineLoss = {upstream: name, startedAt, at, isOwn: true};
+    const loss: UpstreamLoss = {upstream: name, startedAt, at, isOwn: true};
     const unknown = suspectableIdsOf(promptParts).filter(
       part => !this.isSound(part),
     );
@@ -175,7 +175,7 @@
   ): boolean {
     const at = this.parts.clock.now();
     const {startedAt = 0} = spec;
-    const loss: EngineLoss = {upstream: name, startedAt, at, isOwn: true};
+    const loss: UpstreamLoss = {upstream: name, startedAt, at, isOwn: true};
     const ids = suspectableIdsOf(promptParts);
     return [...this.suspects.entries()].some(
       ([part, {isQuarantined, losses}]) =>
@@ -276,7 +276,7 @@
   }
 
   /** Returns false if the loss adds nothing to what is known. */
-  private addLoss(part: string, loss: EngineLoss): boolean {
+  private addLoss(part: string, loss: UpstreamLoss): boolean {
     const now = this.parts.clock.now();
     const suspect = this.suspects.get(part) ?? newSuspect();
     const {losses} = suspect;
--- a/packages/coordination/src/passthrough/suspect-part.ts
+++ b/packages/coordination/src/passthrough/suspect.ts
@@ -1,6 +1,6 @@
 /** What is known about a prompt part that may crash engines. */
 
-import type {EngineLoss} from './engine-loss.js';
+import type {UpstreamLoss} from './upstream-loss.js';
 
 /**
  * Lost engines after which a part is quarantined, if the first and the last loss
@@ -17,7 +17,7 @@
 export const quarantineMilliseconds = 600_000;
 
 export interface Suspect {
-  readonly losses: EngineLoss[];
+  readonly losses: UpstreamLoss[];
   lastLossAt: number;
   /**
    * Other parts that may be the cause instead, because they were in all losses.
@@ -53,12 +53,12 @@
 }
 
 /** Removes the losses until `time`. They are in the order of their times. */
-export function removeBefore(losses: EngineLoss[], time: number): void {
+export function removeBefore(losses: UpstreamLoss[], time: number): void {
   while (losses.length > 0 && losses[0]!.at <= time) losses.shift();
 }
 
 /** `losses` are in the order of their times. */
-export function areEnough(losses: readonly EngineLoss[]): boolean {
+export function areEnough(losses: readonly UpstreamLoss[]): boolean {
   if (losses.length >= simultaneousQuarantineLosses) return true;
   if (losses.length < quarantineLosses) return false;
   return losses.at(-1)!.at - losses[0]!.at >= separateLossesMilliseconds;
--- a/packages/coordination/src/passthrough/engine-loss.ts
+++ b/packages/coordination/src/passthrough/upstream-loss.ts
@@ -1,7 +1,7 @@
 /** Losses of engines as seen by hosts. */
 
 /** One engine that went down. */
-export interface EngineLoss {
+export interface UpstreamLoss {
   readonly upstream: string;
   /** Start of the process that went down; 0 if it is not published. */
   readonly startedAt: number;
@@ -18,7 +18,7 @@
 const sameLossMilliseconds = 1500;
 
 /** Returns whether two reports are about one loss. */
-export function isSameLoss(left: EngineLoss, right: EngineLoss): boolean {
+export function isSameLoss(left: UpstreamLoss, right: UpstreamLoss): boolean {
   if (left.upstream !== right.upstream) return false;
   // A process goes down once, however late a report of it arrives.
   if (left.startedAt !== 0 && left.startedAt === right.startedAt) return true;
--- a/packages/coordination/src/passthrough/engine-losses.ts
+++ b/packages/coordination/src/passthrough/upstream-losses.ts
@@ -24,7 +24,7 @@
 const wideFailureEngines = 2;
 const simultaneousMilliseconds = 100;
 
-export class EngineLosses {
+export class UpstreamLosses {
   /** Clock times at which connections failed, of the engines lost last. */
   private readonly lostAt = new Map<string, number>();
 
@@ -82,7 +82,7 @@
     if (!(await this.isDown(engine))) return;
     engine.health.recordUnreachable(clock.now());
     if (quarantine.isExplained(document, promptParts)) return;
-    state.isPromptSuspect =
+    state.isSuspect =
       !quarantine.isKnownSound(promptParts) && !this.isWideFailure(state);
     quarantine.recordLoss(document, promptParts);
   }
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -2,7 +2,7 @@
 import {VirtualClock} from '../src/index.js';
 import {relayEvents} from '../src/passthrough/event-relay.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
-import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import {createRequestLimits} from './tools/unlimited.js';
 import {
   QuarantineHost,
@@ -115,7 +115,7 @@
 test('a loss is noticed though the probe is answered late by a busy host', async t => {
   const clock = new VirtualClock();
   const host = new QuarantineHost(clock);
-  const losses = new EngineLosses({
+  const losses = new UpstreamLosses({
     clock,
     quarantine: host.quarantine,
     observer: () => undefined,
@@ -128,7 +128,7 @@
     pool: {},
     attemptEvents: 0,
     possibleRuns: 1,
-    isPromptSuspect: false,
+    isSuspect: false,
   } as never;
   const done = losses.record(state, {
     document: engine('d-1'),
@@ -146,7 +146,7 @@
   await clock.advance(500);
   host.lose('d-2', 'bad');
   host.lose('d-3', 'bad');
-  const losses = new EngineLosses({
+  const losses = new UpstreamLosses({
     clock,
     quarantine: host.quarantine,
     observer: () => undefined,
@@ -159,7 +159,7 @@
     pool: {},
     attemptEvents: 0,
     possibleRuns: 1,
-    isPromptSuspect: false,
+    isSuspect: false,
   };
   await losses.record(
     state as never,
@@ -168,7 +168,7 @@
       health: {recordUnreachable: () => undefined},
     } as never,
   );
-  t.false(state.isPromptSuspect);
+  t.false(state.isSuspect);
 });
 
 test('an empty complete stream clears no part', async t => {
--- a/packages/coordination/test/quarantine-fleet.test.ts
+++ b/packages/coordination/test/quarantine-fleet.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {
   DiscoveredFleet,
-  PromptQuarantine,
+  RequestQuarantine,
   VirtualClock,
   failureDomainId,
   hostId,
@@ -12,7 +12,7 @@
 const promptParts = ['first', 'bad', 'last'].map(id => ({id, tokens: 10}));
 
 class Host {
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly fleet: DiscoveredFleet;
 
   constructor(
@@ -20,7 +20,7 @@
     index: number,
     send: (address: string, heartbeat: Beat) => void,
   ) {
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new RequestQuarantine({
       clock,
       onChange: () => undefined,
       onLearned: () => this.fleet.scheduleHeartbeat(),
--- a/packages/coordination/test/quarantine-limits.test.ts
+++ b/packages/coordination/test/quarantine-limits.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {VirtualClock, Beat, checkHeartbeat} from '../src/index.js';
 import type {QuarantineReport, UpstreamDocument} from '../src/index.js';
-import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import {
   QuarantineHost,
   engine,
@@ -100,7 +100,7 @@
 test('two connection resets at once at engines that go on allow no retry of a bad prompt', async t => {
   const clock = new VirtualClock();
   const host = new QuarantineHost(clock);
-  const losses = new EngineLosses({
+  const losses = new UpstreamLosses({
     clock,
     quarantine: host.quarantine,
     observer: () => undefined,
@@ -116,7 +116,7 @@
       pool: {},
       attemptEvents: events,
       possibleRuns: 1,
-      isPromptSuspect: false,
+      isSuspect: false,
     }) as never;
   const up = (name: string) =>
     ({
@@ -124,9 +124,9 @@
       health: {recordUnreachable: () => undefined},
     }) as never;
   await losses.record(stateOf(3), up('d-1')); // reset, d-1 goes on
-  const state = stateOf(0) as {isPromptSuspect: boolean};
+  const state = stateOf(0) as {isSuspect: boolean};
   await losses.record(state as never, up('d-2'));
-  t.true(state.isPromptSuspect);
+  t.true(state.isSuspect);
 });
 
 test('a conviction of a sound part by rolling crashes ends before ten minutes', async t => {
@@ -150,7 +150,7 @@
 test('a wide failure quarantines no part', async t => {
   const clock = new VirtualClock();
   const host = new QuarantineHost(clock);
-  const losses = new EngineLosses({
+  const losses = new UpstreamLosses({
     clock,
     quarantine: host.quarantine,
     observer: () => undefined,
@@ -165,7 +165,7 @@
         pool: {},
         attemptEvents: 0,
         possibleRuns: 1,
-        isPromptSuspect: false,
+        isSuspect: false,
       } as never,
       {
         document: engine(`d-${i}`),
@@ -189,7 +189,7 @@
   // The host's own link is cut: each connect fails at once, the resets arrive over half a second.
   const clock = new VirtualClock();
   const host = new QuarantineHost(clock);
-  const losses = new EngineLosses({
+  const losses = new UpstreamLosses({
     clock,
     quarantine: host.quarantine,
     observer: () => undefined,
@@ -204,7 +204,7 @@
         pool: {},
         attemptEvents: 0,
         possibleRuns: 1,
-        isPromptSuspect: false,
+        isSuspect: false,
       } as never,
       {
         document: engine(`d-${i}`),
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -3,7 +3,7 @@
 import {
   EngineReleases,
   PoolRetryBudget,
-  PromptQuarantine,
+  RequestQuarantine,
   UpstreamTable,
   VirtualClock,
   failureDomainId,
@@ -18,7 +18,7 @@
 } from '../src/index.js';
 import type {PoolDocument} from '../src/generated/documents.js';
 import type {GenerationState} from '../src/passthrough/generation-run.js';
-import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import {EngineReplacement} from '../src/passthrough/engine-replacement.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
@@ -74,7 +74,7 @@
       hostCount: () => 1,
     }),
     observer: () => undefined,
-    quarantine: new PromptQuarantine({
+    quarantine: new RequestQuarantine({
       clock,
       onChange: () => undefined,
       onLearned: () => undefined,
@@ -241,7 +241,7 @@
   for (const name of ['d-2', 'd-3']) tracked(name).health.suspendUntil(9000);
   const {GenerationAttempts} =
     await import('../src/passthrough/generation-attempts.js');
-  const attempts = new GenerationAttempts(parts, new EngineLosses(parts));
+  const attempts = new GenerationAttempts(parts, new UpstreamLosses(parts));
   attempts.updatePool(pool);
   const state = {
     call: callAt(0),
--- a/packages/coordination/test/prompt-quarantine.test.ts
+++ b/packages/coordination/test/request-quarantine.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {PromptQuarantine, VirtualClock} from '../src/index.js';
+import {RequestQuarantine, VirtualClock} from '../src/index.js';
 import type {QuarantineReport, UpstreamDocument} from '../src/index.js';
 
 function engine(name: string, startedAt = 1): UpstreamDocument {
@@ -18,10 +18,10 @@
 class Host {
   readonly changes: string[] = [];
   learnedCount = 0;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
 
   constructor(clock: VirtualClock) {
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new RequestQuarantine({
       clock,
       onChange: change => this.changes.push(`${change.kind} ${change.part}`),
       onLearned: () => (this.learnedCount += 1),
--- a/packages/coordination/test/tools/quarantine-hosts.ts
+++ b/packages/coordination/test/tools/quarantine-hosts.ts
@@ -1,6 +1,6 @@
 /** Hosts that exchange evidence about prompt parts, without a network. */
 
-import {PromptQuarantine} from '../../src/index.js';
+import {RequestQuarantine} from '../../src/index.js';
 import type {UpstreamDocument, VirtualClock} from '../../src/index.js';
 
 export function engine(name: string, startedAt = 1): UpstreamDocument {
@@ -15,10 +15,10 @@
   return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
 }
 export class QuarantineHost {
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly changes: string[] = [];
   constructor(clock: VirtualClock) {
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new RequestQuarantine({
       clock,
       onChange: change => this.changes.push(`${change.kind} ${change.part}`),
       onLearned: () => undefined,
--- a/packages/coordination/test/engine-losses.test.ts
+++ b/packages/coordination/test/upstream-losses.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import {PromptQuarantine, UpstreamTable, VirtualClock} from '../src/index.js';
+import {RequestQuarantine, UpstreamTable, VirtualClock} from '../src/index.js';
 import type {UpstreamDocument} from '../src/index.js';
-import {EngineLosses} from '../src/passthrough/engine-losses.js';
+import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import type {GenerationState} from '../src/passthrough/generation-run.js';
 import type {PassthroughParts} from '../src/passthrough/passthrough-parts.js';
 
@@ -10,12 +10,12 @@
   readonly clock = new VirtualClock();
   readonly upstreams = new UpstreamTable(this.clock);
   readonly down = new Set<string>();
-  readonly quarantine = new PromptQuarantine({
+  readonly quarantine = new RequestQuarantine({
     clock: this.clock,
     onChange: () => undefined,
     onLearned: () => undefined,
   });
-  readonly losses = new EngineLosses({
+  readonly losses = new UpstreamLosses({
     clock: this.clock,
     upstreams: this.upstreams,
     quarantine: this.quarantine,
@@ -50,7 +50,7 @@
       pool: {spec: {upstreams: {service: 'test'}}},
       attemptEvents,
       possibleRuns: 1,
-      isPromptSuspect: false,
+      isSuspect: false,
     } as unknown as GenerationState;
   }
 
@@ -61,7 +61,7 @@
       .inFailureDomain('a')
       .find(({document}) => document.name === name)!;
     await this.losses.record(state, engine);
-    return state.isPromptSuspect;
+    return state.isSuspect;
   }
 
   get suspectCount(): number {
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -5,7 +5,7 @@
   DiscoveredFleet,
   EngineReleases,
   PassthroughHost,
-  PromptQuarantine,
+  RequestQuarantine,
   ReachabilityProbes,
   PoolRetryBudget,
   UpstreamRequestLimits,
@@ -79,7 +79,7 @@
   private readonly startTimestamp = Date.now();
   private readonly upstreams = new UpstreamTable(systemClock);
   private readonly requestLimits: UpstreamRequestLimits;
-  private readonly quarantine: PromptQuarantine;
+  private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
@@ -133,7 +133,7 @@
         logRequestLimitChange(log, change);
       },
     });
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new RequestQuarantine({
       clock,
       onChange: change => {
         this.metrics.recordQuarantine(change);
