Report a lost upstream with all traits of its requests

What callers saw: generations with a sound part of a prompt could be refused at other hosts, because a heartbeat held the 16 newest pairs of a loss and a part: with 16 waiting sound calls the part that had crashed the engine was left out, and a host heard of the sound parts alone.

Cause: the report listed each part of each loss by itself, so that what a trait shares with others arrived in pieces or not at all.

Change: a heartbeat holds the 16 newest losses, each with up to 64 traits, the most suspect ones first; a receiver adds all of them before it judges one. What the quarantine compares is called a trait of a request; log fields keep their names.

Tests pass traits where they passed prompts, and count the traits of all reported losses; no assertion is relaxed.

--- a/packages/coordination/src/passthrough/crash-traits.ts
+++ b/packages/coordination/src/passthrough/crash-traits.ts
@@ -1,22 +1,25 @@
-/** Ids of the parts of a prompt, which are hashes that callers send. */
+/** Traits of requests that may crash upstreams: the parts of a prompt. */
 
-import type {PromptPart} from './call.js';
+import type {PromptPart, RoutedCall} from './call.js';
 
-/** Longest id of a part that is considered. */
-export const maximumPartIdLength = 128;
+/** Longest id of a prompt part that is a trait; longer ones are left out. */
+export const maximumTraitLength = 128;
 
 /** Parts of one prompt that are considered. */
 const maximumPartsPerPrompt = 64;
 
-/** Ids of the parts of a prompt that are considered. */
-export function partIdsOf(promptParts: readonly PromptPart[]): string[] {
+/** The part traits of a prompt. The last part cannot crash an engine. */
+export function partTraitsOf(promptParts: readonly PromptPart[]): string[] {
   return promptParts
+    .slice(0, -1)
     .slice(0, maximumPartsPerPrompt)
     .map(({id}) => id)
-    .filter(id => id.length <= maximumPartIdLength);
+    .filter(id => id.length <= maximumTraitLength);
 }
 
-/** Ids of the parts that can crash an engine: all but the last. */
-export function suspectableIdsOf(promptParts: readonly PromptPart[]): string[] {
-  return partIdsOf(promptParts.slice(0, -1));
+/** All traits of a request. */
+export function crashTraitsOf({
+  generation,
+}: Pick<RoutedCall, 'generation'>): string[] {
+  return partTraitsOf(generation?.promptParts ?? []);
 }
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -5,8 +5,11 @@
 
 import {Result} from 'true-myth';
 import type {Beat} from '../generated/messages/persimmonwick/beat.js';
-import {maximumPartIdLength} from './crash-traits.js';
-import {maximumReportedParts} from './request-quarantine.js';
+import {maximumTraitLength} from './crash-traits.js';
+import {
+  maximumReportedEntries,
+  maximumReportedTraits,
+} from './request-quarantine.js';
 import {maximumReportedLimits} from './upstream-request-limits.js';
 
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
@@ -18,7 +21,7 @@
 /** Returns `heartbeat` if all its values are plausible, else the first fault. */
 export function checkHeartbeat(heartbeat: Beat): Result<Beat, string> {
   const {host, address, usage, loads, known} = heartbeat;
-  const {lostParts, quarantinedParts, soundParts} = heartbeat;
+  const {upstreamLosses, quarantinedTraits, soundTraits} = heartbeat;
   if (!isName(host)) return Result.err('the host has no valid name');
   if (!isHostAddress(address))
     return Result.err(`${address.slice(0, maximumNameLength)} is no address`);
@@ -29,25 +32,32 @@
     return Result.err('an upstream has no valid name');
   if (!known.every(each => isName(each.host) && isHostAddress(each.address)))
     return Result.err('a known host has no valid name or address');
-  if (!lostParts.every(each => isPartId(each.part) && isName(each.upstream)))
-    return Result.err('a lost prompt part has no valid id or upstream');
   if (
-    !quarantinedParts.every(
-      ({part, companions}) =>
-        isPartId(part) &&
-        companions.length <= maximumReportedParts &&
-        companions.every(isPartId),
+    !upstreamLosses.every(
+      ({upstream, traits}) =>
+        isName(upstream) &&
+        traits.length <= maximumReportedTraits &&
+        traits.every(isTrait),
     )
   )
-    return Result.err('a quarantined prompt part has no valid id');
-  if (!soundParts.every(isPartId))
-    return Result.err('a sound prompt part has no valid id');
+    return Result.err('a lost upstream has no valid name or traits');
   if (
-    [lostParts, quarantinedParts, soundParts].some(
-      ({length}) => length > maximumReportedParts,
+    !quarantinedTraits.every(
+      ({trait, companions}) =>
+        isTrait(trait) &&
+        companions.length <= maximumReportedEntries &&
+        companions.every(isTrait),
     )
   )
-    return Result.err('there are more prompt parts than a host reports');
+    return Result.err('a quarantined trait has no valid id');
+  if (!soundTraits.every(isTrait))
+    return Result.err('a sound trait has no valid id');
+  if (
+    [upstreamLosses, quarantinedTraits, soundTraits].some(
+      ({length}) => length > maximumReportedEntries,
+    )
+  )
+    return Result.err('there are more traits than a host reports');
   const {requestLimits} = heartbeat;
   if (requestLimits.length > maximumReportedLimits)
     return Result.err('there are more request limits than a host reports');
@@ -66,8 +76,8 @@
   return port > 0 && port <= maximumPort;
 }
 
-function isPartId(part: string): boolean {
-  return part !== '' && part.length <= maximumPartIdLength;
+function isTrait(trait: string): boolean {
+  return trait !== '' && trait.length <= maximumTraitLength;
 }
 
 function isName(name: string): boolean {
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -3,6 +3,7 @@
  * until the decode engine fetches it.
  */
 
+import {crashTraitsOf} from './crash-traits.js';
 import type {GenerationState, PrefilledCache} from './generation-run.js';
 import {minBy} from './min-by.js';
 import type {EngineReservation} from './reservation-queue.js';
@@ -54,7 +55,7 @@
     reservation: EngineReservation,
   ): Promise<PrefilledCache | undefined> {
     const {retryBudget, quarantine} = this.parts;
-    const {promptParts} = state.generation;
+    const traits = crashTraitsOf(state.call);
     const reusable = this.takeReusableCache(state);
     if (reusable !== undefined) return reusable;
     if (state.shouldSkipPrefillStage) return undefined;
@@ -63,8 +64,7 @@
       const engine = this.choosePrefillEngine(state, triedEngines);
       if (engine === undefined || state.signal.aborted) return undefined;
       if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
-      if (quarantine.findQuarantined(promptParts) !== undefined)
-        return undefined;
+      if (quarantine.findQuarantined(traits) !== undefined) return undefined;
       // The first prefill of a call does not use the retry budget.
       if (state.prefillAttempts > 0 && !retryBudget.tryAcquire(state.pool.name))
         return undefined;
--- a/packages/coordination/src/passthrough/request-quarantine.ts
+++ b/packages/coordination/src/passthrough/request-quarantine.ts
@@ -1,23 +1,21 @@
 /**
- * Quarantines prompt parts that crash engines. A part is suspected when an
- * engine goes down after a generation with this part was sent to it and before
- * the engine sent an event. An event clears all parts of its generation, because
- * an engine that crashes on a part never answers. Hosts exchange what they
+ * Quarantines traits of requests that crash upstreams. A trait is suspected when
+ * an upstream goes down after a request with this trait was sent to it and before
+ * the upstream answered. An answer clears all traits of its request, because an
+ * upstream that crashes on a trait never answers. Hosts exchange what they
  * observe in heartbeats; see docs/design/quarantine.md.
  */
 
 import type {Clock} from '../clock.js';
 import type {
   Beat,
-  LostPart,
-  QuarantinedPart,
+  QuarantinedTrait,
+  UpstreamLossReport,
 } from '../generated/messages/persimmonwick/beat.js';
 import type {UpstreamDocument} from '../generated/documents.js';
-import type {PromptPart} from './call.js';
 import {BoundedMap} from './bounded-map.js';
 import {isSameLoss} from './upstream-loss.js';
 import type {UpstreamLoss} from './upstream-loss.js';
-import {suspectableIdsOf} from './crash-traits.js';
 import {
   ageOf,
   areEnough,
@@ -32,10 +30,10 @@
 /** A loss without another one counts for this long. */
 const suspicionMilliseconds = 300_000;
 
-/** Time for which a part counts as sound after a success. */
+/** Time for which a trait counts as sound after a success. */
 const soundMilliseconds = 120_000;
 
-/** Time for which the soundness of a part that a peer suspects is reported. */
+/** Time for which the soundness of a trait that a peer suspects is reported. */
 const soundReportMilliseconds = 30_000;
 
 /**
@@ -44,30 +42,33 @@
  */
 const ageToleranceMilliseconds = 10_000;
 
-const maximumSoundParts = 16_384;
+const maximumSoundTraits = 16_384;
 const maximumSuspects = 1024;
 const maximumContradictions = 16;
 
 /** Losses that are remembered for each suspect; later ones are not. */
-const maximumLossesPerPart = 16;
+const maximumLossesPerTrait = 16;
 
-/** Parts that may be the cause instead of a quarantined one. */
+/** Traits that may be the cause instead of a quarantined one. */
 const maximumCompanions = 16;
 
 /** Entries of each kind in one heartbeat. */
-export const maximumReportedParts = 16;
+export const maximumReportedEntries = 16;
+
+/** Traits of one loss in a heartbeat. */
+export const maximumReportedTraits = 64;
 
 export type QuarantineChange =
   | {
       readonly kind: 'suspected';
-      readonly part: string;
+      readonly trait: string;
       readonly upstream: string;
       readonly losses: number;
       readonly source: 'self' | 'peer';
     }
   | {
       readonly kind: 'quarantined';
-      readonly part: string;
+      readonly trait: string;
       /** Losses known to this host. */
       readonly losses: number;
       readonly source: 'self' | 'peer';
@@ -75,11 +76,11 @@
     }
   | {
       readonly kind: 'released';
-      readonly part: string;
+      readonly trait: string;
       readonly reason: 'sound' | 'expired' | 'dropped';
     }
-  /** The limit of tracked parts was reached; the oldest suspect was dropped. */
-  | {readonly kind: 'dropped'; readonly part: string};
+  /** The limit of tracked traits was reached; the oldest suspect was dropped. */
+  | {readonly kind: 'dropped'; readonly trait: string};
 
 export interface RequestQuarantineParts {
   readonly clock: Clock;
@@ -91,20 +92,20 @@
 /** Evidence that hosts exchange. */
 export type QuarantineReport = Pick<
   Beat,
-  'lostParts' | 'quarantinedParts' | 'soundParts'
+  'upstreamLosses' | 'quarantinedTraits' | 'soundTraits'
 >;
 
 export class RequestQuarantine {
-  /** Clock time of the last success of each part. */
+  /** Clock time of the last success of each trait. */
   private readonly successes = new BoundedMap<
     string,
     {readonly at: number; readonly isOwn: boolean}
-  >(maximumSoundParts);
+  >(maximumSoundTraits);
   private readonly suspects = new BoundedMap<string, Suspect>(
     maximumSuspects,
-    (part, suspect) => this.onDropped(part, suspect),
+    (trait, suspect) => this.onDropped(trait, suspect),
   );
-  /** Clock time at which a peer last suspected a part that is sound. */
+  /** Clock time at which a peer last suspected a trait that is sound. */
   private readonly contradictions = new BoundedMap<string, number>(
     maximumContradictions,
   );
@@ -112,98 +113,90 @@
 
   constructor(private readonly parts: RequestQuarantineParts) {}
 
-  /** Number of parts in quarantine. */
+  /** Number of traits in quarantine. */
   get size(): number {
     return this.quarantinedCount;
   }
 
-  /** The first quarantined part of a prompt, and the time left for it. */
+  /** The first quarantined trait of a request, and the time left for it. */
   findQuarantined(
-    promptParts: readonly PromptPart[],
-  ): {part: string; remainingMilliseconds: number} | undefined {
+    traits: readonly string[],
+  ): {trait: string; remainingMilliseconds: number} | undefined {
     if (this.quarantinedCount === 0) return undefined;
     const now = this.parts.clock.now();
-    const ids = suspectableIdsOf(promptParts);
-    for (const part of ids) {
-      const suspect = this.suspects.get(part);
+    for (const trait of traits) {
+      const suspect = this.suspects.get(trait);
       if (suspect === undefined || !suspect.isQuarantined) continue;
       const companions =
         suspect.losses.length > 1
-          ? this.companionsOf(part, suspect)
+          ? this.companionsOf(trait, suspect)
           : suspect.companions;
-      if (!companions.every(each => ids.includes(each))) continue;
+      if (!companions.every(each => traits.includes(each))) continue;
       const remainingMilliseconds = remainingOf(suspect, now);
-      if (remainingMilliseconds > 0) return {part, remainingMilliseconds};
+      if (remainingMilliseconds > 0) return {trait, remainingMilliseconds};
     }
     return undefined;
   }
 
-  /** Whether each part of a prompt that could crash an engine is sound. */
-  isKnownSound(promptParts: readonly PromptPart[]): boolean {
-    return suspectableIdsOf(promptParts).every(part => this.isSound(part));
+  /** Whether each trait of a request that could crash an upstream is sound. */
+  isKnownSound(traits: readonly string[]): boolean {
+    return traits.every(trait => this.isSound(trait));
   }
 
-  /** Records that an engine sent an event for a prompt. */
-  recordSuccess(promptParts: readonly PromptPart[]): void {
+  /** Records that an upstream answered a request. */
+  recordSuccess(traits: readonly string[]): void {
     const now = this.parts.clock.now();
-    for (const part of suspectableIdsOf(promptParts)) {
-      this.successes.set(part, {at: now, isOwn: true});
-      this.clear(part);
+    for (const trait of traits) {
+      this.successes.set(trait, {at: now, isOwn: true});
+      this.clear(trait);
     }
   }
 
-  /** Records that an engine went down before it sent an event for a prompt. */
-  recordLoss(
-    {name, spec}: UpstreamDocument,
-    promptParts: readonly PromptPart[],
-  ): void {
+  /** Records that an upstream went down before it answered a request. */
+  recordLoss({name, spec}: UpstreamDocument, traits: readonly string[]): void {
     const at = this.parts.clock.now();
     const {startedAt = 0} = spec;
     const loss: UpstreamLoss = {upstream: name, startedAt, at, isOwn: true};
-    const unknown = suspectableIdsOf(promptParts).filter(
-      part => !this.isSound(part),
-    );
-    const added = unknown.filter(part => this.addLoss(part, loss));
+    const unknown = traits.filter(trait => !this.isSound(trait));
+    const added = unknown.filter(trait => this.addLoss(trait, loss));
     this.judge(added, 'self');
     if (added.length > 0) this.parts.onLearned();
   }
 
-  /** Whether a quarantined part that is not in the prompt was in the same loss. */
+  /** Whether a quarantined trait that the request lacks was in the same loss. */
   isExplained(
     {name, spec}: UpstreamDocument,
-    promptParts: readonly PromptPart[],
+    traits: readonly string[],
   ): boolean {
     const at = this.parts.clock.now();
     const {startedAt = 0} = spec;
     const loss: UpstreamLoss = {upstream: name, startedAt, at, isOwn: true};
-    const ids = suspectableIdsOf(promptParts);
     return [...this.suspects.entries()].some(
-      ([part, {isQuarantined, losses}]) =>
+      ([trait, {isQuarantined, losses}]) =>
         isQuarantined &&
-        !ids.includes(part) &&
+        !traits.includes(trait) &&
         losses.some(known => isSameLoss(known, loss)),
     );
   }
 
   /** Records the evidence in the heartbeat of another host. */
   recordPeer({
-    lostParts,
-    quarantinedParts,
-    soundParts,
+    upstreamLosses,
+    quarantinedTraits,
+    soundTraits,
   }: QuarantineReport): void {
     const now = this.parts.clock.now();
-    for (const part of soundParts) {
+    for (const trait of soundTraits) {
       // A repeated report must not prolong the effect of one success.
-      if (!this.isSound(part))
-        this.successes.set(part, {at: now, isOwn: false});
-      this.clear(part);
+      if (!this.isSound(trait))
+        this.successes.set(trait, {at: now, isOwn: false});
+      this.clear(trait);
     }
-    const added = lostParts
-      .filter(each => this.addPeerLoss(each, now))
-      .map(({part}) => part);
+    // All losses are added before a trait is judged by what it had in common.
+    const added = upstreamLosses.flatMap(each => this.addPeerLoss(each, now));
     this.judge(added, 'peer');
-    for (const entry of quarantinedParts) {
-      if (this.isSound(entry.part)) this.contradict(entry.part, now);
+    for (const entry of quarantinedTraits) {
+      if (this.isSound(entry.trait)) this.contradict(entry.trait, now);
       else this.adopt(entry, now);
     }
   }
@@ -211,89 +204,105 @@
   /** Evidence for the next heartbeat. Ends the quarantines that have lapsed. */
   report(): QuarantineReport {
     const now = this.parts.clock.now();
-    const lostParts: QuarantineReport['lostParts'] = [];
-    const quarantinedParts: QuarantineReport['quarantinedParts'] = [];
-    for (const [part, suspect] of this.suspects.entries()) {
-      this.expire(part, suspect, now);
+    const quarantinedTraits: QuarantinedTrait[] = [];
+    for (const [trait, suspect] of this.suspects.entries()) {
+      this.expire(trait, suspect, now);
       if (suspect.isQuarantined)
-        quarantinedParts.push({
-          part,
+        quarantinedTraits.push({
+          trait,
           ageMilliseconds: ageOf(suspect, now),
           companions: suspect.companions,
         });
-      for (const {upstream, startedAt, at, isOwn} of suspect.losses)
-        if (isOwn)
-          lostParts.push({
-            part,
-            upstream,
-            startedAt: BigInt(startedAt),
-            ageMilliseconds: Math.round(now - at),
-          });
     }
-    const soundParts = [...this.contradictions.entries()]
+    const soundTraits = [...this.contradictions.entries()]
       .filter(([, at]) => now - at < soundReportMilliseconds)
-      .map(([part]) => part);
-    const newest = <Entry extends {ageMilliseconds: number}>(all: Entry[]) =>
-      all
-        .sort((left, right) => left.ageMilliseconds - right.ageMilliseconds)
-        .slice(0, maximumReportedParts);
+      .map(([trait]) => trait);
     return {
-      lostParts: newest(lostParts),
-      quarantinedParts: newest(quarantinedParts),
-      soundParts,
+      upstreamLosses: this.reportLosses(now),
+      quarantinedTraits: newestOf(quarantinedTraits),
+      soundTraits,
     };
   }
 
-  private isSound(part: string): boolean {
-    const success = this.successes.get(part);
+  /**
+   * The newest losses that this host observed, with the traits that may be the
+   * cause. Traits with the most losses come first, because room is limited.
+   */
+  private reportLosses(now: number): UpstreamLossReport[] {
+    const found: {loss: UpstreamLoss; traits: string[]}[] = [];
+    const byLosses = [...this.suspects.entries()].sort(
+      ([, left], [, right]) => right.losses.length - left.losses.length,
+    );
+    for (const [trait, {losses}] of byLosses)
+      for (const loss of losses) {
+        if (!loss.isOwn) continue;
+        const same = found.find(other => isSameLoss(other.loss, loss));
+        if (same === undefined) found.push({loss, traits: [trait]});
+        else if (same.traits.length < maximumReportedTraits)
+          same.traits.push(trait);
+      }
+    return newestOf(
+      found.map(({loss: {upstream, startedAt, at}, traits}) => ({
+        upstream,
+        startedAt: BigInt(startedAt),
+        ageMilliseconds: Math.round(now - at),
+        traits,
+      })),
+    );
+  }
+
+  private isSound(trait: string): boolean {
+    const success = this.successes.get(trait);
     return (
       success !== undefined &&
       this.parts.clock.now() - success.at < soundMilliseconds
     );
   }
 
-  private contradict(part: string, now: number): void {
+  private contradict(trait: string, now: number): void {
     // Soundness that a peer reported would otherwise be passed on forever.
-    if (this.successes.get(part)?.isOwn !== true) return;
-    const isNew = !this.contradictions.has(part);
-    this.contradictions.set(part, now);
+    if (this.successes.get(trait)?.isOwn !== true) return;
+    const isNew = !this.contradictions.has(trait);
+    this.contradictions.set(trait, now);
     if (isNew) this.parts.onLearned();
   }
 
-  private addPeerLoss(lost: LostPart, now: number): boolean {
-    const {part, upstream, startedAt, ageMilliseconds} = lost;
-    if (ageMilliseconds >= suspicionMilliseconds) return false;
-    if (this.isSound(part)) {
-      this.contradict(part, now);
-      return false;
-    }
-    return this.addLoss(part, {
+  /** Returns the traits for which the loss is new. */
+  private addPeerLoss(report: UpstreamLossReport, now: number): string[] {
+    const {upstream, startedAt, ageMilliseconds, traits} = report;
+    if (ageMilliseconds >= suspicionMilliseconds) return [];
+    const loss: UpstreamLoss = {
       upstream,
       startedAt: Number(startedAt),
       at: now - ageMilliseconds,
       isOwn: false,
+    };
+    return traits.filter(trait => {
+      if (!this.isSound(trait)) return this.addLoss(trait, loss);
+      this.contradict(trait, now);
+      return false;
     });
   }
 
   /** Returns false if the loss adds nothing to what is known. */
-  private addLoss(part: string, loss: UpstreamLoss): boolean {
+  private addLoss(trait: string, loss: UpstreamLoss): boolean {
     const now = this.parts.clock.now();
-    const suspect = this.suspects.get(part) ?? newSuspect();
+    const suspect = this.suspects.get(trait) ?? newSuspect();
     const {losses} = suspect;
     suspect.lastLossAt = Math.max(suspect.lastLossAt, loss.at);
     removeBefore(losses, now - suspicionMilliseconds);
     if (
-      losses.length >= maximumLossesPerPart ||
+      losses.length >= maximumLossesPerTrait ||
       losses.some(known => isSameLoss(known, loss))
     )
       return false;
-    this.makeRoom(part);
-    this.suspects.set(part, suspect);
+    this.makeRoom(trait);
+    this.suspects.set(trait, suspect);
     losses.push(loss);
     losses.sort((left, right) => left.at - right.at);
     this.parts.onChange({
       kind: 'suspected',
-      part,
+      trait,
       upstream: loss.upstream,
       losses: losses.length,
       source: loss.isOwn ? 'self' : 'peer',
@@ -302,8 +311,9 @@
   }
 
   /** Drops the oldest suspect that is not in quarantine if there are too many. */
-  private makeRoom(part: string): void {
-    if (this.suspects.has(part) || this.suspects.size < maximumSuspects) return;
+  private makeRoom(trait: string): void {
+    if (this.suspects.has(trait) || this.suspects.size < maximumSuspects)
+      return;
     for (const [other, suspect] of this.suspects.entries()) {
       if (suspect.isQuarantined) continue;
       this.suspects.delete(other);
@@ -314,22 +324,22 @@
 
   /** Quarantines those of `candidates` that have had enough losses. */
   private judge(candidates: readonly string[], source: 'self' | 'peer'): void {
-    for (const part of new Set(candidates)) {
-      const suspect = this.suspects.get(part);
+    for (const trait of new Set(candidates)) {
+      const suspect = this.suspects.get(trait);
       if (suspect === undefined) continue;
       if (!suspect.isConvicted && !areEnough(suspect.losses)) continue;
-      const companions = this.companionsOf(part, suspect);
+      const companions = this.companionsOf(trait, suspect);
       restrictCompanions(suspect, companions);
-      this.quarantine(part, suspect, source);
+      this.quarantine(trait, suspect, source);
     }
   }
 
-  /** Parts that were in all losses of a part, so that each may be the cause. */
-  private companionsOf(part: string, {losses}: Suspect): string[] {
+  /** Traits that were in all losses of a trait, so that each may be the cause. */
+  private companionsOf(trait: string, {losses}: Suspect): string[] {
     return [...this.suspects.entries()]
       .filter(
         ([other, suspect]) =>
-          other !== part &&
+          other !== trait &&
           losses.every(loss =>
             suspect.losses.some(known => isSameLoss(known, loss)),
           ),
@@ -339,11 +349,11 @@
   }
 
   private adopt(
-    {part, ageMilliseconds, companions}: QuarantinedPart,
+    {trait, ageMilliseconds, companions}: QuarantinedTrait,
     now: number,
   ): void {
     const lastLossAt = now - ageMilliseconds;
-    const suspect = this.suspects.get(part) ?? newSuspect();
+    const suspect = this.suspects.get(trait) ?? newSuspect();
     const isLater = lastLossAt > suspect.lastLossAt + ageToleranceMilliseconds;
     const isLasting =
       lastLossAt + quarantineMilliseconds > now + ageToleranceMilliseconds;
@@ -353,13 +363,13 @@
       companions.filter(each => !this.isSound(each)),
     );
     if (suspect.isConvicted && !isLater) return;
-    this.suspects.set(part, suspect);
+    this.suspects.set(trait, suspect);
     suspect.lastLossAt = Math.max(suspect.lastLossAt, lastLossAt);
-    this.quarantine(part, suspect, 'peer');
+    this.quarantine(trait, suspect, 'peer');
   }
 
   private quarantine(
-    part: string,
+    trait: string,
     suspect: Suspect,
     source: 'self' | 'peer',
   ): void {
@@ -371,7 +381,7 @@
     this.quarantinedCount += 1;
     this.parts.onChange({
       kind: 'quarantined',
-      part,
+      trait,
       losses: suspect.losses.length,
       source,
       remainingMilliseconds,
@@ -379,38 +389,46 @@
     this.parts.onLearned();
   }
 
-  private clear(part: string): void {
-    const suspect = this.suspects.get(part);
+  private clear(trait: string): void {
+    const suspect = this.suspects.get(trait);
     if (suspect === undefined) return;
-    this.suspects.delete(part);
+    this.suspects.delete(trait);
     for (const [, {companions}] of this.suspects.entries())
-      if (companions.includes(part))
-        companions.splice(companions.indexOf(part), 1);
-    this.release(part, suspect, 'sound');
-    this.contradict(part, this.parts.clock.now());
+      if (companions.includes(trait))
+        companions.splice(companions.indexOf(trait), 1);
+    this.release(trait, suspect, 'sound');
+    this.contradict(trait, this.parts.clock.now());
   }
 
-  private expire(part: string, suspect: Suspect, now: number): void {
+  private expire(trait: string, suspect: Suspect, now: number): void {
     if (suspect.isQuarantined && remainingOf(suspect, now) <= 0)
-      this.release(part, suspect, 'expired');
+      this.release(trait, suspect, 'expired');
     removeBefore(suspect.losses, now - suspicionMilliseconds);
     if (suspect.losses.length === 0 && !suspect.isConvicted)
-      this.suspects.delete(part);
+      this.suspects.delete(trait);
   }
 
   private release(
-    part: string,
+    trait: string,
     suspect: Suspect,
     reason: 'sound' | 'expired' | 'dropped',
   ): void {
     if (!suspect.isQuarantined) return;
     suspect.isQuarantined = false;
     this.quarantinedCount -= 1;
-    this.parts.onChange({kind: 'released', part, reason});
+    this.parts.onChange({kind: 'released', trait, reason});
   }
 
-  private onDropped(part: string, suspect: Suspect): void {
-    this.release(part, suspect, 'dropped');
-    this.parts.onChange({kind: 'dropped', part});
+  private onDropped(trait: string, suspect: Suspect): void {
+    this.release(trait, suspect, 'dropped');
+    this.parts.onChange({kind: 'dropped', trait});
   }
 }
+
+function newestOf<Entry extends {readonly ageMilliseconds: number}>(
+  entries: readonly Entry[],
+): Entry[] {
+  return [...entries]
+    .sort((left, right) => left.ageMilliseconds - right.ageMilliseconds)
+    .slice(0, maximumReportedEntries);
+}
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -9,6 +9,7 @@
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import type {RoutedCall} from './call.js';
+import {crashTraitsOf} from './crash-traits.js';
 import {minBy} from './min-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {maximumPauseMilliseconds} from './upstream-table.js';
@@ -199,8 +200,8 @@
   }
 
   private isQuarantined({call}: QueuedCall): boolean {
-    const promptParts = call.generation?.promptParts ?? [];
-    return this.parts.quarantine.findQuarantined(promptParts) !== undefined;
+    const traits = crashTraitsOf(call);
+    return this.parts.quarantine.findQuarantined(traits) !== undefined;
   }
 
   /**
--- a/packages/coordination/src/passthrough/suspect.ts
+++ b/packages/coordination/src/passthrough/suspect.ts
@@ -1,16 +1,16 @@
-/** What is known about a prompt part that may crash engines. */
+/** What is known about a trait of requests that may crash upstreams. */
 
 import type {UpstreamLoss} from './upstream-loss.js';
 
 /**
- * Lost engines after which a part is quarantined, if the first and the last loss
- * are far enough apart. Engines that are lost at once may have another cause in
+ * Lost upstreams after which a trait is quarantined, if the first and the last loss
+ * are far enough apart. Upstreams that are lost at once may have another cause in
  * common.
  */
 const quarantineLosses = 2;
 const separateLossesMilliseconds = 150;
 
-/** Losses after which a part is quarantined although they were simultaneous. */
+/** Losses after which a trait is quarantined although they were simultaneous. */
 const simultaneousQuarantineLosses = 8;
 
 /** Duration of a quarantine after the last loss. */
@@ -20,8 +20,8 @@
   readonly losses: UpstreamLoss[];
   lastLossAt: number;
   /**
-   * Other parts that may be the cause instead, because they were in all losses.
-   * A prompt without one of them is still forwarded: its outcome tells them
+   * Other traits that may be the cause instead, because they were in all losses.
+   * A request without one of them is still forwarded: its outcome tells them
    * apart. Each observation can only remove entries.
    */
   companions: string[];
--- a/packages/coordination/src/passthrough/upstream-losses.ts
+++ b/packages/coordination/src/passthrough/upstream-losses.ts
@@ -1,48 +1,65 @@
 /**
- * Observes engines that go down during generations, and refuses generations
- * whose prompt has a part in quarantine.
+ * Observes upstreams that go down during calls, and refuses calls that have a
+ * trait in quarantine.
  */
 
+import type {PoolDocument} from '../generated/documents.js';
 import type {RequestFailure} from '../requests/failure.js';
 import {promptQuarantined} from './call-failures.js';
-import type {GenerationState} from './generation-run.js';
+import type {RoutedCall} from './call.js';
+import {crashTraitsOf} from './crash-traits.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
- * Time for the probe of an engine after its connection failed. The machine of a
- * process that went down refuses connections at once.
+ * Time for the probe of an upstream after its connection failed. The machine of
+ * a process that went down refuses connections at once.
  */
 const probeTimeoutMilliseconds = 250;
 
 /**
- * Engines lost at once, as a fraction of the engines of a pool and as a number,
- * that show another cause than a prompt: a network partition, or the loss of a
- * machine or a failure domain.
+ * Upstreams lost at once, as a fraction of the upstreams of a pool and as a
+ * number, that show another cause than a request: a network partition, or the
+ * loss of a machine or a failure domain.
  */
 const wideFailureFraction = 0.1;
-const wideFailureEngines = 2;
+const wideFailureUpstreams = 2;
 const simultaneousMilliseconds = 100;
 
+/** A call that was sent to an upstream. */
+export interface AttemptedCall {
+  readonly call: RoutedCall;
+  readonly pool: PoolDocument;
+  /** Events that the upstream of the current attempt has sent. */
+  readonly attemptEvents: number;
+  /** Attempts that may have run the call. */
+  readonly possibleRuns: number;
+  /**
+   * Whether an upstream went down before it answered, and the call may be the
+   * cause.
+   */
+  isSuspect: boolean;
+}
+
 export class UpstreamLosses {
-  /** Clock times at which connections failed, of the engines lost last. */
+  /** Clock times at which connections failed, of the upstreams lost last. */
   private readonly lostAt = new Map<string, number>();
 
   constructor(private readonly parts: PassthroughParts) {}
 
-  /** Returns the refusal of a call whose prompt has a part in quarantine. */
+  /** Returns the refusal of a call that has a trait in quarantine. */
   refusalOf({
     call,
-    generation,
     possibleRuns,
-  }: GenerationState): RequestFailure | undefined {
+  }: Pick<AttemptedCall, 'call' | 'possibleRuns'>): RequestFailure | undefined {
     const {quarantine, observer} = this.parts;
-    const found = quarantine.findQuarantined(generation.promptParts);
+    if (quarantine.size === 0) return undefined;
+    const found = quarantine.findQuarantined(crashTraitsOf(call));
     if (found === undefined) return undefined;
-    const {part, remainingMilliseconds} = found;
+    const {trait, remainingMilliseconds} = found;
     observer(call.id, {
       kind: 'quarantine-refused',
-      part,
+      part: trait,
       remaining: Math.round(remainingMilliseconds),
     });
     return promptQuarantined(
@@ -51,21 +68,22 @@
     );
   }
 
-  /** Records that an engine sent an event of a generation. */
-  recordSuccess({generation}: GenerationState): void {
-    this.parts.quarantine.recordSuccess(generation.promptParts);
+  /** Records that an upstream answered a call. */
+  recordSuccess({call}: Pick<AttemptedCall, 'call'>): void {
+    this.parts.quarantine.recordSuccess(crashTraitsOf(call));
   }
 
   /**
-   * Records that the connection to an engine failed during a generation. If the
-   * engine went down before its first event, the prompt is suspect unless all
-   * its parts are known to be sound.
+   * Records that the connection to an upstream failed during a call. If the
+   * upstream went down before it answered, the call is suspect unless all its
+   * traits are known to be sound.
    */
-  async record(state: GenerationState, engine: TrackedUpstream): Promise<void> {
+  async record(lost: AttemptedCall, upstream: TrackedUpstream): Promise<void> {
     const {clock, quarantine, observer} = this.parts;
-    const {call, attemptEvents} = state;
-    const {promptParts} = state.generation;
-    const {document} = engine;
+    const {call, attemptEvents} = lost;
+    const {document} = upstream;
+    const {generation, fingerprint} = call;
+    const promptParts = generation?.promptParts ?? [];
     observer(call.id, {
       kind: 'connection-lost',
       upstream: document.name,
@@ -74,17 +92,18 @@
         .slice(0, -1)
         .map(({id}) => id)
         .join(' '),
-      fingerprint: call.fingerprint,
+      fingerprint,
     });
     this.recordLostConnection(document.name);
     if (attemptEvents > 0) return;
-    // A single connection can fail while the engine goes on.
-    if (!(await this.isDown(engine))) return;
-    engine.health.recordUnreachable(clock.now());
-    if (quarantine.isExplained(document, promptParts)) return;
-    state.isSuspect =
-      !quarantine.isKnownSound(promptParts) && !this.isWideFailure(state);
-    quarantine.recordLoss(document, promptParts);
+    // A single connection can fail while the upstream goes on.
+    if (!(await this.isDown(upstream))) return;
+    upstream.health.recordUnreachable(clock.now());
+    const traits = crashTraitsOf(call);
+    if (quarantine.isExplained(document, traits)) return;
+    lost.isSuspect =
+      !quarantine.isKnownSound(traits) && !this.isWideFailure(lost.pool);
+    quarantine.recordLoss(document, traits);
   }
 
   private recordLostConnection(upstream: string): void {
@@ -94,12 +113,12 @@
     this.lostAt.set(upstream, now);
   }
 
-  /** Whether many engines were lost at the same time as the last one. */
-  private isWideFailure({pool}: GenerationState): boolean {
-    const engineCount = this.parts.upstreams.acceptingOf(pool).length;
+  /** Whether many upstreams were lost at the same time as the last one. */
+  private isWideFailure(pool: PoolDocument): boolean {
+    const upstreamCount = this.parts.upstreams.acceptingOf(pool).length;
     return (
       this.lostAt.size >=
-      Math.max(wideFailureEngines, engineCount * wideFailureFraction)
+      Math.max(wideFailureUpstreams, upstreamCount * wideFailureFraction)
     );
   }
 
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -148,7 +148,11 @@
         configurationVersion: 1n,
         platformEpoch: undefined,
         platformEpochAgeMilliseconds: Infinity,
-        quarantine: {lostParts: [], quarantinedParts: [], soundParts: []},
+        quarantine: {
+          upstreamLosses: [],
+          quarantinedTraits: [],
+          soundTraits: [],
+        },
         requestLimits: [],
       }),
       onHeartbeat: heartbeat => this.received.push(heartbeat.host),
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -2,6 +2,7 @@
 import {VirtualClock} from '../src/index.js';
 import {relayEvents} from '../src/passthrough/event-relay.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
+import {partTraitsOf} from '../src/passthrough/crash-traits.js';
 import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import {createRequestLimits} from './tools/unlimited.js';
 import {
@@ -105,10 +106,12 @@
   host.lose('d-1', 'bad');
   await clock.advance(500);
   host.lose('d-2', 'bad');
-  host.quarantine.recordSuccess([
-    {id: 'first', tokens: 1},
-    {id: 'bad', tokens: 1},
-  ]);
+  host.quarantine.recordSuccess(
+    partTraitsOf([
+      {id: 'first', tokens: 1},
+      {id: 'bad', tokens: 1},
+    ]),
+  );
   t.true(host.refuses('bad'));
 });
 
@@ -123,8 +126,7 @@
     transport: {probe: () => clock.sleep(120).then(() => false)},
   } as never);
   const state = {
-    call: {id: 'c'},
-    generation: {promptParts: prompt('bad')},
+    call: {id: 'c', generation: {promptParts: prompt('bad')}},
     pool: {},
     attemptEvents: 0,
     possibleRuns: 1,
@@ -136,7 +138,7 @@
   } as never);
   await clock.advance(1000);
   await done;
-  t.true(host.quarantine.report().lostParts.length > 0);
+  t.true(host.quarantine.report().upstreamLosses.length > 0);
 });
 
 test('a sound prompt whose engine a quarantined part has crashed may be retried', async t => {
@@ -154,8 +156,7 @@
     transport: {probe: () => Promise.resolve(false)},
   } as never);
   const state = {
-    call: {id: 'c'},
-    generation: {promptParts: prompt('first', 'new')},
+    call: {id: 'c', generation: {promptParts: prompt('first', 'new')}},
     pool: {},
     attemptEvents: 0,
     possibleRuns: 1,
@@ -299,7 +300,12 @@
   } as never);
   await stage.prefill(
     {
-      call: {id: 'c', arrivedAt: 0, deadline: 1e6},
+      call: {
+        id: 'c',
+        arrivedAt: 0,
+        deadline: 1e6,
+        generation: {promptParts: prompt('bad')},
+      },
       pool: {name: 'p', spec: {}},
       generation: {promptTokens: 10, promptParts: prompt('bad')},
       signal: new AbortController().signal,
--- a/packages/coordination/test/quarantine-fleet.test.ts
+++ b/packages/coordination/test/quarantine-fleet.test.ts
@@ -9,7 +9,7 @@
 } from '../src/index.js';
 import type {Beat, UpstreamDocument} from '../src/index.js';
 
-const promptParts = ['first', 'bad', 'last'].map(id => ({id, tokens: 10}));
+const traits = ['first', 'bad'];
 
 class Host {
   readonly quarantine: RequestQuarantine;
@@ -49,13 +49,13 @@
   }
 
   get hasQuarantine(): boolean {
-    return this.quarantine.findQuarantined(promptParts) !== undefined;
+    return this.quarantine.findQuarantined(traits) !== undefined;
   }
 
   lose(name: string): void {
     const spec = {address: `${name}:80`, failureDomain: 'a', startedAt: 1};
     const engine = {kind: 'Upstream', name, spec} as UpstreamDocument;
-    this.quarantine.recordLoss(engine, promptParts);
+    this.quarantine.recordLoss(engine, traits);
   }
 }
 
--- a/packages/coordination/test/quarantine-limits.test.ts
+++ b/packages/coordination/test/quarantine-limits.test.ts
@@ -87,9 +87,9 @@
     .length;
   const withUsage = Beat.encode({
     ...beat,
-    lostParts: [],
-    quarantinedParts: [],
-    soundParts: [],
+    upstreamLosses: [],
+    quarantinedTraits: [],
+    soundTraits: [],
   }).finish().length;
   const all = Beat.encode(beat).finish().length;
   t.log({only, withUsage, all, ok: checkHeartbeat(beat).isOk});
@@ -111,8 +111,7 @@
   } as never);
   const stateOf = (events: number) =>
     ({
-      call: {id: 'c'},
-      generation: {promptParts: prompt('bad')},
+      call: {id: 'c', generation: {promptParts: prompt('bad')}},
       pool: {},
       attemptEvents: events,
       possibleRuns: 1,
@@ -160,8 +159,7 @@
   for (let i = 0; i < 9; i += 1)
     await losses.record(
       {
-        call: {id: 'c'},
-        generation: {promptParts: prompt('key')},
+        call: {id: 'c', generation: {promptParts: prompt('key')}},
         pool: {},
         attemptEvents: 0,
         possibleRuns: 1,
@@ -199,8 +197,7 @@
   for (let i = 0; i < 6; i += 1) {
     await losses.record(
       {
-        call: {id: 'c'},
-        generation: {promptParts: prompt('key', `n${i}`)},
+        call: {id: 'c', generation: {promptParts: prompt('key', `n${i}`)}},
         pool: {},
         attemptEvents: 0,
         possibleRuns: 1,
--- a/packages/coordination/test/request-quarantine.test.ts
+++ b/packages/coordination/test/request-quarantine.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {RequestQuarantine, VirtualClock} from '../src/index.js';
 import type {QuarantineReport, UpstreamDocument} from '../src/index.js';
+import {partTraitsOf} from '../src/passthrough/crash-traits.js';
 
 function engine(name: string, startedAt = 1): UpstreamDocument {
   return {
@@ -10,9 +11,11 @@
   } as UpstreamDocument;
 }
 
-/** A prompt with the given parts and a last part of its own. */
+/** Traits of a prompt with the given parts and a last part of its own. */
 function prompt(...ids: string[]) {
-  return [...ids, `last-${ids.join('-')}`].map(id => ({id, tokens: 100}));
+  return partTraitsOf(
+    [...ids, `last-${ids.join('-')}`].map(id => ({id, tokens: 100})),
+  );
 }
 
 class Host {
@@ -23,7 +26,7 @@
   constructor(clock: VirtualClock) {
     this.quarantine = new RequestQuarantine({
       clock,
-      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
+      onChange: change => this.changes.push(`${change.kind} ${change.trait}`),
       onLearned: () => (this.learnedCount += 1),
     });
   }
@@ -74,11 +77,11 @@
   const {quarantine} = new Host(clock);
   const promptParts = [{id: 'only', tokens: 5}];
   for (const name of ['d-1', 'd-2', 'd-3']) {
-    quarantine.recordLoss(engine(name), promptParts);
+    quarantine.recordLoss(engine(name), partTraitsOf(promptParts));
     await clock.advance(1000);
   }
   t.is(quarantine.size, 0);
-  t.deepEqual(quarantine.report().lostParts, []);
+  t.deepEqual(quarantine.report().upstreamLosses, []);
 });
 
 test('a loss that several hosts observe counts once', async t => {
@@ -91,7 +94,7 @@
   three.hear(one);
   three.hear(two);
   t.false(three.refuses('part'));
-  t.is(three.quarantine.report().lostParts.length, 0);
+  t.is(three.quarantine.report().upstreamLosses.length, 0);
   three.quarantine.recordLoss(engine('d-1', 2), prompt('part'));
   t.true(three.refuses('part'));
 });
@@ -133,9 +136,9 @@
   one.lose('d-1', 'part');
   two.hear(one);
   t.is(two.learnedCount, 1);
-  t.deepEqual(two.quarantine.report().soundParts, ['part']);
+  t.deepEqual(two.quarantine.report().soundTraits, ['part']);
   one.hear(two);
-  t.deepEqual(one.quarantine.report().lostParts, []);
+  t.deepEqual(one.quarantine.report().upstreamLosses, []);
 });
 
 test('parts that were always together are told apart by later prompts', async t => {
@@ -233,5 +236,5 @@
   const dropped = host.changes.filter(each => each.startsWith('dropped'));
   t.is(dropped.length, 1100 - 1024);
   const report: QuarantineReport = host.quarantine.report();
-  t.is(report.lostParts.length, 16);
+  t.is(report.upstreamLosses.length, 16);
 });
--- a/packages/coordination/test/tools/quarantine-hosts.ts
+++ b/packages/coordination/test/tools/quarantine-hosts.ts
@@ -2,6 +2,7 @@
 
 import {RequestQuarantine} from '../../src/index.js';
 import type {UpstreamDocument, VirtualClock} from '../../src/index.js';
+import {partTraitsOf} from '../../src/passthrough/crash-traits.js';
 
 export function engine(name: string, startedAt = 1): UpstreamDocument {
   return {
@@ -14,24 +15,26 @@
 export function prompt(...ids: string[]) {
   return [...ids, `last-${(promptCount += 1)}`].map(id => ({id, tokens: 100}));
 }
+/** The traits of a prompt with the given parts and a last part of its own. */
+export const traits = (...ids: string[]) => partTraitsOf(prompt(...ids));
 export class QuarantineHost {
   readonly quarantine: RequestQuarantine;
   readonly changes: string[] = [];
   constructor(clock: VirtualClock) {
     this.quarantine = new RequestQuarantine({
       clock,
-      onChange: change => this.changes.push(`${change.kind} ${change.part}`),
+      onChange: change => this.changes.push(`${change.kind} ${change.trait}`),
       onLearned: () => undefined,
     });
   }
   lose(name: string, ...ids: string[]): void {
-    this.quarantine.recordLoss(engine(name), prompt(...ids));
+    this.quarantine.recordLoss(engine(name), traits(...ids));
   }
   succeed(...ids: string[]): void {
-    this.quarantine.recordSuccess(prompt(...ids));
+    this.quarantine.recordSuccess(traits(...ids));
   }
   refuses(...ids: string[]): boolean {
-    return this.quarantine.findQuarantined(prompt(...ids)) !== undefined;
+    return this.quarantine.findQuarantined(traits(...ids)) !== undefined;
   }
   hear(other: QuarantineHost): void {
     this.quarantine.recordPeer(other.quarantine.report());
--- a/packages/coordination/test/upstream-losses.test.ts
+++ b/packages/coordination/test/upstream-losses.test.ts
@@ -45,8 +45,7 @@
       tokens: 10,
     }));
     return {
-      call: {id: 'call'},
-      generation: {promptParts},
+      call: {id: 'call', generation: {promptParts}},
       pool: {spec: {upstreams: {service: 'test'}}},
       attemptEvents,
       possibleRuns: 1,
@@ -65,7 +64,8 @@
   }
 
   get suspectCount(): number {
-    return this.quarantine.report().lostParts.length;
+    return this.quarantine.report().upstreamLosses.flatMap(({traits}) => traits)
+      .length;
   }
 }
 
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -85,28 +85,28 @@
   }
 }
 
-/** Logs a change of the quarantine of prompt parts. */
+/** Logs a change of the quarantine. */
 export function logQuarantineChange(
   log: EventLog,
   change: QuarantineChange,
 ): void {
   switch (change.kind) {
     case 'suspected': {
-      const {kind: _, ...fields} = change;
-      return log.write('partSuspected', fields);
+      const {kind: _, trait: part, ...fields} = change;
+      return log.write('partSuspected', {part, ...fields});
     }
     case 'quarantined': {
-      const {part, losses, source, remainingMilliseconds} = change;
+      const {trait: part, losses, source, remainingMilliseconds} = change;
       const milliseconds = Math.round(remainingMilliseconds);
       return log.write('partQuarantined', {part, losses, source, milliseconds});
     }
     case 'released':
       return log.write('partReleased', {
-        part: change.part,
+        part: change.trait,
         reason: change.reason,
       });
     case 'dropped':
-      return log.write('suspectDropped', {part: change.part});
+      return log.write('suspectDropped', {part: change.trait});
   }
 }
 
