Report a quarantined call that may have run as failed

What callers saw: a call that had been sent once and was then found in quarantine before its second attempt got 503, which promises that it has not run, with a time to come back.

Cause: the failure said `ran: unknown`, but its status follows from the code of the refusal alone.

Change: only a call that surely ran nowhere is refused; another one fails as `upstream-failed` (502).

--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -40,12 +40,11 @@
 /** Failure of a repeated call that is in quarantine. */
 export function requestQuarantined(
   retryAfterMilliseconds: number,
-  ran: 'not-run' | 'unknown',
 ): RequestFailure {
   return {
     code: 'request-quarantined',
     message: 'this request has crashed upstreams and is not forwarded',
-    ran,
+    ran: 'not-run',
     retryAfterMilliseconds,
   };
 }
@@ -53,12 +52,11 @@
 /** Failure of a call with a prompt part that is in quarantine. */
 export function promptQuarantined(
   retryAfterMilliseconds: number,
-  ran: 'not-run' | 'unknown',
 ): RequestFailure {
   return {
     code: 'prompt-quarantined',
     message: 'a part of the prompt has crashed engines and is not forwarded',
-    ran,
+    ran: 'not-run',
     retryAfterMilliseconds,
   };
 }
--- a/packages/coordination/src/passthrough/upstream-losses.ts
+++ b/packages/coordination/src/passthrough/upstream-losses.ts
@@ -5,7 +5,11 @@
 
 import type {PoolDocument} from '../generated/documents.js';
 import type {RequestFailure} from '../requests/failure.js';
-import {promptQuarantined, requestQuarantined} from './call-failures.js';
+import {
+  promptQuarantined,
+  requestQuarantined,
+  upstreamFailed,
+} from './call-failures.js';
 import type {RoutedCall} from './call.js';
 import {crashTraitsOf} from './crash-traits.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -62,12 +66,11 @@
       part: trait,
       remaining: Math.round(remainingMilliseconds),
     });
-    const failure =
-      trait === call.fingerprint ? requestQuarantined : promptQuarantined;
-    return failure(
-      remainingMilliseconds,
-      possibleRuns === 0 ? 'not-run' : 'unknown',
-    );
+    // The status of a refusal promises that the call has not run.
+    if (possibleRuns > 0) return upstreamFailed;
+    return trait === call.fingerprint
+      ? requestQuarantined(remainingMilliseconds)
+      : promptQuarantined(remainingMilliseconds);
   }
 
   isQuarantined(call: RoutedCall): boolean {
