Count an upstream as lost only if it is down

What callers saw: two connections that were reset at once, one of them at an engine that went on, counted as the loss of many engines, and a prompt that had crashed one engine was sent to a second one.

Cause: a failed connection was counted before the probe had told whether the upstream was down, and connections of streams that had begun were not probed.

Change: each failed connection is followed by the probe, and only upstreams that it finds down are counted. One that is down is suspended at once, also if its stream had begun.

--- a/packages/coordination/src/passthrough/upstream-losses.ts
+++ b/packages/coordination/src/passthrough/upstream-losses.ts
@@ -46,7 +46,7 @@
 }
 
 export class UpstreamLosses {
-  /** Clock times at which connections failed, of the upstreams lost last. */
+  /** Clock times at which the upstreams that were lost last went down. */
   private readonly lostAt = new Map<string, number>();
 
   constructor(private readonly parts: PassthroughParts) {}
@@ -104,11 +104,11 @@
         .join(' '),
       fingerprint,
     });
-    this.recordLostConnection(document.name);
-    if (attemptEvents > 0) return;
     // A single connection can fail while the upstream goes on.
     if (!(await this.isDown(upstream))) return;
     upstream.health.recordUnreachable(clock.now());
+    this.recordLostUpstream(document.name);
+    if (attemptEvents > 0) return;
     const traits = crashTraitsOf(call);
     if (quarantine.isExplained(document, traits)) return;
     lost.isSuspect =
@@ -116,7 +116,7 @@
     quarantine.recordLoss(document, traits);
   }
 
-  private recordLostConnection(upstream: string): void {
+  private recordLostUpstream(upstream: string): void {
     const now = this.parts.clock.now();
     for (const [name, at] of this.lostAt)
       if (at < now - simultaneousMilliseconds) this.lostAt.delete(name);
