Accuse no request of a wide failure

What callers saw: when many engines were lost at once, by a partition or the loss of a failure domain, sound parts of prompts that were not yet known to be sound were put in quarantine for ten minutes.

Cause: the rule that many losses at once have another cause decided about retries alone; the losses were still recorded against all traits.

A part and a repeated request that crash servers are still quarantined after 3 crashes in the tests with three hosts.

--- a/packages/coordination/src/passthrough/upstream-losses.ts
+++ b/packages/coordination/src/passthrough/upstream-losses.ts
@@ -85,8 +85,8 @@
 
   /**
    * Records that the connection to an upstream failed during a call. If the
-   * upstream went down before it answered, the call is suspect unless all its
-   * traits are known to be sound.
+   * upstream went down before it answered, and few others did at that time, the
+   * call is suspect unless all its traits are known to be sound.
    */
   async record(lost: AttemptedCall, upstream: TrackedUpstream): Promise<void> {
     const {clock, quarantine, observer} = this.parts;
@@ -111,8 +111,8 @@
     if (attemptEvents > 0) return;
     const traits = crashTraitsOf(call);
     if (quarantine.isExplained(document, traits)) return;
-    lost.isSuspect =
-      !quarantine.isKnownSound(traits) && !this.isWideFailure(lost.pool);
+    if (this.isWideFailure(lost.pool)) return;
+    lost.isSuspect = !quarantine.isKnownSound(traits);
     quarantine.recordLoss(document, traits);
   }
 
