Take many losses within a second for one wide failure

What callers saw: when a partition cut many engines off, and two hosts noticed it 200 ms apart, the parts that the calls there had in common were put in quarantine, and sound generations were refused.

Cause: two losses 150 ms apart convict a trait however many upstreams were lost between them, and eight at once do although each call there has other traits that explain its loss as well.

Change: with more than four losses, the first and the last have to be a second apart; eight at once convict only a trait that was in them without any other.

`simultaneous losses quarantine a part only if there are many` and the tests of crashing parts and requests keep their results (3 crashes, none later).

--- a/packages/coordination/src/passthrough/request-quarantine.ts
+++ b/packages/coordination/src/passthrough/request-quarantine.ts
@@ -327,13 +327,26 @@
     for (const trait of new Set(candidates)) {
       const suspect = this.suspects.get(trait);
       if (suspect === undefined) continue;
-      if (!suspect.isConvicted && !areEnough(suspect.losses)) continue;
+      const hasAlternative = () => this.hasAlternative(trait, suspect);
+      if (!suspect.isConvicted && !areEnough(suspect.losses, hasAlternative))
+        continue;
       const companions = this.companionsOf(trait, suspect);
       restrictCompanions(suspect, companions);
       this.quarantine(trait, suspect, source);
     }
   }
 
+  /** Whether another suspect trait was in one of the losses of a trait. */
+  private hasAlternative(trait: string, {losses}: Suspect): boolean {
+    return [...this.suspects.entries()].some(
+      ([other, suspect]) =>
+        other !== trait &&
+        losses.some(loss =>
+          suspect.losses.some(known => isSameLoss(known, loss)),
+        ),
+    );
+  }
+
   /** Traits that were in all losses of a trait, so that each may be the cause. */
   private companionsOf(trait: string, {losses}: Suspect): string[] {
     return [...this.suspects.entries()]
--- a/packages/coordination/src/passthrough/suspect.ts
+++ b/packages/coordination/src/passthrough/suspect.ts
@@ -10,7 +10,17 @@
 const quarantineLosses = 2;
 const separateLossesMilliseconds = 150;
 
-/** Losses after which a trait is quarantined although they were simultaneous. */
+/**
+ * More losses than this may be one wide failure, which hosts notice within this
+ * time of each other.
+ */
+const maximumSeparateLosses = 4;
+const wideFailureMilliseconds = 1000;
+
+/**
+ * Losses after which a trait is quarantined although they were simultaneous, if
+ * nothing else may be their cause.
+ */
 const simultaneousQuarantineLosses = 8;
 
 /** Duration of a quarantine after the last loss. */
@@ -57,11 +67,23 @@
   while (losses.length > 0 && losses[0]!.at <= time) losses.shift();
 }
 
-/** `losses` are in the order of their times. */
-export function areEnough(losses: readonly UpstreamLoss[]): boolean {
-  if (losses.length >= simultaneousQuarantineLosses) return true;
-  if (losses.length < quarantineLosses) return false;
-  return losses.at(-1)!.at - losses[0]!.at >= separateLossesMilliseconds;
+/**
+ * `losses` are in the order of their times. `hasAlternative` says whether
+ * another trait was in one of them.
+ */
+export function areEnough(
+  losses: readonly UpstreamLoss[],
+  hasAlternative: () => boolean,
+): boolean {
+  const {length} = losses;
+  if (length < quarantineLosses) return false;
+  const span = losses.at(-1)!.at - losses[0]!.at;
+  const separation =
+    length > maximumSeparateLosses
+      ? wideFailureMilliseconds
+      : separateLossesMilliseconds;
+  if (span >= separation) return true;
+  return length >= simultaneousQuarantineLosses && !hasAlternative();
 }
 
 export function remainingOf({lastLossAt}: Suspect, now: number): number {
