End a stream at its deadline within one part of its response

Cause: the deadline was looked at when the relay waited for the next part of the response, not between the events of a part. One part holds thousands of small events, each of which waits for the caller; beside load, or with a slow caller, that takes as long as it likes.

Change: the deadline is checked after each event as well.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -88,6 +88,9 @@
           yield event.bytes;
         }
         if (isProgress) monitor.resume();
+        // A slow caller may take long for the events of one part.
+        if (clock.now() >= state.call.deadline)
+          return interruptedBy(errorOf('silent'));
       }
     }
   } catch (error) {
