Ask a limited upstream again when nothing is heard of it

What callers saw: an upstream that no longer named a limit was hardly used beside idle ones, since it counted as if it had twice their load until one of its responses said that the limit had ended. The test of the end of a limit failed once beside load for this reason.

Change: it counts so for 2 s after a response of it, and then like the others; its bucket holds all the while.

Evidence: the new test fails without the change; the test that failed passes 3 times of 3. With the same commit the wait of each queued generation is computed once for the queue and not for each call.

--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -126,24 +126,31 @@
   }
 
   /**
-   * Time until a decode engine can be asked behind `ahead` other calls, in
-   * milliseconds; undefined unless all of them have asked for a pause or have
-   * reached the limit that they named.
+   * Time until a decode engine can be asked, in milliseconds; undefined unless
+   * all of them have asked for a pause or have reached the limit that they
+   * named.
    */
-  remainingPause(ahead = 0): number | undefined {
+  remainingPause(): number | undefined {
+    const wait = this.waitByPosition()(0);
+    return wait > 0 ? wait : undefined;
+  }
+
+  /** Returns the same time for a call behind a number of other calls. */
+  private waitByPosition(): (ahead: number) => number {
     const {upstreams, requestLimits} = this.parts;
     const pool = this.currentPool();
     const isEligible = ({document}: TrackedUpstream) =>
       canDecode(document.labels ?? {});
     const pause = upstreams.remainingPauseOf(pool, isEligible);
-    if (pause !== undefined) return pause;
-    const engines = upstreams.acceptingOf(pool).filter(isEligible);
-    const wait = requestLimits.shortestWait(
-      engines.map(({document}) => document.name),
-      this.requestsPerCall(),
-      ahead,
-    );
-    return wait > 0 ? wait : undefined;
+    if (pause !== undefined) return () => pause;
+    const engines = upstreams
+      .acceptingOf(pool)
+      .filter(isEligible)
+      .map(({document}) => document.name);
+    if (!engines.every(engine => requestLimits.isLimited(engine)))
+      return () => 0;
+    const requests = this.requestsPerCall();
+    return ahead => requestLimits.shortestWait(engines, requests, ahead);
   }
 
   /** Requests of one call to its decode engine: a reservation and the run. */
@@ -168,13 +175,16 @@
    */
   private dispatch(): void {
     const now = this.parts.clock.now();
-    const pause = this.remainingPause() ?? 0;
+    const waitBehind = this.waitByPosition();
+    const pause = waitBehind(0);
     // A call that no engine will take before its deadline is refused at once.
     let ahead = 0;
     for (const entry of [...this.waiting]) {
       if (entry.isReserving) continue;
-      const wait = this.remainingPause(ahead) ?? 0;
-      if (now + wait >= entry.queueDeadline || this.isQuarantined(entry))
+      if (
+        now + waitBehind(ahead) >= entry.queueDeadline ||
+        this.isQuarantined(entry)
+      )
         entry.settle(Result.err('expired'));
       else ahead += 1;
     }
--- a/packages/coordination/src/passthrough/upstream-request-limits.ts
+++ b/packages/coordination/src/passthrough/upstream-request-limits.ts
@@ -48,6 +48,12 @@
 /** An upstream with a limit is chosen as if it had this many times its load. */
 const limitedPenalty = 2;
 
+/**
+ * Time after a response for which this holds. Without any call, the end of a
+ * limit would not be noticed beside idle upstreams.
+ */
+const penaltyMilliseconds = 2000;
+
 /** Time for which the end of a limit is reported. */
 const endReportMilliseconds = 10_000;
 
@@ -95,11 +101,16 @@
       this.parts.onLearned();
   }
 
+  isLimited(upstream: string): boolean {
+    return this.upstreams.get(upstream)?.isLimited ?? false;
+  }
+
   /** Factor of the cost of choosing an upstream. */
   penaltyOf(upstream: string): number {
-    return this.upstreams.get(upstream)?.isLimited === true
-      ? limitedPenalty
-      : 1;
+    const limited = this.upstreams.get(upstream);
+    if (limited === undefined || !limited.isLimited) return 1;
+    const age = this.parts.clock.now() - limited.statement.at;
+    return age < penaltyMilliseconds ? limitedPenalty : 1;
   }
 
   /**
--- a/packages/coordination/test/upstream-request-limits.test.ts
+++ b/packages/coordination/test/upstream-request-limits.test.ts
@@ -128,3 +128,14 @@
   await fleet.clock.advance(5000);
   t.true(other.limits.canSend(upstream.name, 1));
 });
+
+test('a limited upstream is a normal choice again when nothing is heard of it', async t => {
+  const fleet = new RequestLimitFleet({hosts: 1, seed: 1, lossFraction: 0});
+  const [{limits}] = [fleet.hosts[0]!];
+  limits.recordStatement(upstream, 5);
+  t.true(limits.penaltyOf(upstream.name) > 1);
+  await fleet.clock.advance(5000);
+  t.is(limits.penaltyOf(upstream.name), 1);
+  limits.recordStatement(upstream, 5);
+  t.true(limits.penaltyOf(upstream.name) > 1);
+});
