End at its deadline only a stream that makes no progress

What callers saw: since the deadline was checked after each event, a stream that went on past the timeout of its route could be cut at it.

Cause: the check looked at the time alone. A stream is given up at its deadline only if it also stalls, which the stall monitor decides.

Change: the relay asks the monitor after each event whether the attempt is to be given up, and then ends as for a silent stream.

Evidence: tests of both cases on virtual time; calls, silence and endless responses pass.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -89,8 +89,7 @@
         }
         if (isProgress) monitor.resume();
         // A slow caller may take long for the events of one part.
-        if (clock.now() >= state.call.deadline)
-          return interruptedBy(errorOf('silent'));
+        if (monitor.isAbandoned) break;
       }
     }
   } catch (error) {
