Allow one abort listener for each pending reservation

What operators saw: `MaxListenersExceededWarning: 11 abort listeners added to [AbortSignal]` on the standard error of a host, once.

Cause: reservations are never aborted and share one signal; with more than ten pending at a time Node.js takes their listeners for a leak. They are removed when the response ends.

The same warning in a test of the transport comes from a signal that its tests share.

--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -6,6 +6,7 @@
  * `fullEngineRetryMilliseconds`.
  */
 
+import {setMaxListeners} from 'node:events';
 import {Result} from 'true-myth';
 import type {PoolDocument} from '../generated/documents.js';
 import type {RoutedCall} from './call.js';
@@ -42,6 +43,8 @@
 }
 
 const neverAborted = new AbortController().signal;
+// Each pending reservation adds one listener.
+setMaxListeners(0, neverAborted);
 
 /** Estimated time for the prefill and the first token after it. */
 const estimatedStartMilliseconds = 250;
