Bound the totals kept of each peer, and log a wait that never ends as -1

Found by reading: totals of requests to upstreams that are gone were kept for as long as a peer's process runs, one for each process of an upstream; they are bounded like the upstreams. A host that is not among the senders of a limited upstream logged an infinite wait, which JSON turns into null.

--- a/packages/coordination/src/passthrough/upstream-request-limits.ts
+++ b/packages/coordination/src/passthrough/upstream-request-limits.ts
@@ -70,7 +70,8 @@
 
 interface PeerTotals {
   readonly incarnation: bigint;
-  readonly sentByUpstream: Map<string, number>;
+  /** By name and start of the upstream. */
+  readonly sentByUpstream: BoundedMap<string, number>;
 }
 
 export class UpstreamRequestLimits {
@@ -188,7 +189,7 @@
     if (reports.length === 0 && !isSameProcess) return;
     const sentByUpstream = isSameProcess
       ? known.sentByUpstream
-      : new Map<string, number>();
+      : new BoundedMap<string, number>(maximumUpstreams);
     this.peers.set(host, {incarnation, sentByUpstream});
     // An older process reports what it sent before this one started.
     const isPast =
@@ -236,7 +237,7 @@
 
   private recordReport(
     report: RequestLimitReport,
-    sentByUpstream: Map<string, number>,
+    sentByUpstream: BoundedMap<string, number>,
     isPast: boolean,
   ): void {
     const {upstream, sentRequests} = report;
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -72,10 +72,11 @@
       return log.write('connectionLost', {request: requestId, ...fields});
     }
     case 'limit-reached': {
-      const {kind: _, ...fields} = event;
+      const {kind: _, wait, ...fields} = event;
       return log.write('callLimited', {
         request: requestId,
         ...roundNumbers(fields),
+        wait: Number.isFinite(wait) ? Math.round(wait) : otherHostsOnly,
       });
     }
     case 'quarantine-refused': {
@@ -175,6 +176,9 @@
 
 const roundingFactor = 100;
 
+/** Logged as the wait of a call that only other hosts may send. */
+const otherHostsOnly = -1;
+
 /** Rounds numeric fields to two decimals. */
 function roundNumbers<Fields extends Record<string, string | number>>(
   fields: Fields,
