--- a/packages/command/test/trace.test.ts
+++ b/packages/command/test/trace.test.ts
@@ -117,6 +117,7 @@
     budget: /retry budget was used up/,
     deadline: /deadline had passed/,
     attempts: /maximum number of upstreams/,
+    prompt: /the request may be the cause/,
   };
   for (const [limit, explanation] of Object.entries(explanations)) {
     const fields = {request, reason: 'broken', limit};
@@ -131,6 +132,31 @@
   );
 });
 
+test('refusals for limits and quarantines name the reason and the time', async t => {
+  const refused = (code: string) =>
+    logLine('h', 5, 'requestFailed', {
+      request,
+      status: 503,
+      code,
+      ran: 'not-run',
+    });
+  const limited = {request, wait: 370, ahead: 2, outcome: 'refused'};
+  const quarantined = {request, part: 'f1', remaining: 9000};
+  const [limits, quarantine] = writeLogs(
+    t,
+    [logLine('h', 2, 'callLimited', limited), refused('queue-full')],
+    [
+      logLine('h', 2, 'callQuarantined', quarantined),
+      refused('request-quarantined'),
+    ],
+  );
+  t.regex(
+    (await trace('one', limits!)).text,
+    /limits .* in 370 ms\. It did not/,
+  );
+  t.regex((await trace('one', quarantine!)).text, /went down on f1.* 9000 ms/);
+});
+
 test('an unknown execution state is reported as unknown', async t => {
   const paths = writeLogs(t, [
     logLine('h', 1, 'callAdmitted', admitted),
