Log the software versions of engines, and which streams callers take up

What callers saw: streams that went on at another software version than the one that began them. The logs named the engine of each attempt, but neither its version nor that a call takes up an earlier stream, so the hypotheses (the host's own resumption, the caller's, an outdated list) could not be told apart.

Change: the version of an entry is kept (softwareVersion of an upstream) and logged with 2202, 3107 and 3108. 3112 names the call that began the stream, the engine that goes on and its version. No decision uses the version yet.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -90,11 +90,22 @@
       readonly upstream: string;
       /** `silent` and `cancelled` were decided by this host. */
       readonly reason: InterruptedResponseError['reason'];
+      readonly softwareVersion: string;
     } & StreamProgress)
   | {
       readonly kind: 'resumed';
       readonly upstream: string;
       readonly afterEvent: number;
+      readonly softwareVersion: string;
+    }
+  | {
+      readonly kind: 'taken-up';
+      /** Id of the call that began the stream, as the caller names it. */
+      readonly origin: string;
+      readonly afterEvent: number;
+      /** The engine that goes on with the stream. */
+      readonly upstream: string;
+      readonly softwareVersion: string;
     }
   | {
       readonly kind: 'connection-lost';
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -50,6 +50,8 @@
   readonly generation: GenerationRequirements | undefined;
   /** Id of the last event that the caller received before it repeated the call. */
   readonly lastEventId: number | undefined;
+  /** Id of the call that brought the first event of the stream taken up. */
+  readonly originCallId: string | undefined;
   /** Clock time at which the head of the request was read. */
   readonly arrivedAt: number;
 }
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -83,7 +83,15 @@
     const started = await this.attempts.start(state);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) return Result.err(started.error);
-    const {response} = started.value;
+    const {response, reservation} = started.value;
+    if (call.originCallId !== undefined)
+      this.parts.observer(call.id, {
+        kind: 'taken-up',
+        origin: call.originCallId,
+        afterEvent: call.lastEventId ?? 0,
+        upstream: reservation.upstream.document.name,
+        softwareVersion: softwareVersionOf(reservation),
+      });
     const body =
       response.status === eventStreamStatus
         ? this.relay(state, started.value)
@@ -174,6 +182,7 @@
       kind: 'interrupted',
       upstream: document.name,
       reason,
+      softwareVersion: document.spec.softwareVersion ?? '',
       ...progress,
     });
     if (reason === 'cancelled') return;
@@ -214,7 +223,12 @@
       kind: 'resumed',
       upstream: reservation.upstream.document.name,
       afterEvent: state.lastEventId ?? 0,
+      softwareVersion: softwareVersionOf(reservation),
     });
     return started.value;
   }
 }
+
+function softwareVersionOf({upstream}: EngineReservation): string {
+  return upstream.document.spec.softwareVersion ?? '';
+}
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -154,7 +154,7 @@
     number: 2202,
     level: 'info',
     text: 'an upstream was added, changed its state or was removed',
-    fields: ['upstream', 'change', 'address', 'domain'],
+    fields: ['upstream', 'change', 'address', 'domain', 'softwareVersion'],
   },
   upstreamReachability: {
     number: 2203,
@@ -287,7 +287,7 @@
     number: 3107,
     level: 'info',
     text: 'a stream was resumed at another upstream',
-    fields: ['request', 'upstream', 'afterEvent'],
+    fields: ['request', 'upstream', 'afterEvent', 'softwareVersion'],
   },
   streamInterrupted: {
     number: 3108,
@@ -301,6 +301,7 @@
       'millisecondsSinceByte',
       'millisecondsSinceEvent',
       'version',
+      'softwareVersion',
     ],
   },
   callQuarantined: {
@@ -321,6 +322,12 @@
     text: 'a plain call waits or was refused because its upstreams have reached the limits that they named',
     fields: ['request', 'wait', 'ahead', 'outcome'],
   },
+  streamTakenUp: {
+    number: 3112,
+    level: 'info',
+    text: 'a caller takes up a stream that an earlier call began',
+    fields: ['request', 'origin', 'afterEvent', 'upstream', 'softwareVersion'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -67,6 +67,10 @@
       const {kind: _, ...fields} = event;
       return log.write('streamResumed', {request: requestId, ...fields});
     }
+    case 'taken-up': {
+      const {kind: _, ...fields} = event;
+      return log.write('streamTakenUp', {request: requestId, ...fields});
+    }
     case 'connection-lost': {
       const {kind: _, ...fields} = event;
       return log.write('connectionLost', {request: requestId, ...fields});
@@ -161,6 +165,7 @@
         change,
         address: spec.address,
         domain: spec.failureDomain,
+        softwareVersion: spec.softwareVersion ?? '',
       });
 }
 
