--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -32,6 +32,8 @@
       return explainRate(lastFieldsOf(lines, 'callOverRate'));
     case 'queue-full':
       return explainQueueFull(lines);
+    case 'stream-not-resumable':
+      return explainTakeUp(lastFieldsOf(lines, 'streamTakenUp'));
     case 'prompt-quarantined':
     case 'request-quarantined':
       return explainQuarantine(lastFieldsOf(lines, 'callQuarantined'));
@@ -64,6 +66,14 @@
   return `Refused: upstreams went down on ${part}, which is in quarantine for ${remaining} ms more.`;
 }
 
+function explainTakeUp(taken: Fields | undefined): string {
+  if (taken === undefined) return 'Refused: the stream can not be taken up.';
+  const {origin, outcome, pool, softwareVersion} = taken;
+  return outcome === 'unknown-origin'
+    ? `Refused: no host knows which software version began the stream of ${origin}.`
+    : `Refused: the stream of ${origin} was begun by version ${softwareVersion} of ${pool}, which no longer serves it (${outcome}).`;
+}
+
 function explainQueueFull(lines: readonly LogLine[]): string {
   const limited = lastFieldsOf(lines, 'callLimited');
   if (limited !== undefined)
@@ -104,6 +114,8 @@
       return 'the route allows no further run';
     case 'capacity':
       return 'no engine took it in time';
+    case 'version':
+      return 'no engine of the software version that began the stream serves any more';
     case 'prompt':
       return 'an upstream went down before it answered, and the request may be the cause';
     default:
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -299,7 +299,13 @@
   DiscoveredFleetParts,
   FleetChange,
 } from './passthrough/discovered-fleet.js';
-export {checkHeartbeat, isHostAddress} from './passthrough/heartbeat-check.js';
+export {
+  checkHeartbeat,
+  checkStreamOriginMessage,
+  isHostAddress,
+} from './passthrough/heartbeat-check.js';
+export {SoftwareVersionHistory} from './passthrough/software-version-history.js';
+export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {ReachabilityProbesParts} from './passthrough/reachability-probes.js';
 export {EngineReleases} from './passthrough/engine-releases.js';
@@ -309,3 +315,4 @@
 export {UpstreamTable} from './passthrough/upstream-table.js';
 export {EventStreamSplitter} from './passthrough/event-stream-splitter.js';
 export {Beat} from './generated/messages/persimmonwick/beat.js';
+export type {StreamOriginMessage} from './generated/messages/persimmonwick/beat.js';
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -1,6 +1,7 @@
 /** Decisions that a host makes about calls, reported to logs and metrics. */
 
 import type {InterruptedResponseError} from './call.js';
+import type {ContinuationRefusal, SoleOrigin} from './stream-continuation.js';
 
 /** What forbids another attempt of a call. */
 export type RetryLimit =
@@ -13,7 +14,9 @@
   /** No engine took the call in time. */
   | 'capacity'
   /** An upstream went down before it answered, maybe by this request. */
-  | 'prompt';
+  | 'prompt'
+  /** No engine has the version that began the stream. */
+  | 'version';
 
 /** How far a stream had come when it was interrupted. */
 export interface StreamProgress {
@@ -103,9 +106,14 @@
       /** Id of the call that began the stream, as the caller names it. */
       readonly origin: string;
       readonly afterEvent: number;
-      /** The engine that goes on with the stream. */
-      readonly upstream: string;
+      /** Pool and version that began the stream; empty if unknown. */
+      readonly pool: string;
       readonly softwareVersion: string;
+      /** How they are known; empty if unknown. */
+      readonly source: SoleOrigin['source'] | '';
+      /** Time until they were known. */
+      readonly waited: number;
+      readonly outcome: 'continued' | ContinuationRefusal;
     }
   | {
       readonly kind: 'connection-lost';
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -2,6 +2,7 @@
 
 import type {RequestFailure} from '../requests/failure.js';
 import type {PassthroughError} from './call.js';
+import type {ContinuationRefusal} from './stream-continuation.js';
 
 /**
  * Default for Retry-After. Most shortages of upstreams are over after this
@@ -61,6 +62,23 @@
   };
 }
 
+const continuationMessages: Record<ContinuationRefusal, string> = {
+  'unknown-origin': 'no host knows which software version began the stream',
+  'pool-gone': 'the upstreams that began the stream no longer serve its route',
+  'version-gone': 'the software version that began the stream no longer serves',
+};
+
+/**
+ * Failure of a call that takes up a stream. It has no time to come back, because
+ * only a call that begins anew can succeed.
+ */
+export function continuationRefused(
+  reason: ContinuationRefusal,
+): RequestFailure {
+  const message = continuationMessages[reason];
+  return {code: 'stream-not-resumable', message, ran: 'not-run'};
+}
+
 /**
  * Failure of a call that ran nowhere: its upstreams were full if the last one
  * refused it, else none could be reached.
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -15,9 +15,10 @@
   UpstreamLoad,
 } from '../generated/messages/persimmonwick/beat.js';
 import type {FailureDomainId, HostId} from '../ids.js';
-import {hostId} from '../ids.js';
+import {failureDomainId, hostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
 import type {QuarantineReport} from './request-quarantine.js';
+import type {FleetMember} from './stream-origin-keepers.js';
 
 /** Sends heartbeats, and drops those that cannot be sent. */
 export interface HeartbeatSender {
@@ -68,6 +69,7 @@
 
 interface Peer {
   readonly host: HostId;
+  readonly failureDomain: FailureDomainId;
   address: string;
   incarnation: bigint;
   sequence: bigint;
@@ -159,6 +161,18 @@
     return this.cachedHosts;
   }
 
+  /** The known hosts, without this one. */
+  members(): FleetMember[] {
+    return [...this.peers.values()].map(
+      ({host, failureDomain, address, state}) => ({
+        host,
+        failureDomain,
+        address,
+        isLive: state === 'live',
+      }),
+    );
+  }
+
   /** Number of known hosts that are currently silent. */
   get silentHostCount(): number {
     return [...this.peers.values()].filter(peer => peer.state === 'silent')
@@ -217,6 +231,7 @@
       const state = 'live' as const;
       const peer = {
         host,
+        failureDomain: failureDomainId(heartbeat.failureDomain),
         address,
         incarnation,
         sequence,
@@ -374,6 +389,7 @@
       known: this.nextKnownHosts(),
       ...quarantine,
       requestLimits,
+      streamOrigin: undefined,
       configurationVersion: platform.configurationVersion,
       platformEpoch: BigInt(platform.platformEpoch ?? 0),
       platformEpochAgeMilliseconds: BigInt(
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -29,6 +29,8 @@
   readonly reservation: EngineReservation;
   readonly monitor: StallMonitor<EngineReservation>;
   readonly baselineInterval: BaselineDuration;
+  /** Called before the first event of the engine is passed on. */
+  readonly onBegin: () => void;
   /** Called when the engine has shown that it can answer. */
   readonly onFirstEvent: () => void;
 }
@@ -46,6 +48,7 @@
   let byteAt = startedAt;
   let events = 0;
   let hasAnswered = false;
+  let hasBegun = false;
   const interruptedBy = (
     error: InterruptedResponseError,
     replacement?: EngineReservation,
@@ -84,6 +87,9 @@
         if (isProgress) monitor.suspend();
         if (!isRepeated) {
           events += 1;
+          const isContent = event.id !== undefined || event.hasData;
+          if (isContent && !hasBegun) parts.onBegin();
+          hasBegun ||= isContent;
           recordMemory(state, reservation, events);
           yield event.bytes;
         }
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -5,7 +5,7 @@
  */
 
 import {Result} from 'true-myth';
-import type {PoolDocument} from '../generated/documents.js';
+import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import {upstreamId} from '../ids.js';
 import {AbortScope} from '../placement/abort-scope.js';
 import type {RequestFailure} from '../requests/failure.js';
@@ -24,14 +24,20 @@
   queueFailureOf,
   disconnectFailureOf,
   estimateMemoryTokens,
+  versionFailureOf,
 } from './generation-run.js';
 import type {GenerationState, PrefilledCache} from './generation-run.js';
-import {ReservationQueue, canDecode} from './reservation-queue.js';
+import {
+  ReservationQueue,
+  decodeVersionsOf,
+  meetsRequirements,
+} from './reservation-queue.js';
 import type {EngineReservation} from './reservation-queue.js';
 import {RetryGate} from './retry-gate.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {PrefillStage} from './prefill-stage.js';
+import {isServed} from './stream-continuation.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
@@ -54,6 +60,8 @@
 export interface StartedGeneration {
   readonly response: PassthroughResponse;
   readonly reservation: EngineReservation;
+  /** The engine as it was known when the attempt was sent. */
+  readonly document: UpstreamDocument;
   /** Owns the attempt, which ends when the scope is closed. */
   readonly attempt: AbortScope;
 }
@@ -179,7 +187,7 @@
     queuedAt: number,
     searchAvoids?: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
-    const {call, generation, pool} = state;
+    const {call, generation, pool, softwareVersion} = state;
     const refusal = this.upstreamLosses.refusalOf(state);
     if (refusal !== undefined) return Result.err(refusal);
     if (
@@ -187,6 +195,8 @@
       this.usableDecodeEngines(state).length === 0
     )
       state.avoidedUpstreams.clear();
+    if (!this.isVersionServed(state))
+      return Result.err(versionFailureOf(state));
     const avoidedUpstreams = searchAvoids ?? state.avoidedUpstreams;
     const queueDeadline = Math.min(
       call.deadline,
@@ -197,7 +207,7 @@
       call,
       tokens,
       queueDeadline,
-      avoidedUpstreams,
+      {avoidedUpstreams, softwareVersion},
       signal,
     );
     const laterRefusal = this.upstreamLosses.refusalOf(state);
@@ -208,6 +218,8 @@
     if (reserved.isOk) return Result.ok(reserved.value);
     if (reserved.error === 'cancelled')
       return Result.err(disconnectFailureOf(state));
+    if (!this.isVersionServed(state))
+      return Result.err(versionFailureOf(state));
     const pause = this.queueFor(pool.name).remainingPause();
     const isAnyReachable =
       pause !== undefined || this.usableDecodeEngines(state).length > 0;
@@ -220,21 +232,24 @@
     return isInterrupted ? this.parts.clock.now() : call.arrivedAt;
   }
 
-  private usableDecodeEngines({
-    pool,
-    avoidedUpstreams,
-  }: GenerationState): TrackedUpstream[] {
+  private usableDecodeEngines(state: GenerationState): TrackedUpstream[] {
     const now = this.parts.clock.now();
     return this.parts.upstreams
-      .acceptingOf(pool)
+      .acceptingOf(state.pool)
       .filter(
         ({document, health}) =>
-          canDecode(document.labels ?? {}) &&
-          health.isUsable(now) &&
-          !avoidedUpstreams.has(document.name),
+          meetsRequirements(document, state) && health.isUsable(now),
       );
   }
 
+  /** Whether the version that began the stream, if it has begun, still serves. */
+  isVersionServed({pool, softwareVersion}: GenerationState): boolean {
+    return (
+      softwareVersion === undefined ||
+      isServed(softwareVersion, decodeVersionsOf(this.parts.upstreams, pool))
+    );
+  }
+
   private async sendAttempt(
     state: GenerationState,
     reservation: EngineReservation,
@@ -243,13 +258,14 @@
     const {clock, transport, observer} = this.parts;
     const {call} = state;
     const engine = reservation.upstream;
+    const {document} = engine;
     const startedAt = clock.now();
     const remainingMilliseconds = call.deadline - startedAt;
     state.attempts += 1;
     state.attemptEvents = 0;
     const attempt = new AbortScope(state.signal);
     const sent = transport.send(
-      engine.document,
+      document,
       call,
       {
         remainingMilliseconds,
@@ -275,7 +291,8 @@
     });
     if (result.isOk) {
       state.possibleRuns += 1;
-      return Result.ok({response: result.value, reservation, attempt});
+      const response = result.value;
+      return Result.ok({response, reservation, document, attempt});
     }
     attempt.close();
     state.lastError = result.error;
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -4,6 +4,7 @@
 import type {RequestFailure} from '../requests/failure.js';
 import {
   callerDisconnected,
+  continuationRefused,
   noUpstream,
   notRunFailureOf,
   queueFull,
@@ -63,6 +64,11 @@
   isInterrupted: boolean;
   /** Id of the last event that the caller has. */
   lastEventId: number | undefined;
+  /**
+   * Version of the upstream that began the stream, which alone may continue it;
+   * undefined before the first event.
+   */
+  softwareVersion: string | undefined;
   lastError: PassthroughError | undefined;
 }
 
@@ -105,3 +111,12 @@
   if (possibleRuns === 0) return notRunFailureOf(lastError);
   return lastError?.kind === 'silent' ? upstreamTimeout : upstreamFailed;
 }
+
+/** Failure of a call whose stream no engine may continue. */
+export function versionFailureOf({
+  possibleRuns,
+}: GenerationState): RequestFailure {
+  return possibleRuns > 0
+    ? upstreamFailed
+    : continuationRefused('version-gone');
+}
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -21,6 +21,8 @@
 import {choosePoolByWeight} from './passthrough-parts.js';
 import {BaselineDuration} from './reference-time.js';
 import type {EngineReservation} from './reservation-queue.js';
+import {StreamContinuations, isContinuation} from './stream-continuations.js';
+import type {GenerationTarget} from './stream-continuations.js';
 
 type CallResult = Result<PassthroughResponse, RequestFailure>;
 
@@ -36,12 +38,14 @@
 export class GenerationForwarder {
   private readonly baselineEventInterval = new BaselineDuration();
   private readonly attempts: GenerationAttempts;
+  private readonly continuations: StreamContinuations;
 
   constructor(
     private readonly parts: PassthroughParts,
     private readonly upstreamLosses: UpstreamLosses,
   ) {
     this.attempts = new GenerationAttempts(parts, this.upstreamLosses);
+    this.continuations = new StreamContinuations(parts);
   }
 
   close(): void {
@@ -59,8 +63,9 @@
     generation: GenerationRequirements,
     signal: AbortSignal,
   ): Promise<CallResult> {
-    const pool = choosePoolByWeight(call.route, this.parts.random);
-    if (pool === undefined) return Result.err(noUpstream);
+    const target = await this.findTarget(call);
+    if (target.isErr) return Result.err(target.error);
+    const {pool, softwareVersion} = target.value;
     this.attempts.updatePool(pool);
     this.parts.retryBudget.recordCall(pool.name);
     const state: GenerationState = {
@@ -78,20 +83,13 @@
       reusableCache: undefined,
       isInterrupted: false,
       lastEventId: call.lastEventId,
+      softwareVersion,
       lastError: undefined,
     };
     const started = await this.attempts.start(state);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) return Result.err(started.error);
-    const {response, reservation} = started.value;
-    if (call.originCallId !== undefined)
-      this.parts.observer(call.id, {
-        kind: 'taken-up',
-        origin: call.originCallId,
-        afterEvent: call.lastEventId ?? 0,
-        upstream: reservation.upstream.document.name,
-        softwareVersion: softwareVersionOf(reservation),
-      });
+    const {response} = started.value;
     const body =
       response.status === eventStreamStatus
         ? this.relay(state, started.value)
@@ -99,6 +97,17 @@
     return Result.ok({...response, body});
   }
 
+  /** Finds what may run a call: any engine of a pool, or only some of them. */
+  private async findTarget(
+    call: RoutedCall,
+  ): Promise<Result<GenerationTarget, RequestFailure>> {
+    if (isContinuation(call)) return this.continuations.find(call);
+    const pool = choosePoolByWeight(call.route, this.parts.random);
+    return pool === undefined
+      ? Result.err(noUpstream)
+      : Result.ok({pool, softwareVersion: undefined});
+  }
+
   /**
    * Relays complete events, and resumes at another engine when the stream is
    * interrupted.
@@ -145,7 +154,7 @@
   /** Relays the events of one engine, and ends the attempt there. */
   private async *relayAttempt(
     state: GenerationState,
-    {response, reservation, attempt}: StartedGeneration,
+    {response, reservation, document, attempt}: StartedGeneration,
   ): AsyncGenerator<Uint8Array, StreamInterruption | undefined> {
     const {clock} = this.parts;
     const {baselineEventInterval: baselineInterval} = this;
@@ -162,6 +171,7 @@
         reservation,
         monitor,
         baselineInterval,
+        onBegin: () => this.continuations.recordBegin(state, document),
         onFirstEvent: () => this.upstreamLosses.recordSuccess(state),
       });
     } finally {
@@ -210,10 +220,13 @@
     const started = await this.attempts.start(state, replacement);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) {
-      observer(call.id, {kind: 'retry-withheld', reason, limit: 'capacity'});
+      const limit = this.attempts.isVersionServed(state)
+        ? 'capacity'
+        : 'version';
+      observer(call.id, {kind: 'retry-withheld', reason, limit});
       return undefined;
     }
-    const {response, reservation, attempt} = started.value;
+    const {response, reservation, document, attempt} = started.value;
     if (response.status !== eventStreamStatus) {
       attempt.close();
       reservation.load.release();
@@ -223,12 +236,8 @@
       kind: 'resumed',
       upstream: reservation.upstream.document.name,
       afterEvent: state.lastEventId ?? 0,
-      softwareVersion: softwareVersionOf(reservation),
+      softwareVersion: document.spec.softwareVersion ?? '',
     });
     return started.value;
   }
 }
-
-function softwareVersionOf({upstream}: EngineReservation): string {
-  return upstream.document.spec.softwareVersion ?? '';
-}
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -4,12 +4,17 @@
  */
 
 import {Result} from 'true-myth';
-import type {Beat} from '../generated/messages/persimmonwick/beat.js';
+import type {
+  Beat,
+  StreamOriginMessage,
+  StreamOriginRecord,
+} from '../generated/messages/persimmonwick/beat.js';
 import {maximumTraitLength} from './crash-traits.js';
 import {
   maximumReportedEntries,
   maximumReportedTraits,
 } from './request-quarantine.js';
+import {streamKeyLength} from './stream-key.js';
 import {maximumReportedLimits} from './upstream-request-limits.js';
 
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
@@ -70,6 +75,44 @@
   return Result.ok(heartbeat);
 }
 
+/** Returns `message` if all its values are plausible, else the first fault. */
+export function checkStreamOriginMessage(
+  message: StreamOriginMessage,
+): Result<StreamOriginMessage, string> {
+  const {content} = message;
+  switch (content?.$case) {
+    case 'record':
+      return isOriginRecord(content.value)
+        ? Result.ok(message)
+        : Result.err('the origin of a stream is not valid');
+    case 'query':
+      return isStreamKey(content.value.key)
+        ? Result.ok(message)
+        : Result.err('the key of a stream is not valid');
+    case 'reply': {
+      const {record} = content.value;
+      return record === undefined || isOriginRecord(record)
+        ? Result.ok(message)
+        : Result.err('the origin of a stream is not valid');
+    }
+    case undefined:
+      return Result.err('a message about streams has no content');
+  }
+}
+
+function isOriginRecord(record: StreamOriginRecord): boolean {
+  const {key, pool, softwareVersion} = record;
+  return (
+    isStreamKey(key) &&
+    isName(pool) &&
+    softwareVersion.length <= maximumNameLength
+  );
+}
+
+function isStreamKey(key: string): boolean {
+  return key.length === streamKeyLength;
+}
+
 /** Returns whether `address` is an IPv4 number and a port that can be sent to. */
 export function isHostAddress(address: string): boolean {
   const port = Number(addressPattern.exec(address)?.[2] ?? 0);
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -10,6 +10,8 @@
 import type {PoolRetryBudget} from './pool-retry-budget.js';
 import type {RequestQuarantine} from './request-quarantine.js';
 import type {PassthroughRoute} from './route-table.js';
+import type {SoftwareVersionHistory} from './software-version-history.js';
+import type {StreamOrigins} from './stream-origins.js';
 import type {UpstreamRequestLimits} from './upstream-request-limits.js';
 import type {UpstreamTable} from './upstream-table.js';
 
@@ -23,6 +25,8 @@
   readonly requestLimits: UpstreamRequestLimits;
   readonly retryBudget: PoolRetryBudget;
   readonly quarantine: RequestQuarantine;
+  readonly streamOrigins: StreamOrigins;
+  readonly versionHistory: SoftwareVersionHistory;
   readonly observer: CallObserver;
   /**
    * Called when a reservation is requested and when a stream has ended, to
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -8,13 +8,18 @@
 
 import {setMaxListeners} from 'node:events';
 import {Result} from 'true-myth';
-import type {PoolDocument} from '../generated/documents.js';
+import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import type {RoutedCall} from './call.js';
 import {crashTraitsOf} from './crash-traits.js';
 import {minBy} from './min-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
+import {isServed} from './stream-continuation.js';
 import {maximumPauseMilliseconds} from './upstream-table.js';
-import type {LoadHandle, TrackedUpstream} from './upstream-table.js';
+import type {
+  LoadHandle,
+  TrackedUpstream,
+  UpstreamTable,
+} from './upstream-table.js';
 
 /** Engine memory reserved for one call. */
 export interface EngineReservation {
@@ -30,11 +35,18 @@
   readonly load: LoadHandle;
 }
 
+/** What an engine must meet to take a call. */
+export interface EngineRequirements {
+  readonly avoidedUpstreams: ReadonlySet<string>;
+  /** Version that began the stream; undefined if it has not begun. */
+  readonly softwareVersion: string | undefined;
+}
+
 interface QueuedCall {
   readonly call: RoutedCall;
   readonly tokens: number;
   readonly signal: AbortSignal;
-  readonly avoidedUpstreams: ReadonlySet<string>;
+  readonly requirements: EngineRequirements;
   readonly queueDeadline: number;
   readonly settle: (
     result: Result<EngineReservation, 'expired' | 'cancelled'>,
@@ -103,7 +115,7 @@
     call: RoutedCall,
     tokens: number,
     queueDeadline: number,
-    avoidedUpstreams: ReadonlySet<string>,
+    requirements: EngineRequirements,
     signal: AbortSignal,
   ): Promise<Result<EngineReservation, 'expired' | 'cancelled'>> {
     return new Promise(resolve => {
@@ -111,7 +123,7 @@
         call,
         tokens: (Math.ceil(tokens / memoryBlockTokens) + 1) * memoryBlockTokens,
         signal,
-        avoidedUpstreams,
+        requirements,
         queueDeadline,
         isReserving: false,
         settle: result => {
@@ -186,7 +198,8 @@
       if (entry.isReserving) continue;
       if (
         now + waitBehind(ahead) >= entry.queueDeadline ||
-        this.isQuarantined(entry)
+        this.isQuarantined(entry) ||
+        !this.isVersionServed(entry)
       )
         entry.settle(Result.err('expired'));
       else ahead += 1;
@@ -196,8 +209,9 @@
       // No call overtakes one that waits for memory, because large calls would
       // starve.
       if (upstream === undefined) {
-        // One that avoids engines waits for fewer of them than the others.
-        if (entry.avoidedUpstreams.size === 0) break;
+        // One with requirements waits for fewer engines than the others.
+        const {avoidedUpstreams, softwareVersion} = entry.requirements;
+        if (avoidedUpstreams.size === 0 && softwareVersion === undefined) break;
         continue;
       }
       entry.isReserving = true;
@@ -217,6 +231,17 @@
     return this.parts.quarantine.findQuarantined(traits) !== undefined;
   }
 
+  private isVersionServed({requirements}: QueuedCall): boolean {
+    const {softwareVersion} = requirements;
+    return (
+      softwareVersion === undefined ||
+      isServed(
+        softwareVersion,
+        decodeVersionsOf(this.parts.upstreams, this.currentPool()),
+      )
+    );
+  }
+
   /**
    * Calls that can still meet their target come first, ordered by urgency and
    * arrival.
@@ -239,7 +264,7 @@
   }
 
   private chooseEngine(
-    {tokens, avoidedUpstreams, call}: QueuedCall,
+    {tokens, requirements, call}: QueuedCall,
     now: number,
   ): TrackedUpstream | undefined {
     const {upstreams, requestLimits, random, observer} = this.parts;
@@ -249,7 +274,7 @@
     const slots = pool.spec.engine?.slots ?? Infinity;
     const candidates = upstreams
       .acceptingOf(pool)
-      .filter(({document}) => canDecode(document.labels ?? {}))
+      .filter(({document}) => meetsRequirements(document, requirements))
       .map(upstream => {
         const reported = upstreams.reportedLoad(upstream.document.name);
         const usedTokens =
@@ -264,7 +289,6 @@
         ({upstream, hasCapacity}) =>
           now >= upstream.reservationBackoffUntil &&
           upstream.health.isUsable(now) &&
-          !avoidedUpstreams.has(upstream.document.name) &&
           requestLimits.canSend(upstream.document.name, requests) &&
           (hasCapacity ||
             now - upstream.lastReservationAttemptAt >=
@@ -379,3 +403,29 @@
 export function canDecode(labels: Readonly<Record<string, string>>): boolean {
   return labels['stage'] !== 'prefill';
 }
+
+/** Returns whether an engine may take a call with `requirements`. */
+export function meetsRequirements(
+  {name, labels = {}, spec}: UpstreamDocument,
+  {avoidedUpstreams, softwareVersion}: EngineRequirements,
+): boolean {
+  return (
+    canDecode(labels) &&
+    !avoidedUpstreams.has(name) &&
+    (softwareVersion === undefined ||
+      softwareVersion === (spec.softwareVersion ?? ''))
+  );
+}
+
+/** Versions of the decode engines of `pool` that are not leaving. */
+export function decodeVersionsOf(
+  upstreams: UpstreamTable,
+  pool: PoolDocument,
+): ReadonlySet<string> {
+  return new Set(
+    upstreams
+      .liveOf(pool)
+      .filter(({document}) => canDecode(document.labels ?? {}))
+      .map(({document}) => document.spec.softwareVersion ?? ''),
+  );
+}
--- /dev/null
+++ b/packages/coordination/src/passthrough/stream-continuations.ts
@@ -0,0 +1,88 @@
+/** Finds what may continue the streams that callers take up. */
+
+import {Result} from 'true-myth';
+import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
+import type {RequestFailure} from '../requests/failure.js';
+import {continuationRefused} from './call-failures.js';
+import type {RoutedCall} from './call.js';
+import type {GenerationState} from './generation-run.js';
+import type {PassthroughParts} from './passthrough-parts.js';
+import {decodeVersionsOf} from './reservation-queue.js';
+import {decideContinuation} from './stream-continuation.js';
+import type {SoleOrigin} from './stream-continuation.js';
+import {streamKeyOf} from './stream-key.js';
+
+/** What may run a generation. */
+export interface GenerationTarget {
+  readonly pool: PoolDocument;
+  /** The only version that may run it; undefined if any may. */
+  readonly softwareVersion: string | undefined;
+}
+
+/** Returns whether `call` takes up a stream of which its caller has events. */
+export function isContinuation(call: RoutedCall): boolean {
+  return call.originCallId !== undefined || (call.lastEventId ?? 0) > 0;
+}
+
+export class StreamContinuations {
+  constructor(private readonly parts: PassthroughParts) {}
+
+  /** Finds what may continue the stream that `call` takes up. */
+  async find(
+    call: RoutedCall,
+  ): Promise<Result<GenerationTarget, RequestFailure>> {
+    const {clock, upstreams, observer} = this.parts;
+    const startedAt = clock.now();
+    const known = await this.findOrigin(call);
+    const decision = decideContinuation(call.route, known, pool =>
+      decodeVersionsOf(upstreams, pool),
+    );
+    const {pool, softwareVersion} = known?.origin ?? noOrigin;
+    observer(call.id, {
+      kind: 'taken-up',
+      origin: call.originCallId ?? '',
+      afterEvent: call.lastEventId ?? 0,
+      pool,
+      softwareVersion,
+      source: known?.source ?? '',
+      waited: clock.now() - startedAt,
+      outcome: decision.kind === 'continue' ? 'continued' : decision.reason,
+    });
+    return decision.kind === 'continue'
+      ? Result.ok(decision)
+      : Result.err(continuationRefused(decision.reason));
+  }
+
+  /** Records that an engine is about to send the first event of a stream. */
+  recordBegin(state: GenerationState, {spec}: UpstreamDocument): void {
+    const softwareVersion = spec.softwareVersion ?? '';
+    state.softwareVersion ??= softwareVersion;
+    const {call, pool} = state;
+    this.parts.streamOrigins.publish(
+      streamKeyOf(call, call.originCallId ?? call.id),
+      {pool: pool.name, softwareVersion: state.softwareVersion},
+    );
+  }
+
+  private async findOrigin(call: RoutedCall): Promise<SoleOrigin | undefined> {
+    const {streamOrigins, versionHistory} = this.parts;
+    if (call.originCallId !== undefined) {
+      const known = await streamOrigins.find(
+        streamKeyOf(call, call.originCallId),
+      );
+      if (known !== undefined) return known;
+    }
+    // A route with several pools does not show which of them began the stream.
+    const [first, ...others] = call.route.pools;
+    if (first === undefined || others.length > 0) return undefined;
+    const softwareVersion = await versionHistory.findSoleVersion(first.pool);
+    return softwareVersion === undefined
+      ? undefined
+      : {
+          origin: {pool: first.pool.name, softwareVersion},
+          source: 'sole-version',
+        };
+  }
+}
+
+const noOrigin = {pool: '', softwareVersion: ''};
--- /dev/null
+++ b/packages/coordination/src/passthrough/stream-origins.ts
@@ -0,0 +1,182 @@
+/**
+ * Remembers by which pool and software version each stream was begun, so that any
+ * host can continue it there. A host tells a few others before it passes on the
+ * first event. A host that takes up a stream asks them.
+ */
+
+import type {Clock} from '../clock.js';
+import type {StreamOriginMessage} from '../generated/messages/persimmonwick/beat.js';
+import type {FailureDomainId} from '../ids.js';
+import {BoundedMap} from './bounded-map.js';
+import {keepersOf, likelyKeepersOf} from './stream-origin-keepers.js';
+import type {FleetMember} from './stream-origin-keepers.js';
+
+/** What began a stream, and alone may continue it. */
+export interface StreamOrigin {
+  readonly pool: string;
+  /** Empty if the upstream publishes none. */
+  readonly softwareVersion: string;
+}
+
+/** How a host came to know an origin. */
+export type OriginSource = 'own' | 'peer';
+
+export interface KnownOrigin {
+  readonly origin: StreamOrigin;
+  readonly source: OriginSource;
+}
+
+export interface StreamOriginsParts {
+  readonly clock: Clock;
+  readonly failureDomain: FailureDomainId;
+  readonly members: () => readonly FleetMember[];
+  /** Sends a datagram, which may be lost. */
+  readonly send: (address: string, message: StreamOriginMessage) => void;
+}
+
+interface StoredOrigin {
+  readonly origin: StreamOrigin;
+  readonly storedAt: number;
+}
+
+interface PendingQuery {
+  readonly unanswered: Set<string>;
+  readonly settle: (origin: StreamOrigin | undefined) => void;
+}
+
+/** Longer than a caller goes on taking up one stream. */
+const originLifetimeMilliseconds = 120_000;
+
+/** Bound of the memory for origins; the oldest ones are dropped. */
+const maximumOrigins = 16_384;
+
+/** Time after which a question without an answer is sent again. */
+const repeatMilliseconds = 60;
+
+/** Times that a question is sent. */
+const maximumQuestions = 3;
+
+/** Time for which answers are awaited after the last question. */
+const lastAnswerMilliseconds = 180;
+
+const maximumQueryNumber = 2 ** 32;
+
+export class StreamOrigins {
+  private readonly origins = new BoundedMap<string, StoredOrigin>(
+    maximumOrigins,
+  );
+  private readonly queries = new Map<number, PendingQuery>();
+  private lastQueryNumber = 0;
+
+  constructor(private readonly parts: StreamOriginsParts) {}
+
+  /** Number of origins in memory, with those of other hosts. */
+  get size(): number {
+    return this.origins.size;
+  }
+
+  /** Records what began a stream, here and at its keepers. */
+  publish(key: string, origin: StreamOrigin): void {
+    this.store(key, origin);
+    const {members, failureDomain, send} = this.parts;
+    const message: StreamOriginMessage = {
+      content: {$case: 'record', value: {key, ...origin}},
+    };
+    for (const {address} of keepersOf(key, members(), failureDomain))
+      send(address, message);
+  }
+
+  /**
+   * Resolves with the origin of a stream; undefined if no host that answers in
+   * time knows it.
+   */
+  async find(key: string): Promise<KnownOrigin | undefined> {
+    const own = this.load(key);
+    if (own !== undefined) return {origin: own, source: 'own'};
+    const reported = await this.ask(key);
+    if (reported === undefined) return undefined;
+    this.store(key, reported);
+    return {origin: reported, source: 'peer'};
+  }
+
+  /** Processes a message of the host at `address`. */
+  receive(address: string, {content}: StreamOriginMessage): void {
+    switch (content?.$case) {
+      case 'record': {
+        const {key, pool, softwareVersion} = content.value;
+        this.store(key, {pool, softwareVersion});
+        return;
+      }
+      case 'query': {
+        const {number, key} = content.value;
+        const origin = this.load(key);
+        const record = origin === undefined ? undefined : {key, ...origin};
+        const value = {number, record};
+        this.parts.send(address, {content: {$case: 'reply', value}});
+        return;
+      }
+      case 'reply':
+        this.recordReply(address, content.value.number, content.value.record);
+        return;
+      case undefined:
+    }
+  }
+
+  private recordReply(
+    address: string,
+    number: number,
+    origin: StreamOrigin | undefined,
+  ): void {
+    const query = this.queries.get(number);
+    if (query === undefined || !query.unanswered.delete(address)) return;
+    if (origin !== undefined) {
+      const {pool, softwareVersion} = origin;
+      query.settle({pool, softwareVersion});
+    } else if (query.unanswered.size === 0) query.settle(undefined);
+  }
+
+  /** Asks the likely keepers until one knows the origin or all have answered. */
+  private async ask(key: string): Promise<StreamOrigin | undefined> {
+    const {clock, members, failureDomain, send} = this.parts;
+    const asked = likelyKeepersOf(key, members(), failureDomain);
+    if (asked.length === 0) return undefined;
+    this.lastQueryNumber = (this.lastQueryNumber + 1) % maximumQueryNumber;
+    const number = this.lastQueryNumber;
+    const unanswered = new Set(asked.map(({address}) => address));
+    const answered = new AbortController();
+    let found: StreamOrigin | undefined;
+    const settle = (origin: StreamOrigin | undefined) => {
+      found = origin;
+      answered.abort();
+    };
+    this.queries.set(number, {unanswered, settle});
+    for (let questions = 1; questions <= maximumQuestions; questions += 1) {
+      for (const address of unanswered)
+        send(address, {content: {$case: 'query', value: {number, key}}});
+      const isLast = questions === maximumQuestions;
+      await clock.sleep(
+        isLast ? lastAnswerMilliseconds : repeatMilliseconds,
+        answered.signal,
+      );
+      if (answered.signal.aborted) break;
+    }
+    this.queries.delete(number);
+    return found;
+  }
+
+  private store(key: string, origin: StreamOrigin): void {
+    const storedAt = this.parts.clock.now();
+    this.origins.set(key, {origin, storedAt});
+    for (const [oldestKey, oldest] of this.origins.entries()) {
+      if (storedAt - oldest.storedAt <= originLifetimeMilliseconds) return;
+      this.origins.delete(oldestKey);
+    }
+  }
+
+  private load(key: string): StreamOrigin | undefined {
+    const stored = this.origins.get(key);
+    if (stored === undefined) return undefined;
+    const age = this.parts.clock.now() - stored.storedAt;
+    return age <= originLifetimeMilliseconds ? stored.origin : undefined;
+  }
+}
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -263,7 +263,7 @@
   }
 
   /** Listed upstreams of `pool` that are not leaving. */
-  private liveOf(pool: PoolDocument): TrackedUpstream[] {
+  liveOf(pool: PoolDocument): TrackedUpstream[] {
     return [...this.listedUpstreams.values()]
       .filter(
         document =>
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -26,6 +26,7 @@
   | 'no-upstream'
   | 'prompt-quarantined'
   | 'request-quarantined'
+  | 'stream-not-resumable'
   | 'upstream-failed'
   | 'upstream-timeout'
   | 'caller-gone'
@@ -83,6 +84,7 @@
     case 'no-upstream':
     case 'prompt-quarantined':
     case 'request-quarantined':
+    case 'stream-not-resumable':
     case 'claim-unavailable':
     case 'draining':
     case 'not-ready':
--- a/packages/coordination/test/event-relay.test.ts
+++ b/packages/coordination/test/event-relay.test.ts
@@ -44,6 +44,7 @@
       load: {setMemoryTokens: () => undefined},
     },
     baselineInterval: {record: () => 1},
+    onBegin: () => undefined,
     onFirstEvent: () => undefined,
   } as never);
   return {relay, clock};
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -217,6 +217,7 @@
       resume() {},
     },
     baselineInterval: {},
+    onBegin: () => undefined,
     onFirstEvent: () => (cleared += 1),
   } as never);
   const {value} = await relay.next();
@@ -260,6 +261,7 @@
       resume() {},
     },
     baselineInterval: {},
+    onBegin: () => undefined,
     onFirstEvent: () => (cleared += 1),
   } as never);
   for await (const _ of relay);
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -4,6 +4,8 @@
   EngineReleases,
   PoolRetryBudget,
   RequestQuarantine,
+  SoftwareVersionHistory,
+  StreamOrigins,
   UpstreamTable,
   VirtualClock,
   failureDomainId,
@@ -79,12 +81,24 @@
       onChange: () => undefined,
       onLearned: () => undefined,
     }),
+    streamOrigins: new StreamOrigins({
+      clock,
+      failureDomain: failureDomainId('zone-a'),
+      members: () => [],
+      send: () => undefined,
+    }),
+    versionHistory: new SoftwareVersionHistory({clock, isFirstStart: true}),
   };
   const tracked = (name: string) =>
     upstreams.acceptingOf(pool).find(each => each.document.name === name)!;
   return {clock, parts, tracked};
 }
 
+const avoiding = (...names: string[]) => ({
+  avoidedUpstreams: new Set(names),
+  softwareVersion: undefined,
+});
+
 const callAt = (arrivedAt: number) =>
   ({
     id: `call-${arrivedAt}`,
@@ -112,7 +126,7 @@
   const search = new AbortController();
   let outcome: unknown = 'pending';
   void queue
-    .reserve(callAt(0), 150, 2500, new Set(), search.signal)
+    .reserve(callAt(0), 150, 2500, avoiding(), search.signal)
     .then(result => (outcome = result.isOk ? 'ok' : result.error));
   await clock.advance(10);
   search.abort();
@@ -141,12 +155,14 @@
   }
   const queue = new ReservationQueue(parts, () => pool);
   const {signal} = new AbortController();
-  void queue.reserve(callAt(0), 150, 14_000, new Set(['d-1']), signal);
+  void queue.reserve(callAt(0), 150, 14_000, avoiding('d-1'), signal);
   await clock.advance(100);
   let reservedAt = Infinity;
-  void queue.reserve(callAt(100), 150, 2600, new Set(), signal).then(result => {
-    if (result.isOk) reservedAt = clock.now();
-  });
+  void queue
+    .reserve(callAt(100), 150, 2600, avoiding(), signal)
+    .then(result => {
+      if (result.isOk) reservedAt = clock.now();
+    });
   await clock.advance(2000);
   queue.close();
   t.true(reservedAt <= 300, `reserved at ${reservedAt} ms`);
--- /dev/null
+++ b/packages/coordination/test/stream-origins.test.ts
@@ -0,0 +1,302 @@
+import test from 'ava';
+import {
+  SoftwareVersionHistory,
+  StreamOrigins,
+  VirtualClock,
+  failureDomainId,
+  hostId,
+  seededRandom,
+} from '../src/index.js';
+import type {StreamOriginMessage, UpstreamDocument} from '../src/index.js';
+import type {PoolDocument} from '../src/generated/documents.js';
+import {
+  keepersOf,
+  likelyKeepersOf,
+} from '../src/passthrough/stream-origin-keepers.js';
+import type {FleetMember} from '../src/passthrough/stream-origin-keepers.js';
+import {decideContinuation} from '../src/passthrough/stream-continuation.js';
+import type {PassthroughRoute} from '../src/passthrough/route-table.js';
+
+const origin = {pool: 'engines', softwareVersion: 'v1'};
+
+function createMembers(hosts: number, domains: number): FleetMember[] {
+  return Array.from({length: hosts}, (_, index) => ({
+    host: hostId(`host-${index}`),
+    failureDomain: failureDomainId(`zone-${index % domains}`),
+    address: `host-${index}`,
+    isLive: true,
+  }));
+}
+
+/** Hosts that exchange messages without delay, unless they are lost. */
+class OriginFleet {
+  readonly clock = new VirtualClock();
+  readonly random = seededRandom(7);
+  readonly deadHosts = new Set<string>();
+  readonly cutDomains = new Set<string>();
+  lossShare = 0;
+  sentMessages = 0;
+  private readonly origins: StreamOrigins[];
+
+  constructor(readonly members: readonly FleetMember[]) {
+    this.origins = members.map(
+      self =>
+        new StreamOrigins({
+          clock: this.clock,
+          failureDomain: self.failureDomain,
+          members: () => members.filter(each => each !== self),
+          send: (address, message) => this.deliver(self, address, message),
+        }),
+    );
+  }
+
+  host(index: number): StreamOrigins {
+    return this.origins[index]!;
+  }
+
+  /** Lets time pass until `work` resolves. */
+  async finish<Value>(work: Promise<Value>): Promise<Value> {
+    let isDone = false;
+    void work.then(() => (isDone = true));
+    for (let steps = 0; steps < 100 && !isDone; steps += 1)
+      await this.clock.advance(10);
+    return work;
+  }
+
+  private deliver(
+    from: FleetMember,
+    address: string,
+    message: StreamOriginMessage,
+  ): void {
+    this.sentMessages += 1;
+    const index = this.members.findIndex(each => each.address === address);
+    const to = this.members[index]!;
+    const isCut =
+      from.failureDomain !== to.failureDomain &&
+      (this.cutDomains.has(from.failureDomain) ||
+        this.cutDomains.has(to.failureDomain));
+    if (isCut || this.deadHosts.has(address)) return;
+    if (this.random.next() < this.lossShare) return;
+    void this.clock.sleep(2).then(() => {
+      this.origins[index]!.receive(from.address, message);
+    });
+  }
+}
+
+/** Share of streams of host 0 whose origin another host finds. */
+async function foundShare(
+  fleet: OriginFleet,
+  readers: readonly number[],
+): Promise<number> {
+  const streams = 200;
+  for (let index = 0; index < streams; index += 1)
+    fleet.host(0).publish(`stream-${index}`, origin);
+  await fleet.clock.advance(10);
+  fleet.deadHosts.add('host-0');
+  let found = 0;
+  for (let index = 0; index < streams; index += 1) {
+    const reader = readers[index % readers.length]!;
+    const known = await fleet.finish(
+      fleet.host(reader).find(`stream-${index}`),
+    );
+    if (known !== undefined) found += 1;
+  }
+  return found / streams;
+}
+
+for (const [hosts, domains] of [
+  [6, 3],
+  [195, 5],
+  [361, 7],
+] as const) {
+  const others = Array.from({length: 20}, (_, index) => 1 + (index % 5));
+
+  test(`${hosts} hosts: an origin outlives the host that told it`, async t => {
+    const fleet = new OriginFleet(createMembers(hosts, domains));
+    t.is(await foundShare(fleet, others), 1);
+    t.true(fleet.sentMessages <= 200 * (4 + 8 + 8), 'messages of one stream');
+  });
+
+  test(`${hosts} hosts: an origin is known in the cut domain of its host`, async t => {
+    const fleet = new OriginFleet(createMembers(hosts, domains));
+    fleet.cutDomains.add('zone-0');
+    t.is(await foundShare(fleet, [domains]), 1);
+  });
+
+  test(`${hosts} hosts: an origin outlives the failure domain of its host`, async t => {
+    const fleet = new OriginFleet(createMembers(hosts, domains));
+    for (const {host, failureDomain} of fleet.members)
+      if (failureDomain === failureDomainId('zone-0'))
+        fleet.deadHosts.add(host);
+    fleet.deadHosts.delete('host-0');
+    t.is(await foundShare(fleet, [1, 2]), 1);
+  });
+
+  test(`${hosts} hosts: a tenth of the datagrams may be lost`, async t => {
+    const fleet = new OriginFleet(createMembers(hosts, domains));
+    fleet.lossShare = 0.1;
+    t.true((await foundShare(fleet, others)) > 0.97);
+  });
+}
+
+test('hosts that believe others to be silent ask the same keepers', t => {
+  const members = createMembers(195, 5);
+  const random = seededRandom(3);
+  let known = 0;
+  for (let index = 0; index < 200; index += 1) {
+    const view = () =>
+      members.map(each => ({...each, isLive: random.next() > 0.1}));
+    const domain = failureDomainId('zone-1');
+    const keepers = keepersOf(`${index}`, view(), domain);
+    const asked = likelyKeepersOf(`${index}`, view(), domain);
+    const names = new Set<string>(asked.map(({host}) => host));
+    if (keepers.some(({host}) => names.has(host))) known += 1;
+  }
+  t.true(known >= 199, `${known} of 200`);
+});
+
+test('an unknown stream is reported as soon as all keepers have answered', async t => {
+  const fleet = new OriginFleet(createMembers(6, 3));
+  const startedAt = fleet.clock.now();
+  t.is(await fleet.finish(fleet.host(1).find('unknown')), undefined);
+  t.true(fleet.clock.now() - startedAt <= 20);
+});
+
+test('hosts that do not answer delay an unknown stream by 300 ms at most', async t => {
+  const fleet = new OriginFleet(createMembers(6, 3));
+  for (const {host} of fleet.members) fleet.deadHosts.add(host);
+  const startedAt = fleet.clock.now();
+  t.is(await fleet.finish(fleet.host(1).find('unknown')), undefined);
+  t.true(fleet.clock.now() - startedAt <= 310);
+});
+
+test('a reply from a host that was not asked is ignored', async t => {
+  const fleet = new OriginFleet(createMembers(6, 3));
+  for (const {host} of fleet.members) fleet.deadHosts.add(host);
+  const finding = fleet.host(1).find('stream');
+  const record = {key: 'stream', ...origin};
+  const value = {number: 1, record};
+  fleet.host(1).receive('elsewhere', {content: {$case: 'reply', value}});
+  t.is(await fleet.finish(finding), undefined);
+});
+
+test('origins are forgotten and their number is bounded', async t => {
+  const fleet = new OriginFleet(createMembers(1, 1));
+  const host = fleet.host(0);
+  for (let index = 0; index < 20_000; index += 1)
+    host.publish(`stream-${index}`, origin);
+  t.is(host.size, 16_384);
+  await fleet.clock.advance(121_000);
+  t.is(await host.find('stream-19999'), undefined);
+  host.publish('new', origin);
+  t.is(host.size, 1);
+});
+
+const enginePool = {
+  kind: 'Pool',
+  name: 'engines',
+  spec: {upstreams: {matchLabels: {use: 'engines'}}},
+} as unknown as PoolDocument;
+
+const engine = (name: string, softwareVersion?: string): UpstreamDocument => ({
+  kind: 'Upstream',
+  name,
+  labels: {use: 'engines'},
+  spec: {address: `${name}:80`, failureDomain: 'a', softwareVersion},
+});
+
+/** Reads `upstreams` every 800 ms, also after the returned search began. */
+async function findSole(
+  clock: VirtualClock,
+  history: SoftwareVersionHistory,
+  upstreams: readonly UpstreamDocument[],
+): Promise<string | undefined> {
+  const finding = history.findSoleVersion(enginePool);
+  await read(clock, history, upstreams, 2000);
+  return finding;
+}
+
+async function read(
+  clock: VirtualClock,
+  history: SoftwareVersionHistory,
+  upstreams: readonly UpstreamDocument[],
+  milliseconds: number,
+): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 800) {
+    await clock.advance(800);
+    history.record(upstreams, clock.now());
+  }
+}
+
+test('the only version since the first start began any stream', async t => {
+  const clock = new VirtualClock();
+  const history = new SoftwareVersionHistory({clock, isFirstStart: true});
+  await read(clock, history, [engine('d-1', 'v1')], 3000);
+  t.is(await findSole(clock, history, [engine('d-1', 'v1')]), 'v1');
+});
+
+test('a host that started later knows the only version after two minutes', async t => {
+  const clock = new VirtualClock();
+  const history = new SoftwareVersionHistory({clock, isFirstStart: false});
+  await read(clock, history, [engine('d-1', 'v1')], 100_000);
+  t.is(await findSole(clock, history, [engine('d-1', 'v1')]), undefined);
+  await read(clock, history, [engine('d-1', 'v1')], 21_000);
+  t.is(await findSole(clock, history, [engine('d-1', 'v1')]), 'v1');
+});
+
+test('a version that served within two minutes may have begun the stream', async t => {
+  const clock = new VirtualClock();
+  const history = new SoftwareVersionHistory({clock, isFirstStart: true});
+  await read(clock, history, [engine('d-1', 'v1'), engine('d-2', 'v2')], 3000);
+  await read(clock, history, [engine('d-2', 'v2')], 100_000);
+  t.is(await findSole(clock, history, [engine('d-2', 'v2')]), undefined);
+  await read(clock, history, [engine('d-2', 'v2')], 25_000);
+  t.is(await findSole(clock, history, [engine('d-2', 'v2')]), 'v2');
+});
+
+test('a version that is read only after the stream was taken up counts', async t => {
+  const clock = new VirtualClock();
+  const history = new SoftwareVersionHistory({clock, isFirstStart: true});
+  await read(clock, history, [engine('d-1', 'v1')], 3000);
+  const both = [engine('d-1', 'v1'), engine('d-2', 'v2')];
+  t.is(await findSole(clock, history, both), undefined);
+});
+
+test('a gap between reads, or no read, proves no version', async t => {
+  const clock = new VirtualClock();
+  const history = new SoftwareVersionHistory({clock, isFirstStart: true});
+  await read(clock, history, [engine('d-1', 'v1')], 3000);
+  const finding = history.findSoleVersion(enginePool);
+  await clock.advance(2500);
+  t.is(await finding, undefined, 'no read');
+  await read(clock, history, [engine('d-1', 'v1')], 3000);
+  t.is(await findSole(clock, history, [engine('d-1', 'v1')]), undefined);
+});
+
+const route = {
+  pools: [{pool: enginePool, weight: 1}],
+} as unknown as PassthroughRoute;
+const decide = (softwareVersion: string, ...versions: string[]) =>
+  decideContinuation(
+    route,
+    {origin: {pool: 'engines', softwareVersion}, source: 'own'},
+    () => new Set(versions),
+  );
+
+test('a stream continues only at its version and pool', t => {
+  t.is(decide('v1', 'v1', 'v2').kind, 'continue');
+  t.like(decide('v1', 'v2'), {reason: 'version-gone'});
+  t.is(decide('', '').kind, 'continue', 'no upstream publishes a version');
+  t.like(decide('', '', 'v2'), {reason: 'version-gone'});
+  const other = {origin: {...origin, pool: 'others'}, source: 'own'} as const;
+  t.like(
+    decideContinuation(route, other, () => new Set(['v1'])),
+    {
+      reason: 'pool-gone',
+    },
+  );
+  t.like(
+    decideContinuation(route, undefined, () => new Set(['v1'])),
+    {reason: 'unknown-origin'},
+  );
+});
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -326,7 +326,16 @@
     number: 3112,
     level: 'info',
     text: 'a caller takes up a stream that an earlier call began',
-    fields: ['request', 'origin', 'afterEvent', 'upstream', 'softwareVersion'],
+    fields: [
+      'request',
+      'origin',
+      'afterEvent',
+      'pool',
+      'softwareVersion',
+      'source',
+      'waited',
+      'outcome',
+    ],
   },
 } as const satisfies Record<string, LogEventDefinition>;
 
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -136,6 +136,7 @@
     case 'target-unreachable':
     case 'no-upstream':
     case 'claim-unavailable':
+    case 'stream-not-resumable':
     case 'draining':
     case 'not-ready':
     case 'upstream-failed':
--- a/packages/daemon/src/passthrough/heartbeat-socket.ts
+++ b/packages/daemon/src/passthrough/heartbeat-socket.ts
@@ -1,13 +1,26 @@
-/** Sends and receives heartbeats between hosts as UDP datagrams. */
+/** Sends and receives the messages between hosts as UDP datagrams. */
 
 import {createSocket} from 'node:dgram';
 import type {Socket} from 'node:dgram';
 import {once} from 'node:events';
-import {Beat, checkHeartbeat, isHostAddress} from '@persimmonwick/coordination';
-import type {HeartbeatSender} from '@persimmonwick/coordination';
+import {
+  Beat,
+  checkHeartbeat,
+  checkStreamOriginMessage,
+  isHostAddress,
+} from '@persimmonwick/coordination';
+import type {
+  HeartbeatSender,
+  StreamOriginMessage,
+} from '@persimmonwick/coordination';
 
 export interface HeartbeatSocketParts {
   readonly onHeartbeat: (heartbeat: Beat) => void;
+  /** Receives a message about streams from the host at `address`. */
+  readonly onStreamOrigin: (
+    address: string,
+    message: StreamOriginMessage,
+  ) => void;
   /**
    * Called when a datagram can't be decoded or sent, and when the socket fails.
    * `address` is the peer's, or the local one if the socket failed.
@@ -15,8 +28,14 @@
   readonly onError: (address: string, reason: string) => void;
 }
 
+const emptyHeartbeat = Beat.decode(new Uint8Array());
+
 export class HeartbeatSocket implements HeartbeatSender {
-  private readonly socket: Socket = createSocket('udp4');
+  private readonly socket: Socket = createSocket({
+    type: 'udp4',
+    // Addresses are numbers. A datagram leaves before `send` returns.
+    lookup: (hostname, _options, callback) => callback(null, hostname, 4),
+  });
 
   constructor(private readonly parts: HeartbeatSocketParts) {}
 
@@ -29,8 +48,9 @@
     this.socket.on('error', error =>
       this.parts.onError(address, error.message),
     );
+    const listening = once(this.socket, 'listening');
     this.socket.bind(port, host);
-    await once(this.socket, 'listening');
+    await listening;
   }
 
   /** IP address and port on which heartbeats are received. */
@@ -39,6 +59,10 @@
     return `${address}:${port}`;
   }
 
+  sendStreamOrigin(address: string, streamOrigin: StreamOriginMessage): void {
+    this.send(address, {...emptyHeartbeat, streamOrigin});
+  }
+
   send(address: string, heartbeat: Beat): void {
     // The socket throws for an address that it cannot send to.
     if (!isHostAddress(address)) {
@@ -63,6 +87,14 @@
       this.parts.onError(from, String(error));
       return;
     }
+    const {streamOrigin} = heartbeat;
+    if (streamOrigin !== undefined) {
+      checkStreamOriginMessage(streamOrigin).match({
+        Ok: checked => this.parts.onStreamOrigin(from, checked),
+        Err: reason => this.parts.onError(from, reason),
+      });
+      return;
+    }
     checkHeartbeat(heartbeat).match({
       Ok: checked => this.parts.onHeartbeat(checked),
       Err: reason => this.parts.onError(from, reason),
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -8,6 +8,8 @@
   RequestQuarantine,
   ReachabilityProbes,
   PoolRetryBudget,
+  SoftwareVersionHistory,
+  StreamOrigins,
   UpstreamRequestLimits,
   UpstreamTable,
   UsageLimiter,
@@ -85,6 +87,8 @@
   private readonly fleet: DiscoveredFleet;
   private readonly fleetChangeLog: FleetChangeLog;
   private readonly heartbeatSocket: HeartbeatSocket;
+  private readonly streamOrigins: StreamOrigins;
+  private readonly versionHistory: SoftwareVersionHistory;
   private readonly host: PassthroughHost;
   private readonly probes: ReachabilityProbes;
   private readonly server: PassthroughServer;
@@ -110,16 +114,21 @@
     const clock = systemClock;
     const random = seededRandom(randomInt(2 ** 31));
     const failureDomain = failureDomainId(settings.failureDomain);
+    const {isFirstStart} = settings;
+    this.versionHistory = new SoftwareVersionHistory({clock, isFirstStart});
     this.platform = new PlatformState({
       clock,
       log,
       upstreams: this.upstreams,
+      versionHistory: this.versionHistory,
       maximumProofAge: () => this.settings.keyProofMilliseconds,
       onLimits: () => this.server.applyLimits(),
       onComplete: () => this.initialReadController.abort(),
     });
     this.heartbeatSocket = new HeartbeatSocket({
       onHeartbeat: heartbeat => this.fleet.receive(heartbeat),
+      onStreamOrigin: (address, message) =>
+        this.streamOrigins.receive(address, message),
       onError: (address, reason) => log.write('beatFailed', {address, reason}),
     });
     this.requestLimits = new UpstreamRequestLimits({
@@ -164,6 +173,13 @@
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
     });
+    this.streamOrigins = new StreamOrigins({
+      clock,
+      failureDomain,
+      members: () => this.fleet.members(),
+      send: (address, message) =>
+        this.heartbeatSocket.sendStreamOrigin(address, message),
+    });
     const hostCount = () => this.fleet.hostCount;
     this.fleetChangeLog = new FleetChangeLog(log, clock, hostCount);
     this.limiter = new UsageLimiter({
@@ -215,6 +231,8 @@
         },
       }),
       quarantine: this.quarantine,
+      streamOrigins: this.streamOrigins,
+      versionHistory: this.versionHistory,
       observer: (requestId, event) => {
         this.metrics.recordEvent(event);
         const version = String(this.platform.versionInForce ?? '');
@@ -347,6 +365,7 @@
       silentHosts: this.fleet.silentHostCount,
       upstreams: this.upstreams.size,
       quarantinedParts: this.quarantine.size,
+      streamOrigins: this.streamOrigins.size,
       configurationVersion: Number(this.platform.versionInForce ?? 0n),
       platformEpoch: this.platform.epochs.current ?? 0,
       proofAgeSeconds: this.platform.freshness.age() / 1000,
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -69,7 +69,10 @@
     }
     case 'taken-up': {
       const {kind: _, ...fields} = event;
-      return log.write('streamTakenUp', {request: requestId, ...fields});
+      return log.write('streamTakenUp', {
+        request: requestId,
+        ...roundNumbers(fields),
+      });
     }
     case 'connection-lost': {
       const {kind: _, ...fields} = event;
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -14,6 +14,7 @@
   readonly silentHosts: number;
   readonly upstreams: number;
   readonly quarantinedParts: number;
+  readonly streamOrigins: number;
   readonly configurationVersion: number;
   /** Restore epoch of the platform's store; 0 if it reports none. */
   readonly platformEpoch: number;
@@ -68,6 +69,7 @@
       'silentHosts',
       'upstreams',
       'quarantinedParts',
+      'streamOrigins',
       'configurationVersion',
       'platformEpoch',
       'proofAgeSeconds',
@@ -145,6 +147,13 @@
       case 'retry-withheld':
         this.decisionCounter.inc({decision: event.kind, outcome: event.limit});
         break;
+      case 'taken-up':
+        this.decisionCounter.inc({
+          decision: event.kind,
+          outcome: event.outcome,
+        });
+        this.recordLatency(event.kind, event.waited);
+        break;
       case 'admitted':
       case 'over-rate':
       case 'retried':
--- a/packages/daemon/src/passthrough/platform-feed.ts
+++ b/packages/daemon/src/passthrough/platform-feed.ts
@@ -30,7 +30,10 @@
   /** Reports that the store was restored from a copy. */
   onRestore(epoch: number): void;
   /** Replaces the list of upstreams. */
-  onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void;
+  onUpstreams(
+    upstreams: ReadonlyMap<string, UpstreamDocument>,
+    readStartedAt: number,
+  ): void;
   /** Reports whether the last read succeeded; only changes are logged. */
   onReachability(isReachable: boolean, reason: string): void;
   /** Reports why one read of `subject` failed. */
--- a/packages/daemon/src/passthrough/platform-state.ts
+++ b/packages/daemon/src/passthrough/platform-state.ts
@@ -15,6 +15,7 @@
   AccountRate,
   Beat,
   Clock,
+  SoftwareVersionHistory,
   UpstreamDocument,
   UpstreamTable,
 } from '@persimmonwick/coordination';
@@ -35,6 +36,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly upstreams: UpstreamTable;
+  readonly versionHistory: SoftwareVersionHistory;
   /** Maximum age of a proof of freshness; undefined if there is no limit. */
   readonly maximumProofAge: () => number | undefined;
   /** Called when the limits for callers have changed. */
@@ -106,6 +108,7 @@
   }
 
   onRestore(epoch: number): void {
+    this.parts.versionHistory.restart();
     this.parts.log.write('platformRestored', {
       epoch,
       version: Number(this.versionInForce ?? 0n),
@@ -132,7 +135,11 @@
     });
   }
 
-  onUpstreams(upstreams: ReadonlyMap<string, UpstreamDocument>): void {
+  onUpstreams(
+    upstreams: ReadonlyMap<string, UpstreamDocument>,
+    readStartedAt: number,
+  ): void {
+    this.parts.versionHistory.record(upstreams.values(), readStartedAt);
     this.hasUpstreams = true;
     this.reportIfComplete();
     logUpstreamChanges(this.parts.log, this.parts.upstreams.replace(upstreams));
