Hand calls over to other hosts when a host reaches no upstream

What callers saw: while hosts had lost their links to all servers, first attempts at them were served 1 of 100 and 4 of 72 times (others 284 of 289), each after a wait of 0.75 s or 2.4 s.

Cause: whether a call can be sent was decided by the links of the host to which its caller came. That host knew within 0.64 s that it reached no upstream (2203), and had no other way for its calls. Class: a fact of one host decides, and the others don't hear it.

Change: a host that can connect to no upstream of a pool reports the pool in its heartbeats, and hands calls for it over to a live host that does not. That host handles the call like one of its own: it checks the key and counts rate, limits, retries and quarantine, each once. It never hands a call on, and declines as not run what it can't send either, after which another one is asked, three in all. A call that may run once and was lost on the way is reported as unknown. Waiting calls are handed over too. 3113 and 3114 log both ends.

Why it works: the other hosts' links are sound, and the balancer need not know.

Tests changed: new required parameters only; no assertion differs.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -302,8 +302,10 @@
 export {
   checkHeartbeat,
   checkStreamOriginMessage,
+  maximumReportedPools,
   isHostAddress,
 } from './passthrough/heartbeat-check.js';
+export type {HandoverTransport} from './passthrough/call-handover.js';
 export {SoftwareVersionHistory} from './passthrough/software-version-history.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -134,6 +134,17 @@
       readonly ahead: number;
       readonly outcome: 'waits' | 'refused';
     }
+  | {
+      readonly kind: 'handed-over';
+      /** The host that the call was handed over to. */
+      readonly peer: string;
+      /** Age of the heartbeat by which it was chosen. */
+      readonly reportAge: number;
+      /** Status code of the response, or the kind of the error. */
+      readonly outcome: string;
+      /** Time until the head of the response. */
+      readonly took: number;
+    }
   | {
       readonly kind: 'quarantine-refused';
       readonly part: string;
--- /dev/null
+++ b/packages/coordination/src/passthrough/call-handover.ts
@@ -0,0 +1,163 @@
+/**
+ * Hands calls over to other hosts, if this host can reach no upstream of their
+ * pools and others can. The other host handles such a call like one of its own
+ * callers: it checks the key, counts the rate, the limits and the retries, and
+ * decides about continued streams. It never hands it over again.
+ */
+
+import {Result} from 'true-myth';
+import type {RequestFailure} from '../requests/failure.js';
+import {
+  callerDisconnected,
+  upstreamFailed,
+  upstreamTimeout,
+} from './call-failures.js';
+import type {
+  PassthroughError,
+  PassthroughResponse,
+  RoutedCall,
+  TransportResult,
+} from './call.js';
+import {provesCallNotRun} from './call.js';
+import type {FleetMember} from './fleet-member.js';
+import {chooseHandoverHost} from './handover-choice.js';
+import type {PassthroughParts} from './passthrough-parts.js';
+
+/** Sends calls to other hosts. Its promises never reject. */
+export interface HandoverTransport {
+  /**
+   * Sends a call and resolves with the head of the response. The error `refused`
+   * means that the other host can't handle the call, and did not run it.
+   */
+  handOver(
+    address: string,
+    call: RoutedCall,
+    remainingMilliseconds: number,
+    signal: AbortSignal,
+  ): TransportResult<PassthroughResponse>;
+}
+
+type CallResult = Result<PassthroughResponse, RequestFailure>;
+
+/** Hosts that are asked to take over one call. */
+const maximumHosts = 3;
+
+export class CallHandover {
+  private readonly callCounts = new Map<string, number>();
+
+  constructor(private readonly parts: PassthroughParts) {}
+
+  /**
+   * Hands a call over, if `isHandoverNeeded`. Resolves with undefined if no host
+   * takes it, and it has not run.
+   */
+  async forward(
+    call: RoutedCall,
+    signal: AbortSignal,
+  ): Promise<CallResult | undefined> {
+    const {clock} = this.parts;
+    const {repeatable, maximumTries} = call.route.target;
+    const triedHosts = new Set<string>();
+    let possibleRuns = 0;
+    while (triedHosts.size < maximumHosts) {
+      const member = chooseHost(this.parts, call, triedHosts, this.callCounts);
+      if (member === undefined) break;
+      triedHosts.add(member.host);
+      const response = await this.handOverTo(member, call, signal);
+      if (response.isOk) return Result.ok(response.value);
+      if (signal.aborted) return Result.err(callerDisconnected);
+      if (provesCallNotRun(response.error)) continue;
+      possibleRuns += 1;
+      if (clock.now() >= call.deadline) return Result.err(upstreamTimeout);
+      if (!repeatable || possibleRuns >= maximumTries) break;
+    }
+    return possibleRuns > 0 ? Result.err(upstreamFailed) : undefined;
+  }
+
+  private async handOverTo(
+    {host, handoverAddress, reportAgeMilliseconds}: FleetMember,
+    call: RoutedCall,
+    signal: AbortSignal,
+  ): Promise<Result<PassthroughResponse, PassthroughError>> {
+    const {clock, handoverTransport, observer} = this.parts;
+    const startedAt = clock.now();
+    this.addCalls(host, 1);
+    const response = await handoverTransport.handOver(
+      handoverAddress,
+      call,
+      call.deadline - startedAt,
+      signal,
+    );
+    observer(call.id, {
+      kind: 'handed-over',
+      peer: host,
+      reportAge: reportAgeMilliseconds,
+      outcome: response.isOk
+        ? String(response.value.status)
+        : response.error.kind,
+      took: clock.now() - startedAt,
+    });
+    if (response.isErr) {
+      this.addCalls(host, -1);
+      return Result.err(response.error);
+    }
+    const body = this.relay(host, response.value.body);
+    return Result.ok({...response.value, body});
+  }
+
+  private async *relay(
+    host: string,
+    body: AsyncIterable<Uint8Array>,
+  ): AsyncGenerator<Uint8Array> {
+    try {
+      yield* body;
+    } finally {
+      this.addCalls(host, -1);
+    }
+  }
+
+  private addCalls(host: string, count: number): void {
+    const calls = (this.callCounts.get(host) ?? 0) + count;
+    if (calls > 0) this.callCounts.set(host, calls);
+    else this.callCounts.delete(host);
+  }
+}
+
+/** Returns whether `call` needs upstreams that this host can't reach. */
+export function isHandoverNeeded(
+  {upstreams}: PassthroughParts,
+  {route, isHandedOver}: RoutedCall,
+): boolean {
+  return (
+    !isHandedOver && route.pools.some(({pool}) => upstreams.isOutOfReach(pool))
+  );
+}
+
+/** Returns whether `call` needs a handover, and a host is known that takes it. */
+export function isHandoverPossible(
+  parts: PassthroughParts,
+  call: RoutedCall,
+): boolean {
+  return (
+    isHandoverNeeded(parts, call) &&
+    chooseHost(parts, call, new Set(), new Map()) !== undefined
+  );
+}
+
+function chooseHost(
+  {members, failureDomain, random}: PassthroughParts,
+  {route}: RoutedCall,
+  triedHosts: ReadonlySet<string>,
+  callCounts: ReadonlyMap<string, number>,
+): FleetMember | undefined {
+  return chooseHandoverHost(
+    {
+      pools: route.pools.map(({pool}) => pool.name),
+      members: members(),
+      triedHosts,
+      ownDomain: failureDomain,
+      callsAt: ({host}) => callCounts.get(host) ?? 0,
+    },
+    random,
+  );
+}
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -54,6 +54,8 @@
   readonly originCallId: string | undefined;
   /** Clock time at which the head of the request was read. */
   readonly arrivedAt: number;
+  /** Whether another host has handed the call over to this one. */
+  readonly isHandedOver: boolean;
 }
 
 /**
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -18,7 +18,7 @@
 import {failureDomainId, hostId} from '../ids.js';
 import type {RandomSource} from '../random.js';
 import type {QuarantineReport} from './request-quarantine.js';
-import type {FleetMember} from './stream-origin-keepers.js';
+import type {FleetMember} from './fleet-member.js';
 
 /** Sends heartbeats, and drops those that cannot be sent. */
 export interface HeartbeatSender {
@@ -38,6 +38,10 @@
   /** Evidence about prompt parts that crash engines. */
   readonly quarantine: QuarantineReport;
   readonly requestLimits: RequestLimitReport[];
+  /** Address at which this host takes calls over; empty if it takes none. */
+  readonly handoverAddress: string;
+  /** Pools of which this host can reach no upstream. */
+  readonly unreachablePools: string[];
 }
 
 /** Ages above this are reported as this. */
@@ -71,6 +75,8 @@
   readonly host: HostId;
   readonly failureDomain: FailureDomainId;
   address: string;
+  handoverAddress: string;
+  unreachablePools: readonly string[];
   incarnation: bigint;
   sequence: bigint;
   lastHeartbeatAt: number;
@@ -163,12 +169,12 @@
 
   /** The known hosts, without this one. */
   members(): FleetMember[] {
+    const now = this.parts.clock.now();
     return [...this.peers.values()].map(
-      ({host, failureDomain, address, state}) => ({
-        host,
-        failureDomain,
-        address,
+      ({state, lastHeartbeatAt, ...member}) => ({
+        ...member,
         isLive: state === 'live',
+        reportAgeMilliseconds: now - lastHeartbeatAt,
       }),
     );
   }
@@ -224,6 +230,7 @@
   private acceptHeartbeat(host: HostId, heartbeat: Beat): boolean {
     const {clock, onChange} = this.parts;
     const {incarnation, sequence, address} = heartbeat;
+    const {handoverAddress, unreachablePools} = heartbeat;
     if ((this.leftIncarnations.get(host) ?? -1n) >= incarnation) return false;
     const lastHeartbeatAt = clock.now();
     const knownPeer = this.peers.get(host);
@@ -233,6 +240,8 @@
         host,
         failureDomain: failureDomainId(heartbeat.failureDomain),
         address,
+        handoverAddress,
+        unreachablePools,
         incarnation,
         sequence,
         lastHeartbeatAt,
@@ -259,6 +268,8 @@
     }
     Object.assign(knownPeer, {
       address,
+      handoverAddress,
+      unreachablePools,
       incarnation,
       sequence,
       lastHeartbeatAt,
@@ -373,7 +384,15 @@
   private createHeartbeat(): Beat {
     const {self, incarnation, failureDomain, localState} = this.parts;
     this.sequence += 1n;
-    const {usage, loads, quarantine, requestLimits, ...platform} = localState();
+    const {
+      usage,
+      loads,
+      quarantine,
+      requestLimits,
+      handoverAddress,
+      unreachablePools,
+      ...platform
+    } = localState();
     return {
       host: self,
       incarnation,
@@ -390,6 +409,8 @@
       ...quarantine,
       requestLimits,
       streamOrigin: undefined,
+      handoverAddress,
+      unreachablePools,
       configurationVersion: platform.configurationVersion,
       platformEpoch: BigInt(platform.platformEpoch ?? 0),
       platformEpochAgeMilliseconds: BigInt(
--- /dev/null
+++ b/packages/coordination/src/passthrough/handover-choice.ts
@@ -0,0 +1,46 @@
+/**
+ * Decides whether a call is handed over to another host, and to which. Load
+ * pattern: a host loses its links to all upstreams of a pool while callers keep
+ * coming to it, on open connections and on new ones.
+ */
+
+import type {FailureDomainId} from '../ids.js';
+import type {RandomSource} from '../random.js';
+import type {FleetMember} from './fleet-member.js';
+import {minBy} from './min-by.js';
+
+/**
+ * A host in another failure domain is treated as having this many more calls of
+ * this host, because links between domains are limited.
+ */
+const remoteDomainPenaltyCalls = 2;
+
+export interface HandoverQuestion {
+  /** Pools to which the call may go. */
+  readonly pools: readonly string[];
+  readonly members: readonly FleetMember[];
+  /** Hosts that have refused the call. */
+  readonly triedHosts: ReadonlySet<string>;
+  readonly ownDomain: FailureDomainId;
+  /** Calls of this host that a host handles at present. */
+  readonly callsAt: (member: FleetMember) => number;
+}
+
+/** Chooses the host that takes a call over; undefined if none can. */
+export function chooseHandoverHost(
+  {pools, members, triedHosts, ownDomain, callsAt}: HandoverQuestion,
+  random: RandomSource,
+): FleetMember | undefined {
+  const candidates = members.filter(
+    ({host, isLive, handoverAddress, unreachablePools}) =>
+      isLive &&
+      handoverAddress !== '' &&
+      !triedHosts.has(host) &&
+      !pools.some(pool => unreachablePools.includes(pool)),
+  );
+  return minBy(candidates, member => {
+    const isRemote = member.failureDomain !== ownDomain;
+    const penalty = isRemote ? remoteDomainPenaltyCalls : 0;
+    return callsAt(member) + penalty + random.next();
+  });
+}
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -20,6 +20,9 @@
 const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/;
 const maximumPort = 65_535;
 
+/** Unreachable pools in one heartbeat. */
+export const maximumReportedPools = 64;
+
 /** Longest name of a host, account or upstream in a heartbeat. */
 const maximumNameLength = 256;
 
@@ -63,6 +66,14 @@
     )
   )
     return Result.err('there are more traits than a host reports');
+  const {handoverAddress, unreachablePools} = heartbeat;
+  if (handoverAddress !== '' && !isHostAddress(handoverAddress))
+    return Result.err('the address for calls of other hosts is not valid');
+  if (
+    unreachablePools.length > maximumReportedPools ||
+    !unreachablePools.every(isName)
+  )
+    return Result.err('a pool has no valid name, or there are too many');
   const {requestLimits} = heartbeat;
   if (requestLimits.length > maximumReportedLimits)
     return Result.err('there are more request limits than a host reports');
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -12,8 +12,13 @@
   missingKeyFailure,
   pathWithoutQuery,
 } from '../requests/authentication.js';
-import type {RequestFailure} from '../requests/failure.js';
+import type {FailureCode, RequestFailure} from '../requests/failure.js';
 import {fingerprintOf} from '../requests/request-fingerprint.js';
+import {
+  CallHandover,
+  isHandoverNeeded,
+  isHandoverPossible,
+} from './call-handover.js';
 import {noConfiguration, staleConfiguration} from './call-failures.js';
 import type {RoutedCall, IncomingCall, PassthroughResponse} from './call.js';
 import {GenerationForwarder} from './generations.js';
@@ -38,6 +43,12 @@
   readonly account: AccountId | undefined;
 }
 
+/** Failures of calls that found no upstream here. */
+const upstreamShortages: ReadonlySet<FailureCode> = new Set([
+  'no-upstream',
+  'queue-full',
+]);
+
 const routeNotFound: RequestFailure = {
   code: 'route-not-found',
   message: 'no route matches the host name and path of the request',
@@ -47,9 +58,11 @@
 export class PassthroughHost {
   private readonly plainCalls: PlainCallForwarder;
   private readonly generations: GenerationForwarder;
+  private readonly handover: CallHandover;
 
   constructor(private readonly parts: PassthroughHostParts) {
     const upstreamLosses = new UpstreamLosses(parts);
+    this.handover = new CallHandover(parts);
     this.plainCalls = new PlainCallForwarder(parts, upstreamLosses);
     this.generations = new GenerationForwarder(parts, upstreamLosses);
   }
@@ -98,6 +111,26 @@
     signal: AbortSignal,
   ): Promise<CallResult> {
     const call = this.buildRoutedCall(incoming, route, account, body);
+    if (isHandoverNeeded(this.parts, call)) {
+      const response = await this.handover.forward(call, signal);
+      if (response !== undefined) return response;
+    }
+    const response = await this.forwardToUpstream(call, signal);
+    const canHandOver =
+      response.isErr &&
+      response.error.ran === 'not-run' &&
+      upstreamShortages.has(response.error.code) &&
+      !signal.aborted &&
+      isHandoverPossible(this.parts, call);
+    if (!canHandOver) return response;
+    return (await this.handover.forward(call, signal)) ?? response;
+  }
+
+  private async forwardToUpstream(
+    call: RoutedCall,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
+    const {account} = call;
     const tokens = this.tokenCostOf(call);
     const refusal = this.admit(call, tokens);
     if (refusal !== undefined) return Result.err(refusal);
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -6,7 +6,9 @@
 import type {RandomSource} from '../random.js';
 import type {CallObserver} from './call-events.js';
 import type {PassthroughTransport} from './call.js';
+import type {HandoverTransport} from './call-handover.js';
 import type {EngineReleases} from './engine-releases.js';
+import type {FleetMember} from './fleet-member.js';
 import type {PoolRetryBudget} from './pool-retry-budget.js';
 import type {RequestQuarantine} from './request-quarantine.js';
 import type {PassthroughRoute} from './route-table.js';
@@ -26,6 +28,9 @@
   readonly retryBudget: PoolRetryBudget;
   readonly quarantine: RequestQuarantine;
   readonly streamOrigins: StreamOrigins;
+  /** The other hosts. */
+  readonly members: () => readonly FleetMember[];
+  readonly handoverTransport: HandoverTransport;
   readonly versionHistory: SoftwareVersionHistory;
   readonly observer: CallObserver;
   /**
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -9,7 +9,9 @@
 import {setMaxListeners} from 'node:events';
 import {Result} from 'true-myth';
 import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
+import {isHandoverPossible} from './call-handover.js';
 import type {RoutedCall} from './call.js';
+import {canDecode} from './can-decode.js';
 import {crashTraitsOf} from './crash-traits.js';
 import {minBy} from './min-by.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -192,13 +194,16 @@
     const now = this.parts.clock.now();
     const waitBehind = this.waitByPosition();
     const pause = waitBehind(0);
-    // A call that no engine will take before its deadline is refused at once.
+    const isOutOfReach = this.parts.upstreams.isOutOfReach(this.currentPool());
+    // A call that no engine will take before its deadline is refused at once, and
+    // one that another host can take ends its wait.
     let ahead = 0;
     for (const entry of [...this.waiting]) {
       if (entry.isReserving) continue;
       if (
         now + waitBehind(ahead) >= entry.queueDeadline ||
         this.isQuarantined(entry) ||
+        (isOutOfReach && isHandoverPossible(this.parts, entry.call)) ||
         !this.isVersionServed(entry)
       )
         entry.settle(Result.err('expired'));
@@ -396,14 +401,6 @@
   return calls * growthEventsPerCall * (pool.spec.engine?.tokensPerEvent ?? 1);
 }
 
-/**
- * Returns whether an upstream can decode. Without a stage label it also
- * computes the KV cache of the prompt.
- */
-export function canDecode(labels: Readonly<Record<string, string>>): boolean {
-  return labels['stage'] !== 'prefill';
-}
-
 /** Returns whether an engine may take a call with `requirements`. */
 export function meetsRequirements(
   {name, labels = {}, spec}: UpstreamDocument,
--- a/packages/coordination/src/passthrough/software-version-history.ts
+++ b/packages/coordination/src/passthrough/software-version-history.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../clock.js';
 import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import {matchesSelector} from '../labels.js';
-import {canDecode} from './reservation-queue.js';
+import {canDecode} from './can-decode.js';
 
 export interface SoftwareVersionHistoryParts {
   readonly clock: Clock;
--- a/packages/coordination/src/passthrough/stream-origin-keepers.ts
+++ b/packages/coordination/src/passthrough/stream-origin-keepers.ts
@@ -4,18 +4,9 @@
  * while that domain is cut off, those in others after it is lost.
  */
 
-import type {FailureDomainId, HostId} from '../ids.js';
+import type {FailureDomainId} from '../ids.js';
 import {rankByRendezvous} from '../rendezvous.js';
-
-/** A known host, other than this one. */
-export interface FleetMember {
-  readonly host: HostId;
-  readonly failureDomain: FailureDomainId;
-  /** Address that receives datagrams. */
-  readonly address: string;
-  /** Whether a heartbeat has arrived lately. */
-  readonly isLive: boolean;
-}
+import type {FleetMember} from './fleet-member.js';
 
 const keepersInOwnDomain = 2;
 const otherDomainsWithKeepers = 2;
--- a/packages/coordination/src/passthrough/stream-origins.ts
+++ b/packages/coordination/src/passthrough/stream-origins.ts
@@ -8,8 +8,8 @@
 import type {StreamOriginMessage} from '../generated/messages/persimmonwick/beat.js';
 import type {FailureDomainId} from '../ids.js';
 import {BoundedMap} from './bounded-map.js';
+import type {FleetMember} from './fleet-member.js';
 import {keepersOf, likelyKeepersOf} from './stream-origin-keepers.js';
-import type {FleetMember} from './stream-origin-keepers.js';
 
 /** What began a stream, and alone may continue it. */
 export interface StreamOrigin {
--- a/packages/coordination/src/passthrough/upstream-health.ts
+++ b/packages/coordination/src/passthrough/upstream-health.ts
@@ -54,6 +54,11 @@
     return 1 + (this.lastSlowness - 1) * decayAfter(now - this.slownessAt);
   }
 
+  /** Returns whether no connection to the upstream can be made. */
+  isUnreachable(now: number): boolean {
+    return now < this.unreachableUntil;
+  }
+
   /** Returns whether a new call may be sent to the upstream. */
   isUsable(now: number): boolean {
     if (now < this.unreachableUntil || now < this.misdirectedUntil)
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -10,6 +10,7 @@
 } from '../generated/messages/persimmonwick/beat.js';
 import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import {matchesSelector} from '../labels.js';
+import {canDecode} from './can-decode.js';
 import {ReportedLoads} from './reported-loads.js';
 import type {Load} from './reported-loads.js';
 import {UpstreamHealth} from './upstream-health.js';
@@ -103,6 +104,21 @@
     return {joined, leaving, gone};
   }
 
+  /**
+   * Returns whether this host can connect to no upstream of `pool` that runs
+   * calls, although some are listed.
+   */
+  isOutOfReach(pool: PoolDocument): boolean {
+    const now = this.clock.now();
+    const running = this.liveOf(pool).filter(({document}) =>
+      canDecode(document.labels ?? {}),
+    );
+    return (
+      running.length > 0 &&
+      running.every(({health}) => health.isUnreachable(now))
+    );
+  }
+
   /** Listed upstreams of `pool` that are neither leaving nor paused. */
   acceptingOf(pool: PoolDocument): TrackedUpstream[] {
     const now = this.clock.now();
--- /dev/null
+++ b/packages/coordination/test/call-handover.test.ts
@@ -0,0 +1,229 @@
+import test from 'ava';
+import {Result} from 'true-myth';
+import {
+  UpstreamTable,
+  VirtualClock,
+  failureDomainId,
+  hostId,
+  seededRandom,
+  upstreamId,
+} from '../src/index.js';
+import type {
+  PassthroughError,
+  PassthroughResponse,
+  RoutedCall,
+  UpstreamDocument,
+} from '../src/index.js';
+import type {PoolDocument} from '../src/generated/documents.js';
+import {
+  CallHandover,
+  isHandoverNeeded,
+} from '../src/passthrough/call-handover.js';
+import type {FleetMember} from '../src/passthrough/fleet-member.js';
+import {chooseHandoverHost} from '../src/passthrough/handover-choice.js';
+import type {PassthroughParts} from '../src/passthrough/passthrough-parts.js';
+
+const pool = {
+  kind: 'Pool',
+  name: 'desk',
+  spec: {upstreams: {matchLabels: {use: 'desk'}}},
+} as unknown as PoolDocument;
+
+function createMembers(hosts: number, domains: number): FleetMember[] {
+  return Array.from({length: hosts}, (_, index) => ({
+    host: hostId(`host-${index}`),
+    failureDomain: failureDomainId(`zone-${index % domains}`),
+    address: `host-${index}:1`,
+    isLive: true,
+    reportAgeMilliseconds: 0,
+    handoverAddress: `host-${index}:2`,
+    unreachablePools: [],
+  }));
+}
+
+const strand = (member: FleetMember): FleetMember => ({
+  ...member,
+  unreachablePools: ['desk'],
+});
+
+const choose = (
+  members: readonly FleetMember[],
+  callsAt: (member: FleetMember) => number = () => 0,
+  seed = 1,
+) =>
+  chooseHandoverHost(
+    {
+      pools: ['desk'],
+      members,
+      triedHosts: new Set(),
+      ownDomain: failureDomainId('zone-0'),
+      callsAt,
+    },
+    seededRandom(seed),
+  );
+
+test('a call goes to a live host of the own domain that reaches the pool', t => {
+  const members = createMembers(6, 3);
+  t.is(
+    choose(members.map((each, i) => (i === 0 ? strand(each) : each)))?.host,
+    hostId('host-3'),
+  );
+  t.is(choose(members.map(strand)), undefined);
+  t.is(choose(members.map(each => ({...each, isLive: false}))), undefined);
+  t.is(
+    choose(members.map(each => ({...each, handoverAddress: ''}))),
+    undefined,
+  );
+});
+
+test('a busy host of the own domain leaves calls to other domains', t => {
+  const isLocal = ({failureDomain}: FleetMember) =>
+    failureDomain === failureDomainId('zone-0');
+  const chosen = choose(createMembers(6, 3), each => (isLocal(each) ? 4 : 0));
+  t.false(isLocal(chosen!));
+});
+
+for (const [hosts, domains] of [
+  [195, 5],
+  [361, 7],
+] as const)
+  test(`${hosts} hosts: those cut off spread their calls over the others`, t => {
+    const members = createMembers(hosts, domains);
+    const cutCount = Math.round(hosts * 0.6);
+    const view = members.map((each, i) => (i < cutCount ? strand(each) : each));
+    const taken = new Map<string, number>();
+    const random = seededRandom(1);
+    for (let index = 0; index < cutCount; index += 1) {
+      const calls = new Map<string, number>();
+      for (let call = 0; call < 3; call += 1) {
+        const {host} = chooseHandoverHost(
+          {
+            pools: ['desk'],
+            members: view.filter(each => each !== view[index]),
+            triedHosts: new Set(),
+            ownDomain: members[index]!.failureDomain,
+            callsAt: each => calls.get(each.host) ?? 0,
+          },
+          random,
+        )!;
+        calls.set(host, (calls.get(host) ?? 0) + 1);
+        taken.set(host, (taken.get(host) ?? 0) + 1);
+      }
+    }
+    const mean = (3 * cutCount) / (hosts - cutCount);
+    const most = Math.max(...taken.values());
+    t.true(most <= 3.5 * mean, `${most} calls, ${mean} in the mean`);
+  });
+
+interface Answers {
+  readonly repeatable: boolean;
+  readonly answers: readonly (PassthroughError['kind'] | 'answered')[];
+}
+
+/** Hands over one call to hosts that answer in turn. */
+async function handOver({repeatable, answers}: Answers) {
+  const clock = new VirtualClock();
+  const upstreams = new UpstreamTable(clock);
+  const asked: string[] = [];
+  const remaining: number[] = [];
+  const parts = {
+    clock,
+    upstreams,
+    random: seededRandom(1),
+    failureDomain: failureDomainId('zone-0'),
+    members: () => createMembers(6, 3),
+    observer: () => undefined,
+    handoverTransport: {
+      handOver: async (
+        address: string,
+        _call: RoutedCall,
+        milliseconds: number,
+      ) => {
+        const answer = answers[asked.length] ?? 'answered';
+        asked.push(address);
+        remaining.push(milliseconds);
+        await clock.sleep(100);
+        if (answer !== 'answered')
+          return Result.err({kind: answer, upstream: upstreamId(address)});
+        const response = {
+          status: 200,
+          headers: [],
+          body: (async function* () {})(),
+        };
+        return Result.ok(response as PassthroughResponse);
+      },
+    },
+  } as unknown as PassthroughParts;
+  const call = {
+    id: 'call',
+    deadline: 1000,
+    isHandedOver: false,
+    route: {
+      pools: [{pool, weight: 1}],
+      target: {repeatable, maximumTries: 2},
+    },
+  } as unknown as RoutedCall;
+  const forwarding = new CallHandover(parts).forward(
+    call,
+    new AbortController().signal,
+  );
+  await clock.advance(500);
+  return {result: await forwarding, asked, remaining, parts, call};
+}
+
+test('a host that declines is followed by another one', async t => {
+  const {result, asked, remaining} = await handOver({
+    repeatable: false,
+    answers: ['refused', 'unreachable', 'answered'],
+  });
+  t.true(result?.isOk);
+  t.is(new Set(asked).size, 3);
+  t.deepEqual(remaining, [1000, 900, 800], 'the deadline does not move');
+});
+
+test('a call that three hosts decline has not run', async t => {
+  const answers = ['refused', 'refused', 'refused'] as const;
+  const {result, asked} = await handOver({repeatable: false, answers});
+  t.is(result, undefined);
+  t.is(asked.length, 3);
+});
+
+test('a call that may run once and was lost is not sent again', async t => {
+  const answers = ['refused', 'broken', 'answered'] as const;
+  const {result, asked} = await handOver({repeatable: false, answers});
+  t.is(asked.length, 2);
+  t.like(result?.isErr && result.error, {
+    code: 'upstream-failed',
+    ran: 'unknown',
+  });
+});
+
+test('a repeatable call is sent again within the tries of its route', async t => {
+  const once = await handOver({repeatable: true, answers: ['broken']});
+  t.true(once.result?.isOk);
+  const answers = ['broken', 'broken', 'answered'] as const;
+  const twice = await handOver({repeatable: true, answers});
+  t.is(twice.asked.length, 2);
+  t.like(twice.result?.isErr && twice.result.error, {ran: 'unknown'});
+});
+
+test('a call is handed over only once, and only without any link', async t => {
+  const {parts, call} = await handOver({repeatable: true, answers: []});
+  const engine = (name: string): UpstreamDocument => ({
+    kind: 'Upstream',
+    name,
+    labels: {use: 'desk'},
+    spec: {address: `${name}:80`, failureDomain: 'zone-0'},
+  });
+  const {upstreams, clock} = parts;
+  t.false(isHandoverNeeded(parts, call), 'no upstream is listed');
+  upstreams.replace(new Map([engine('a'), engine('b')].map(e => [e.name, e])));
+  const [first, second] = upstreams.acceptingOf(pool);
+  first!.health.recordUnreachable(clock.now());
+  t.false(isHandoverNeeded(parts, call), 'one upstream is reached');
+  second!.health.recordFailure(clock.now());
+  t.false(isHandoverNeeded(parts, call), 'a failure is no lost link');
+  second!.health.recordUnreachable(clock.now());
+  t.true(isHandoverNeeded(parts, call));
+  t.false(isHandoverNeeded(parts, {...call, isHandedOver: true}));
+});
--- a/packages/coordination/test/passthrough-parts.test.ts
+++ b/packages/coordination/test/passthrough-parts.test.ts
@@ -154,6 +154,8 @@
           soundTraits: [],
         },
         requestLimits: [],
+        handoverAddress: '',
+        unreachablePools: [],
       }),
       onHeartbeat: heartbeat => this.received.push(heartbeat.host),
       onChange: (change: FleetChange) =>
--- a/packages/coordination/test/quarantine-fleet.test.ts
+++ b/packages/coordination/test/quarantine-fleet.test.ts
@@ -42,6 +42,8 @@
         platformEpochAgeMilliseconds: Infinity,
         quarantine: this.quarantine.report(),
         requestLimits: [],
+        handoverAddress: '',
+        unreachablePools: [],
       }),
       onHeartbeat: heartbeat => this.quarantine.recordPeer(heartbeat),
       onChange: () => undefined,
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -81,6 +81,10 @@
       onChange: () => undefined,
       onLearned: () => undefined,
     }),
+    members: () => [],
+    handoverTransport: {
+      handOver: () => Promise.reject(new TypeError('there is no other host')),
+    },
     streamOrigins: new StreamOrigins({
       clock,
       failureDomain: failureDomainId('zone-a'),
--- a/packages/coordination/test/stream-origins.test.ts
+++ b/packages/coordination/test/stream-origins.test.ts
@@ -13,7 +13,7 @@
   keepersOf,
   likelyKeepersOf,
 } from '../src/passthrough/stream-origin-keepers.js';
-import type {FleetMember} from '../src/passthrough/stream-origin-keepers.js';
+import type {FleetMember} from '../src/passthrough/fleet-member.js';
 import {decideContinuation} from '../src/passthrough/stream-continuation.js';
 import type {PassthroughRoute} from '../src/passthrough/route-table.js';
 
@@ -25,6 +25,9 @@
     failureDomain: failureDomainId(`zone-${index % domains}`),
     address: `host-${index}`,
     isLive: true,
+    reportAgeMilliseconds: 0,
+    handoverAddress: '',
+    unreachablePools: [],
   }));
 }
 
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -337,6 +337,18 @@
       'outcome',
     ],
   },
+  callHandedOver: {
+    number: 3113,
+    level: 'info',
+    text: 'a call was handed over to another host, because this one reaches no upstream of its pool',
+    fields: ['request', 'peer', 'reportAge', 'outcome', 'took'],
+  },
+  callTakenOver: {
+    number: 3114,
+    level: 'info',
+    text: 'a call was taken over from another host',
+    fields: ['request', 'peer'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -26,6 +26,8 @@
 import {PassthroughServer} from './passthrough-server.js';
 import type {CallSummary} from './passthrough-server.js';
 import {EarlyListener} from './early-listener.js';
+import {HandoverListener} from './handover-listener.js';
+import {HttpHandoverTransport} from './http-handover-transport.js';
 import {HttpPassthroughTransport} from './http-transport.js';
 import {
   logCallEnd,
@@ -92,6 +94,7 @@
   private readonly host: PassthroughHost;
   private readonly probes: ReachabilityProbes;
   private readonly server: PassthroughServer;
+  private readonly handoverListener: HandoverListener;
   private readonly metrics: PassthroughMetrics;
   private readonly eventLoopMonitor: EventLoopMonitor;
   private readonly statusServers: StatusServer[] = [];
@@ -169,6 +172,8 @@
         platformEpochAgeMilliseconds: this.platform.epochs.ageMilliseconds(),
         quarantine: this.quarantine.report(),
         requestLimits: this.requestLimits.report(),
+        handoverAddress: this.isDraining ? '' : this.handoverListener.address,
+        unreachablePools: this.platform.unreachablePools(),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => this.fleetChangeLog.record(change),
@@ -204,8 +209,10 @@
       clock,
       upstreams: this.upstreams,
       transport,
-      onChange: (upstream, isReachable) =>
-        logUpstreamReachability(log, upstream, isReachable),
+      onChange: (upstream, isReachable) => {
+        logUpstreamReachability(log, upstream, isReachable);
+        this.fleet.scheduleHeartbeat();
+      },
     });
     this.host = new PassthroughHost({
       clock,
@@ -232,6 +239,11 @@
       }),
       quarantine: this.quarantine,
       streamOrigins: this.streamOrigins,
+      members: () => this.fleet.members(),
+      handoverTransport: new HttpHandoverTransport(
+        this.connections,
+        adapter.callerWire,
+      ),
       versionHistory: this.versionHistory,
       observer: (requestId, event) => {
         this.metrics.recordEvent(event);
@@ -243,11 +255,20 @@
       freshness: this.platform.freshness,
       limiter: this.limiter,
     });
+    this.handoverListener = new HandoverListener(socket =>
+      this.server.servePeer(socket),
+    );
     this.server = new PassthroughServer({
       clock,
       host: this.host,
       wireFormat: adapter.callerWire,
       limits: () => this.platform.limits,
+      isPeer: ipAddress =>
+        this.fleet
+          .members()
+          .some(({address}) => address.startsWith(`${ipAddress}:`)),
+      onTakenOver: (request, peer) =>
+        log.write('callTakenOver', {request, peer}),
       onEnd: summary => this.recordCallEnd(summary),
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
@@ -257,6 +278,7 @@
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
     this.adapter.feed.start(this.platform);
+    await this.handoverListener.listen(listen.handover);
     await this.heartbeatSocket.listen(listen.beats);
     this.fleet.start();
     const listener =
@@ -378,6 +400,8 @@
     const deadline =
       systemClock.now() + graceMilliseconds - exitReserveMilliseconds;
     this.isDraining = true;
+    // The heartbeat says that this host takes no calls over any more.
+    this.fleet.scheduleHeartbeat();
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
     this.server.startDraining();
     // Load balancers open new connections until their next readiness check.
@@ -385,6 +409,7 @@
       Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2),
     );
     this.server.stopListening();
+    this.handoverListener.close();
     const cutRequests = await this.server.waitUntilIdle(
       deadline - systemClock.now(),
     );
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -86,6 +86,13 @@
         wait: Number.isFinite(wait) ? Math.round(wait) : otherHostsOnly,
       });
     }
+    case 'handed-over': {
+      const {kind: _, ...fields} = event;
+      return log.write('callHandedOver', {
+        request: requestId,
+        ...roundNumbers(fields),
+      });
+    }
     case 'quarantine-refused': {
       const {kind: _, ...fields} = event;
       return log.write('callQuarantined', {request: requestId, ...fields});
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -135,6 +135,13 @@
       case 'chosen':
         // Counted by its stage-done event.
         break;
+      case 'handed-over':
+        this.decisionCounter.inc({
+          decision: event.kind,
+          outcome: event.outcome,
+        });
+        this.recordLatency(event.kind, event.took);
+        break;
       case 'limit-reached':
         this.decisionCounter.inc({
           decision: event.kind,
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -18,6 +18,7 @@
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
+import {handoverDeclinedHeader} from './http-handover-transport.js';
 import type {EarlyListener} from './early-listener.js';
 import type {CallerWireFormat} from './wire-format.js';
 
@@ -46,6 +47,10 @@
   readonly host: PassthroughHost;
   readonly wireFormat: CallerWireFormat;
   readonly limits: () => CallerLimits;
+  /** Returns whether a known host has this IP address. */
+  readonly isPeer: (ipAddress: string) => boolean;
+  /** Receives the id of each call that the host at `address` has handed over. */
+  readonly onTakenOver: (requestId: string, address: string) => void;
   readonly onEnd: (summary: CallSummary) => void;
   /** Receives an unexpected error, which ends only the call that met it. */
   readonly onInternalError: (requestId: string, error: unknown) => void;
@@ -61,6 +66,8 @@
 export class PassthroughServer {
   private readonly instance: FastifyInstance;
   private readonly sockets = new Set<Socket>();
+  /** Connections of other hosts that hand calls over. */
+  private readonly peerSockets = new WeakSet<Socket>();
   private readonly idleController = new AbortController();
   private isDraining = false;
   inFlight = 0;
@@ -93,6 +100,12 @@
     return listener.handOver(this.instance.server as Server);
   }
 
+  /** Serves a connection on which another host hands calls over. */
+  servePeer(socket: Socket): void {
+    this.peerSockets.add(socket);
+    this.instance.server.emit('connection', socket);
+  }
+
   /** Applies the current limits to the HTTP server. */
   applyLimits(): void {
     const {headersTimeoutMilliseconds, keepAliveTimeoutMilliseconds} =
@@ -187,6 +200,13 @@
       return this.sendFailure(response, request, call.error, context);
     context.requestId = call.value.id;
     context.isGeneration = call.value.generation !== undefined;
+    const isHandedOver = this.peerSockets.has(request.socket);
+    if (isHandedOver) {
+      const ipAddress = request.socket.remoteAddress ?? '';
+      if (!this.parts.isPeer(ipAddress))
+        return this.sendFailure(response, request, unknownPeer, context);
+      this.parts.onTakenOver(call.value.id, ipAddress);
+    }
     const routing = host.authorize(call.value);
     if (routing.isErr)
       return this.sendFailure(response, request, routing.error, context);
@@ -196,7 +216,7 @@
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
     const upstreamResponse = await host.forward(
-      call.value,
+      {...call.value, isHandedOver},
       routing.value,
       body.value,
       disconnected.signal,
@@ -329,6 +349,8 @@
     const text = JSON.stringify(failureBody(failure));
     for (const [name, value] of this.parts.wireFormat.failureHeaders(failure))
       response.setHeader(name, value);
+    if (this.peerSockets.has(request.socket) && isDeclined(failure))
+      response.setHeader(handoverDeclinedHeader, failure.code);
     // A host that is not ready closes the connection, because the caller can
     // reach another host with a new one. A connection with an unread request
     // body cannot be reused.
@@ -361,6 +383,18 @@
   }
 }
 
+/** Returns whether another host may handle the call instead. */
+function isDeclined({code, ran}: RequestFailure): boolean {
+  return ran === 'not-run' && (code === 'no-upstream' || code === 'not-ready');
+}
+
+/** Only hosts may hand calls over; a host that has just started knows none. */
+const unknownPeer: RequestFailure = {
+  code: 'not-ready',
+  message: 'the host that handed the call over is not known here',
+  ran: 'not-run',
+};
+
 /** Stub compilers: no route has a schema, and loading the real ones is slow. */
 const schemalessController = {
   compilersFactory: {
--- a/packages/daemon/src/passthrough/passthrough-settings.ts
+++ b/packages/daemon/src/passthrough/passthrough-settings.ts
@@ -10,6 +10,8 @@
     readonly readiness: string;
     /** Address that receives heartbeats from other hosts. */
     readonly beats: string;
+    /** Address at which calls are taken over from other hosts. */
+    readonly handover: string;
     readonly metrics: string | undefined;
   };
   /** Path that returns 200 while the host accepts calls. */
--- a/packages/daemon/src/passthrough/platform-state.ts
+++ b/packages/daemon/src/passthrough/platform-state.ts
@@ -9,6 +9,7 @@
   RestoreEpochs,
   RouteTable,
   buildConfiguration,
+  maximumReportedPools,
 } from '@persimmonwick/coordination';
 import type {
   AccountId,
@@ -172,6 +173,15 @@
       );
   }
 
+  /** Names of the pools of which this host can reach no upstream. */
+  unreachablePools(): string[] {
+    const pools = this.routes?.configuration.pools ?? [];
+    return pools
+      .filter(pool => this.parts.upstreams.isOutOfReach(pool))
+      .slice(0, maximumReportedPools)
+      .map(({name}) => name);
+  }
+
   /** Rate and burst of an account; undefined if it has no limit. */
   rateOf(account: AccountId): AccountRate | undefined {
     const spec = this.routes?.configuration.accounts.get(account)?.spec;
--- a/packages/daemon/src/passthrough/wire-format.ts
+++ b/packages/daemon/src/passthrough/wire-format.ts
@@ -29,6 +29,14 @@
     head: RequestHead,
     arrivedAt: number,
   ): Result<IncomingCall, RequestFailure>;
+  /**
+   * Headers with which `call` is handed over to another host, which parses them
+   * with `parseCall`.
+   */
+  handoverHeaders(
+    call: RoutedCall,
+    remainingMilliseconds: number,
+  ): readonly Header[];
   /** Headers of a failure response, in addition to those of its body. */
   failureHeaders(failure: RequestFailure): readonly Header[];
 }
--- a/packages/daemon/test/passthrough/unexpected-errors.test.ts
+++ b/packages/daemon/test/passthrough/unexpected-errors.test.ts
@@ -17,6 +17,7 @@
     wireFormat: {
       parseCall: () => Result.ok({id: 'call-1'} as IncomingCall),
       failureHeaders: () => [],
+      handoverHeaders: () => [],
     },
     limits: () => ({
       headerBytes: 16_384,
@@ -24,6 +25,8 @@
       headersTimeoutMilliseconds: 1000,
       keepAliveTimeoutMilliseconds: 1000,
     }),
+    isPeer: () => false,
+    onTakenOver: () => undefined,
     onEnd: () => undefined,
     onInternalError: (requestId, error) =>
       errors.push(`${requestId}: ${String(error)}`),
