--- a/packages/daemon/test/passthrough/endless-responses.test.ts
+++ b/packages/daemon/test/passthrough/endless-responses.test.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import type {Socket} from 'node:net';
@@ -17,6 +18,8 @@
 const sentBytesLimit = 128 << 20;
 
 const neverAborted = new AbortController().signal;
+// The tests of this file run at once, and each request adds one listener.
+setMaxListeners(0, neverAborted);
 const okHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
 const unframedHead = 'HTTP/1.1 200 OK\r\n\r\n';
 const refusedHead = 'HTTP/1.1 503 Busy\r\n\r\n';
