Count and log what reaches upstreams beyond the first request of a call

What callers saw: more repeated requests than the retry budget allows. Neither logs nor metrics could tell retries that the budget granted from others: prefills that it paid for were not logged, a granted retry did not say by which counts and share, and repeats were not counted for each pool.

Now each repeat is logged (3130) and counted by pool, purpose and reason, a granted retry states pool, count, calls, share and hosts (3105), and the calls that a budget counts have a counter.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -2,6 +2,8 @@
 
 import type {LeavingReason} from '../decisions/domain-choice.js';
 import type {InterruptedResponseError} from './call.js';
+import type {Repeat} from './call-sends.js';
+import type {RetryBudgetState} from './pool-retry-budget.js';
 import type {ContinuationRefusal, SoleOrigin} from './stream-continuation.js';
 
 /** What forbids another attempt of a call. */
@@ -78,11 +80,17 @@
       readonly outcome: string;
       readonly took: number;
     }
-  | {
+  | ({
       readonly kind: 'retried';
       readonly reason: string;
       readonly tries: number;
-    }
+      readonly pool: string;
+    } & RetryBudgetState)
+  /** An upstream may have received a call that one has received before. */
+  | ({
+      readonly kind: 'repeated';
+      readonly pool: string;
+    } & Repeat)
   | {
       readonly kind: 'retry-withheld';
       /** Why a retry was needed. */
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -6,6 +6,7 @@
 import type {Result} from 'true-myth';
 import type {AccountId, UpstreamId} from '../ids.js';
 import type {UpstreamDocument} from '../generated/documents.js';
+import type {SendOutcome} from './call-sends.js';
 import type {PassthroughRoute} from './route-table.js';
 
 /** Name and value of a header. The name keeps the spelling of the sender. */
@@ -127,6 +128,15 @@
   return error.kind !== 'unreachable';
 }
 
+/** What became of a send by its result. */
+export function sendOutcomeOf(
+  result: Result<unknown, PassthroughError>,
+): Exclude<SendOutcome, 'prefilled'> {
+  return result.isErr && !mayHaveBeenSent(result.error)
+    ? 'not-sent'
+    : 'arrived';
+}
+
 /** The response of an upstream that ran the call. */
 export interface PassthroughResponse {
   readonly status: number;
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -14,13 +14,14 @@
 import {AbortScope} from '../placement/abort-scope.js';
 import type {RequestFailure} from '../requests/failure.js';
 import {withResumption} from './call-failures.js';
+import type {CallSends} from './call-sends.js';
 import type {
   RoutedCall,
   PassthroughResponse,
   PassthroughError,
   TransportResult,
 } from './call.js';
-import {mayHaveBeenSent, provesCallNotRun} from './call.js';
+import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {UpstreamLosses} from './upstream-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
 import type {SecuredReplacement} from './engine-replacement.js';
@@ -127,6 +128,10 @@
     return [...this.queues.values()].reduce((sum, {length}) => sum + length, 0);
   }
 
+  createSends(call: RoutedCall, pool: PoolDocument): CallSends {
+    return this.retryGate.createSends(call, pool);
+  }
+
   /** Records the newest document of a pool. */
   updatePool(pool: PoolDocument): void {
     this.latestPools.set(pool.name, pool);
@@ -422,6 +427,7 @@
     state.attemptEvents = 0;
     const attempt = new AbortScope(state.signal);
     requestLimits.sendAcquired(document.name);
+    const send = state.sends.begin('run');
     const sent = transport.send(
       document,
       call,
@@ -450,11 +456,15 @@
       this.reportOtherProcess(state, document, reservation.statedStart);
     const result = isVerified ? head.result : unverifiedResult(document);
     const now = clock.now();
+    const outcome = result.isOk
+      ? String(result.value.status)
+      : result.error.kind;
+    send.end(sendOutcomeOf(result), outcome);
     observer(call.id, {
       kind: 'stage-done',
       purpose: 'run',
       upstream: engine.document.name,
-      outcome: result.isOk ? String(result.value.status) : result.error.kind,
+      outcome,
       took: now - startedAt,
     });
     if (result.isOk) {
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -12,6 +12,7 @@
   upstreamFailed,
   upstreamTimeout,
 } from './call-failures.js';
+import type {CallSends} from './call-sends.js';
 import type {
   RoutedCall,
   CacheSource,
@@ -46,6 +47,7 @@
   /** Decode engines that failed; cleared when no other one is usable. */
   readonly avoidedUpstreams: Set<string>;
   attempts: number;
+  readonly sends: CallSends;
   /** Events with an id that the engine of the current attempt has sent. */
   attemptEvents: number;
   /**
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -77,6 +77,7 @@
       signal,
       avoidedUpstreams: new Set(),
       attempts: 0,
+      sends: this.attempts.createSends(call, pool),
       attemptEvents: 0,
       isSuspect: false,
       prefillAttempts: 0,
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -23,7 +23,8 @@
   PassthroughResponse,
   PassthroughError,
 } from './call.js';
-import {mayHaveBeenSent, provesCallNotRun} from './call.js';
+import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
+import type {CallSends} from './call-sends.js';
 import {bufferResponse} from './buffered-response.js';
 import {firstResponse} from './plain-attempt.js';
 import type {PlainAttempt} from './plain-attempt.js';
@@ -66,6 +67,7 @@
   readonly signal: AbortSignal;
   readonly triedUpstreams: Set<string>;
   attempts: number;
+  readonly sends: CallSends;
   /**
    * Attempts that may have been sent. Once there is one, each retry uses the
    * retry budget.
@@ -109,6 +111,7 @@
       signal,
       triedUpstreams: new Set(),
       attempts: 0,
+      sends: this.retryGate.createSends(call, pool),
       attemptEvents: 0,
       sentAttempts: 0,
       possibleRuns: 0,
@@ -215,6 +218,7 @@
       upstream.localLoad.calls + upstreams.reportedLoad(name).calls;
     const scope = new AbortScope(progress.signal);
     const needsNewConnection = !call.route.target.repeatable;
+    const sent = progress.sends.begin('run');
     const head = transport.send(
       upstream.document,
       call,
@@ -229,6 +233,7 @@
     const finish = async () => {
       const response = await this.buffer(call, upstream, await head);
       load.release();
+      sent.end(sendOutcomeOf(response), outcomeOf(response));
       const ended = this.record(
         call,
         pool,
@@ -334,9 +339,7 @@
       kind: 'stage-done',
       purpose: 'run',
       upstream: upstream.document.name,
-      outcome: response.isOk
-        ? String(response.value.status)
-        : response.error.kind,
+      outcome: outcomeOf(response),
       took: now - startedAt,
     });
     if (response.isErr) {
@@ -398,6 +401,12 @@
   }
 }
 
+function outcomeOf(
+  response: Result<PassthroughResponse, PassthroughError>,
+): string {
+  return response.isOk ? String(response.value.status) : response.error.kind;
+}
+
 function responseStallOf({route}: RoutedCall): number {
   const {firstTokenTargetMilliseconds} = route;
   return firstTokenTargetMilliseconds === undefined
--- a/packages/coordination/src/passthrough/pool-retry-budget.ts
+++ b/packages/coordination/src/passthrough/pool-retry-budget.ts
@@ -15,6 +15,8 @@
   readonly windowMilliseconds: number;
   /** Number of hosts that may send retries, including this one. */
   readonly hostCount: () => number;
+  /** Called for each call that is recorded. */
+  readonly onCall?: (pool: string) => void;
 }
 
 /**
@@ -35,6 +37,17 @@
   release(): void;
 }
 
+/** What a decision of the budget was based on. */
+export interface RetryBudgetState {
+  /** Retries and calls of this host in the last window. */
+  readonly spent: number;
+  readonly calls: number;
+  /** Extra retries that this host takes for its part. */
+  readonly share: number;
+  /** Hosts by which the extra retries were divided. */
+  readonly hosts: number;
+}
+
 interface PoolCounts {
   readonly calls: SlidingWindowCounter;
   readonly retries: SlidingWindowCounter;
@@ -50,16 +63,27 @@
   /** Records a call that arrived for `pool`. */
   recordCall(pool: string): void {
     this.countsOf(pool).calls.add(this.parts.clock.now());
+    this.parts.onCall?.(pool);
   }
 
-  /** Returns whether the budget allows `count` more retries now. */
-  canAcquire(pool: string, count = 1): boolean {
-    const {clock, ratio, extra, hostCount} = this.parts;
+  stateOf(pool: string): RetryBudgetState {
+    const {clock, extra, hostCount} = this.parts;
     const {calls, retries, held} = this.countsOf(pool);
     const now = clock.now();
-    const share = extra / Math.max(minimumAssumedHosts, hostCount());
-    const allowed = usableFraction * (ratio * calls.total(now) + share);
-    return retries.total(now) + held + count <= allowed;
+    const hosts = Math.max(minimumAssumedHosts, hostCount());
+    return {
+      spent: retries.total(now) + held,
+      calls: calls.total(now),
+      share: extra / hosts,
+      hosts,
+    };
+  }
+
+  /** Returns whether the budget allows `count` more retries now. */
+  canAcquire(pool: string, count = 1): boolean {
+    const {spent, calls, share} = this.stateOf(pool);
+    const allowed = usableFraction * (this.parts.ratio * calls + share);
+    return spent + count <= allowed;
   }
 
   /** Sets one retry aside; returns undefined if the budget is used up. */
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -10,7 +10,9 @@
 import {minBy} from './min-by.js';
 import type {EngineReservation} from './reservation-queue.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
+import {sendOutcomeOf} from './call.js';
 import type {PassthroughParts} from './passthrough-parts.js';
+import {RetryGate} from './retry-gate.js';
 import {BaselineDuration} from './reference-time.js';
 import {watchSilence} from './silence-watch.js';
 import {reportLeftDomain} from './report-left-domain.js';
@@ -49,7 +51,11 @@
    */
   private readonly cacheBackoffUntil = new Map<string, number>();
 
-  constructor(private readonly parts: PassthroughParts) {}
+  private readonly retryGate: RetryGate;
+
+  constructor(private readonly parts: PassthroughParts) {
+    this.retryGate = new RetryGate(parts);
+  }
 
   /**
    * Computes the KV cache of the prompt; undefined if the decode engine must
@@ -59,7 +65,8 @@
     state: GenerationState,
     reservation: EngineReservation,
   ): Promise<PrefilledCache | undefined> {
-    const {retryBudget, quarantine} = this.parts;
+    const {quarantine} = this.parts;
+    const {call, pool} = state;
     const traits = crashTraitsOf(state.call);
     const reusable = this.takeReusableCache(state);
     if (reusable !== undefined) return reusable;
@@ -75,7 +82,11 @@
       if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
       if (quarantine.findQuarantined(traits) !== undefined) return undefined;
       // The first prefill of a call does not use the retry budget.
-      if (state.prefillAttempts > 0 && !retryBudget.tryAcquire(state.pool.name))
+      const {prefillAttempts} = state;
+      if (
+        prefillAttempts > 0 &&
+        !this.retryGate.acquirePrefill(call, pool, prefillAttempts)
+      )
         return undefined;
       triedEngines.add(engine.document.name);
       const cache = await this.prefillAt(state, engine, reservation);
@@ -186,6 +197,7 @@
     engine.health.recordAttempt(startedAt);
     this.parts.requestLimits.acquire(engine.document.name, 1);
     state.prefillAttempts += 1;
+    const send = state.sends.begin('prefill');
     const remainingMilliseconds = call.deadline - startedAt;
     const sent = transport.prefill(
       engine.document,
@@ -213,6 +225,8 @@
       outcome: handle.isOk ? 'read' : handle.error.kind,
       took: now - startedAt,
     });
+    if (handle.isOk) send.end('prefilled', 'read');
+    else send.end(sendOutcomeOf(handle), handle.error.kind);
     if (handle.isOk) {
       engine.health.recordSuccess(now);
       const ratio = this.baselineDurationPerToken.record(
--- a/packages/coordination/src/passthrough/retry-gate.ts
+++ b/packages/coordination/src/passthrough/retry-gate.ts
@@ -3,6 +3,7 @@
 import type {PoolDocument} from '../generated/documents.js';
 import type {RetryLimit} from './call-events.js';
 import type {RoutedCall} from './call.js';
+import {CallSends} from './call-sends.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import type {HeldRetry} from './pool-retry-budget.js';
 import {retryLimitOf} from './retry-limit.js';
@@ -26,6 +27,14 @@
     >,
   ) {}
 
+  /** Begins to count the sends of a call, and reports those beyond the first. */
+  createSends(call: RoutedCall, {name: pool}: PoolDocument): CallSends {
+    const {observer} = this.parts;
+    return new CallSends(repeat =>
+      observer(call.id, {kind: 'repeated', pool, ...repeat}),
+    );
+  }
+
   /** What forbids the attempt now, if anything does. Acquires nothing. */
   limitOf({
     call,
@@ -51,10 +60,28 @@
     const {call, pool, counts, reason, usesRetryBudget} = request;
     if (usesRetryBudget) this.parts.retryBudget.tryAcquire(pool.name);
     const tries = counts.attempts;
-    this.parts.observer(call.id, {kind: 'retried', reason, tries});
+    this.reportRetried(call, pool, reason, tries);
+    return true;
+  }
+
+  /** Acquires permission for a prefill of a call that has been prefilled before. */
+  acquirePrefill(call: RoutedCall, pool: PoolDocument, tries: number): boolean {
+    if (!this.parts.retryBudget.tryAcquire(pool.name)) return false;
+    this.reportRetried(call, pool, 'prefill', tries);
     return true;
   }
 
+  private reportRetried(
+    call: RoutedCall,
+    {name: pool}: PoolDocument,
+    reason: string,
+    tries: number,
+  ): void {
+    const {observer, retryBudget} = this.parts;
+    const state = retryBudget.stateOf(pool);
+    observer(call.id, {kind: 'retried', reason, tries, pool, ...state});
+  }
+
   /**
    * What forbids a replacement of an attempt that still goes on, if anything does.
    * The replacement may be rejected, so a further attempt has to be left.
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -1,10 +1,11 @@
 import test from 'ava';
 import {VirtualClock} from '../src/index.js';
 import {relayEvents} from '../src/passthrough/event-relay.js';
+import {CallSends} from '../src/passthrough/call-sends.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {partTraitsOf} from '../src/passthrough/crash-traits.js';
 import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
-import {createRequestLimits} from './tools/unlimited.js';
+import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
 import {
   QuarantineHost,
   engine,
@@ -293,7 +294,7 @@
     quarantine: host.quarantine,
     observer: () => undefined,
     random: {next: () => 0.5},
-    retryBudget: {tryAcquire: () => true},
+    retryBudget: createRetryBudget(clock),
     requestLimits: createRequestLimits(clock),
     upstreams: {
       acceptingOf: () => [up('p-1'), up('p-2')],
@@ -326,6 +327,7 @@
       generation: {promptTokens: 10, promptParts: prompt('bad')},
       signal: new AbortController().signal,
       prefillAttempts: 0,
+      sends: new CallSends(() => undefined),
       shouldSkipPrefillStage: false,
       reusableCache: undefined,
     } as never,
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -22,13 +22,14 @@
 import type {GenerationState} from '../src/passthrough/generation-run.js';
 import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
 import {EngineReplacement} from '../src/passthrough/engine-replacement.js';
+import {CallSends} from '../src/passthrough/call-sends.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
 import {RetryGate} from '../src/passthrough/retry-gate.js';
 import {ServiceSelector} from '../src/passthrough/service-selector.js';
 import {StallMonitor} from '../src/stall-monitor.js';
 import {PausableClock} from './tools/pausable-clock.js';
-import {createRequestLimits} from './tools/unlimited.js';
+import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
 
 const pool = {
   kind: 'Pool',
@@ -69,13 +70,7 @@
     transport: full,
     upstreams,
     releases: new EngineReleases(full, upstreams, requestLimits),
-    retryBudget: new PoolRetryBudget({
-      clock,
-      ratio: 1,
-      extra: 1000,
-      windowMilliseconds: 10_000,
-      hostCount: () => 1,
-    }),
+    retryBudget: createRetryBudget(clock),
     observer: () => undefined,
     quarantine: new RequestQuarantine({
       clock,
@@ -217,6 +212,7 @@
     generation: {promptTokens: 100},
     signal: new AbortController().signal,
     prefillAttempts: 0,
+    sends: new CallSends(() => undefined),
     shouldSkipPrefillStage: false,
     reusableCache: undefined,
   } as unknown as GenerationState;
@@ -286,6 +282,7 @@
     signal: new AbortController().signal,
     avoidedUpstreams: new Set<string>(),
     attempts: 0,
+    sends: new CallSends(() => undefined),
     prefillAttempts: 0,
     possibleRuns: 0,
     lastEventId: 2,
--- a/packages/coordination/test/tools/unlimited.ts
+++ b/packages/coordination/test/tools/unlimited.ts
@@ -1,6 +1,10 @@
-/** Request limits of one host whose upstreams name none. */
+/** Request limits and retry budgets of one host that nothing is short for. */
 
-import {UpstreamRequestLimits, hostId} from '../../src/index.js';
+import {
+  PoolRetryBudget,
+  UpstreamRequestLimits,
+  hostId,
+} from '../../src/index.js';
 import type {Clock} from '../../src/index.js';
 
 export function createRequestLimits(clock: Clock): UpstreamRequestLimits {
@@ -15,3 +19,14 @@
     onLearned: () => undefined,
   });
 }
+
+/** A budget that allows `extra` retries, and one for each call. */
+export function createRetryBudget(clock: Clock, extra = 1000): PoolRetryBudget {
+  return new PoolRetryBudget({
+    clock,
+    ratio: 1,
+    extra,
+    windowMilliseconds: 10_000,
+    hostCount: () => 1,
+  });
+}
--- a/packages/coordination/test/upstream-eligibility.test.ts
+++ b/packages/coordination/test/upstream-eligibility.test.ts
@@ -23,10 +23,11 @@
 import type {PoolDocument} from '../src/generated/documents.js';
 import type {GenerationState} from '../src/passthrough/generation-run.js';
 import type {PassthroughParts} from '../src/passthrough/passthrough-parts.js';
+import {CallSends} from '../src/passthrough/call-sends.js';
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
 import type {EngineReservation} from '../src/passthrough/reservation-queue.js';
-import {createRequestLimits} from './tools/unlimited.js';
+import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
 
 test('an upstream is eligible outside evacuated domains and in allowed regions', t => {
   const decide = (
@@ -153,7 +154,7 @@
     releases: new EngineReleases(full, upstreams, requestLimits),
     observer: () => undefined,
     quarantine: {size: 0, findQuarantined: () => undefined},
-    retryBudget: {tryAcquire: () => true},
+    retryBudget: createRetryBudget(clock),
     members: () => [],
   } as unknown as PassthroughParts;
   return {clock, upstreams, parts, sent};
@@ -231,6 +232,7 @@
     pool,
     signal: neverAborted,
     generation: {promptTokens: 100, promptParts: []},
+    sends: new CallSends(() => undefined),
     prefillAttempts: 0,
     shouldSkipPrefillStage: false,
     reusableCache: undefined,
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -310,8 +310,17 @@
   callRetried: {
     number: 3105,
     level: 'info',
-    text: 'a call was retried',
-    fields: ['request', 'reason', 'tries'],
+    text: 'a call may be sent once more, within the retry budget of its pool',
+    fields: [
+      'request',
+      'reason',
+      'tries',
+      'pool',
+      'spent',
+      'calls',
+      'share',
+      'hosts',
+    ],
   },
   callRetryWithheld: {
     number: 3106,
@@ -429,6 +438,12 @@
     text: 'a call was refused because engine memory is forecast to be free too late for it',
     fields: ['request', 'forecast', 'waited', 'urgency', 'tokensAhead'],
   },
+  callRepeated: {
+    number: 3130,
+    level: 'info',
+    text: 'an upstream may have received a call that one had received before',
+    fields: ['request', 'pool', 'purpose', 'reason'],
+  },
   callLeftDomain: {
     number: 3129,
     level: 'info',
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -292,6 +292,7 @@
         clock,
         hostCount,
         windowMilliseconds: settings.retries.windowMilliseconds,
+        onCall: pool => this.metrics.recordPoolCall(pool),
         get ratio() {
           return currentSettings().retries.ratio;
         },
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -49,7 +49,14 @@
     }
     case 'retried': {
       const {kind: _, ...fields} = event;
-      return log.write('callRetried', {request: requestId, ...fields});
+      return log.write('callRetried', {
+        request: requestId,
+        ...roundNumbers(fields),
+      });
+    }
+    case 'repeated': {
+      const {kind: _, ...fields} = event;
+      return log.write('callRepeated', {request: requestId, ...fields});
     }
     case 'retry-withheld':
       return log.write('callRetryWithheld', {
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -52,6 +52,11 @@
   private readonly quarantineCounter: Counter<'change' | 'detail'>;
   private readonly silenceProbeCounter: Counter<'outcome'>;
   private readonly forecastErrors: MetricsHistogram;
+  private readonly repeatCounter: Counter<'pool' | 'purpose' | 'reason'>;
+  private readonly retryCounter: Counter<'pool' | 'reason'>;
+  private readonly poolCallCounter: Counter<'pool'>;
+  private readonly retryShareGauge: Gauge<'pool'>;
+  private readonly retrySpentGauge: Gauge<'pool'>;
 
   constructor(gauges: () => PassthroughGauges) {
     const registers = [this.registry];
@@ -97,6 +102,36 @@
       labelNames: ['outcome'],
       registers,
     });
+    this.repeatCounter = new Counter({
+      name: 'persimmonwick_pool_repeats_total',
+      help: 'Requests that upstreams may have received beyond the first of a call',
+      labelNames: ['pool', 'purpose', 'reason'],
+      registers,
+    });
+    this.retryCounter = new Counter({
+      name: 'persimmonwick_pool_retries_total',
+      help: 'Retries that the retry budget granted',
+      labelNames: ['pool', 'reason'],
+      registers,
+    });
+    this.poolCallCounter = new Counter({
+      name: 'persimmonwick_pool_calls_total',
+      help: 'Calls that the retry budget of a pool counts',
+      labelNames: ['pool'],
+      registers,
+    });
+    this.retryShareGauge = new Gauge({
+      name: 'persimmonwick_pool_retry_share',
+      help: 'Extra retries of a window that this host takes for its part, at the last retry',
+      labelNames: ['pool'],
+      registers,
+    });
+    this.retrySpentGauge = new Gauge({
+      name: 'persimmonwick_pool_retries_spent',
+      help: 'Retries of this host in the last window, at the last retry',
+      labelNames: ['pool'],
+      registers,
+    });
     this.forecastErrors = new MetricsHistogram({
       name: 'persimmonwick_queue_forecast_error_seconds',
       help: 'Difference between the forecast and the actual wait of calls that waited for engine memory',
@@ -146,6 +181,11 @@
       this.recordLatency('whole', durationMilliseconds);
   }
 
+  /** Counts a call that earns retries. */
+  recordPoolCall(pool: string): void {
+    this.poolCallCounter.inc({pool});
+  }
+
   /** Counts what upstreams say about themselves in responses. */
   recordNotice(notice: 'leaving' | 'pause' | 'request-limit' | 'cold'): void {
     this.noticeCounter.inc({notice});
@@ -226,9 +266,20 @@
         this.domainByteCounter.inc({purpose, reason}, bytes);
         break;
       }
+      case 'repeated': {
+        const {pool, purpose, reason} = event;
+        this.repeatCounter.inc({pool, purpose, reason});
+        break;
+      }
+      case 'retried': {
+        const {pool, reason, share, spent} = event;
+        this.retryCounter.inc({pool, reason});
+        this.retryShareGauge.set({pool}, share);
+        this.retrySpentGauge.set({pool}, spent);
+        break;
+      }
       case 'admitted':
       case 'over-rate':
-      case 'retried':
       case 'resumed':
       case 'connection-lost':
       case 'other-process':
