Reproduce retries beyond the budget on hosts in virtual time

What callers saw: a service received more repeated requests than allowed. The replay counts what reaches engines as their operators do, over all hosts and processes, with calls that go through the whole path of a host.

--- /dev/null
+++ b/packages/coordination/test/tools/retry-node.ts
@@ -0,0 +1,66 @@
+/** A host of a retry fleet, and its present process. */
+
+import {PoolRetryBudget} from '../../src/index.js';
+import type {
+  Clock,
+  DiscoveredFleet,
+  PassthroughHost,
+  RandomSource,
+} from '../../src/index.js';
+import {ratio, windowMilliseconds} from './retry-fleet.js';
+import type {RetryFleetOptions} from './retry-fleet.js';
+
+export class RetryNode {
+  readonly name: string;
+  readonly address: string;
+  /** Undefined while the process is down. */
+  host: PassthroughHost | undefined;
+  fleet: DiscoveredFleet | undefined;
+  /** Hosts of different groups do not reach each other. */
+  group = 0;
+  /** Whether the links to all engines are cut. */
+  isStranded = false;
+  private process = new AbortController();
+
+  constructor(
+    index: number,
+    readonly domain: string,
+    readonly random: RandomSource,
+  ) {
+    this.name = `host-${index}`;
+    this.address = `10.0.0.${index % 250}:${7000 + index}`;
+  }
+
+  /** Aborted when the present process ends. */
+  get signal(): AbortSignal {
+    return this.process.signal;
+  }
+
+  /** Begins a process, which knows nothing. */
+  begin(): AbortController {
+    this.process = new AbortController();
+    return this.process;
+  }
+
+  stop(): void {
+    this.process.abort();
+    this.host?.close();
+    void this.fleet?.close();
+    this.host = undefined;
+    this.fleet = undefined;
+  }
+
+  createBudget(
+    clock: Clock,
+    fleet: DiscoveredFleet,
+    {extra}: RetryFleetOptions,
+  ): PoolRetryBudget {
+    return new PoolRetryBudget({
+      clock,
+      ratio,
+      extra,
+      windowMilliseconds,
+      hostCount: () => fleet.hostCount,
+    });
+  }
+}
