Take every repeat of a call from the retry budget

Cause: the budget was asked before a retry, not before a send. The first prefill of a call was free, and so was the first run after it, also if the engine had rejected the prefill: two arrivals, of which the budget knew none.

Change: CallSends counts what upstreams may have received of a call, runs and prefills alike, and RetryGate covers each further send before it is begun. An accepted first prefill does not count, nor does what never reached an upstream. A prefill is begun only if the run after it is covered too. Retries that were acquired and not needed go back to the budget; one that is set aside for a rejected replacement is now one of them.

In replacement-search the release of both retries is checked where one was before, and the monitored stream has sends; no check is weaker.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -87,10 +87,7 @@
       readonly pool: string;
     } & RetryBudgetState)
   /** An upstream may have received a call that one has received before. */
-  | ({
-      readonly kind: 'repeated';
-      readonly pool: string;
-    } & Repeat)
+  | ({readonly kind: 'repeated'} & Repeat)
   | {
       readonly kind: 'retry-withheld';
       /** Why a retry was needed. */
--- a/packages/coordination/src/passthrough/call-sends.ts
+++ b/packages/coordination/src/passthrough/call-sends.ts
@@ -1,9 +1,12 @@
 /**
  * Counts what upstreams may have received of one call: its runs, and the requests
  * that only have its prompt read. The first prefill that an engine accepts does
- * not count.
+ * not count. What goes beyond the first one has to be covered by retries of the
+ * budget before it is sent.
  */
 
+import type {HeldRetry} from './pool-retry-budget.js';
+
 export type SendPurpose = 'run' | 'prefill';
 
 /** What became of a send. */
@@ -17,6 +20,7 @@
 
 /** A send beyond the first of its call. */
 export interface Repeat {
+  readonly pool: string;
   readonly purpose: SendPurpose;
   /** How the send before it ended. */
   readonly reason: string;
@@ -27,18 +31,57 @@
   end(outcome: SendOutcome, detail: string): void;
 }
 
+/** The retry budget, as far as the sends of a call need it. */
+export interface RetrySource {
+  canAcquire(pool: string, count: number): boolean;
+  acquire(
+    pool: string,
+    count: number,
+  ): Promise<readonly HeldRetry[] | undefined>;
+}
+
 export class CallSends {
   /** Sends that count, with those that have not ended. */
   private counted = 0;
   private hasPrefill = false;
   private lastDetail = '';
+  private held: HeldRetry[] = [];
+  private usedRetries = 0;
+
+  constructor(
+    private readonly retries: RetrySource,
+    private readonly onRepeat: (repeat: Repeat) => void,
+  ) {}
 
-  constructor(private readonly onRepeat: (repeat: Repeat) => void) {}
+  /** Whether an upstream may have received the call. */
+  get hasArrived(): boolean {
+    return this.counted > 0;
+  }
+
+  /** Whether a prefill needs no retry, neither for itself nor for the run after it. */
+  get isPrefillFree(): boolean {
+    return this.counted === 0 && !this.hasPrefill;
+  }
+
+  /** Returns whether the budget can cover `sends` further sends. */
+  canCover(pool: string, sends: number): boolean {
+    const missing = this.missingRetries(sends);
+    return missing === 0 || this.retries.canAcquire(pool, missing);
+  }
+
+  /** Covers `sends` further sends; resolves with whether that was possible. */
+  async cover(pool: string, sends: number): Promise<boolean> {
+    const missing = this.missingRetries(sends);
+    if (missing === 0) return true;
+    const acquired = await this.retries.acquire(pool, missing);
+    this.held.push(...(acquired ?? []));
+    return acquired !== undefined;
+  }
 
   /** Records that a request is about to be sent. */
-  begin(purpose: SendPurpose): CallSend {
+  begin(pool: string, purpose: SendPurpose): CallSend {
     this.counted += 1;
-    const repeat = {purpose, reason: this.lastDetail};
+    const repeat = {pool, purpose, reason: this.lastDetail};
     const isRepeat = this.counted > 1;
     return {
       end: (outcome, detail) => {
@@ -50,4 +93,19 @@
       },
     };
   }
+
+  /** Returns the retries that were acquired and not needed. */
+  settle(): void {
+    const needed = Math.max(0, this.counted - 1 - this.usedRetries);
+    const used = this.held.slice(0, needed);
+    for (const retry of used) retry.use();
+    for (const retry of this.held.slice(needed)) retry.release();
+    this.usedRetries += used.length;
+    this.held = [];
+  }
+
+  private missingRetries(sends: number): number {
+    const covered = this.held.length + this.usedRetries;
+    return Math.max(0, this.counted + sends - 1 - covered);
+  }
 }
--- a/packages/coordination/src/passthrough/engine-replacement.ts
+++ b/packages/coordination/src/passthrough/engine-replacement.ts
@@ -2,7 +2,7 @@
  * Finds another engine for a generation whose engine is silent. The engine is
  * given up only for a reservation at another one, because a slow engine may
  * still complete the generation. The other one may reject the run although it has
- * granted the reservation, so that a retry is set aside as well: the first
+ * granted the reservation, so that a retry is acquired for this as well: the first
  * connection is closed before the other engine is asked.
  */
 
@@ -10,18 +10,10 @@
 import type {RequestFailure} from '../requests/failure.js';
 import type {RetryLimit} from './call-events.js';
 import type {GenerationState} from './generation-run.js';
-import type {HeldRetry} from './pool-retry-budget.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {RetryGate, RetryRequest} from './retry-gate.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
-/** What is secured before a silent engine is given up. */
-export interface SecuredReplacement {
-  readonly reservation: EngineReservation;
-  /** A retry for the case that the engine rejects the run. */
-  readonly heldRetry: HeldRetry;
-}
-
 export interface EngineReplacementParts {
   readonly retryGate: RetryGate;
   readonly reserve: (
@@ -43,7 +35,7 @@
   ) {}
 
   /** Resolves with undefined if no engine may or can take over now. */
-  async find(signal: AbortSignal): Promise<SecuredReplacement | undefined> {
+  async find(signal: AbortSignal): Promise<EngineReservation | undefined> {
     const {retryGate, reserve, releaseReservation} = this.parts;
     const {avoidedUpstreams} = this.state;
     const limit = retryGate.limitOfReplacement(this.retryRequest());
@@ -56,24 +48,20 @@
     if (reserved.isErr)
       return signal.aborted ? undefined : this.withhold('capacity');
     const reservation = reserved.value;
-    const heldRetry = signal.aborted
-      ? undefined
-      : retryGate.acquireReplacement(this.retryRequest());
-    if (heldRetry !== undefined) return {reservation, heldRetry};
+    if (
+      !signal.aborted &&
+      (await retryGate.acquireReplacement(this.retryRequest()))
+    )
+      return reservation;
     releaseReservation(reservation);
     return undefined;
   }
 
   private retryRequest(): RetryRequest {
-    const {call, pool, attempts} = this.state;
+    const {call, pool, attempts, sends} = this.state;
     const {possibleRuns} = this;
-    return {
-      call,
-      pool,
-      counts: {attempts, possibleRuns},
-      reason: 'silent',
-      usesRetryBudget: true,
-    };
+    const counts = {attempts, possibleRuns};
+    return {call, pool, counts, sends, reason: 'silent'};
   }
 
   /** Reports each limit once, although the search is repeated. */
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -12,7 +12,6 @@
   EventTooLongError,
 } from './event-stream-splitter.js';
 import type {GenerationState} from './generation-run.js';
-import type {SecuredReplacement} from './engine-replacement.js';
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
 import type {StallMonitor} from '../stall-monitor.js';
@@ -22,7 +21,7 @@
   readonly error: InterruptedResponseError;
   readonly progress: StreamProgress;
   /** Engine that takes over a silent stream. */
-  readonly replacement: SecuredReplacement | undefined;
+  readonly replacement: EngineReservation | undefined;
 }
 
 export interface EventRelayParts {
@@ -30,7 +29,7 @@
   readonly state: GenerationState;
   readonly response: PassthroughResponse;
   readonly reservation: EngineReservation;
-  readonly monitor: StallMonitor<SecuredReplacement>;
+  readonly monitor: StallMonitor<EngineReservation>;
   readonly baselineInterval: BaselineDuration;
   readonly speeds?: UpstreamSpeeds | undefined;
   /** Called before the first event of the engine is passed on. */
@@ -55,7 +54,7 @@
   let hasBegun = false;
   const interruptedBy = (
     error: InterruptedResponseError,
-    replacement?: SecuredReplacement,
+    replacement?: EngineReservation,
   ): StreamInterruption => {
     const now = clock.now();
     const millisecondsSinceByte = now - byteAt;
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -21,10 +21,9 @@
   PassthroughError,
   TransportResult,
 } from './call.js';
-import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
+import {provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {UpstreamLosses} from './upstream-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
-import type {SecuredReplacement} from './engine-replacement.js';
 import {
   attemptFailureOf,
   queueFailureOf,
@@ -32,6 +31,7 @@
   eventStreamStatus,
   estimateMemoryTokens,
   outputProgressOf,
+  retryRequestOf,
   versionFailureOf,
 } from './generation-run.js';
 import type {GenerationState, PrefilledCache} from './generation-run.js';
@@ -41,7 +41,6 @@
   meetsRequirements,
 } from './reservation-queue.js';
 import type {EngineReservation} from './reservation-queue.js';
-import type {HeldRetry} from './pool-retry-budget.js';
 import {RetryGate} from './retry-gate.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
@@ -89,12 +88,12 @@
 interface FailedAttempt {
   readonly error: PassthroughError;
   /** Engine that takes over from a silent one. */
-  readonly replacement: SecuredReplacement | undefined;
+  readonly replacement: EngineReservation | undefined;
 }
 
 interface AwaitedHead {
   readonly result: Result<PassthroughResponse, PassthroughError>;
-  readonly replacement: SecuredReplacement | undefined;
+  readonly replacement: EngineReservation | undefined;
 }
 
 export interface MonitorOptions {
@@ -128,8 +127,8 @@
     return [...this.queues.values()].reduce((sum, {length}) => sum + length, 0);
   }
 
-  createSends(call: RoutedCall, pool: PoolDocument): CallSends {
-    return this.retryGate.createSends(call, pool);
+  createSends(call: RoutedCall): CallSends {
+    return this.retryGate.createSends(call);
   }
 
   /** Records the newest document of a pool. */
@@ -143,26 +142,23 @@
    */
   async start(
     state: GenerationState,
-    replacement?: SecuredReplacement,
+    replacement?: EngineReservation,
   ): Promise<Result<StartedGeneration, RequestFailure>> {
-    const held = new Set<HeldRetry>();
     try {
-      return await this.startHolding(state, replacement, held);
+      return await this.startCovered(state, replacement);
     } finally {
-      for (const retry of held) retry.release();
+      state.sends.settle();
     }
   }
 
-  /** Adds the retries that are set aside to `held`. */
-  private async startHolding(
+  /** Like `start`, and leaves retries that were not needed to its caller. */
+  private async startCovered(
     state: GenerationState,
-    replacement: SecuredReplacement | undefined,
-    held: Set<HeldRetry>,
+    replacement: EngineReservation | undefined,
   ): Promise<Result<StartedGeneration, RequestFailure>> {
     const {signal} = state;
     const {releases, upstreams} = this.parts;
-    if (replacement !== undefined) held.add(replacement.heldRetry);
-    let granted = replacement?.reservation;
+    let granted = replacement;
     for (;;) {
       const reserved: Result<EngineReservation, RequestFailure> =
         granted === undefined
@@ -190,6 +186,13 @@
         state.reusableCache = cache;
         return Result.err(stopped);
       }
+      if (
+        !(await this.retryGate.acquireRun(retryRequestOf(state, 'prefill')))
+      ) {
+        releases.releaseReservation(reservation);
+        state.reusableCache = cache;
+        return Result.err(queueFailureOf(state, true));
+      }
       if (
         !this.isUsable(state, reservation) ||
         !upstreams.acquireRequest(reservation.upstream.document)
@@ -204,32 +207,20 @@
       const started = await this.sendAttempt(state, reservation, cache);
       if (started.isOk) return Result.ok(started.value);
       const {error, replacement: next} = started.error;
-      granted = next?.reservation;
-      if (next !== undefined) held.add(next.heldRetry);
+      granted = next;
       if (signal.aborted) {
         if (granted !== undefined) releases.releaseReservation(granted);
         return Result.err(disconnectFailureOf(state));
       }
       if (granted !== undefined) continue;
-      // A retry that was set aside is acquired at once.
-      for (const retry of held) retry.release();
-      if (!this.acquireRetry(state, error.kind, mayHaveBeenSent(error)))
+      if (!(await this.acquireRetry(state, error.kind)))
         return Result.err(attemptFailureOf(state));
     }
   }
 
-  /**
-   * Acquires permission for another attempt. Takes from the retry budget only if
-   * `usesRetryBudget` is set.
-   */
-  acquireRetry(
-    state: GenerationState,
-    reason: string,
-    usesRetryBudget: boolean,
-  ): boolean {
-    const {call, pool} = state;
-    const counts = state;
-    const request = {call, pool, counts, reason, usesRetryBudget};
+  /** Acquires permission for another attempt. */
+  async acquireRetry(state: GenerationState, reason: string): Promise<boolean> {
+    const request = retryRequestOf(state, reason);
     if (!state.isSuspect) return this.retryGate.acquire(request);
     this.retryGate.reportWithheld(request, 'prompt');
     return false;
@@ -427,7 +418,7 @@
     state.attemptEvents = 0;
     const attempt = new AbortScope(state.signal);
     requestLimits.sendAcquired(document.name);
-    const send = state.sends.begin('run');
+    const send = state.sends.begin(state.pool.name, 'run');
     const sent = transport.send(
       document,
       call,
@@ -511,7 +502,7 @@
     state: GenerationState,
     engine: TrackedUpstream,
     {stallMilliseconds, possibleRuns, isReplaceable}: MonitorOptions,
-  ): StallMonitor<SecuredReplacement> {
+  ): StallMonitor<EngineReservation> {
     const {clock, releases} = this.parts;
     const releaseReservation = (reservation: EngineReservation) =>
       releases.releaseReservation(reservation);
@@ -532,8 +523,8 @@
       deadline: state.call.deadline,
       findReplacement: signal =>
         isReplaceable ? replacement.find(signal) : Promise.resolve(undefined),
-      releaseReplacement: ({reservation, heldRetry}) => {
-        heldRetry.release();
+      releaseReplacement: reservation => {
+        state.sends.settle();
         releaseReservation(reservation);
       },
     });
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -19,6 +19,7 @@
   GenerationRequirements,
   PassthroughError,
 } from './call.js';
+import type {RetryRequest} from './retry-gate.js';
 import type {ContinuationRefusal} from './stream-continuation.js';
 
 /** Status of a response that is a stream of events. */
@@ -55,7 +56,6 @@
    * may be the cause.
    */
   isSuspect: boolean;
-  prefillAttempts: number;
   /**
    * Number of attempts that may have run the call; limited by `maximumTries`.
    */
@@ -129,6 +129,15 @@
   };
 }
 
+/** What asks for another send of a generation. */
+export function retryRequestOf(
+  state: GenerationState,
+  reason: string,
+): RetryRequest {
+  const {call, pool, sends} = state;
+  return {call, pool, counts: state, sends, reason};
+}
+
 /** Failure of a call whose caller disconnected. */
 export function disconnectFailureOf({
   possibleRuns,
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -14,7 +14,6 @@
 } from './call.js';
 import {cacheBytesOf} from './domain-router.js';
 import {relayEvents} from './event-relay.js';
-import type {SecuredReplacement} from './engine-replacement.js';
 import type {StreamInterruption} from './event-relay.js';
 import {GenerationAttempts} from './generation-attempts.js';
 import type {UpstreamLosses} from './upstream-losses.js';
@@ -77,10 +76,9 @@
       signal,
       avoidedUpstreams: new Set(),
       attempts: 0,
-      sends: this.attempts.createSends(call, pool),
+      sends: this.attempts.createSends(call),
       attemptEvents: 0,
       isSuspect: false,
-      prefillAttempts: 0,
       possibleRuns: 0,
       shouldSkipPrefillStage: false,
       reusableCache: undefined,
@@ -241,18 +239,18 @@
     const {observer} = this.parts;
     const {call, signal} = state;
     if (!(call.route.target.resumable ?? false) || signal.aborted) {
-      this.releaseReplacement(replacement);
+      this.releaseReplacement(state, replacement);
       return undefined;
     }
     await state.versionCheck;
     if (state.isVersionUncertain) {
-      this.releaseReplacement(replacement);
+      this.releaseReplacement(state, replacement);
       observer(call.id, {kind: 'retry-withheld', reason, limit: 'version'});
       return undefined;
     }
     if (
       replacement === undefined &&
-      !this.attempts.acquireRetry(state, reason, true)
+      !(await this.attempts.acquireRetry(state, reason))
     )
       return undefined;
     state.shouldSkipPrefillStage = false;
@@ -281,9 +279,12 @@
     return started.value;
   }
 
-  private releaseReplacement(replacement: SecuredReplacement | undefined) {
+  private releaseReplacement(
+    {sends}: GenerationState,
+    replacement: EngineReservation | undefined,
+  ): void {
     if (replacement === undefined) return;
-    replacement.heldRetry.release();
-    this.parts.releases.releaseReservation(replacement.reservation);
+    sends.settle();
+    this.parts.releases.releaseReservation(replacement);
   }
 }
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -23,12 +23,13 @@
   PassthroughResponse,
   PassthroughError,
 } from './call.js';
-import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
+import {provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {CallSends} from './call-sends.js';
 import {bufferResponse} from './buffered-response.js';
 import {firstResponse} from './plain-attempt.js';
 import type {PlainAttempt} from './plain-attempt.js';
 import {RetryGate} from './retry-gate.js';
+import type {RetryRequest} from './retry-gate.js';
 import {recordAttemptFailure} from './record-attempt-failure.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {choosePoolByWeight} from './passthrough-parts.js';
@@ -68,11 +69,6 @@
   readonly triedUpstreams: Set<string>;
   attempts: number;
   readonly sends: CallSends;
-  /**
-   * Attempts that may have been sent. Once there is one, each retry uses the
-   * retry budget.
-   */
-  sentAttempts: number;
   possibleRuns: number;
   /** Complete response that reports a failure of the upstream. */
   serverErrorResponse: PassthroughResponse | undefined;
@@ -111,9 +107,8 @@
       signal,
       triedUpstreams: new Set(),
       attempts: 0,
-      sends: this.retryGate.createSends(call, pool),
+      sends: this.retryGate.createSends(call),
       attemptEvents: 0,
-      sentAttempts: 0,
       possibleRuns: 0,
       isSuspect: false,
       serverErrorResponse: undefined,
@@ -123,9 +118,11 @@
     };
     while (!signal.aborted) {
       const upstream = await this.nextUpstream(call, pool, progress);
-      if (upstream === undefined) break;
-      const response = await this.attempt(call, pool, upstream, progress);
+      const response =
+        upstream && (await this.attempt(call, pool, upstream, progress));
+      progress.sends.settle();
       if (response !== undefined) return Result.ok(response);
+      if (upstream === undefined) break;
     }
     if (progress.serverErrorResponse !== undefined)
       return Result.ok(progress.serverErrorResponse);
@@ -147,7 +144,7 @@
       pool,
       counts: progress,
       reason: progress.lastError?.kind ?? 'failed',
-      usesRetryBudget: progress.sentAttempts > 0,
+      sends: progress.sends,
     };
     const limit = progress.isSuspect
       ? 'prompt'
@@ -168,8 +165,9 @@
     if (progress.refusal !== undefined) return undefined;
     switch (choice.kind) {
       case 'chosen':
-        if (attempts > 0) this.retryGate.acquire(request);
-        return choice.upstream;
+        if (attempts === 0 && !progress.sends.hasArrived)
+          return choice.upstream;
+        return this.acquireRetry(request, choice.upstream);
       case 'limited':
         progress.limitWaitMilliseconds = choice.waitMilliseconds;
         if (attempts > 0) this.retryGate.reportWithheld(request, 'capacity');
@@ -179,6 +177,18 @@
     }
   }
 
+  /** Returns `upstream` if another attempt may be made there. */
+  private async acquireRetry(
+    request: RetryRequest,
+    upstream: TrackedUpstream,
+  ): Promise<TrackedUpstream | undefined> {
+    if (!(await this.retryGate.acquire(request))) return undefined;
+    // Other calls may have used its limit meanwhile.
+    return this.parts.requestLimits.canSend(upstream.document.name, 1)
+      ? upstream
+      : undefined;
+  }
+
   /**
    * Makes one attempt. A second one joins it while the upstream is silent; the
    * first response ends the call.
@@ -218,7 +228,7 @@
       upstream.localLoad.calls + upstreams.reportedLoad(name).calls;
     const scope = new AbortScope(progress.signal);
     const needsNewConnection = !call.route.target.repeatable;
-    const sent = progress.sends.begin('run');
+    const sent = progress.sends.begin(pool.name, 'run');
     const head = transport.send(
       upstream.document,
       call,
@@ -279,7 +289,7 @@
       stallMilliseconds: responseStallOf(call),
       deadline: call.deadline,
       findReplacement: this.replacementSearch(call, pool, progress),
-      releaseReplacement: () => undefined,
+      releaseReplacement: () => progress.sends.settle(),
     });
     const next = await monitor.wait(head);
     monitor.close();
@@ -301,8 +311,8 @@
       call,
       pool,
       counts: {attempts, possibleRuns: progress.possibleRuns + 1},
+      sends: progress.sends,
       reason: 'silent',
-      usesRetryBudget: true,
     };
     let reportedLimit: RetryLimit | undefined;
     const withhold = (limit: RetryLimit) => {
@@ -318,8 +328,7 @@
       const options = {triedUpstreams, ahead: 0, requiresUsable: true};
       const choice = this.selector.choose(call, pool, options);
       if (choice.kind !== 'chosen') return withhold('capacity');
-      retryGate.acquire(request);
-      return choice.upstream;
+      return this.acquireRetry(request, choice.upstream);
     };
   }
 
@@ -346,7 +355,6 @@
       this.recordError(upstream, response.error, progress, now);
       return undefined;
     }
-    progress.sentAttempts += 1;
     progress.possibleRuns += 1;
     this.upstreamLosses.recordSuccess(progress);
     const ratio = this.baselineDurationFor(pool).record(now - startedAt);
@@ -387,7 +395,6 @@
   ): void {
     progress.lastError = error;
     if (!provesCallNotRun(error)) progress.possibleRuns += 1;
-    if (mayHaveBeenSent(error)) progress.sentAttempts += 1;
     // What a caller's disconnect ends says nothing about the upstream.
     if (!progress.signal.aborted) recordAttemptFailure(upstream, error, now);
   }
--- a/packages/coordination/src/passthrough/pool-retry-budget.ts
+++ b/packages/coordination/src/passthrough/pool-retry-budget.ts
@@ -31,9 +31,11 @@
  */
 const usableFraction = 0.8;
 
-/** A retry that is set aside for one call. */
+/** A retry that is set aside for one call, until either method is called. */
 export interface HeldRetry {
-  /** Returns the retry to the budget. Further calls have no effect. */
+  /** Spends the retry. */
+  use(): void;
+  /** Returns the retry to the budget. */
   release(): void;
 }
 
@@ -86,28 +88,38 @@
     return spent + count <= allowed;
   }
 
-  /** Sets one retry aside; returns undefined if the budget is used up. */
-  hold(pool: string): HeldRetry | undefined {
-    if (!this.canAcquire(pool)) return undefined;
+  /** Sets `count` retries aside; undefined if the budget has fewer. */
+  tryAcquire(pool: string, count = 1): readonly HeldRetry[] | undefined {
+    if (!this.canAcquire(pool, count)) return undefined;
+    return Array.from({length: count}, () => this.hold(pool));
+  }
+
+  /** Like `tryAcquire`. */
+  acquire(
+    pool: string,
+    count: number,
+  ): Promise<readonly HeldRetry[] | undefined> {
+    return Promise.resolve(this.tryAcquire(pool, count));
+  }
+
+  private hold(pool: string): HeldRetry {
     const counts = this.countsOf(pool);
     counts.held += 1;
     let isHeld = true;
+    const end = () => {
+      if (isHeld) counts.held -= 1;
+      const wasHeld = isHeld;
+      isHeld = false;
+      return wasHeld;
+    };
     return {
-      release() {
-        if (!isHeld) return;
-        isHeld = false;
-        counts.held -= 1;
+      use: () => {
+        if (end()) counts.retries.add(this.parts.clock.now());
       },
+      release: () => void end(),
     };
   }
 
-  /** Acquires one retry; returns false if the budget is used up. */
-  tryAcquire(pool: string): boolean {
-    if (!this.canAcquire(pool)) return false;
-    this.countsOf(pool).retries.add(this.parts.clock.now());
-    return true;
-  }
-
   private countsOf(pool: string): PoolCounts {
     const known = this.counts.get(pool);
     if (known !== undefined) return known;
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -4,6 +4,7 @@
  */
 
 import {crashTraitsOf} from './crash-traits.js';
+import {retryRequestOf} from './generation-run.js';
 import type {GenerationState, PrefilledCache} from './generation-run.js';
 import {cacheBytesOf, inDecidedDomain} from './domain-router.js';
 import {drawByCost} from './draw-by-cost.js';
@@ -66,7 +67,6 @@
     reservation: EngineReservation,
   ): Promise<PrefilledCache | undefined> {
     const {quarantine} = this.parts;
-    const {call, pool} = state;
     const traits = crashTraitsOf(state.call);
     const reusable = this.takeReusableCache(state);
     if (reusable !== undefined) return reusable;
@@ -81,13 +81,10 @@
       if (engine === undefined || state.signal.aborted) return undefined;
       if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
       if (quarantine.findQuarantined(traits) !== undefined) return undefined;
-      // The first prefill of a call does not use the retry budget.
-      const {prefillAttempts} = state;
-      if (
-        prefillAttempts > 0 &&
-        !this.retryGate.acquirePrefill(call, pool, prefillAttempts)
-      )
-        return undefined;
+      const isAllowed = await this.retryGate.acquirePrefill(
+        retryRequestOf(state, 'prefill'),
+      );
+      if (!isAllowed || state.signal.aborted) return undefined;
       triedEngines.add(engine.document.name);
       const cache = await this.prefillAt(state, engine, reservation);
       if (cache !== undefined) return cache;
@@ -196,8 +193,7 @@
     const load = upstreams.addLoad(engine, promptLoad);
     engine.health.recordAttempt(startedAt);
     this.parts.requestLimits.acquire(engine.document.name, 1);
-    state.prefillAttempts += 1;
-    const send = state.sends.begin('prefill');
+    const send = state.sends.begin(state.pool.name, 'prefill');
     const remainingMilliseconds = call.deadline - startedAt;
     const sent = transport.prefill(
       engine.document,
--- a/packages/coordination/src/passthrough/retry-gate.ts
+++ b/packages/coordination/src/passthrough/retry-gate.ts
@@ -1,24 +1,29 @@
-/** Permits further attempts of calls, and reports each decision. */
+/** Permits further sends of calls to upstreams, and reports each decision. */
 
 import type {PoolDocument} from '../generated/documents.js';
 import type {RetryLimit} from './call-events.js';
 import type {RoutedCall} from './call.js';
 import {CallSends} from './call-sends.js';
 import type {PassthroughParts} from './passthrough-parts.js';
-import type {HeldRetry} from './pool-retry-budget.js';
 import {retryLimitOf} from './retry-limit.js';
 import type {AttemptCounts} from './retry-limit.js';
 
-/** A further attempt that is wanted. */
+/** A further send that is wanted. */
 export interface RetryRequest {
   readonly call: RoutedCall;
   readonly pool: PoolDocument;
   readonly counts: AttemptCounts;
-  /** Why the call is to be attempted again. */
+  readonly sends: CallSends;
+  /** Why the call is to be sent again. */
   readonly reason: string;
-  readonly usesRetryBudget: boolean;
 }
 
+/**
+ * Sends that are covered before a silent engine is given up, or the prompt is read
+ * again: the next one, and a run in case that the engine rejects it or after it.
+ */
+const sendsWithReserve = 2;
+
 export class RetryGate {
   constructor(
     private readonly parts: Pick<
@@ -28,58 +33,50 @@
   ) {}
 
   /** Begins to count the sends of a call, and reports those beyond the first. */
-  createSends(call: RoutedCall, {name: pool}: PoolDocument): CallSends {
-    const {observer} = this.parts;
-    return new CallSends(repeat =>
-      observer(call.id, {kind: 'repeated', pool, ...repeat}),
+  createSends({id}: RoutedCall): CallSends {
+    const {observer, retryBudget} = this.parts;
+    return new CallSends(retryBudget, repeat =>
+      observer(id, {kind: 'repeated', ...repeat}),
     );
   }
 
-  /** What forbids the attempt now, if anything does. Acquires nothing. */
-  limitOf({
-    call,
-    pool,
-    counts,
-    usesRetryBudget,
-  }: RetryRequest): RetryLimit | undefined {
-    const {clock, retryBudget} = this.parts;
-    const limit = retryLimitOf(call, counts, clock.now());
+  /** What forbids another attempt now, if anything does. Acquires nothing. */
+  limitOf({call, pool, counts, sends}: RetryRequest): RetryLimit | undefined {
+    const limit = retryLimitOf(call, counts, this.parts.clock.now());
     if (limit !== undefined) return limit;
-    return usesRetryBudget && !retryBudget.canAcquire(pool.name)
-      ? 'budget'
-      : undefined;
+    return sends.canCover(pool.name, 1) ? undefined : 'budget';
   }
 
-  /** Acquires permission; returns false if the attempt is forbidden. */
-  acquire(request: RetryRequest): boolean {
-    const limit = this.limitOf(request);
-    if (limit !== undefined) {
-      this.reportWithheld(request, limit);
-      return false;
-    }
-    const {call, pool, counts, reason, usesRetryBudget} = request;
-    if (usesRetryBudget) this.parts.retryBudget.tryAcquire(pool.name);
-    const tries = counts.attempts;
-    this.reportRetried(call, pool, reason, tries);
-    return true;
+  /** Acquires permission; resolves with false if the attempt is forbidden. */
+  async acquire(request: RetryRequest): Promise<boolean> {
+    const limit = this.limitOf(request) ?? (await this.cover(request, 1));
+    if (limit === undefined) this.reportRetried(request);
+    else this.reportWithheld(request, limit);
+    return limit === undefined;
   }
 
-  /** Acquires permission for a prefill of a call that has been prefilled before. */
-  acquirePrefill(call: RoutedCall, pool: PoolDocument, tries: number): boolean {
-    if (!this.parts.retryBudget.tryAcquire(pool.name)) return false;
-    this.reportRetried(call, pool, 'prefill', tries);
-    return true;
+  /**
+   * Acquires permission for the run of a call that was prefilled. It needs a retry
+   * if an engine rejected a prefill.
+   */
+  async acquireRun(request: RetryRequest): Promise<boolean> {
+    const {sends, pool} = request;
+    if (!sends.hasArrived) return true;
+    if (await sends.cover(pool.name, 1)) return true;
+    this.reportWithheld(request, 'budget');
+    return false;
   }
 
-  private reportRetried(
-    call: RoutedCall,
-    {name: pool}: PoolDocument,
-    reason: string,
-    tries: number,
-  ): void {
-    const {observer, retryBudget} = this.parts;
-    const state = retryBudget.stateOf(pool);
-    observer(call.id, {kind: 'retried', reason, tries, pool, ...state});
+  /**
+   * Acquires permission for a prefill, and for the run after it: a prompt that is
+   * read for a run that is not allowed is read in vain.
+   */
+  async acquirePrefill(request: RetryRequest): Promise<boolean> {
+    if (request.sends.isPrefillFree) return true;
+    if ((await this.cover(request, sendsWithReserve)) !== undefined)
+      return false;
+    this.reportRetried(request);
+    return true;
   }
 
   /**
@@ -87,32 +84,43 @@
    * The replacement may be rejected, so a further attempt has to be left.
    */
   limitOfReplacement(request: RetryRequest): RetryLimit | undefined {
-    const {call, pool, counts} = request;
-    const {clock, retryBudget} = this.parts;
+    const {call, pool, counts, sends} = request;
     const afterwards = {...counts, attempts: counts.attempts + 1};
     return (
-      retryLimitOf(call, afterwards, clock.now()) ??
-      (retryBudget.canAcquire(pool.name, 2) ? undefined : 'budget')
+      retryLimitOf(call, afterwards, this.parts.clock.now()) ??
+      (sends.canCover(pool.name, sendsWithReserve) ? undefined : 'budget')
     );
   }
 
   /**
-   * Acquires permission for a replacement, and sets a retry aside for the case that
-   * it is rejected; returns undefined if either is forbidden.
+   * Acquires permission for a replacement, and for a further attempt in case that
+   * it is rejected; resolves with false if either is forbidden.
    */
-  acquireReplacement(request: RetryRequest): HeldRetry | undefined {
-    const limit = this.limitOfReplacement(request);
-    if (limit !== undefined) {
-      this.reportWithheld(request, limit);
-      return undefined;
-    }
-    const held = this.parts.retryBudget.hold(request.pool.name);
-    if (this.acquire(request)) return held;
-    held?.release();
-    return undefined;
+  async acquireReplacement(request: RetryRequest): Promise<boolean> {
+    const limit =
+      this.limitOfReplacement(request) ??
+      (await this.cover(request, sendsWithReserve));
+    if (limit === undefined) this.reportRetried(request);
+    else this.reportWithheld(request, limit);
+    return limit === undefined;
   }
 
   reportWithheld({call, reason}: RetryRequest, limit: RetryLimit): void {
     this.parts.observer(call.id, {kind: 'retry-withheld', reason, limit});
   }
+
+  private async cover(
+    {sends, pool}: RetryRequest,
+    count: number,
+  ): Promise<RetryLimit | undefined> {
+    return (await sends.cover(pool.name, count)) ? undefined : 'budget';
+  }
+
+  private reportRetried({call, pool, reason, counts}: RetryRequest): void {
+    const {observer, retryBudget} = this.parts;
+    const tries = counts.attempts;
+    const state = retryBudget.stateOf(pool.name);
+    const event = {kind: 'retried' as const, reason, tries};
+    observer(call.id, {...event, pool: pool.name, ...state});
+  }
 }
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -211,8 +211,7 @@
     pool,
     generation: {promptTokens: 100},
     signal: new AbortController().signal,
-    prefillAttempts: 0,
-    sends: new CallSends(() => undefined),
+    sends: new CallSends(parts.retryBudget, () => undefined),
     shouldSkipPrefillStage: false,
     reusableCache: undefined,
   } as unknown as GenerationState;
@@ -282,8 +281,7 @@
     signal: new AbortController().signal,
     avoidedUpstreams: new Set<string>(),
     attempts: 0,
-    sends: new CallSends(() => undefined),
-    prefillAttempts: 0,
+    sends: new CallSends(parts.retryBudget, () => undefined),
     possibleRuns: 0,
     lastEventId: 2,
     softwareVersion: 'v1',
@@ -378,10 +376,13 @@
     hostCount: () => 1,
   });
   let reservations = 0;
+  const sends = new CallSends(retryBudget, () => undefined);
+  sends.begin(pool.name, 'run');
   const state = {
     call: callAt(0),
     pool,
     attempts: 1,
+    sends,
     avoidedUpstreams: new Set<string>(),
   };
   const replacement = new EngineReplacement(
@@ -402,11 +403,11 @@
   t.is(reservations, 0, 'one retry does not cover a rejected run');
   extra = 10;
   const secured = await replacement.find(signal);
-  t.is(secured?.reservation.upstream.document.name, 'd-2');
+  t.is(secured?.upstream.document.name, 'd-2');
   t.false(retryBudget.canAcquire(pool.name), 'the second retry is set aside');
-  secured?.heldRetry.release();
-  secured?.heldRetry.release();
-  t.true(retryBudget.tryAcquire(pool.name));
+  sends.settle();
+  sends.settle();
+  t.is(retryBudget.tryAcquire(pool.name, 2)?.length, 2);
   t.false(retryBudget.canAcquire(pool.name));
 });
 
@@ -419,12 +420,15 @@
     await import('../src/passthrough/generation-attempts.js');
   const attempts = new GenerationAttempts(parts, new UpstreamLosses(parts));
   attempts.updatePool(pool);
+  const sends = new CallSends(parts.retryBudget, () => undefined);
+  sends.begin(pool.name, 'run');
   const state = {
     call: callAt(0),
     pool,
     generation: {promptTokens: 100, maximumOutputTokens: 50},
     signal: new AbortController().signal,
     avoidedUpstreams: new Set<string>(),
+    sends,
     attempts: 1,
     possibleRuns: 1,
     lastEventId: 2,
@@ -438,7 +442,7 @@
   void monitor.wait(new Promise<never>(() => undefined)).then(result => {
     found =
       result.kind === 'replaced'
-        ? result.replacement.reservation.upstream.document.name
+        ? result.replacement.upstream.document.name
         : result.kind;
   });
   await clock.advance(3000);
--- a/packages/coordination/test/tools/retry-fleet.ts
+++ b/packages/coordination/test/tools/retry-fleet.ts
@@ -32,7 +32,7 @@
 import type {HandoverTransport} from '../../src/passthrough/call-handover.js';
 import type {PassthroughHostParts} from '../../src/passthrough/passthrough-host.js';
 import type {PassthroughRoute} from '../../src/passthrough/route-table.js';
-import {RetryNode} from './retry-node.js';
+import {RetryNode, firstPort} from './retry-node.js';
 import {createRequestLimits} from './unlimited.js';
 
 export interface RetryFleetOptions {
@@ -107,6 +107,12 @@
   readonly isPrefilled: boolean;
 }
 
+interface Datagram {
+  readonly from: RetryNode;
+  readonly to: RetryNode;
+  readonly beat: Beat;
+}
+
 /** The window in which most was received beyond what the budget allows. */
 export interface WorstWindow {
   readonly from: number;
@@ -122,6 +128,8 @@
   /** Calls of all hosts in a second; none at first. */
   callsPerSecond = 0;
   served = 0;
+  /** Heartbeats that arrive together. */
+  private datagrams: Datagram[] = [];
   private readonly requestTimes: number[] = [];
   private readonly arrivals: Arrival[] = [];
   private readonly random;
@@ -342,13 +350,24 @@
   }
 
   private deliver(from: RetryNode, address: string, beat: Beat): void {
-    const to = this.nodes.find(node => node.address === address);
+    const to = this.nodeAt(address);
     if (to === undefined || to.group !== from.group) return;
+    this.datagrams.push({from, to, beat});
+    if (this.datagrams.length > 1) return;
     void this.clock.sleep(hopMilliseconds).then(() => {
-      if (to.group === from.group) to.fleet?.receive(beat);
+      const arrived = this.datagrams;
+      this.datagrams = [];
+      for (const each of arrived)
+        if (each.to.group === each.from.group)
+          each.to.fleet?.receive(each.beat);
     });
   }
 
+  private nodeAt(address: string): RetryNode | undefined {
+    const index = Number(address.split(':')[1]) - firstPort;
+    return this.nodes[index];
+  }
+
   private createTransport(
     node: RetryNode,
     signal: AbortSignal,
@@ -404,7 +423,7 @@
     return {
       handOver: async (address, call) => {
         await this.clock.sleep(hopMilliseconds);
-        const to = this.nodes.find(node => node.address === address);
+        const to = this.nodeAt(address);
         const upstream = upstreamId(address);
         if (to?.host === undefined || to.group !== from.group || signal.aborted)
           return Result.err({kind: 'unreachable', upstream});
--- a/packages/coordination/test/tools/retry-node.ts
+++ b/packages/coordination/test/tools/retry-node.ts
@@ -10,6 +10,9 @@
 import {ratio, windowMilliseconds} from './retry-fleet.js';
 import type {RetryFleetOptions} from './retry-fleet.js';
 
+/** The port tells the hosts apart. */
+export const firstPort = 7000;
+
 export class RetryNode {
   readonly name: string;
   readonly address: string;
@@ -28,7 +31,7 @@
     readonly random: RandomSource,
   ) {
     this.name = `host-${index}`;
-    this.address = `10.0.0.${index % 250}:${7000 + index}`;
+    this.address = `10.0.0.${index % 250}:${firstPort + index}`;
   }
 
   /** Aborted when the present process ends. */
--- a/packages/coordination/test/upstream-eligibility.test.ts
+++ b/packages/coordination/test/upstream-eligibility.test.ts
@@ -232,8 +232,7 @@
     pool,
     signal: neverAborted,
     generation: {promptTokens: 100, promptParts: []},
-    sends: new CallSends(() => undefined),
-    prefillAttempts: 0,
+    sends: new CallSends(parts.retryBudget, () => undefined),
     shouldSkipPrefillStage: false,
     reusableCache: undefined,
   } as unknown as GenerationState;
