Hold the retry budget over all hosts through starts and cuts

Cause: a process that starts knows neither what the one before it has spent nor how many others there are, and took 1/4 of the extra retries at once; hosts that are cut off divide by those that they still hear. Class: a limit on a sum, divided by a count that each host guesses for itself.

Change: RetryAllowance replaces the counts. What calls earn is saved up to a limit by which all hosts together stay within the budget, and is lost at a restart, so that a restart cannot spend it again. The fixed part is divided among hosts that are counted: those in contact with most seeds, themselves or by a host that reports it, and up for a window and the time in which others are heard of. Two groups that are cut off from each other cannot both be in contact with most seeds. Heartbeats carry the age of the contact.

A property test runs 300 sequences of calls, retries and restarts.

Two tests of the old counts are replaced: 100 calls now arrive over a window instead of at one moment, with the same bounds; a host without known peers gets nothing but what its calls earn, where 13 retries were allowed. The stand-in site starts hosts that have no earlier process.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -285,6 +285,9 @@
 export type {CallEvent, CallObserver} from './passthrough/call-events.js';
 export {RouteTable} from './passthrough/route-table.js';
 export type {PassthroughRoute} from './passthrough/route-table.js';
+export {FleetContact} from './passthrough/fleet-contact.js';
+export type {FleetContactParts} from './passthrough/fleet-contact.js';
+export type {FleetShare, RetryBounds} from './decisions/retry-allowance.js';
 export {PoolRetryBudget} from './passthrough/pool-retry-budget.js';
 export type {PoolRetryBudgetParts} from './passthrough/pool-retry-budget.js';
 export {RequestQuarantine} from './passthrough/request-quarantine.js';
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -48,6 +48,8 @@
   readonly speeds?: SpeedReport | undefined;
   /** Work that arrived; absent where failure domains are not chosen. */
   readonly demand?: DemandReport | undefined;
+  /** Time since the last contact with most seeds; infinite if there was none. */
+  readonly seedContactAgeMilliseconds?: number;
 }
 
 const noSpeeds: SpeedReport = {
@@ -175,6 +177,14 @@
     return this.peers.size + 1;
   }
 
+  /**
+   * Number of hosts that this one has heard of, including itself and those that
+   * others list and that have not sent a heartbeat yet.
+   */
+  get assumedHostCount(): number {
+    return this.hostCount + this.unconfirmedAddresses.size;
+  }
+
   /** All known hosts, including this one. A change replaces the array. */
   get hosts(): readonly HostId[] {
     this.cachedHosts ??= [this.parts.self, ...this.peers.keys()];
@@ -407,6 +417,7 @@
       unreachablePools,
       speeds = noSpeeds,
       demand = noDemand,
+      seedContactAgeMilliseconds = Infinity,
       ...platform
     } = localState();
     return {
@@ -429,6 +440,10 @@
       unreachablePools,
       ...speeds,
       ...demand,
+      seedContactAgeMilliseconds:
+        seedContactAgeMilliseconds > maximumReportedAgeMilliseconds
+          ? undefined
+          : Math.ceil(seedContactAgeMilliseconds),
       configurationVersion: platform.configurationVersion,
       platformEpoch: BigInt(platform.platformEpoch ?? 0),
       platformEpochAgeMilliseconds: BigInt(
--- a/packages/coordination/src/passthrough/pool-retry-budget.ts
+++ b/packages/coordination/src/passthrough/pool-retry-budget.ts
@@ -1,35 +1,34 @@
 /**
- * Limits the retries of calls for each pool, across all hosts. In each window a
- * host may retry `ratio` of its own calls, plus its equal share of `extra`.
+ * Limits the retries to each pool, across all hosts. `RetryAllowance` decides how
+ * many this host may send.
  */
 
 import type {Clock} from '../clock.js';
-import {SlidingWindowCounter} from './sliding-window-counter.js';
-
-export interface PoolRetryBudgetParts {
+import {RetryAllowance} from '../decisions/retry-allowance.js';
+import type {
+  FleetShare,
+  RetryBounds,
+  TakenRetries,
+} from '../decisions/retry-allowance.js';
+
+export interface PoolRetryBudgetParts extends RetryBounds {
   readonly clock: Clock;
-  /** Retries allowed per call. */
-  readonly ratio: number;
-  /** Extra retries allowed in each window, across all hosts. */
-  readonly extra: number;
-  readonly windowMilliseconds: number;
-  /** Number of hosts that may send retries, including this one. */
-  readonly hostCount: () => number;
+  /** What this host knows of the others that may send retries. */
+  readonly share: () => FleetShare;
   /** Called for each call that is recorded. */
   readonly onCall?: (pool: string) => void;
 }
 
-/**
- * Minimum number of hosts assumed, which keeps the share of a host without
- * known peers small.
- */
-const minimumAssumedHosts = 4;
-
-/**
- * Fraction of the limit that is used. The rest is a margin for a count of calls
- * that lags behind.
- */
-const usableFraction = 0.8;
+/** What a decision of the budget was based on. */
+export interface RetryBudgetState {
+  /** Retries that this host may send now. */
+  readonly available: number;
+  /** Retries of the fixed part that this host has spent in the last window. */
+  readonly spent: number;
+  readonly standing: FleetShare['kind'];
+  /** Hosts by which the fixed part is divided. */
+  readonly hosts: number;
+}
 
 /** A retry that is set aside for one call, until either method is called. */
 export interface HeldRetry {
@@ -39,59 +38,39 @@
   release(): void;
 }
 
-/** What a decision of the budget was based on. */
-export interface RetryBudgetState {
-  /** Retries and calls of this host in the last window. */
-  readonly spent: number;
-  readonly calls: number;
-  /** Extra retries that this host takes for its part. */
-  readonly share: number;
-  /** Hosts by which the extra retries were divided. */
-  readonly hosts: number;
-}
-
-interface PoolCounts {
-  readonly calls: SlidingWindowCounter;
-  readonly retries: SlidingWindowCounter;
-  /** Retries that are set aside. */
-  held: number;
-}
-
 export class PoolRetryBudget {
-  private readonly counts = new Map<string, PoolCounts>();
+  private readonly allowances = new Map<string, RetryAllowance>();
 
   constructor(private readonly parts: PoolRetryBudgetParts) {}
 
-  /** Records a call that arrived for `pool`. */
+  /** Records a call for `pool` that came from a caller. */
   recordCall(pool: string): void {
-    this.countsOf(pool).calls.add(this.parts.clock.now());
-    this.parts.onCall?.(pool);
+    const {clock, share, onCall} = this.parts;
+    this.allowanceOf(pool).recordCall(this.parts, share(), clock.now());
+    onCall?.(pool);
   }
 
   stateOf(pool: string): RetryBudgetState {
-    const {clock, extra, hostCount} = this.parts;
-    const {calls, retries, held} = this.countsOf(pool);
-    const now = clock.now();
-    const hosts = Math.max(minimumAssumedHosts, hostCount());
+    const allowance = this.allowanceOf(pool);
+    const now = this.parts.clock.now();
+    const share = this.parts.share();
     return {
-      spent: retries.total(now) + held,
-      calls: calls.total(now),
-      share: extra / hosts,
-      hosts,
+      available: allowance.available(this.parts, share, now),
+      spent: allowance.spentFixed(now),
+      standing: share.kind,
+      hosts: share.hosts,
     };
   }
 
   /** Returns whether the budget allows `count` more retries now. */
   canAcquire(pool: string, count = 1): boolean {
-    const {spent, calls, share} = this.stateOf(pool);
-    const allowed = usableFraction * (this.parts.ratio * calls + share);
-    return spent + count <= allowed;
+    return this.availableOf(pool) >= count;
   }
 
   /** Sets `count` retries aside; undefined if the budget has fewer. */
   tryAcquire(pool: string, count = 1): readonly HeldRetry[] | undefined {
     if (!this.canAcquire(pool, count)) return undefined;
-    return Array.from({length: count}, () => this.hold(pool));
+    return Array.from({length: count}, () => this.hold(pool, 1));
   }
 
   /** Like `tryAcquire`. */
@@ -102,34 +81,38 @@
     return Promise.resolve(this.tryAcquire(pool, count));
   }
 
-  private hold(pool: string): HeldRetry {
-    const counts = this.countsOf(pool);
-    counts.held += 1;
-    let isHeld = true;
-    const end = () => {
-      if (isHeld) counts.held -= 1;
-      const wasHeld = isHeld;
-      isHeld = false;
-      return wasHeld;
+  private availableOf(pool: string): number {
+    const {clock, share} = this.parts;
+    return this.allowanceOf(pool).available(this.parts, share(), clock.now());
+  }
+
+  /** Sets aside `amount` retries, which must be available. */
+  private hold(pool: string, amount: number): HeldRetry {
+    const {clock, share} = this.parts;
+    const allowance = this.allowanceOf(pool);
+    let taken: TakenRetries | undefined = allowance.take(
+      amount,
+      this.parts,
+      share(),
+      clock.now(),
+    );
+    const end = (settle: (retries: TakenRetries) => void) => {
+      const held = taken;
+      taken = undefined;
+      if (held !== undefined) settle(held);
     };
     return {
-      use: () => {
-        if (end()) counts.retries.add(this.parts.clock.now());
-      },
-      release: () => void end(),
+      use: () => end(held => allowance.spend(held, clock.now())),
+      release: () =>
+        end(held => allowance.giveBack(held, this.parts, share(), clock.now())),
     };
   }
 
-  private countsOf(pool: string): PoolCounts {
-    const known = this.counts.get(pool);
+  private allowanceOf(pool: string): RetryAllowance {
+    const known = this.allowances.get(pool);
     if (known !== undefined) return known;
-    const {windowMilliseconds} = this.parts;
-    const made = {
-      calls: new SlidingWindowCounter(windowMilliseconds),
-      retries: new SlidingWindowCounter(windowMilliseconds),
-      held: 0,
-    };
-    this.counts.set(pool, made);
-    return made;
+    const created = new RetryAllowance(this.parts.windowMilliseconds);
+    this.allowances.set(pool, created);
+    return created;
   }
 }
--- a/packages/coordination/src/passthrough/stream-origins.ts
+++ b/packages/coordination/src/passthrough/stream-origins.ts
@@ -15,7 +15,7 @@
 import {BoundedMap} from './bounded-map.js';
 import type {FleetMember} from './fleet-member.js';
 import {rankByRendezvous} from '../rendezvous.js';
-import {SlidingWindowCounter} from './sliding-window-counter.js';
+import {SlidingWindowCounter} from '../sliding-window-counter.js';
 import {keepersOf, likelyKeepersOf} from './stream-origin-keepers.js';
 
 /** What began a stream, and alone may continue it. */
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -246,6 +246,12 @@
     text: 'an upstream is cold; all hosts together send it only the rate of its pool',
     fields: ['upstream', 'source', 'milliseconds'],
   },
+  retryShareChanged: {
+    number: 2222,
+    level: 'info',
+    text: 'this host may now use a part of the extra retries of all hosts (counted), or not: it has started, or is out of contact with most seeds (detached)',
+    fields: ['standing', 'hosts', 'contactAge'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
@@ -316,9 +322,9 @@
       'reason',
       'tries',
       'pool',
+      'available',
       'spent',
-      'calls',
-      'share',
+      'standing',
       'hosts',
     ],
   },
@@ -438,18 +444,18 @@
     text: 'a call was refused because engine memory is forecast to be free too late for it',
     fields: ['request', 'forecast', 'waited', 'urgency', 'tokensAhead'],
   },
-  callRepeated: {
-    number: 3130,
-    level: 'info',
-    text: 'an upstream may have received a call that one had received before',
-    fields: ['request', 'pool', 'purpose', 'reason'],
-  },
   callLeftDomain: {
     number: 3129,
     level: 'info',
     text: 'a stage of a call goes to another failure domain',
     fields: ['request', 'purpose', 'domain', 'reason', 'bytes'],
   },
+  callRepeated: {
+    number: 3130,
+    level: 'info',
+    text: 'an upstream may have received a call that one had received before',
+    fields: ['request', 'pool', 'purpose', 'reason'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -5,6 +5,7 @@
   DiscoveredFleet,
   DomainRouter,
   EngineReleases,
+  FleetContact,
   PassthroughHost,
   RequestQuarantine,
   ReachabilityProbes,
@@ -66,6 +67,9 @@
  */
 const readyProofAgeFraction = 0.55;
 
+/** Logged as the age of a contact that there never was. */
+const noContact = -1;
+
 /** Starts a host; resolves once its ports are open. */
 export async function startPassthroughDaemon(
   adapter: PlatformAdapter,
@@ -96,6 +100,7 @@
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
   private readonly fleetChangeLog: FleetChangeLog;
+  private readonly fleetContact: FleetContact;
   private readonly heartbeatSocket: HeartbeatSocket;
   private readonly streamOrigins: StreamOrigins;
   private readonly versionHistory: SoftwareVersionHistory;
@@ -216,6 +221,7 @@
         unreachablePools: this.platform.unreachablePools(),
         speeds: this.speeds?.report(clock.now()),
         demand: this.domains?.demand.report(clock.now()),
+        seedContactAgeMilliseconds: this.fleetContact.ageMilliseconds,
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => {
@@ -226,6 +232,22 @@
         this.fleetChangeLog.record(change);
       },
     });
+    this.fleetContact = new FleetContact({
+      clock,
+      address: () => this.heartbeatSocket.address,
+      seeds: () => this.settings.seeds,
+      members: () => this.fleet.members(),
+      hostCount: () => this.fleet.assumedHostCount,
+      isAloneWithoutSeeds: Object.keys(settings.regions).length <= 1,
+      windowMilliseconds: settings.retries.windowMilliseconds,
+      startMilliseconds: settings.retries.startMilliseconds,
+      onChange: ({kind, hosts}, age) =>
+        log.write('retryShareChanged', {
+          standing: kind,
+          hosts,
+          contactAge: Number.isFinite(age) ? Math.round(age) : noContact,
+        }),
+    });
     this.streamOrigins = new StreamOrigins({
       clock,
       failureDomain,
@@ -290,7 +312,7 @@
       requestLimits: this.requestLimits,
       retryBudget: new PoolRetryBudget({
         clock,
-        hostCount,
+        share: () => this.fleetContact.share(),
         windowMilliseconds: settings.retries.windowMilliseconds,
         onCall: pool => this.metrics.recordPoolCall(pool),
         get ratio() {
@@ -409,6 +431,7 @@
     this.upstreams.recordHeartbeat(heartbeat);
     this.platform.recordPeer(heartbeat);
     this.quarantine.recordPeer(heartbeat);
+    this.fleetContact.recordPeer(heartbeat.seedContactAgeMilliseconds);
     const {incarnation, usage, requestLimits} = heartbeat;
     const host = hostId(heartbeat.host);
     const age = Number(heartbeat.ageMilliseconds);
@@ -465,6 +488,7 @@
       configurationVersion: Number(this.platform.versionInForce ?? 0n),
       platformEpoch: this.platform.epochs.current ?? 0,
       proofAgeSeconds: this.platform.freshness.age() / 1000,
+      seedContactSeconds: this.fleetContact.ageMilliseconds / 1000,
       connectionsOpened: this.connections.openedCount,
     };
   }
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -30,6 +30,8 @@
   /** Restore epoch of the platform's store; 0 if it reports none. */
   readonly platformEpoch: number;
   readonly proofAgeSeconds: number;
+  /** Time since contact with most seeds. */
+  readonly seedContactSeconds: number;
   readonly connectionsOpened: number;
 }
 
@@ -55,7 +57,7 @@
   private readonly repeatCounter: Counter<'pool' | 'purpose' | 'reason'>;
   private readonly retryCounter: Counter<'pool' | 'reason'>;
   private readonly poolCallCounter: Counter<'pool'>;
-  private readonly retryShareGauge: Gauge<'pool'>;
+  private readonly retryAvailableGauge: Gauge<'pool'>;
   private readonly retrySpentGauge: Gauge<'pool'>;
 
   constructor(gauges: () => PassthroughGauges) {
@@ -120,15 +122,15 @@
       labelNames: ['pool'],
       registers,
     });
-    this.retryShareGauge = new Gauge({
-      name: 'persimmonwick_pool_retry_share',
-      help: 'Extra retries of a window that this host takes for its part, at the last retry',
+    this.retryAvailableGauge = new Gauge({
+      name: 'persimmonwick_pool_retries_available',
+      help: 'Retries that this host may send, at the last retry',
       labelNames: ['pool'],
       registers,
     });
     this.retrySpentGauge = new Gauge({
       name: 'persimmonwick_pool_retries_spent',
-      help: 'Retries of this host in the last window, at the last retry',
+      help: 'Retries of the fixed part that this host has spent in the last window, at the last retry',
       labelNames: ['pool'],
       registers,
     });
@@ -151,6 +153,7 @@
       'configurationVersion',
       'platformEpoch',
       'proofAgeSeconds',
+      'seedContactSeconds',
       'connectionsOpened',
     ];
     for (const name of names)
@@ -160,7 +163,7 @@
         registers,
         collect() {
           const value = gauges()[name];
-          // An infinite proof age, before the first proof, is reported as -1.
+          // An age without a proof or contact is infinite and reported as -1.
           this.set(Number.isFinite(value) ? value : -1);
         },
       });
@@ -272,9 +275,9 @@
         break;
       }
       case 'retried': {
-        const {pool, reason, share, spent} = event;
+        const {pool, reason, available, spent} = event;
         this.retryCounter.inc({pool, reason});
-        this.retryShareGauge.set({pool}, share);
+        this.retryAvailableGauge.set({pool}, available);
         this.retrySpentGauge.set({pool}, spent);
         break;
       }
--- a/packages/daemon/src/passthrough/passthrough-settings.ts
+++ b/packages/daemon/src/passthrough/passthrough-settings.ts
@@ -42,6 +42,12 @@
     readonly extra: number;
     /** Period over which calls and retries are counted. */
     readonly windowMilliseconds: number;
+    /**
+     * Time after its start for which a host uses no part of the additional
+     * retries, because its last process may just have done so. If absent, it
+     * follows from the window and the time in which other hosts are heard of.
+     */
+    readonly startMilliseconds?: number | undefined;
   };
   readonly domainTraffic: DomainTraffic;
   /** Whether pools that routes of several urgencies share use a forecast. */
