Cover calls that are handed over with the retries of the host that received them

A call that is handed to another host was recorded as a new call there, so that it earned retries at both hosts, and its first run and first prefill were free at each host that got it, also after another one may have sent it.

Change: one CallSends goes with a call through handover, plain calls and generations. A host covers what the next one may send without a retry before it hands the call over, and a call earns only where its caller sent it. A host that declines a call has sent it to no upstream; one that has sent it no longer declines.

--- a/packages/coordination/src/passthrough/call-handover.ts
+++ b/packages/coordination/src/passthrough/call-handover.ts
@@ -1,8 +1,9 @@
 /**
  * Hands calls over to other hosts, if this host can reach no upstream of their
  * pools and others can. The other host handles such a call like one of its own
- * callers: it checks the key, counts the rate, the limits and the retries, and
- * decides about continued streams. It never hands it over again.
+ * callers: it checks the key, counts the rate, the limits and further retries, and
+ * decides about continued streams. It never hands it over again. Its first send of
+ * the call is covered by this host.
  */
 
 import {Result} from 'true-myth';
@@ -18,9 +19,12 @@
   RoutedCall,
   TransportResult,
 } from './call.js';
-import {provesCallNotRun} from './call.js';
+import {provesCallNotRun, sendOutcomeOf} from './call.js';
+import type {CallSends, SendOutcome, SendPurpose} from './call-sends.js';
 import type {FleetMember} from './fleet-member.js';
 import {chooseHandoverHost} from './handover-choice.js';
+import type {PoolDocument} from '../generated/documents.js';
+import {choosePoolByWeight} from './passthrough-parts.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 
 /** Sends calls to other hosts. Its promises never reject. */
@@ -53,17 +57,26 @@
    */
   async forward(
     call: RoutedCall,
+    sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult | undefined> {
     const {clock} = this.parts;
     const {repeatable, maximumTries} = call.route.target;
+    const pool = choosePoolByWeight(this.parts, call);
+    if (pool === undefined) return undefined;
+    sends.recordCall(pool.name);
     const triedHosts = new Set<string>();
     let possibleRuns = 0;
     while (triedHosts.size < maximumHosts) {
       const member = chooseHost(this.parts, call, triedHosts, this.callCounts);
       if (member === undefined) break;
       triedHosts.add(member.host);
+      if (!(await this.coverSends(call, pool, sends))) break;
+      const begun = this.sendsOf(call, sends).map(purpose =>
+        sends.begin(pool.name, purpose),
+      );
       const response = await this.handOverTo(member, call, signal);
+      for (const send of begun) send.end(...handoverOutcomeOf(response));
       if (response.isOk) return Result.ok(response.value);
       if (signal.aborted) return Result.err(callerDisconnected);
       if (provesCallNotRun(response.error)) continue;
@@ -74,6 +87,30 @@
     return possibleRuns > 0 ? Result.err(upstreamFailed) : undefined;
   }
 
+  /**
+   * What the other host may send without a retry of its own: the first run and the
+   * first prefill, which counts if another one was accepted before.
+   */
+  private sendsOf(call: RoutedCall, sends: CallSends): readonly SendPurpose[] {
+    const isFree = call.generation === undefined || sends.isPrefillFree;
+    return isFree ? ['run'] : ['prefill', 'run'];
+  }
+
+  private async coverSends(
+    call: RoutedCall,
+    {name}: PoolDocument,
+    sends: CallSends,
+  ): Promise<boolean> {
+    const count = this.sendsOf(call, sends).length;
+    if (await sends.cover(name, count)) return true;
+    this.parts.observer(call.id, {
+      kind: 'retry-withheld',
+      reason: 'handover',
+      limit: 'budget',
+    });
+    return false;
+  }
+
   private async handOverTo(
     member: FleetMember,
     call: RoutedCall,
@@ -133,6 +170,15 @@
   }
 }
 
+/** A host that declines a call has sent it to no upstream. */
+function handoverOutcomeOf(
+  response: Result<PassthroughResponse, PassthroughError>,
+): [outcome: SendOutcome, detail: string] {
+  if (response.isOk) return ['arrived', String(response.value.status)];
+  const {kind} = response.error;
+  return [kind === 'refused' ? 'not-sent' : sendOutcomeOf(response), kind];
+}
+
 /** Returns whether `call` needs upstreams that this host can't reach. */
 export function isHandoverNeeded(
   {upstreams}: PassthroughParts,
--- a/packages/coordination/src/passthrough/call-sends.ts
+++ b/packages/coordination/src/passthrough/call-sends.ts
@@ -33,6 +33,7 @@
 
 /** The retry budget, as far as the sends of a call need it. */
 export interface RetrySource {
+  recordCall(pool: string): void;
   canAcquire(pool: string, count: number): boolean;
   acquire(
     pool: string,
@@ -48,11 +49,22 @@
   private held: HeldRetry[] = [];
   private usedRetries = 0;
 
+  /**
+   * A call that another host has handed over `earns` no retry here, because it
+   * has earned one there.
+   */
   constructor(
     private readonly retries: RetrySource,
     private readonly onRepeat: (repeat: Repeat) => void,
+    private earns = true,
   ) {}
 
+  /** Records that the call is for `pool`. Later calls have no effect. */
+  recordCall(pool: string): void {
+    if (this.earns) this.retries.recordCall(pool);
+    this.earns = false;
+  }
+
   /** Whether an upstream may have received the call. */
   get hasArrived(): boolean {
     return this.counted > 0;
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -14,7 +14,6 @@
 import {AbortScope} from '../placement/abort-scope.js';
 import type {RequestFailure} from '../requests/failure.js';
 import {withResumption} from './call-failures.js';
-import type {CallSends} from './call-sends.js';
 import type {
   RoutedCall,
   PassthroughResponse,
@@ -127,10 +126,6 @@
     return [...this.queues.values()].reduce((sum, {length}) => sum + length, 0);
   }
 
-  createSends(call: RoutedCall): CallSends {
-    return this.retryGate.createSends(call);
-  }
-
   /** Records the newest document of a pool. */
   updatePool(pool: PoolDocument): void {
     this.latestPools.set(pool.name, pool);
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -12,6 +12,7 @@
   GenerationRequirements,
   PassthroughResponse,
 } from './call.js';
+import type {CallSends} from './call-sends.js';
 import {cacheBytesOf} from './domain-router.js';
 import {relayEvents} from './event-relay.js';
 import type {StreamInterruption} from './event-relay.js';
@@ -61,13 +62,14 @@
   async forward(
     call: RoutedCall,
     generation: GenerationRequirements,
+    sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult> {
     const target = await this.findTarget(call);
     if (target.isErr) return Result.err(target.error);
     const {pool, softwareVersion} = target.value;
     this.attempts.updatePool(pool);
-    this.parts.retryBudget.recordCall(pool.name);
+    sends.recordCall(pool.name);
     this.recordDemand(pool, call, generation);
     const state: GenerationState = {
       call,
@@ -76,7 +78,7 @@
       signal,
       avoidedUpstreams: new Set(),
       attempts: 0,
-      sends: this.attempts.createSends(call),
+      sends,
       attemptEvents: 0,
       isSuspect: false,
       possibleRuns: 0,
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -27,11 +27,13 @@
   staleConfiguration,
 } from './call-failures.js';
 import type {RoutedCall, IncomingCall, PassthroughResponse} from './call.js';
+import type {CallSends} from './call-sends.js';
 import {GenerationForwarder} from './generations.js';
 import type {ConfigurationFreshness} from './configuration-freshness.js';
 import type {PassthroughParts} from './passthrough-parts.js';
 import {weightedPoolsOf} from './passthrough-parts.js';
 import {PlainCallForwarder} from './plain-calls.js';
+import {RetryGate} from './retry-gate.js';
 import {
   isIncompleteContinuation,
   refuseIncomplete,
@@ -77,10 +79,12 @@
   private readonly plainCalls: PlainCallForwarder;
   private readonly generations: GenerationForwarder;
   private readonly handover: CallHandover;
+  private readonly retryGate: RetryGate;
 
   constructor(private readonly parts: PassthroughHostParts) {
     const upstreamLosses = new UpstreamLosses(parts);
     this.handover = new CallHandover(parts);
+    this.retryGate = new RetryGate(parts);
     this.plainCalls = new PlainCallForwarder(parts, upstreamLosses);
     this.generations = new GenerationForwarder(parts, upstreamLosses);
   }
@@ -129,28 +133,33 @@
     signal: AbortSignal,
   ): Promise<CallResult> {
     const call = this.buildRoutedCall(incoming, route, account, body);
-    const response = await this.handOverOrForward(call, signal);
+    const sends = this.retryGate.createSends(call);
+    const response = await this.handOverOrForward(call, sends, signal);
+    sends.settle();
     if (
       response.isErr &&
       response.error.ran === 'not-run' &&
       placementFailures.has(response.error.code)
     )
       this.reportRestriction(call);
-    return response;
+    return response.mapErr(failure =>
+      sends.hasArrived ? {...failure, wasSent: true} : failure,
+    );
   }
 
   private async handOverOrForward(
     call: RoutedCall,
+    sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult> {
     const exclusion = this.exclusionOf(call);
     if (exclusion !== undefined)
       return Result.err(placementExcluded(exclusion));
     if (isHandoverNeeded(this.parts, call)) {
-      const response = await this.handover.forward(call, signal);
+      const response = await this.handover.forward(call, sends, signal);
       if (response !== undefined) return response;
     }
-    const response = await this.forwardToUpstream(call, signal);
+    const response = await this.forwardToUpstream(call, sends, signal);
     const canHandOver =
       response.isErr &&
       response.error.ran === 'not-run' &&
@@ -158,7 +167,7 @@
       !signal.aborted &&
       isHandoverPossible(this.parts, call);
     if (!canHandOver) return response;
-    return (await this.handover.forward(call, signal)) ?? response;
+    return (await this.handover.forward(call, sends, signal)) ?? response;
   }
 
   /** Returns why no upstream of the call's route may serve it, if so. */
@@ -191,13 +200,14 @@
 
   private async forwardToUpstream(
     call: RoutedCall,
+    sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult> {
     const {account} = call;
     const tokens = this.tokenCostOf(call);
     const refusal = this.admit(call, tokens);
     if (refusal !== undefined) return Result.err(refusal);
-    const response = await this.forwardAdmitted(call, signal);
+    const response = await this.forwardAdmitted(call, sends, signal);
     if (
       response.isErr &&
       response.error.ran === 'not-run' &&
@@ -209,13 +219,14 @@
 
   private async forwardAdmitted(
     call: RoutedCall,
+    sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult> {
     if (isIncompleteContinuation(call))
       return Result.err(refuseIncomplete(this.parts, call));
     return call.generation === undefined
-      ? this.plainCalls.forward(call, signal)
-      : this.generations.forward(call, call.generation, signal);
+      ? this.plainCalls.forward(call, sends, signal)
+      : this.generations.forward(call, call.generation, sends, signal);
   }
 
   private buildRoutedCall(
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -95,11 +95,15 @@
   }
 
   /** Forwards `call`. `signal` is aborted when the caller disconnects. */
-  async forward(call: RoutedCall, signal: AbortSignal): Promise<CallResult> {
-    const {retryBudget, upstreams} = this.parts;
+  async forward(
+    call: RoutedCall,
+    sends: CallSends,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
+    const {upstreams} = this.parts;
     const pool = choosePoolByWeight(this.parts, call);
     if (pool === undefined) return Result.err(noUpstream);
-    retryBudget.recordCall(pool.name);
+    sends.recordCall(pool.name);
     this.parts.domains?.recordCall(pool, 'plain', 1, call.body.length);
     const progress: CallProgress = {
       call,
@@ -107,7 +111,7 @@
       signal,
       triedUpstreams: new Set(),
       attempts: 0,
-      sends: this.retryGate.createSends(call),
+      sends,
       attemptEvents: 0,
       possibleRuns: 0,
       isSuspect: false,
--- a/packages/coordination/src/passthrough/retry-gate.ts
+++ b/packages/coordination/src/passthrough/retry-gate.ts
@@ -33,10 +33,12 @@
   ) {}
 
   /** Begins to count the sends of a call, and reports those beyond the first. */
-  createSends({id}: RoutedCall): CallSends {
+  createSends({id, isHandedOver}: RoutedCall): CallSends {
     const {observer, retryBudget} = this.parts;
-    return new CallSends(retryBudget, repeat =>
-      observer(id, {kind: 'repeated', ...repeat}),
+    return new CallSends(
+      retryBudget,
+      repeat => observer(id, {kind: 'repeated', ...repeat}),
+      !isHandedOver,
     );
   }
 
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -44,6 +44,8 @@
   readonly ran: ExecutionState;
   /** Interval after which the caller should retry. */
   readonly retryAfterMilliseconds?: number;
+  /** Whether an upstream may have received the call, which it then rejected. */
+  readonly wasSent?: boolean;
 }
 
 /** HTTP status code of a failure. */
--- a/packages/coordination/test/call-handover.test.ts
+++ b/packages/coordination/test/call-handover.test.ts
@@ -19,8 +19,10 @@
   CallHandover,
   isHandoverNeeded,
 } from '../src/passthrough/call-handover.js';
+import {CallSends} from '../src/passthrough/call-sends.js';
 import type {FleetMember} from '../src/passthrough/fleet-member.js';
 import {chooseHandoverHost} from '../src/passthrough/handover-choice.js';
+import {createRetryBudget} from './tools/unlimited.js';
 import type {PassthroughParts} from '../src/passthrough/passthrough-parts.js';
 
 const pool = {
@@ -141,6 +143,8 @@
   readonly answers: readonly (PassthroughError['kind'] | 'answered')[];
   readonly allowedRegions?: ReadonlySet<string>;
   readonly evacuated?: ReadonlySet<string>;
+  /** Retries in the budget. */
+  readonly retries?: number;
 }
 
 /** Hands over one call to hosts that answer in turn. */
@@ -149,6 +153,7 @@
   answers,
   allowedRegions,
   evacuated = new Set(),
+  retries = 1000,
 }: Answers) {
   const clock = new VirtualClock();
   // Zone 0 is in the region `west`, and the other two are in `east`.
@@ -165,6 +170,7 @@
     failureDomain: failureDomainId('zone-0'),
     members: () => createMembers(6, 3),
     observer: () => undefined,
+    retryBudget: createRetryBudget(clock, retries / 0.7),
     handoverTransport: {
       handOver: async (
         address: string,
@@ -196,12 +202,14 @@
       target: {repeatable, maximumTries: 2},
     },
   } as unknown as RoutedCall;
+  const sends = new CallSends(parts.retryBudget, () => undefined, false);
   const forwarding = new CallHandover(parts).forward(
     call,
+    sends,
     new AbortController().signal,
   );
   await clock.advance(500);
-  return {result: await forwarding, asked, remaining, parts, call};
+  return {result: await forwarding, asked, remaining, parts, call, sends};
 }
 
 test('a host that declines is followed by another one', async t => {
@@ -251,6 +259,43 @@
   t.like(twice.result?.isErr && twice.result.error, {ran: 'unknown'});
 });
 
+// Guards against the first attempt of a call being free at each host that gets it.
+test('a call that may have reached an upstream is not handed over again without a retry', async t => {
+  const answers = ['broken', 'answered'] as const;
+  const without = await handOver({repeatable: true, answers, retries: 0});
+  t.is(without.asked.length, 1);
+  t.like(without.result?.isErr && without.result.error, {ran: 'unknown'});
+  const covered = await handOver({repeatable: true, answers, retries: 1});
+  t.is(covered.asked.length, 2);
+  t.true(covered.result?.isOk);
+});
+
+test('a call that reached no upstream is handed over again without a retry', async t => {
+  const answers = ['refused', 'unreachable', 'answered'] as const;
+  const {asked, sends} = await handOver({
+    repeatable: false,
+    answers,
+    retries: 0,
+  });
+  t.is(asked.length, 3);
+  t.false(sends.canCover(pool.name, 1), 'the third host may have sent it');
+});
+
+test('a call that was handed over earns no second retry', t => {
+  const pools: string[] = [];
+  const retries = {
+    recordCall: (name: string) => pools.push(name),
+    canAcquire: () => false,
+    acquire: () => Promise.resolve(undefined),
+  };
+  for (const earns of [true, false]) {
+    const sends = new CallSends(retries, () => undefined, earns);
+    sends.recordCall('desk');
+    sends.recordCall('desk');
+  }
+  t.deepEqual(pools, ['desk']);
+});
+
 test('a call is handed over only once, and only without any link', async t => {
   const {parts, call} = await handOver({repeatable: true, answers: []});
   const engine = (name: string): UpstreamDocument => ({
--- a/packages/coordination/test/tools/domain-replay.ts
+++ b/packages/coordination/test/tools/domain-replay.ts
@@ -23,6 +23,7 @@
 import type {PoolDocument} from '../../src/generated/documents.js';
 import type {PassthroughParts} from '../../src/passthrough/passthrough-parts.js';
 import {PlainCallForwarder} from '../../src/passthrough/plain-calls.js';
+import {RetryGate} from '../../src/passthrough/retry-gate.js';
 import {UpstreamLosses} from '../../src/passthrough/upstream-losses.js';
 import {createRequestLimits} from './unlimited.js';
 
@@ -313,7 +314,8 @@
       isOk: false,
     };
     this.calls.push(record);
-    const response = await host.forwarder.forward(call, signal);
+    const sends = new RetryGate(host.parts).createSends(call);
+    const response = await host.forwarder.forward(call, sends, signal);
     record.to = response.isOk
       ? response.value.headers[0]![0].split('-')[1]!
       : '';
--- a/packages/coordination/test/tools/retry-fleet.ts
+++ b/packages/coordination/test/tools/retry-fleet.ts
@@ -437,8 +437,8 @@
           to.signal,
         );
         if (response.isOk) return Result.ok(response.value);
-        const {code} = response.error;
-        return code === 'no-upstream'
+        const {code, wasSent = false} = response.error;
+        return code === 'no-upstream' && !wasSent
           ? Result.err({kind: 'refused', upstream})
           : Result.ok({...streamedResponse(), status: 503});
       },
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -383,9 +383,17 @@
   }
 }
 
-/** Returns whether another host may handle the call instead. */
-function isDeclined({code, ran}: RequestFailure): boolean {
-  return ran === 'not-run' && (code === 'no-upstream' || code === 'not-ready');
+/**
+ * Returns whether another host may handle the call instead. One that an upstream
+ * has received is not passed on, because the host that handed it over takes a
+ * declined one for unsent.
+ */
+function isDeclined({code, ran, wasSent = false}: RequestFailure): boolean {
+  return (
+    ran === 'not-run' &&
+    !wasSent &&
+    (code === 'no-upstream' || code === 'not-ready')
+  );
 }
 
 /** Only hosts may hand calls over; a host that has just started knows none. */
