Do not take an error or an empty answer for the rest of a stream

Cause: a continuation was relayed like the beginning of a stream. Nothing asked whether it goes on where the caller's events end.

Change: a continuation has to begin with an event that has an id; comments and fields without data may come before. Data without an id, or lines that belong to no event, break it off before a byte of it is passed on, and one that ends without an event is not complete. The stream is then resumed elsewhere or broken off, as after a lost engine.

What remains: an error that an engine writes after a proper event of its own cannot be told from the stream's own.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -52,6 +52,7 @@
   let events = 0;
   let hasAnswered = false;
   let hasBegun = false;
+  const isContinuation = state.lastEventId !== undefined;
   const interruptedBy = (
     error: InterruptedResponseError,
     replacement?: EngineReservation,
@@ -78,6 +79,15 @@
       byteAt = clock.now();
       monitor.recordActivity();
       for (const event of splitter.push(next.value.value)) {
+        // What a continuation begins with is an event that the stream numbers. An
+        // error that is written in its place is no part of the stream.
+        if (
+          isContinuation &&
+          state.attemptEvents === 0 &&
+          event.id === undefined &&
+          (event.hasData || event.hasUnknownFields)
+        )
+          return interruptedBy(errorOf('broken'));
         const isRepeated = recordEventId(state, event.id);
         if (event.id !== undefined) {
           state.attemptEvents += 1;
@@ -109,9 +119,12 @@
   }
   if (splitter.pendingBytes > 0) return interruptedBy(errorOf('broken'));
   if (state.attemptEvents === 0 && hasAnswered) parts.onFirstEvent();
-  // A process that goes down ends a response without a length like a complete one.
-  if (!hasAnswered && state.lastEventId === undefined)
-    return interruptedBy(errorOf('broken'));
+  // A process that goes down ends a response without a length like a complete one,
+  // and a continuation without an event does not show that the stream was complete.
+  const hasContent = isContinuation
+    ? state.attemptEvents > 0
+    : hasAnswered || state.lastEventId !== undefined;
+  if (!hasContent) return interruptedBy(errorOf('broken'));
   recordCompletedStream(parts, startedAt, events);
   return undefined;
 }
--- a/packages/coordination/src/passthrough/event-stream-splitter.ts
+++ b/packages/coordination/src/passthrough/event-stream-splitter.ts
@@ -9,6 +9,9 @@
 /** Maximum size of an event. */
 const maximumEventBytes = 1 << 20;
 
+/** A line that is no comment and none of the fields of an event. */
+const unknownFieldPattern = /^(?!:|(?:event|data|id|retry)(?::|\r?$))[^\r\n]/m;
+
 /** A complete event. */
 export interface EventFrame {
   readonly bytes: Uint8Array;
@@ -18,6 +21,8 @@
   readonly id: number | undefined;
   /** Whether the event has data; comments and unknown fields have none. */
   readonly hasData: boolean;
+  /** Whether it has lines that are neither comments nor fields of an event. */
+  readonly hasUnknownFields: boolean;
 }
 
 /**
@@ -117,5 +122,6 @@
     bytes: event,
     id: match === null ? undefined : Number(match[1]),
     hasData: /^data(:|\r?$)/m.test(text),
+    hasUnknownFields: unknownFieldPattern.test(text),
   };
 }
--- a/packages/coordination/test/event-relay.test.ts
+++ b/packages/coordination/test/event-relay.test.ts
@@ -7,7 +7,10 @@
 const deadline = 900;
 
 /** Relays a body whose parts are made on virtual time. */
-function relayOf(body: (clock: VirtualClock) => AsyncGenerator<Uint8Array>): {
+function relayOf(
+  body: (clock: VirtualClock) => AsyncGenerator<Uint8Array>,
+  lastEventId?: number,
+): {
   relay: ReturnType<typeof relayEvents>;
   clock: VirtualClock;
 } {
@@ -26,7 +29,7 @@
       generation: {promptTokens: 1},
       pool: {spec: {}},
       attemptEvents: 0,
-      lastEventId: undefined,
+      lastEventId,
     },
     response: {
       status: 200,
@@ -79,3 +82,53 @@
   t.is(events, 20);
   t.true(clock.now() >= 2 * deadline);
 });
+
+/** Relays a response to a caller who has two events; resolves with the outcome. */
+async function continueWith(text: string) {
+  const {relay} = relayOf(async function* () {
+    if (text !== '') yield Buffer.from(text);
+  }, 2);
+  let passedOn = '';
+  for (;;) {
+    const next = await relay.next();
+    if (next.done !== true) passedOn += Buffer.from(next.value).toString();
+    else return {passedOn, reason: next.value?.error.reason};
+  }
+}
+
+// Guards against an error that takes the place of a continuation and reaches the
+// caller in the middle of a stream.
+for (const [title, text] of [
+  ['an error event', 'event: error\ndata: {"message": "overloaded"}\n\n'],
+  ['data without an id', 'data: {"error": "overloaded"}\n\n'],
+  ['a JSON text', '{"error": "overloaded"}\n\n'],
+  [
+    'a response head',
+    'HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\n\n',
+  ],
+] as const)
+  test(`a continuation that begins with ${title} is interrupted`, async t => {
+    t.deepEqual(await continueWith(text), {passedOn: '', reason: 'broken'});
+    t.deepEqual(await continueWith(`: comment\n\n${text}`), {
+      passedOn: ': comment\n\n',
+      reason: 'broken',
+    });
+  });
+
+// Guards against a stream that ends as complete because its continuation is empty.
+test('a continuation without an event does not end a stream', async t => {
+  for (const text of ['', ': comment\n\n', 'retry: 100\n\n'])
+    t.is((await continueWith(text)).reason, 'broken', text);
+});
+
+test('a continuation goes on with the events that the caller lacks', async t => {
+  const event = (id: number) => `id: ${id}\ndata: token\n\n`;
+  const end = 'event: end\ndata: done\n\n';
+  for (const before of ['', ': comment\n\n', 'retry: 100\n\n']) {
+    const text = `${before}${event(2)}${event(3)}${event(4)}${end}`;
+    t.deepEqual(await continueWith(text), {
+      passedOn: `${before}${event(3)}${event(4)}${end}`,
+      reason: undefined,
+    });
+  }
+});
