--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -112,7 +112,7 @@
       return;
     }
     signal.addEventListener('abort', onAbort);
-    connection.client.dispatch(request, {
+    const handler: Dispatcher.DispatchHandler = {
       onRequestStart() {
         wasSent = true;
         connectTimeout.clear();
@@ -158,7 +158,13 @@
       onResponseError() {
         fail(wasSent ? 'broken' : 'unreachable');
       },
-    });
+    };
+    try {
+      connection.client.dispatch(request, handler);
+    } catch {
+      // A request that the HTTP client can't write is not sent.
+      fail('unreachable');
+    }
   });
 }
 
--- a/packages/daemon/src/passthrough/can-connect.ts
+++ b/packages/daemon/src/passthrough/can-connect.ts
@@ -1,16 +1,19 @@
 /** TCP reachability check. */
 
 import {connect} from 'node:net';
+import {isHostAddress} from '@persimmonwick/coordination';
 
 /**
  * Opens a TCP connection to `address` and closes it. Resolves to false when the
- * connection fails, `timeoutMilliseconds` passes, or `signal` is aborted.
+ * connection fails, `timeoutMilliseconds` passes, `signal` is aborted, or `address` is
+ * no IP address and port.
  */
 export function canConnect(
   address: string,
   timeoutMilliseconds: number,
   signal: AbortSignal,
 ): Promise<boolean> {
+  if (!isHostAddress(address)) return Promise.resolve(false);
   const [host, port] = address.split(':');
   return new Promise(resolve => {
     const socket = connect({host, port: Number(port)});
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -1,11 +1,12 @@
 /** Sends passed-through calls to upstreams over HTTP. */
 
-import {upstreamId} from '@persimmonwick/coordination';
+import {isHostAddress, upstreamId} from '@persimmonwick/coordination';
 import type {
   RoutedCall,
   CacheSource,
   GrantedReservation,
   Header,
+  PassthroughError,
   PassthroughResponse,
   PassthroughTransport,
   AttemptOptions,
@@ -157,6 +158,8 @@
     bodyLimits: BodyLimits | undefined,
   ): TransportResult<PassthroughResponse> {
     const {headersTimeoutMilliseconds, needsNewConnection} = options;
+    if (!isHostAddress(upstream.spec.address))
+      return Promise.resolve(unreachable(upstream));
     return sendRequest({
       upstream: upstreamId(upstream.name),
       connection: this.connections.acquire(
@@ -186,6 +189,8 @@
     signal: AbortSignal,
     {timeoutMilliseconds, needsNewConnection} = engineRequestOptions,
   ): TransportResult<PassthroughResponse> {
+    if (!isHostAddress(upstream.spec.address))
+      return Promise.resolve(unreachable(upstream));
     return sendRequest({
       upstream: upstreamId(upstream.name),
       connection: this.connections.acquire(
@@ -251,3 +256,10 @@
   if (status === 421) return 'misdirected';
   return status >= 200 && status < 300 ? 'ran' : 'refused';
 }
+
+/** Nothing can be sent to an upstream whose address is none. */
+function unreachable({
+  name,
+}: UpstreamDocument): Result<PassthroughResponse, PassthroughError> {
+  return Result.err({kind: 'unreachable', upstream: upstreamId(name)});
+}
