Tell a refusal of an earlier request from the one that is due

Cause: the status and the mark of a refusal were read before the id that tells responses apart, and notices were read from responses that belong to another request.

Change: a response with another id is foreign, whatever it says; so is one with an id where a reservation, a release or a probe is due, which have none. Nothing is read from a foreign response, and its connection is closed. A refusal without any id still counts.

A second copy of the response to a control request can't be told apart, as neither has an id.

--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -66,7 +66,7 @@
   readonly signal: AbortSignal;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
-  /** Receives the head of each final response. */
+  /** Receives the head of each final response to this request. */
   readonly onHead?: (status: number, headers: ResponseHeaders) => void;
 }
 
@@ -122,12 +122,12 @@
         if (status < 200 || isSettled) return;
         connection.recordProgress();
         const kind = exchange.classify(status, headers);
-        // A misdirected request was answered by another process.
-        if (kind !== 'misdirected') exchange.onHead?.(status, headers);
         if (kind === 'foreign') {
           fail('broken');
           return;
         }
+        // A misdirected request was answered by another process.
+        if (kind !== 'misdirected') exchange.onHead?.(status, headers);
         body = new ResponseBody({
           upstream,
           pause: () => connection.pauseReading(),
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -18,7 +18,7 @@
 import {smallBodyLimits} from '../connections/body-limits.js';
 import type {BodyLimits} from '../connections/body-limits.js';
 import {sendRequest} from '../connections/exchange.js';
-import type {ResponseHeaders, ResponseKind} from '../connections/exchange.js';
+import type {ResponseHeaders} from '../connections/exchange.js';
 import {connectTimeoutMilliseconds} from '../connections/upstream-connections.js';
 import type {UpstreamConnections} from '../connections/upstream-connections.js';
 import {canConnect} from './can-connect.js';
@@ -202,7 +202,8 @@
       bodyIdleTimeoutMilliseconds: engineRequestTimeoutMilliseconds,
       bodyLimits: () => smallBodyLimits(engineRequestTimeoutMilliseconds),
       signal,
-      classify: classifyEngineResponse,
+      classify: (status, responseHeaders) =>
+        this.wireFormat.classifyEngineResponse(status, responseHeaders),
       onHead: (status, responseHeaders) =>
         this.readNotice(upstream, status, responseHeaders),
     });
@@ -252,11 +253,6 @@
   }
 }
 
-function classifyEngineResponse(status: number): ResponseKind {
-  if (status === 421) return 'misdirected';
-  return status >= 200 && status < 300 ? 'ran' : 'refused';
-}
-
 /** Nothing can be sent to an upstream whose address is none. */
 function unreachable({
   name,
--- a/packages/daemon/src/passthrough/wire-format.ts
+++ b/packages/daemon/src/passthrough/wire-format.ts
@@ -88,6 +88,11 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): ResponseKind;
+  /** Classifies the response to a control request. */
+  classifyEngineResponse(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ): ResponseKind;
   /**
    * Reads what the upstream says about itself in the head of any response; the
    * names in `headers` are in lower case.
--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -20,6 +20,7 @@
   callHeaders: () => [],
   prefillHeaders: () => [],
   classifyResponse: (_call, status) => (status === 503 ? 'refused' : 'ran'),
+  classifyEngineResponse: status => (status < 300 ? 'ran' : 'refused'),
   parseNotice: () => ({
     isLeaving: false,
     pauseMilliseconds: undefined,
