Hold the retries of completions to a budget of all hosts

Found while looking for the cause elsewhere: completions had a retry budget of their own, 20 retries and a fifth of one for each completed request at each host, without a sum over the hosts, and full again after each restart.

Change: CompletionRetries uses the same allowance as passed-through calls, with 20 retries for each member of the published membership as the fixed part of all. A host that starts uses none of it for limits.retryStartMilliseconds (10 s); what completed requests earn it may send at once. placement/retry-budget is removed.

Hosts of tests and stand-ins have no earlier process and set the time to 0.

--- a/packages/coordination/src/host/host.ts
+++ b/packages/coordination/src/host/host.ts
@@ -89,6 +89,8 @@
   readonly timing?: Partial<DistributionTiming>;
   /** Maximum number of queued requests per model and route target. */
   readonly queuedRequests?: number;
+  /** Time after the start for which a host spares retries of completions. */
+  readonly retryStartMilliseconds?: number;
 }
 
 /** Maximum time to wait for the first load reports at startup. */
--- a/packages/coordination/src/placement/attempt-admission.ts
+++ b/packages/coordination/src/placement/attempt-admission.ts
@@ -10,18 +10,21 @@
 import type {CompletionProgress} from './attempt-runner.js';
 import {isVersionCertain} from './completion-origin.js';
 import {versionGoneFailure} from './placement-failures.js';
+import type {HeldRetry} from '../passthrough/pool-retry-budget.js';
+import type {CompletionRetries} from './completion-retries.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {Placement} from './placement.js';
-import type {RetryBudget} from './retry-budget.js';
 import type {Admission} from './waiting-request.js';
 
 export interface AttemptAdmissionParts {
   readonly dispatcher: Dispatcher;
-  readonly retryBudget: RetryBudget;
+  readonly retries: CompletionRetries;
   readonly configuration: () => Configuration;
 }
 
 export class AttemptAdmission {
+  private readonly heldRetries = new WeakMap<Placement, HeldRetry>();
+
   /** `arrivedAt` is the clock time at which the request arrived. */
   constructor(
     private readonly parts: AttemptAdmissionParts,
@@ -58,18 +61,24 @@
    * aborted.
    */
   async findReplacement(signal: AbortSignal): Promise<Placement | undefined> {
-    const {retryBudget} = this.parts;
-    if (!retryBudget.canWithdraw()) return undefined;
+    const {retries} = this.parts;
+    if (!retries.isAvailable()) return undefined;
     const admission = await this.admit(true, signal);
     if (admission.isErr) return undefined;
-    if (!signal.aborted && retryBudget.withdraw()) return admission.value;
-    admission.value.close();
-    return undefined;
+    const retry = signal.aborted ? undefined : retries.tryAcquire();
+    if (retry === undefined) admission.value.close();
+    else this.heldRetries.set(admission.value, retry);
+    return retry && admission.value;
+  }
+
+  /** Spends the retry of engines that are about to be used. */
+  useReplacement(placement: Placement): void {
+    this.heldRetries.get(placement)?.use();
   }
 
   /** Frees engines that are not needed, and returns the retry. */
   releaseReplacement(placement: Placement): void {
     placement.close();
-    this.parts.retryBudget.returnRetry();
+    this.heldRetries.get(placement)?.release();
   }
 }
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -28,6 +28,7 @@
 import type {CompletionProgress} from './attempt-runner.js';
 import {createWordBlockHasher} from './cache-view.js';
 import type {PromptBlockHasher} from './cache-view.js';
+import {CompletionRetries} from './completion-retries.js';
 import {Dispatcher} from './dispatcher.js';
 import {EngineView} from './engine-view.js';
 import type {EngineDirectory} from './engine-view.js';
@@ -41,7 +42,6 @@
 import {defaultPolicy} from './placement-policy.js';
 import type {PlacementPolicy} from './placement-policy.js';
 import {Placer} from './placer.js';
-import {RetryBudget} from './retry-budget.js';
 import type {Admission} from './waiting-request.js';
 
 export type {EngineDirectory} from './engine-view.js';
@@ -68,6 +68,8 @@
   readonly silenceMilliseconds?: number;
   /** Maximum number of queued requests per model and route target. */
   readonly queuedRequests?: number;
+  /** See `CompletionRetries`; 0 for a host that has no earlier process. */
+  readonly retryStartMilliseconds?: number;
 }
 
 const defaultBlockTokens = 2_000;
@@ -77,7 +79,7 @@
 type StopReason = 'caller-gone' | 'deadline' | undefined;
 
 export class CompletionRunner {
-  private readonly retryBudget = new RetryBudget();
+  private readonly retries: CompletionRetries;
   private readonly engineView: EngineView;
   private readonly links: LinkView;
   private readonly placer: Placer;
@@ -86,6 +88,11 @@
 
   constructor(private readonly parts: CompletionRunnerParts) {
     const {clock, random, configuration, owner} = parts;
+    this.retries = new CompletionRetries({
+      clock,
+      configuration,
+      startMilliseconds: parts.retryStartMilliseconds ?? 0,
+    });
     const policy = parts.policy ?? defaultPolicy;
     const blockTokens = parts.blockTokens ?? defaultBlockTokens;
     const dispatch = () => this.dispatcher.dispatch();
@@ -160,7 +167,7 @@
     const attemptAdmission = new AttemptAdmission(
       {
         dispatcher: this.dispatcher,
-        retryBudget: this.retryBudget,
+        retries: this.retries,
         configuration: this.parts.configuration,
       },
       request,
@@ -190,7 +197,7 @@
       );
       const result = yield* attemptRunner.run(signal);
       if (result.kind === 'complete') {
-        this.retryBudget.deposit();
+        this.retries.recordCompletion();
         const {promptTokens, deliveredTokens} = progress;
         yield {
           kind: 'finished',
@@ -201,9 +208,15 @@
       }
       lastError = result.error;
       nextPlacement = result.kind === 'replaced' ? result.placement : undefined;
-      if (nextPlacement !== undefined) continue;
+      if (nextPlacement !== undefined) {
+        attemptAdmission.useReplacement(nextPlacement);
+        continue;
+      }
       const attemptStopReason = stopReasonOf(callerSignal, signal);
-      if (attemptStopReason !== undefined || !this.retryBudget.withdraw()) {
+      const retry =
+        attemptStopReason === undefined ? this.retries.tryAcquire() : undefined;
+      retry?.use();
+      if (retry === undefined) {
         const failure = failureOf(
           attemptStopReason,
           progress,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -122,6 +122,7 @@
     timing: {platformWaitMilliseconds: watchTimeoutMilliseconds},
     silenceMilliseconds: settings.upstreamSilenceMilliseconds,
     queuedRequests: settings.limits.queuedRequests,
+    retryStartMilliseconds: settings.limits.retryStartMilliseconds,
     makeAttemptId: () => createUuid(),
     observer: createHostObserver(log),
   });
--- a/packages/daemon/test/tools/run-daemon.ts
+++ b/packages/daemon/test/tools/run-daemon.ts
@@ -70,7 +70,7 @@
     },
     peerSecurity: {kind: 'plain'},
     upstreamSilenceMilliseconds: 60_000,
-    limits: {drainMilliseconds: 500, ...limits},
+    limits: {drainMilliseconds: 500, retryStartMilliseconds: 0, ...limits},
   }).unwrapOrElse(faults => {
     throw new TypeError(JSON.stringify(faults));
   });
--- a/packages/standins/src/daemon-process.ts
+++ b/packages/standins/src/daemon-process.ts
@@ -139,6 +139,8 @@
     platform: {addresses: [options.platform]},
     seeds: [...options.seeds],
     peerSecurity: {kind: 'plain'},
+    // The first process of a host has no predecessor.
+    limits: {retryStartMilliseconds: 0},
     ...(upstreamSilenceMilliseconds !== undefined && {
       upstreamSilenceMilliseconds,
     }),
