Lend unused retries to hosts whose calls fail

What callers saw: with the fixed part divided among 80 hosts each has less than three retries in a window. Calls of a host whose upstreams fail are lost for want of a retry while the others use none, and a host that has just started has none.

Change: heartbeats report what a host can spare. A lender gives up before it answers, so that lost, late or repeated datagrams lose retries and never add any. A host saves at least one whole retry, where half of the fixed part allows it: a smaller limit could never be spent, and what calls earned beyond it was lost.

--- a/packages/coordination/src/decisions/retry-allowance.ts
+++ b/packages/coordination/src/decisions/retry-allowance.ts
@@ -32,11 +32,15 @@
   readonly fixed: number;
 }
 
-/** Part of the fixed number that counted hosts divide among them. */
-const dividedFraction = 0.7;
+/** Part of the fixed number in use. The rest covers transit, like that of the ratio. */
+const usedFixedFraction = 0.95;
 
-/** Part of the fixed number by which hosts may save what calls earn. */
-const savedFraction = 0.25;
+/**
+ * Parts of the fixed number by which hosts may save what calls earn. In between,
+ * each host saves one whole retry: less than that could not be spent.
+ */
+const leastSavedFraction = 0.25;
+const mostSavedFraction = 0.5;
 
 /** Part of the ratio in use. The rest covers the transit of calls and retries. */
 const usedRatioFraction = 0.95;
@@ -125,7 +129,7 @@
     {kind, hosts}: FleetShare,
     now: number,
   ): number {
-    const limit = (savedFraction * extra) / hosts;
+    const limit = savedTotal(extra, hosts) / hosts;
     switch (kind) {
       case 'counted':
       case 'starting':
@@ -141,14 +145,21 @@
     now: number,
   ): number {
     switch (kind) {
-      case 'counted':
-        return Math.max(
-          0,
-          (dividedFraction * extra) / hosts - this.spentFixed(now),
-        );
+      case 'counted': {
+        const divided = usedFixedFraction * extra - savedTotal(extra, hosts);
+        return Math.max(0, divided / hosts - this.spentFixed(now));
+      }
       case 'starting':
       case 'detached':
         return 0;
     }
   }
 }
+
+/** What all hosts together may save. The rest of the fixed number is divided. */
+function savedTotal(extra: number, hosts: number): number {
+  return Math.min(
+    mostSavedFraction * extra,
+    Math.max(leastSavedFraction * extra, hosts),
+  );
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -288,6 +288,12 @@
 export {FleetContact} from './passthrough/fleet-contact.js';
 export type {FleetContactParts} from './passthrough/fleet-contact.js';
 export type {FleetShare, RetryBounds} from './decisions/retry-allowance.js';
+export {
+  RetryLoans,
+  encodeSpares,
+  poolKeyOf,
+} from './passthrough/retry-loans.js';
+export type {RetryLoansParts} from './passthrough/retry-loans.js';
 export {PoolRetryBudget} from './passthrough/pool-retry-budget.js';
 export type {PoolRetryBudgetParts} from './passthrough/pool-retry-budget.js';
 export {RequestQuarantine} from './passthrough/request-quarantine.js';
@@ -348,4 +354,7 @@
 export {UpstreamTable} from './passthrough/upstream-table.js';
 export {EventStreamSplitter} from './passthrough/event-stream-splitter.js';
 export {Beat} from './generated/messages/persimmonwick/beat.js';
-export type {StreamOriginMessage} from './generated/messages/persimmonwick/beat.js';
+export type {
+  RetryLoanMessage,
+  StreamOriginMessage,
+} from './generated/messages/persimmonwick/beat.js';
--- a/packages/coordination/src/passthrough/discovered-fleet.ts
+++ b/packages/coordination/src/passthrough/discovered-fleet.ts
@@ -14,6 +14,7 @@
   AccountUsage,
   Beat,
   RequestLimitReport,
+  SpareRetryReport,
   UpstreamLoad,
 } from '../generated/messages/persimmonwick/beat.js';
 import type {FailureDomainId, HostId} from '../ids.js';
@@ -50,6 +51,7 @@
   readonly demand?: DemandReport | undefined;
   /** Time since the last contact with most seeds; infinite if there was none. */
   readonly seedContactAgeMilliseconds?: number;
+  readonly spareRetries?: SpareRetryReport[];
 }
 
 const noSpeeds: SpeedReport = {
@@ -418,6 +420,7 @@
       speeds = noSpeeds,
       demand = noDemand,
       seedContactAgeMilliseconds = Infinity,
+      spareRetries = [],
       ...platform
     } = localState();
     return {
@@ -440,6 +443,8 @@
       unreachablePools,
       ...speeds,
       ...demand,
+      spareRetries,
+      retryLoan: undefined,
       seedContactAgeMilliseconds:
         seedContactAgeMilliseconds > maximumReportedAgeMilliseconds
           ? undefined
--- a/packages/coordination/src/passthrough/heartbeat-check.ts
+++ b/packages/coordination/src/passthrough/heartbeat-check.ts
@@ -16,6 +16,7 @@
   maximumReportedEntries,
   maximumReportedTraits,
 } from './request-quarantine.js';
+import {maximumReportedSpares} from './retry-loans.js';
 import {streamKeyLength} from './stream-key.js';
 import {maximumReportedLimits} from './upstream-request-limits.js';
 
@@ -92,6 +93,8 @@
     speedMilliseconds.length !== speedKeys.length
   )
     return Result.err('the speeds of upstreams are too many or incomplete');
+  if (heartbeat.spareRetries.length > maximumReportedSpares)
+    return Result.err('there are more spare retries than a host reports');
   const {demandKeys, demandWork} = heartbeat;
   if (
     demandKeys.length > maximumReportedDemands ||
--- a/packages/coordination/src/passthrough/pool-retry-budget.ts
+++ b/packages/coordination/src/passthrough/pool-retry-budget.ts
@@ -4,6 +4,8 @@
  */
 
 import type {Clock} from '../clock.js';
+import {poolKeyOf} from './retry-loans.js';
+import type {RetryLoans} from './retry-loans.js';
 import {RetryAllowance} from '../decisions/retry-allowance.js';
 import type {
   FleetShare,
@@ -15,8 +17,12 @@
   readonly clock: Clock;
   /** What this host knows of the others that may send retries. */
   readonly share: () => FleetShare;
+  /** Borrows what is missing from other hosts; absent where there are none. */
+  readonly loans?: Pick<RetryLoans, 'canBorrow' | 'borrow'>;
   /** Called for each call that is recorded. */
   readonly onCall?: (pool: string) => void;
+  /** Called when retries were given up for another host. */
+  readonly onLent?: (pool: string, amount: number) => void;
 }
 
 /** What a decision of the budget was based on. */
@@ -62,23 +68,72 @@
     };
   }
 
-  /** Returns whether the budget allows `count` more retries now. */
+  /** What this host can give up for others, by pool. */
+  *spares(): Generator<readonly [pool: string, amount: number]> {
+    for (const pool of this.allowances.keys())
+      yield [pool, this.availableOf(pool)];
+  }
+
+  /**
+   * Gives up to `amount` retries of the pool with this key up for another host.
+   * Returns how many.
+   */
+  lend(poolKey: number, amount: number): number {
+    const pools = [...this.allowances.keys()];
+    const pool = pools.find(name => poolKeyOf(name) === poolKey);
+    if (pool === undefined) return 0;
+    const lent = Math.min(amount, this.availableOf(pool));
+    if (lent <= 0) return 0;
+    this.hold(pool, lent).use();
+    this.parts.onLent?.(pool, lent);
+    return lent;
+  }
+
+  /** Returns whether `count` more retries can be had now. */
   canAcquire(pool: string, count = 1): boolean {
-    return this.availableOf(pool) >= count;
+    const missing = count - this.availableOf(pool);
+    return (
+      missing <= 0 || (this.parts.loans?.canBorrow(pool, missing) ?? false)
+    );
   }
 
-  /** Sets `count` retries aside; undefined if the budget has fewer. */
+  /** Sets `count` retries of this host aside; undefined if it has fewer. */
   tryAcquire(pool: string, count = 1): readonly HeldRetry[] | undefined {
-    if (!this.canAcquire(pool, count)) return undefined;
+    if (this.availableOf(pool) < count) return undefined;
     return Array.from({length: count}, () => this.hold(pool, 1));
   }
 
-  /** Like `tryAcquire`. */
-  acquire(
+  /**
+   * Sets `count` retries aside, some of them borrowed; resolves with undefined if
+   * there are fewer. What was borrowed is then kept for the next time.
+   */
+  async acquire(
     pool: string,
     count: number,
   ): Promise<readonly HeldRetry[] | undefined> {
-    return Promise.resolve(this.tryAcquire(pool, count));
+    const own = this.tryAcquire(pool, count);
+    const {loans} = this.parts;
+    const missing = count - this.availableOf(pool);
+    if (own !== undefined || !loans?.canBorrow(pool, missing)) return own;
+    const borrowed = await loans.borrow(pool, missing);
+    if (this.availableOf(pool) + borrowed >= count)
+      return this.holdWithLoan(pool, count, borrowed);
+    const {clock, share} = this.parts;
+    this.allowanceOf(pool).deposit(borrowed, this.parts, share(), clock.now());
+    return undefined;
+  }
+
+  private holdWithLoan(
+    pool: string,
+    count: number,
+    borrowed: number,
+  ): readonly HeldRetry[] {
+    let left = borrowed;
+    return Array.from({length: count}, () => {
+      const part = Math.min(1, left);
+      left -= part;
+      return this.hold(pool, 1 - part);
+    });
   }
 
   private availableOf(pool: string): number {
--- a/packages/daemon/src/passthrough/heartbeat-socket.ts
+++ b/packages/daemon/src/passthrough/heartbeat-socket.ts
@@ -11,6 +11,7 @@
 } from '@persimmonwick/coordination';
 import type {
   HeartbeatSender,
+  RetryLoanMessage,
   StreamOriginMessage,
 } from '@persimmonwick/coordination';
 
@@ -21,6 +22,8 @@
     address: string,
     message: StreamOriginMessage,
   ) => void;
+  /** Receives a message about retries from the host at `address`. */
+  readonly onRetryLoan: (address: string, message: RetryLoanMessage) => void;
   /**
    * Called when a datagram can't be decoded or sent, and when the socket fails.
    * `address` is the peer's, or the local one if the socket failed.
@@ -63,6 +66,10 @@
     this.send(address, {...emptyHeartbeat, streamOrigin});
   }
 
+  sendRetryLoan(address: string, retryLoan: RetryLoanMessage): void {
+    this.send(address, {...emptyHeartbeat, retryLoan});
+  }
+
   send(address: string, heartbeat: Beat): void {
     // The socket throws for an address that it cannot send to.
     if (!isHostAddress(address)) {
@@ -87,7 +94,11 @@
       this.parts.onError(from, String(error));
       return;
     }
-    const {streamOrigin} = heartbeat;
+    const {streamOrigin, retryLoan} = heartbeat;
+    if (retryLoan !== undefined) {
+      this.parts.onRetryLoan(from, retryLoan);
+      return;
+    }
     if (streamOrigin !== undefined) {
       checkStreamOriginMessage(streamOrigin).match({
         Ok: checked => this.parts.onStreamOrigin(from, checked),
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -8,6 +8,7 @@
   FleetContact,
   PassthroughHost,
   RequestQuarantine,
+  RetryLoans,
   ReachabilityProbes,
   PoolRetryBudget,
   SoftwareVersionHistory,
@@ -16,6 +17,7 @@
   UpstreamSpeeds,
   UpstreamTable,
   UsageLimiter,
+  encodeSpares,
   failureDomainId,
   hostId,
   isTrafficWeighed,
@@ -101,6 +103,8 @@
   private readonly fleet: DiscoveredFleet;
   private readonly fleetChangeLog: FleetChangeLog;
   private readonly fleetContact: FleetContact;
+  private readonly retryLoans: RetryLoans;
+  private readonly retryBudget: PoolRetryBudget;
   private readonly heartbeatSocket: HeartbeatSocket;
   private readonly streamOrigins: StreamOrigins;
   private readonly versionHistory: SoftwareVersionHistory;
@@ -164,6 +168,8 @@
       onHeartbeat: heartbeat => this.fleet.receive(heartbeat),
       onStreamOrigin: (address, message) =>
         this.streamOrigins.receive(address, message),
+      onRetryLoan: (address, message) =>
+        this.retryLoans.receive(address, message),
       onError: (address, reason) => log.write('beatFailed', {address, reason}),
     });
     this.requestLimits = new UpstreamRequestLimits({
@@ -222,6 +228,7 @@
         speeds: this.speeds?.report(clock.now()),
         demand: this.domains?.demand.report(clock.now()),
         seedContactAgeMilliseconds: this.fleetContact.ageMilliseconds,
+        spareRetries: encodeSpares(this.retryBudget.spares()),
       }),
       onHeartbeat: heartbeat => this.recordHeartbeat(heartbeat),
       onChange: change => {
@@ -248,6 +255,29 @@
           contactAge: Number.isFinite(age) ? Math.round(age) : noContact,
         }),
     });
+    this.retryLoans = new RetryLoans({
+      clock,
+      random,
+      failureDomain,
+      members: () => this.fleet.members(),
+      send: (address, message) =>
+        this.heartbeatSocket.sendRetryLoan(address, message),
+      lend: (poolKey, amount) => this.retryBudget.lend(poolKey, amount),
+    });
+    this.retryBudget = new PoolRetryBudget({
+      clock,
+      share: () => this.fleetContact.share(),
+      loans: this.retryLoans,
+      windowMilliseconds: settings.retries.windowMilliseconds,
+      onCall: pool => this.metrics.recordPoolCall(pool),
+      onLent: (pool, amount) => this.metrics.recordRetryLoan(pool, amount),
+      get ratio() {
+        return currentSettings().retries.ratio;
+      },
+      get extra() {
+        return currentSettings().retries.extra;
+      },
+    });
     this.streamOrigins = new StreamOrigins({
       clock,
       failureDomain,
@@ -310,18 +340,7 @@
         this.requestLimits,
       ),
       requestLimits: this.requestLimits,
-      retryBudget: new PoolRetryBudget({
-        clock,
-        share: () => this.fleetContact.share(),
-        windowMilliseconds: settings.retries.windowMilliseconds,
-        onCall: pool => this.metrics.recordPoolCall(pool),
-        get ratio() {
-          return currentSettings().retries.ratio;
-        },
-        get extra() {
-          return currentSettings().retries.extra;
-        },
-      }),
+      retryBudget: this.retryBudget,
       quarantine: this.quarantine,
       streamOrigins: this.streamOrigins,
       members: () => this.fleet.members(),
@@ -432,6 +451,7 @@
     this.platform.recordPeer(heartbeat);
     this.quarantine.recordPeer(heartbeat);
     this.fleetContact.recordPeer(heartbeat.seedContactAgeMilliseconds);
+    this.retryLoans.recordPeer(heartbeat.address, heartbeat.spareRetries);
     const {incarnation, usage, requestLimits} = heartbeat;
     const host = hostId(heartbeat.host);
     const age = Number(heartbeat.ageMilliseconds);
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -57,6 +57,7 @@
   private readonly repeatCounter: Counter<'pool' | 'purpose' | 'reason'>;
   private readonly retryCounter: Counter<'pool' | 'reason'>;
   private readonly poolCallCounter: Counter<'pool'>;
+  private readonly retryLoanCounter: Counter<'pool'>;
   private readonly retryAvailableGauge: Gauge<'pool'>;
   private readonly retrySpentGauge: Gauge<'pool'>;
 
@@ -122,6 +123,12 @@
       labelNames: ['pool'],
       registers,
     });
+    this.retryLoanCounter = new Counter({
+      name: 'persimmonwick_pool_retries_lent_total',
+      help: 'Retries that this host has given up for other hosts',
+      labelNames: ['pool'],
+      registers,
+    });
     this.retryAvailableGauge = new Gauge({
       name: 'persimmonwick_pool_retries_available',
       help: 'Retries that this host may send, at the last retry',
@@ -184,6 +191,11 @@
       this.recordLatency('whole', durationMilliseconds);
   }
 
+  /** Counts retries that this host has given up for others. */
+  recordRetryLoan(pool: string, amount: number): void {
+    this.retryLoanCounter.inc({pool}, amount);
+  }
+
   /** Counts a call that earns retries. */
   recordPoolCall(pool: string): void {
     this.poolCallCounter.inc({pool});
