Skip refused prefills while no retry is left for the run after them

Change: while engines refuse most prefills of a host and no retry can be had, a call goes to its decode engine without one, which computes the prompt itself.

Result: in the new test at least 7 of 10 calls keep their free run.

--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -38,6 +38,18 @@
  */
 const lostCacheBackoffMilliseconds = 2000;
 
+/** Weight of the last prefill in the share of those that were refused. */
+const refusalGain = 0.3;
+
+/** Time in which this share halves. */
+const refusalHalfLifeMilliseconds = 2000;
+
+/** Share of refused prefills from which the next one is expected to be refused. */
+const likelyRefusalShare = 0.4;
+
+/** Sends of a call whose prefill is refused: the prefill, and a run without it. */
+const sendsAfterRefusal = 2;
+
 /**
  * Weight of the prompt tokens that other hosts report. Most of these prompts
  * are finished when the report arrives.
@@ -51,6 +63,8 @@
    * was lost.
    */
   private readonly cacheBackoffUntil = new Map<string, number>();
+  /** Share of recent prefills that engines refused, as of a clock time. */
+  private refusals = {share: 0, at: 0};
 
   private readonly retryGate: RetryGate;
 
@@ -81,6 +95,13 @@
       if (engine === undefined || state.signal.aborted) return undefined;
       if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
       if (quarantine.findQuarantined(traits) !== undefined) return undefined;
+      // After a refused prefill, the run would need a retry that there is not. The
+      // decode engine computes the prompt instead.
+      if (
+        this.refusedShare() >= likelyRefusalShare &&
+        !state.sends.canCover(state.pool.name, sendsAfterRefusal)
+      )
+        return undefined;
       const isAllowed = await this.retryGate.acquirePrefill(
         retryRequestOf(state, 'prefill'),
       );
@@ -223,6 +244,7 @@
     });
     if (handle.isOk) send.end('prefilled', 'read');
     else send.end(sendOutcomeOf(handle), handle.error.kind);
+    this.recordRefusal(handle.isErr && handle.error.kind === 'refused', now);
     if (handle.isOk) {
       engine.health.recordSuccess(now);
       const ratio = this.baselineDurationPerToken.record(
@@ -249,6 +271,18 @@
     return undefined;
   }
 
+  private refusedShare(): number {
+    const {share, at} = this.refusals;
+    const age = this.parts.clock.now() - at;
+    return share * 2 ** (-age / refusalHalfLifeMilliseconds);
+  }
+
+  private recordRefusal(isRefused: boolean, now: number): void {
+    const share = this.refusedShare();
+    const target = isRefused ? 1 : 0;
+    this.refusals = {share: share + (target - share) * refusalGain, at: now};
+  }
+
   /** Records that a cache of `engine` was lost before it was fetched. */
   recordLostCache(engine: string): void {
     const until = this.parts.clock.now() + lostCacheBackoffMilliseconds;
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -232,6 +232,58 @@
   );
 });
 
+// Guards against calls that run nowhere, because the one request that they may send
+// without a retry is a prefill that is refused.
+test('while engines refuse prefills and no retry is left, calls run without one', async t => {
+  let prefills = 0;
+  const {clock, parts, tracked} = createParts(
+    {
+      prefill: async upstream => {
+        prefills += 1;
+        return errorOf('refused', upstream);
+      },
+    },
+    'prefill',
+  );
+  const retryBudget = createRetryBudget(clock, 0);
+  const stage = new PrefillStage({...parts, retryBudget});
+  const reservation = {
+    upstream: tracked('d-1'),
+    reservationId: 'hold-1',
+    reservedUntil: Infinity,
+    statedStart: undefined,
+    load: {setMemoryTokens: () => {}, release: () => {}},
+  };
+  const callsThatMayRun = async (count: number) => {
+    let free = 0;
+    for (let call = 0; call < count; call += 1) {
+      const sends = new CallSends(retryBudget, () => undefined);
+      const state = {
+        call: {...callAt(0), deadline: Infinity},
+        pool,
+        generation: {promptTokens: 100},
+        signal: new AbortController().signal,
+        sends,
+        shouldSkipPrefillStage: false,
+        reusableCache: undefined,
+      } as unknown as GenerationState;
+      await clock.runUntil(stage.prefill(state, reservation));
+      if (sends.canCover(pool.name, 1)) free += 1;
+      await clock.advance(100);
+    }
+    return free;
+  };
+  t.true((await callsThatMayRun(10)) >= 7);
+  const before = prefills;
+  await clock.advance(5000);
+  await callsThatMayRun(1);
+  t.is(
+    prefills,
+    before + 1,
+    'a later call finds out whether they still refuse',
+  );
+});
+
 const versionedEngine = (softwareVersion: string, startedAt: number) =>
   ({
     kind: 'Upstream',
