--- a/packages/daemon/test/passthrough/mixed-builds.test.ts
+++ b/packages/daemon/test/passthrough/mixed-builds.test.ts
@@ -81,9 +81,24 @@
       t.is(heartbeat?.loads[0]?.memoryTokens, 9810);
       t.is(heartbeat?.usage[0]?.admittedTokens, 128_400.5);
       t.is(heartbeat?.configurationVersion, 14n);
-    } else t.is(receiver.streamMessages[0]?.content?.$case, kind);
+    } else if (kind === 'loan request' || kind === 'loan reply')
+      t.is(`loan ${receiver.loanMessages[0]?.content?.$case}`, kind);
+    else t.is(receiver.streamMessages[0]?.content?.$case, kind);
   });
 
+test('spare retries and contact are absent in heartbeats of earlier builds', t => {
+  const heartbeats = recordedDatagrams
+    .filter(({kind}) => kind === 'heartbeat')
+    .map(({hexadecimal}) => Beat.decode(Buffer.from(hexadecimal, 'hex')));
+  const [newest, ...earlier] = heartbeats.reverse();
+  for (const {seedContactAgeMilliseconds, spareRetries} of earlier) {
+    t.is(seedContactAgeMilliseconds, undefined);
+    t.deepEqual(spareRetries, []);
+  }
+  t.is(newest?.seedContactAgeMilliseconds, 420);
+  t.is(newest?.spareRetries[0]?.hundredths, 135);
+});
+
 test('a heartbeat with a field of a newer build is understood', async t => {
   const receiver = new Receiver();
   await receiver.listen(t);
@@ -93,7 +108,7 @@
       await receiver.deliver(Buffer.concat([bytes, unknownField]));
     }
   t.deepEqual(receiver.errors, []);
-  t.is(receiver.heartbeats.length, 3);
+  t.is(receiver.heartbeats.length, 4);
 });
 
 test('a stream message of a newer build is reported and the next one is read', async t => {
--- a/packages/daemon/test/passthrough/recorded-datagrams.ts
+++ b/packages/daemon/test/passthrough/recorded-datagrams.ts
@@ -6,7 +6,8 @@
 export interface RecordedDatagram {
   /** Build that encoded the datagram. */
   readonly build: string;
-  readonly kind: 'heartbeat' | 'record' | 'query' | 'reply';
+  readonly kind:
+    'heartbeat' | 'record' | 'query' | 'reply' | 'loan request' | 'loan reply';
   readonly hexadecimal: string;
 }
 
@@ -63,4 +64,19 @@
     kind: 'reply',
     hexadecimal: `9a012f1a2d08071229${streamKey}1207726576696577731a0476312e31`,
   },
+  {
+    build: '5122238',
+    kind: 'heartbeat',
+    hexadecimal: `${heartbeatStart}${limitsAndTraits}d801a403e201080df0113c9a108701`,
+  },
+  {
+    build: '5122238',
+    kind: 'loan request',
+    hexadecimal: 'ea010b0a09080715f0113c9a183c',
+  },
+  {
+    build: '5122238',
+    kind: 'loan reply',
+    hexadecimal: 'ea010612040807103c',
+  },
 ];
