--- a/packages/coordination/src/passthrough/call-sends.ts
+++ b/packages/coordination/src/passthrough/call-sends.ts
@@ -65,14 +65,19 @@
     this.earns = false;
   }
 
-  /** Whether an upstream may have received the call. */
+  /** Whether an upstream may have received the call, beyond a first prefill. */
   get hasArrived(): boolean {
     return this.counted > 0;
   }
 
+  /** Whether an upstream may have received anything of the call. */
+  get wasSent(): boolean {
+    return this.hasArrived || this.hasPrefill;
+  }
+
   /** Whether a prefill needs no retry, neither for itself nor for the run after it. */
   get isPrefillFree(): boolean {
-    return this.counted === 0 && !this.hasPrefill;
+    return !this.wasSent;
   }
 
   /** Returns whether the budget can cover `sends` further sends. */
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -143,7 +143,7 @@
     )
       this.reportRestriction(call);
     return response.mapErr(failure =>
-      sends.hasArrived ? {...failure, wasSent: true} : failure,
+      sends.wasSent ? {...failure, wasSent: true} : failure,
     );
   }
 
--- a/packages/coordination/src/passthrough/retry-loans.ts
+++ b/packages/coordination/src/passthrough/retry-loans.ts
@@ -170,13 +170,18 @@
     amount: number,
   ): readonly {address: string; hundredths: number}[] {
     const {members, failureDomain, random} = this.parts;
-    const candidates = members().flatMap(member => {
-      const hundredths = this.sparesOf(poolKey).get(member.address) ?? 0;
-      if (!member.isLive || hundredths === 0) return [];
-      const isRemote = member.failureDomain !== failureDomain;
+    const live = new Map(
+      members().flatMap(each =>
+        each.isLive ? [[each.address, each] as const] : [],
+      ),
+    );
+    const known = this.sparesOf(poolKey);
+    for (const address of [...known.keys()])
+      if (!live.has(address)) known.delete(address);
+    const candidates = [...known].map(([address, hundredths]) => {
+      const isRemote = live.get(address)!.failureDomain !== failureDomain;
       const order = (isRemote ? 1 : 0) - Math.min(hundredths, amount) / amount;
-      const {address} = member;
-      return [{address, hundredths, order: order + random.next() / 2}];
+      return {address, hundredths, order: order + random.next() / 2};
     });
     candidates.sort((left, right) => left.order - right.order);
     const chosen: {address: string; hundredths: number}[] = [];
