Report each retry that the budget grants, with how many were acquired

A grant now says how many retries it acquired; the metric counts these, which bounds the repeats over all hosts. What may be sent is the same.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -85,6 +85,8 @@
       readonly reason: string;
       readonly tries: number;
       readonly pool: string;
+      /** Retries acquired; 0 if no upstream can have received the call, or earlier ones do. */
+      readonly acquired: number;
     } & RetryBudgetState)
   /** An upstream may have received a call that one has received before. */
   | ({readonly kind: 'repeated'} & Repeat)
--- a/packages/coordination/src/passthrough/call-handover.ts
+++ b/packages/coordination/src/passthrough/call-handover.ts
@@ -102,7 +102,7 @@
     sends: CallSends,
   ): Promise<boolean> {
     const count = this.sendsOf(call, sends).length;
-    if (await sends.cover(name, count)) return true;
+    if ((await sends.cover(name, count)) !== undefined) return true;
     this.parts.observer(call.id, {
       kind: 'retry-withheld',
       reason: 'handover',
--- a/packages/coordination/src/passthrough/call-sends.ts
+++ b/packages/coordination/src/passthrough/call-sends.ts
@@ -86,13 +86,16 @@
     return missing === 0 || this.retries.canAcquire(pool, missing);
   }
 
-  /** Covers `sends` further sends; resolves with whether that was possible. */
-  async cover(pool: string, sends: number): Promise<boolean> {
+  /**
+   * Covers `sends` further sends; resolves with the number of retries that were
+   * acquired for them, or undefined if there are too few.
+   */
+  async cover(pool: string, sends: number): Promise<number | undefined> {
     const missing = this.missingRetries(sends);
-    if (missing === 0) return true;
+    if (missing === 0) return 0;
     const acquired = await this.retries.acquire(pool, missing);
     this.held.push(...(acquired ?? []));
-    return acquired !== undefined;
+    return acquired?.length;
   }
 
   /** Records that a request is about to be sent. */
--- a/packages/coordination/src/passthrough/retry-gate.ts
+++ b/packages/coordination/src/passthrough/retry-gate.ts
@@ -50,11 +50,8 @@
   }
 
   /** Acquires permission; resolves with false if the attempt is forbidden. */
-  async acquire(request: RetryRequest): Promise<boolean> {
-    const limit = this.limitOf(request) ?? (await this.cover(request, 1));
-    if (limit === undefined) this.reportRetried(request);
-    else this.reportWithheld(request, limit);
-    return limit === undefined;
+  acquire(request: RetryRequest): Promise<boolean> {
+    return this.acquireSends(request, 1, this.limitOf(request));
   }
 
   /**
@@ -62,23 +59,24 @@
    * if an engine rejected a prefill.
    */
   async acquireRun(request: RetryRequest): Promise<boolean> {
-    const {sends, pool} = request;
-    if (!sends.hasArrived) return true;
-    if (await sends.cover(pool.name, 1)) return true;
-    this.reportWithheld(request, 'budget');
-    return false;
+    const acquired = await request.sends.cover(request.pool.name, 1);
+    if (acquired === undefined) this.reportWithheld(request, 'budget');
+    else if (acquired > 0) this.reportRetried(request, acquired);
+    return acquired !== undefined;
   }
 
   /**
    * Acquires permission for a prefill, and for the run after it: a prompt that is
-   * read for a run that is not allowed is read in vain.
+   * read for a run that is not allowed is read in vain. The run may be allowed
+   * nevertheless if this resolves with false.
    */
   async acquirePrefill(request: RetryRequest): Promise<boolean> {
-    if (request.sends.isPrefillFree) return true;
-    if ((await this.cover(request, sendsWithReserve)) !== undefined)
-      return false;
-    this.reportRetried(request);
-    return true;
+    const {sends, pool} = request;
+    if (sends.isPrefillFree) return true;
+    const acquired = await sends.cover(pool.name, sendsWithReserve);
+    if (acquired !== undefined && acquired > 0)
+      this.reportRetried(request, acquired);
+    return acquired !== undefined;
   }
 
   /**
@@ -98,31 +96,41 @@
    * Acquires permission for a replacement, and for a further attempt in case that
    * it is rejected; resolves with false if either is forbidden.
    */
-  async acquireReplacement(request: RetryRequest): Promise<boolean> {
-    const limit =
-      this.limitOfReplacement(request) ??
-      (await this.cover(request, sendsWithReserve));
-    if (limit === undefined) this.reportRetried(request);
-    else this.reportWithheld(request, limit);
-    return limit === undefined;
+  acquireReplacement(request: RetryRequest): Promise<boolean> {
+    const limit = this.limitOfReplacement(request);
+    return this.acquireSends(request, sendsWithReserve, limit);
   }
 
   reportWithheld({call, reason}: RetryRequest, limit: RetryLimit): void {
     this.parts.observer(call.id, {kind: 'retry-withheld', reason, limit});
   }
 
-  private async cover(
-    {sends, pool}: RetryRequest,
+  /** Covers further sends unless `limit` forbids them, and reports the decision. */
+  private async acquireSends(
+    request: RetryRequest,
     count: number,
-  ): Promise<RetryLimit | undefined> {
-    return (await sends.cover(pool.name, count)) ? undefined : 'budget';
+    limit?: RetryLimit,
+  ): Promise<boolean> {
+    const {sends, pool} = request;
+    const acquired =
+      limit === undefined ? await sends.cover(pool.name, count) : undefined;
+    if (acquired === undefined) this.reportWithheld(request, limit ?? 'budget');
+    else this.reportRetried(request, acquired);
+    return acquired !== undefined;
   }
 
-  private reportRetried({call, pool, reason, counts}: RetryRequest): void {
+  private reportRetried(
+    {call, pool, reason, counts}: RetryRequest,
+    acquired: number,
+  ): void {
     const {observer, retryBudget} = this.parts;
-    const tries = counts.attempts;
-    const state = retryBudget.stateOf(pool.name);
-    const event = {kind: 'retried' as const, reason, tries};
-    observer(call.id, {...event, pool: pool.name, ...state});
+    observer(call.id, {
+      kind: 'retried',
+      reason,
+      tries: counts.attempts,
+      pool: pool.name,
+      acquired,
+      ...retryBudget.stateOf(pool.name),
+    });
   }
 }
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -322,6 +322,7 @@
       'reason',
       'tries',
       'pool',
+      'acquired',
       'available',
       'spent',
       'standing',
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -287,8 +287,8 @@
         break;
       }
       case 'retried': {
-        const {pool, reason, available, spent} = event;
-        this.retryCounter.inc({pool, reason});
+        const {pool, reason, acquired, available, spent} = event;
+        this.retryCounter.inc({pool, reason}, acquired);
         this.retryAvailableGauge.set({pool}, available);
         this.retrySpentGauge.set({pool}, spent);
         break;
