Send a request on only while its answer can still reach the caller

Cause: the host ended its direction of a connection after each response while it stopped, and went on to read the other one. The requests of a connection were handled side by side, so that the answer to one ended the connection of another, even in the middle of a stream. Nothing compared the time that a call takes with the time that the process has left.

Change: CallerConnection handles the calls of a connection one after the other, announces its end only if no call waits, leaves callers that were not told 0.5 s for one more request, reads nothing behind its end and lingers. SendGate is asked right before the first byte is written to an upstream or to another host, when the connection is open; ShutdownSchedule refuses what would not end in time with a 503 (draining, not-run). Calls that remain are answered before the process ends.

Why it works: a request is sent only if no response before it can end the connection, and if twice the time of the slowest recent call of its route is left.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -334,6 +334,11 @@
 } from './passthrough/heartbeat-check.js';
 export type {HandoverTransport} from './passthrough/call-handover.js';
 export {SoftwareVersionHistory} from './passthrough/software-version-history.js';
+export {untilAborted} from './abort.js';
+export {hostStopping} from './passthrough/call-failures.js';
+export {SendGate} from './passthrough/send-gate.js';
+export type {SendGateParts, SendRefusal} from './passthrough/send-gate.js';
+export {ShutdownSchedule} from './passthrough/shutdown-schedule.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -4,6 +4,7 @@
 import type {InterruptedResponseError} from './call.js';
 import type {Repeat} from './call-sends.js';
 import type {RetryBudgetState} from './pool-retry-budget.js';
+import type {SendRefusal} from './send-gate.js';
 import type {ContinuationRefusal, SoleOrigin} from './stream-continuation.js';
 
 /** What forbids another attempt of a call. */
@@ -191,6 +192,12 @@
       /** Time until the head of the response. */
       readonly took: number;
     }
+  /** A call was not sent to the upstream that had been chosen for it. */
+  | {
+      readonly kind: 'send-withheld';
+      readonly upstream: string;
+      readonly reason: SendRefusal;
+    }
   /** A call was refused while some upstreams of its route may not serve it. */
   | {
       readonly kind: 'placement-restricted';
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -59,6 +59,16 @@
   return exclusionFailures[reason];
 }
 
+/** Another host can be reached with a new connection at once. */
+const otherHostRetryAfterMilliseconds = 50;
+
+export const hostStopping: RequestFailure = {
+  code: 'draining',
+  message: 'this host stops before the call could end',
+  ran: 'not-run',
+  retryAfterMilliseconds: otherHostRetryAfterMilliseconds,
+};
+
 /** Failure of a repeated call that is in quarantine. */
 export function requestQuarantined(
   retryAfterMilliseconds: number,
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -7,6 +7,7 @@
 import type {AccountId, UpstreamId} from '../ids.js';
 import type {UpstreamDocument} from '../generated/documents.js';
 import type {SendOutcome} from './call-sends.js';
+import type {SendRefusal} from './send-gate.js';
 import type {PassthroughRoute} from './route-table.js';
 
 /** Name and value of a header. The name keeps the spelling of the sender. */
@@ -84,6 +85,12 @@
 
 /** Why an upstream gave no response that can be passed on. */
 export type PassthroughError =
+  /** The send gate refused the call, and nothing was sent. */
+  | {
+      readonly kind: 'withheld';
+      readonly upstream: UpstreamId;
+      readonly reason: SendRefusal;
+    }
   /** No connection could be made, and nothing was sent. */
   | {readonly kind: 'unreachable'; readonly upstream: UpstreamId}
   /** The upstream states that it did not run the call and never will. */
@@ -108,6 +115,7 @@
 /** Returns whether it is certain that the upstream did not run the call. */
 export function provesCallNotRun(error: PassthroughError): boolean {
   switch (error.kind) {
+    case 'withheld':
     case 'unreachable':
     case 'refused':
     case 'misdirected':
@@ -125,7 +133,7 @@
  * process at its address.
  */
 export function mayHaveBeenSent(error: PassthroughError): boolean {
-  return error.kind !== 'unreachable';
+  return error.kind !== 'unreachable' && error.kind !== 'withheld';
 }
 
 /** What became of a send by its result. */
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -20,7 +20,7 @@
   PassthroughError,
   TransportResult,
 } from './call.js';
-import {provesCallNotRun, sendOutcomeOf} from './call.js';
+import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {UpstreamLosses} from './upstream-losses.js';
 import {EngineReplacement} from './engine-replacement.js';
 import {
@@ -46,6 +46,7 @@
 import {PrefillStage} from './prefill-stage.js';
 import {watchSilence} from './silence-watch.js';
 import {isServed} from './stream-continuation.js';
+import {sendRefusalOf} from './send-refusal.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
@@ -175,7 +176,7 @@
       const cache = await this.prefillStage.prefill(state, reservation);
       const stopped = signal.aborted
         ? disconnectFailureOf(state)
-        : this.upstreamLosses.refusalOf(state);
+        : sendRefusalOf(this.parts, this.upstreamLosses, state);
       if (stopped !== undefined) {
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
@@ -229,7 +230,7 @@
     searchAvoids?: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
     const {call, generation, pool, softwareVersion} = state;
-    const refusal = this.upstreamLosses.refusalOf(state);
+    const refusal = sendRefusalOf(this.parts, this.upstreamLosses, state);
     if (refusal !== undefined) return Result.err(refusal);
     if (
       searchAvoids === undefined &&
@@ -256,7 +257,7 @@
       signal,
       output,
     );
-    const laterRefusal = this.upstreamLosses.refusalOf(state);
+    const laterRefusal = sendRefusalOf(this.parts, this.upstreamLosses, state);
     if (laterRefusal !== undefined) {
       if (reserved.isOk) this.parts.releases.releaseReservation(reserved.value);
       return Result.err(laterRefusal);
@@ -532,10 +533,9 @@
     error: PassthroughError,
     now: number,
   ): void {
-    // A call that was unreachable or misdirected cannot have fetched the KV
-    // cache.
+    // A call that was not sent, or misdirected, cannot have fetched the KV cache.
     const canReuseCache =
-      error.kind === 'misdirected' || error.kind === 'unreachable';
+      error.kind === 'misdirected' || !mayHaveBeenSent(error);
     if (canReuseCache) state.reusableCache = cache;
     else if (cache !== undefined)
       this.parts.releases.releaseCache(cache.source);
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -152,6 +152,8 @@
     sends: CallSends,
     signal: AbortSignal,
   ): Promise<CallResult> {
+    const refusal = this.parts.sendGate.failureOf(call);
+    if (refusal !== undefined) return Result.err(refusal);
     const exclusion = this.exclusionOf(call);
     if (exclusion !== undefined)
       return Result.err(placementExcluded(exclusion));
@@ -229,23 +231,27 @@
       : this.generations.forward(call, call.generation, sends, signal);
   }
 
+  /** Clock time by which a call on `route` must end. */
+  deadlineOf(
+    {arrivedAt, callerTimeoutMilliseconds = Infinity}: IncomingCall,
+    {route}: CallRouting,
+  ): number {
+    const {timeoutMilliseconds} = route.target;
+    return arrivedAt + Math.min(callerTimeoutMilliseconds, timeoutMilliseconds);
+  }
+
   private buildRoutedCall(
     incoming: IncomingCall,
     route: PassthroughRoute,
     account: AccountId | undefined,
     body: Uint8Array,
   ): RoutedCall {
-    const {timeoutMilliseconds} = route.target;
-    const effectiveTimeoutMilliseconds = Math.min(
-      incoming.callerTimeoutMilliseconds ?? timeoutMilliseconds,
-      timeoutMilliseconds,
-    );
     return {
       ...incoming,
       body,
       account,
       route,
-      deadline: incoming.arrivedAt + effectiveTimeoutMilliseconds,
+      deadline: this.deadlineOf(incoming, {route, account}),
       urgency: this.accountSpec(account)?.urgency ?? route.urgency,
       fingerprint: fingerprintOf({...incoming, body}, account ?? ''),
       allowedRegions: intersectRegions([
--- a/packages/coordination/src/passthrough/passthrough-parts.ts
+++ b/packages/coordination/src/passthrough/passthrough-parts.ts
@@ -14,6 +14,7 @@
 import type {PoolRetryBudget} from './pool-retry-budget.js';
 import type {RequestQuarantine} from './request-quarantine.js';
 import type {PassthroughRoute, WeightedPool} from './route-table.js';
+import type {SendGate} from './send-gate.js';
 import type {SoftwareVersionHistory} from './software-version-history.js';
 import type {StreamOrigins} from './stream-origins.js';
 import type {UpstreamRequestLimits} from './upstream-request-limits.js';
@@ -26,6 +27,7 @@
   readonly transport: PassthroughTransport;
   readonly upstreams: UpstreamTable;
   readonly releases: EngineReleases;
+  readonly sendGate: SendGate;
   readonly requestLimits: UpstreamRequestLimits;
   readonly retryBudget: PoolRetryBudget;
   readonly quarantine: RequestQuarantine;
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -36,6 +36,7 @@
 import {BaselineDuration} from './reference-time.js';
 import {StallMonitor} from '../stall-monitor.js';
 import {watchSilence} from './silence-watch.js';
+import {sendRefusalOf} from './send-refusal.js';
 import {ServiceSelector} from './service-selector.js';
 import {domainRoundTripMilliseconds} from '../decisions/domain-traffic.js';
 import {plainSlots} from '../decisions/upstream-speeds.js';
@@ -75,7 +76,7 @@
   lastError: PassthroughError | undefined;
   /** Time until the limits of the upstreams allow the call, if they did not. */
   limitWaitMilliseconds: number | undefined;
-  /** Set if the call is in quarantine. */
+  /** Set if the call may be sent nowhere. */
   refusal: RequestFailure | undefined;
 }
 
@@ -158,14 +159,14 @@
       return undefined;
     }
     const {signal, triedUpstreams, attempts} = progress;
-    progress.refusal = this.upstreamLosses.refusalOf(progress);
+    progress.refusal = sendRefusalOf(this.parts, this.upstreamLosses, progress);
     if (progress.refusal !== undefined) return undefined;
     const choice =
       attempts === 0
         ? await this.selector.chooseInTime(call, pool, signal)
         : this.selector.choose(call, pool, {triedUpstreams, ahead: 0});
     // The call may have waited.
-    progress.refusal = this.upstreamLosses.refusalOf(progress);
+    progress.refusal = sendRefusalOf(this.parts, this.upstreamLosses, progress);
     if (progress.refusal !== undefined) return undefined;
     switch (choice.kind) {
       case 'chosen':
--- a/packages/coordination/src/passthrough/record-attempt-failure.ts
+++ b/packages/coordination/src/passthrough/record-attempt-failure.ts
@@ -21,6 +21,7 @@
     case 'silent':
       health.recordFailure(now);
       break;
+    case 'withheld':
     case 'unverified':
     case 'cancelled':
   }
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -304,6 +304,7 @@
       if (
         now + waitBehind(ahead) >= entry.queueDeadline ||
         this.isQuarantined(entry) ||
+        this.parts.sendGate.failureOf(entry.call) !== undefined ||
         (isOutOfReach && isHandoverPossible(this.parts, entry.call)) ||
         !this.isVersionServed(entry) ||
         this.parts.upstreams.exclusionOf(this.currentPool(), entry.call) !==
@@ -713,6 +714,8 @@
         upstream.health.requireTrials(now);
         upstream.health.recordSilence(now);
         break;
+      case 'withheld':
+        break;
       case 'unreachable':
       case 'broken':
       case 'unverified':
--- /dev/null
+++ b/packages/coordination/src/passthrough/send-refusal.ts
@@ -0,0 +1,20 @@
+/** Refusals of calls that may not be sent, whichever upstream would be chosen. */
+
+import type {RequestFailure} from '../requests/failure.js';
+import {upstreamFailed} from './call-failures.js';
+import type {PassthroughParts} from './passthrough-parts.js';
+import type {AttemptedCall, UpstreamLosses} from './upstream-losses.js';
+
+/**
+ * Returns the failure of a call that the send gate or a quarantine refuses. Its
+ * status promises that the call has not run, unless an upstream may have run it.
+ */
+export function sendRefusalOf(
+  {sendGate}: Pick<PassthroughParts, 'sendGate'>,
+  upstreamLosses: UpstreamLosses,
+  attempted: Pick<AttemptedCall, 'call' | 'possibleRuns'>,
+): RequestFailure | undefined {
+  const failure = sendGate.failureOf(attempted.call);
+  if (failure === undefined) return upstreamLosses.refusalOf(attempted);
+  return attempted.possibleRuns > 0 ? upstreamFailed : failure;
+}
--- a/packages/coordination/test/quarantine-escape.test.ts
+++ b/packages/coordination/test/quarantine-escape.test.ts
@@ -5,7 +5,11 @@
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {partTraitsOf} from '../src/passthrough/crash-traits.js';
 import {UpstreamLosses} from '../src/passthrough/upstream-losses.js';
-import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
+import {
+  createRequestLimits,
+  createRetryBudget,
+  createSendGate,
+} from './tools/unlimited.js';
 import {
   QuarantineHost,
   engine,
@@ -296,6 +300,7 @@
     random: {next: () => 0.5},
     retryBudget: createRetryBudget(clock),
     requestLimits: createRequestLimits(clock),
+    sendGate: createSendGate(clock),
     upstreams: {
       acceptingOf: () => [up('p-1'), up('p-2')],
       reportedLoad: () => ({promptTokens: 0}),
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -29,7 +29,11 @@
 import {ServiceSelector} from '../src/passthrough/service-selector.js';
 import {StallMonitor} from '../src/stall-monitor.js';
 import {PausableClock} from './tools/pausable-clock.js';
-import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
+import {
+  createRequestLimits,
+  createRetryBudget,
+  createSendGate,
+} from './tools/unlimited.js';
 
 const pool = {
   kind: 'Pool',
@@ -65,6 +69,7 @@
   const parts = {
     clock,
     requestLimits,
+    sendGate: createSendGate(clock),
     random: seededRandom(1),
     failureDomain: failureDomainId('zone-a'),
     transport: full,
--- /dev/null
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava';
+import {ShutdownSchedule, VirtualClock} from '../src/index.js';
+
+const endsAt = 8000;
+const slowestMilliseconds = 1000;
+const callUntil = (deadline: number) => ({route: {name: 'r'}, deadline});
+
+function stoppingSchedule(): {
+  readonly clock: VirtualClock;
+  readonly schedule: ShutdownSchedule;
+} {
+  const clock = new VirtualClock();
+  const schedule = new ShutdownSchedule(clock);
+  schedule.recordDuration('r', slowestMilliseconds);
+  schedule.begin(endsAt);
+  return {clock, schedule};
+}
+
+test('a host that does not stop sends any call', t => {
+  const schedule = new ShutdownSchedule(new VirtualClock());
+  t.true(schedule.canFinish(callUntil(1_000_000)));
+});
+
+test('a call is sent while the time left is twice that of the slowest one', async t => {
+  const {clock, schedule} = stoppingSchedule();
+  await clock.advance(5800);
+  t.true(schedule.canFinish(callUntil(20_000)));
+  await clock.advance(300);
+  t.false(schedule.canFinish(callUntil(20_000)));
+});
+
+test('a call whose deadline ends before the host is sent', async t => {
+  const {clock, schedule} = stoppingSchedule();
+  await clock.advance(7500);
+  t.true(schedule.canFinish(callUntil(endsAt)));
+});
+
+test('a call on a route without a finished call may take until its deadline', t => {
+  const {schedule} = stoppingSchedule();
+  t.false(schedule.canFinish({route: {name: 'new'}, deadline: 8001}));
+  t.true(schedule.canFinish({route: {name: 'new'}, deadline: 8000}));
+});
+
+test('a slow call is forgotten', async t => {
+  const clock = new VirtualClock();
+  const schedule = new ShutdownSchedule(clock);
+  schedule.recordDuration('r', 60_000);
+  await clock.advance(600_000);
+  schedule.recordDuration('r', slowestMilliseconds);
+  schedule.begin(clock.now() + endsAt);
+  t.true(schedule.canFinish(callUntil(Infinity)));
+});
+
+test('a watch that began before the stop reports once that it is too late', async t => {
+  const {clock, schedule} = stoppingSchedule();
+  let reports = 0;
+  const other = new ShutdownSchedule(clock);
+  other.recordDuration('r', slowestMilliseconds);
+  other.watch(callUntil(20_000), () => (reports += 1));
+  const endWatch = schedule.watch(callUntil(20_000), () => (reports += 100));
+  other.begin(endsAt);
+  endWatch();
+  await clock.advance(5800);
+  t.is(reports, 0);
+  await clock.advance(3000);
+  t.is(reports, 1);
+});
--- a/packages/coordination/test/tools/domain-replay.ts
+++ b/packages/coordination/test/tools/domain-replay.ts
@@ -25,7 +25,7 @@
 import {PlainCallForwarder} from '../../src/passthrough/plain-calls.js';
 import {RetryGate} from '../../src/passthrough/retry-gate.js';
 import {UpstreamLosses} from '../../src/passthrough/upstream-losses.js';
-import {createRequestLimits} from './unlimited.js';
+import {createRequestLimits, createSendGate} from './unlimited.js';
 
 export interface ReplayOptions {
   readonly seed: number;
@@ -207,6 +207,7 @@
       random: seededRandom(this.options.seed * hostCount + index),
       failureDomain: failureDomainId(domain),
       requestLimits: createRequestLimits(clock),
+      sendGate: createSendGate(clock),
       quarantine: new RequestQuarantine({
         clock,
         onChange: () => undefined,
--- a/packages/coordination/test/tools/overload-fleet.ts
+++ b/packages/coordination/test/tools/overload-fleet.ts
@@ -17,7 +17,7 @@
 import {estimateMemoryTokens} from '../../src/passthrough/generation-run.js';
 import {ReservationQueue} from '../../src/passthrough/reservation-queue.js';
 import {expectedRemainingTokens} from '../../src/decisions/memory-forecast.js';
-import {createRequestLimits} from './unlimited.js';
+import {createRequestLimits, createSendGate} from './unlimited.js';
 
 const memoryTokens = 28_159;
 const slots = 64;
@@ -201,6 +201,7 @@
       transport: {reserve},
       upstreams,
       requestLimits: createRequestLimits(clock),
+      sendGate: createSendGate(clock),
       observer: () => undefined,
       quarantine: new RequestQuarantine({
         clock,
--- a/packages/coordination/test/tools/retry-fleet.ts
+++ b/packages/coordination/test/tools/retry-fleet.ts
@@ -33,7 +33,7 @@
 import type {PassthroughHostParts} from '../../src/passthrough/passthrough-host.js';
 import type {PassthroughRoute} from '../../src/passthrough/route-table.js';
 import {RetryNode, firstPort} from './retry-node.js';
-import {createRequestLimits} from './unlimited.js';
+import {createRequestLimits, createSendGate} from './unlimited.js';
 
 export interface RetryFleetOptions {
   readonly hosts: number;
@@ -331,6 +331,7 @@
       upstreams,
       releases: new EngineReleases(transport, upstreams, requestLimits),
       requestLimits,
+      sendGate: createSendGate(clock),
       retryBudget: node.createBudget(
         clock,
         fleet,
--- a/packages/coordination/test/tools/unlimited.ts
+++ b/packages/coordination/test/tools/unlimited.ts
@@ -1,7 +1,9 @@
-/** Request limits and retry budgets of one host that nothing is short for. */
+/** Parts of one host that nothing is short for. */
 
 import {
   PoolRetryBudget,
+  SendGate,
+  ShutdownSchedule,
   UpstreamRequestLimits,
   hostId,
 } from '../../src/index.js';
@@ -20,6 +22,14 @@
   });
 }
 
+/** The send gate of a host that does not stop. */
+export function createSendGate(clock: Clock): SendGate {
+  return new SendGate({
+    shutdown: new ShutdownSchedule(clock),
+    observer: () => undefined,
+  });
+}
+
 /** A budget that allows `retries` retries if they are few, and more for calls. */
 export function createRetryBudget(
   clock: Clock,
--- a/packages/coordination/test/upstream-eligibility.test.ts
+++ b/packages/coordination/test/upstream-eligibility.test.ts
@@ -27,7 +27,11 @@
 import {PrefillStage} from '../src/passthrough/prefill-stage.js';
 import {ReservationQueue} from '../src/passthrough/reservation-queue.js';
 import type {EngineReservation} from '../src/passthrough/reservation-queue.js';
-import {createRequestLimits, createRetryBudget} from './tools/unlimited.js';
+import {
+  createRequestLimits,
+  createRetryBudget,
+  createSendGate,
+} from './tools/unlimited.js';
 
 test('an upstream is eligible outside evacuated domains and in allowed regions', t => {
   const decide = (
@@ -147,6 +151,7 @@
   const parts = {
     clock,
     requestLimits,
+    sendGate: createSendGate(clock),
     random: seededRandom(1),
     failureDomain: failureDomainId('a'),
     transport: full,
--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -4,6 +4,7 @@
   Header,
   PassthroughError,
   PassthroughResponse,
+  SendRefusal,
   TransportResult,
   UpstreamId,
 } from '@persimmonwick/coordination';
@@ -15,7 +16,7 @@
 import {ResponseBody} from './response-body.js';
 import type {UpstreamConnection} from './upstream-connections.js';
 
-type ErrorKind = PassthroughError['kind'];
+type ErrorKind = Exclude<PassthroughError['kind'], 'withheld'>;
 
 export type ResponseHeaders = Readonly<
   Record<string, string | string[] | undefined>
@@ -66,6 +67,8 @@
   readonly signal: AbortSignal;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
+  /** Asked right before the request is written, which a reason prevents. */
+  readonly refusalBeforeSend?: () => SendRefusal | undefined;
   /** Receives the head of each final response to this request. */
   readonly onHead?: (status: number, headers: ResponseHeaders) => void;
 }
@@ -113,9 +116,14 @@
     }
     signal.addEventListener('abort', onAbort);
     const handler: Dispatcher.DispatchHandler = {
-      onRequestStart() {
-        wasSent = true;
+      onRequestStart(controller) {
         connectTimeout.clear();
+        const refusal = exchange.refusalBeforeSend?.();
+        wasSent = refusal === undefined;
+        if (refusal === undefined) return;
+        settle(Result.err({kind: 'withheld', upstream, reason: refusal}));
+        // Calls `onResponseError`.
+        controller.abort(new Error(`not sent: ${refusal}`));
       },
       onResponseStart(controller, status, headers) {
         // Informational (1xx) responses precede the final one.
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -457,6 +457,12 @@
     text: 'an upstream may have received a call that one had received before',
     fields: ['request', 'pool', 'purpose', 'reason'],
   },
+  callSendWithheld: {
+    number: 3131,
+    level: 'info',
+    text: 'a call was not sent to the upstream that had been chosen for it: reason says what changed since',
+    fields: ['request', 'upstream', 'reason'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- /dev/null
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -0,0 +1,117 @@
+/**
+ * A connection of a caller. Its calls are handled one after the other, because the
+ * response to one may announce the end of the connection, and a later call would
+ * then run without an answer. The end of the connection loses no bytes: a socket
+ * that is closed with unread bytes resets the connection, and the reset overtakes
+ * the response before it. The socket therefore stays open for some time.
+ */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {untilAborted} from '@persimmonwick/coordination';
+import type {Clock} from '@persimmonwick/coordination';
+
+/** Time for the last response to reach the caller. */
+const lingerMilliseconds = 500;
+
+/**
+ * Time for one more request of a caller that was not told that its connection ends,
+ * because the head of its response was sent before.
+ */
+const lastRequestMilliseconds = 500;
+
+export class CallerConnection {
+  private readonly closed = new AbortController();
+  /** Calls that were read, without those whose responses have ended. */
+  private openCalls = 0;
+  /** Resolves once the response to the last call that was read has ended. */
+  private lastResponse: Promise<void> = Promise.resolve();
+  private lastRequest: IncomingMessage | undefined;
+  /** Bytes read when the last response ended; more of them begin a request. */
+  private bytesReadAtEnd = 0;
+  private endedAt = -Infinity;
+  private isEnding = false;
+  private pendingEnd = new AbortController();
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly clock: Clock,
+    /** Whether no request may follow one whose response ends now. */
+    private readonly isDraining: () => boolean,
+  ) {
+    socket.once('close', () => this.closed.abort());
+    // Node calls this after a response that announced the end of the connection.
+    socket.destroySoon = () => this.end();
+  }
+
+  /** Whether a call that was read waits for the response before it. */
+  get hasFurtherCall(): boolean {
+    return this.openCalls > 1;
+  }
+
+  /**
+   * Waits until the responses to earlier calls have ended. Resolves with whether the
+   * connection can still carry a response.
+   */
+  async enter(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<boolean> {
+    this.pendingEnd.abort();
+    this.openCalls += 1;
+    this.lastRequest = request;
+    const previous = this.lastResponse;
+    this.lastResponse = new Promise(resolve => {
+      response.once('close', () => {
+        this.onResponseEnd();
+        resolve();
+      });
+    });
+    await untilAborted(previous, this.closed.signal);
+    return !this.isEnding && !this.socket.destroyed;
+  }
+
+  /** Ends the connection unless a request is being read or answered. */
+  endIfIdle(): void {
+    const {bytesRead} = this.socket;
+    if (this.openCalls > 0 || bytesRead > this.bytesReadAtEnd) return;
+    if (this.clock.now() - this.endedAt > lingerMilliseconds)
+      this.socket.destroy();
+    else this.end();
+  }
+
+  private onResponseEnd(): void {
+    this.openCalls -= 1;
+    this.bytesReadAtEnd = this.socket.bytesRead;
+    this.endedAt = this.clock.now();
+    if (this.openCalls === 0 && this.isDraining() && !this.isEnding)
+      void this.endAfterLastRequest();
+  }
+
+  private async endAfterLastRequest(): Promise<void> {
+    this.pendingEnd = new AbortController();
+    const {signal} = this.pendingEnd;
+    await this.clock.sleep(lastRequestMilliseconds, signal);
+    if (!signal.aborted) this.end();
+  }
+
+  /**
+   * Ends the connection behind the bytes written so far. Reads no further request:
+   * its caller learns from the unread bytes that it can't have run.
+   */
+  private end(): void {
+    if (this.isEnding) return;
+    this.isEnding = true;
+    const {socket, lastRequest} = this;
+    const stopReading = () => socket.pause();
+    if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
+    // The caller of an upload may read the response only after it has sent it.
+    else lastRequest.once('end', stopReading).resume();
+    socket.end(() => void this.destroyAfterLinger());
+  }
+
+  private async destroyAfterLinger(): Promise<void> {
+    await this.clock.sleep(lingerMilliseconds, this.closed.signal);
+    this.socket.destroy();
+  }
+}
--- a/packages/daemon/src/passthrough/http-handover-transport.ts
+++ b/packages/daemon/src/passthrough/http-handover-transport.ts
@@ -5,6 +5,7 @@
   HandoverTransport,
   PassthroughResponse,
   RoutedCall,
+  SendGate,
   TransportResult,
 } from '@persimmonwick/coordination';
 import type {Dispatcher} from 'undici';
@@ -22,6 +23,7 @@
   constructor(
     private readonly connections: UpstreamConnections,
     private readonly wireFormat: CallerWireFormat,
+    private readonly sendGate: Pick<SendGate, 'refusalOf'>,
   ) {}
 
   handOver(
@@ -50,6 +52,7 @@
       bodyIdleTimeoutMilliseconds: remainingMilliseconds,
       bodyLimits: () => undefined,
       signal,
+      refusalBeforeSend: () => this.sendGate.refusalOf(call, address),
       classify: (_status, responseHeaders) =>
         responseHeaders[handoverDeclinedHeader] === undefined
           ? 'ran'
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -9,6 +9,7 @@
   PassthroughError,
   PassthroughResponse,
   PassthroughTransport,
+  SendGate,
   AttemptOptions,
   TransportResult,
   UpstreamDocument,
@@ -45,6 +46,7 @@
       upstream: UpstreamDocument,
       notice: UpstreamNotice,
     ) => void,
+    private readonly sendGate: Pick<SendGate, 'refusalOf'>,
   ) {}
 
   send(
@@ -178,6 +180,7 @@
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
+      refusalBeforeSend: () => this.sendGate.refusalOf(call, upstream.name),
       onHead: (status, responseHeaders) =>
         this.readNotice(upstream, status, responseHeaders),
     });
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -9,6 +9,8 @@
   PassthroughHost,
   RequestQuarantine,
   RetryLoans,
+  SendGate,
+  ShutdownSchedule,
   ReachabilityProbes,
   PoolRetryBudget,
   SoftwareVersionHistory,
@@ -24,7 +26,11 @@
   seededRandom,
   systemClock,
 } from '@persimmonwick/coordination';
-import type {Beat, UpstreamDocument} from '@persimmonwick/coordination';
+import type {
+  Beat,
+  CallObserver,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {FleetChangeLog} from './fleet-change-log.js';
 import {EventLoopMonitor} from './event-loop-monitor.js';
@@ -63,6 +69,9 @@
 /** Part of the grace period reserved for the exit of the process. */
 const exitReserveMilliseconds = 400;
 
+/** Time before it in which callers are told that their calls are given up. */
+const giveUpMilliseconds = 200;
+
 /**
  * Fraction of `keyProofMilliseconds`. With an older proof the host reports not
  * ready, because a host with a fresher proof serves callers better.
@@ -96,6 +105,7 @@
   private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
+  private readonly shutdown = new ShutdownSchedule(systemClock);
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
   private readonly domains: DomainRouter | undefined;
@@ -304,10 +314,17 @@
     this.eventLoopMonitor = new EventLoopMonitor(milliseconds =>
       log.write('processStalled', {milliseconds: Math.round(milliseconds)}),
     );
+    const observer: CallObserver = (requestId, event) => {
+      this.metrics.recordEvent(event);
+      const version = String(this.platform.versionInForce ?? '');
+      logCallEvent(log, requestId, event, version);
+    };
+    const sendGate = new SendGate({shutdown: this.shutdown, observer});
     const transport = new HttpPassthroughTransport(
       this.connections,
       adapter.upstreamWire,
       (upstream, notice) => this.recordNotice(upstream, notice),
+      sendGate,
     );
     this.probes = new ReachabilityProbes({
       clock,
@@ -348,15 +365,13 @@
       handoverTransport: new HttpHandoverTransport(
         this.connections,
         adapter.callerWire,
+        sendGate,
       ),
       versionHistory: this.versionHistory,
       speeds: this.speeds,
       domains: this.domains,
-      observer: (requestId, event) => {
-        this.metrics.recordEvent(event);
-        const version = String(this.platform.versionInForce ?? '');
-        logCallEvent(log, requestId, event, version);
-      },
+      observer,
+      sendGate,
       onLoadChanged: () => this.fleet.scheduleHeartbeat(),
       routes: () => this.platform.routes,
       freshness: this.platform.freshness,
@@ -368,6 +383,7 @@
     this.server = new PassthroughServer({
       clock,
       host: this.host,
+      shutdown: this.shutdown,
       wireFormat: adapter.callerWire,
       limits: () => this.platform.limits,
       isPeer: ipAddress =>
@@ -517,8 +533,12 @@
   private async stop(): Promise<void> {
     const {graceMilliseconds} = this.settings;
     const deadline =
-      systemClock.now() + graceMilliseconds - exitReserveMilliseconds;
+      systemClock.now() +
+      graceMilliseconds -
+      exitReserveMilliseconds -
+      giveUpMilliseconds;
     this.isDraining = true;
+    this.shutdown.begin(deadline);
     // The heartbeat says that this host takes no calls over any more.
     this.fleet.scheduleHeartbeat();
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
@@ -532,6 +552,7 @@
     const cutRequests = await this.server.waitUntilIdle(
       deadline - systemClock.now(),
     );
+    if (cutRequests > 0) await this.server.giveUpCalls(giveUpMilliseconds);
     this.fleet.leave();
     await this.server.close();
     await this.adapter.feed.close();
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -129,6 +129,10 @@
         ...roundNumbers(fields),
       });
     }
+    case 'send-withheld': {
+      const {kind: _, ...fields} = event;
+      return log.write('callSendWithheld', {request: requestId, ...fields});
+    }
     case 'placement-restricted': {
       const {kind: _, ...fields} = event;
       return log.write('callPlacementRestricted', {
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -250,6 +250,7 @@
         this.recordLatency(event.kind, event.took);
         break;
       case 'placement-restricted':
+      case 'send-withheld':
         this.decisionCounter.inc({
           decision: event.kind,
           outcome: event.reason,
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -5,6 +5,7 @@
 import {once} from 'node:events';
 import {
   InterruptedResponseError,
+  hostStopping,
   httpStatusOf,
 } from '@persimmonwick/coordination';
 import type {
@@ -13,11 +14,13 @@
   PassthroughResponse,
   PassthroughHost,
   RequestFailure,
+  ShutdownSchedule,
 } from '@persimmonwick/coordination';
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
+import {CallerConnection} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import type {EarlyListener} from './early-listener.js';
 import type {CallerWireFormat} from './wire-format.js';
@@ -45,6 +48,7 @@
 export interface PassthroughServerParts {
   readonly clock: Clock;
   readonly host: PassthroughHost;
+  readonly shutdown: ShutdownSchedule;
   readonly wireFormat: CallerWireFormat;
   readonly limits: () => CallerLimits;
   /** Returns whether a known host has this IP address. */
@@ -60,16 +64,21 @@
 const parserHeaderLimitBytes = 128 * 1024;
 const timeoutCheckIntervalMilliseconds = 500;
 const serviceUnavailableStatus = 503;
+/** Lowest status that reports a failure of the upstream. */
+const firstServerErrorStatus = 500;
 /** Logged status of a call whose caller disconnected. */
 const clientClosedRequestStatus = 499;
 
 export class PassthroughServer {
   private readonly instance: FastifyInstance;
-  private readonly sockets = new Set<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
+  /** Aborted when their callers disconnect or the host gives them up. */
+  private readonly activeCalls = new Set<AbortController>();
   /** Connections of other hosts that hand calls over. */
   private readonly peerSockets = new WeakSet<Socket>();
   private readonly idleController = new AbortController();
   private isDraining = false;
+  private hasGivenUp = false;
   inFlight = 0;
 
   constructor(private readonly parts: PassthroughServerParts) {
@@ -88,9 +97,21 @@
     });
     this.instance.all('/', () => undefined);
     this.instance.server.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      this.connections.set(
+        socket,
+        new CallerConnection(socket, parts.clock, () => this.isDraining),
+      );
+      socket.once('close', () => {
+        this.connections.delete(socket);
+        this.reportIfIdle();
+      });
     });
+    // Node calls this when it stops listening, and would close connections whose
+    // last response is still on its way.
+    this.instance.server.closeIdleConnections = () => {
+      for (const connection of [...this.connections.values()])
+        connection.endIfIdle();
+    };
     this.applyLimits();
   }
 
@@ -125,12 +146,11 @@
   /** Stops accepting connections and closes the idle ones. */
   stopListening(): void {
     this.instance.server.close();
-    this.instance.server.closeIdleConnections();
-    if (this.inFlight === 0) this.idleController.abort();
+    this.reportIfIdle();
   }
 
   /**
-   * Waits until no call is in flight or the timeout passes; returns how many
+   * Waits until all connections have ended or the timeout passes; returns how many
    * calls remain. `stopListening` must be called first.
    */
   async waitUntilIdle(timeoutMilliseconds: number): Promise<number> {
@@ -140,43 +160,65 @@
     return this.inFlight;
   }
 
+  /**
+   * Gives up the remaining calls, and waits up to `timeoutMilliseconds` until their
+   * callers are told.
+   */
+  async giveUpCalls(timeoutMilliseconds: number): Promise<void> {
+    this.hasGivenUp = true;
+    for (const call of this.activeCalls) call.abort();
+    await this.waitUntilIdle(timeoutMilliseconds);
+  }
+
   async close(): Promise<void> {
-    for (const socket of this.sockets) socket.destroy();
+    for (const socket of this.connections.keys()) socket.destroy();
     await this.instance.close();
   }
 
+  private reportIfIdle(): void {
+    const {listening} = this.instance.server;
+    if (this.isDraining && !listening && this.connections.size === 0)
+      this.idleController.abort();
+  }
+
   private async handle(
     request: IncomingMessage,
     target: string,
     response: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
-    const {socket} = request;
+    const connection = this.connections.get(request.socket)!;
     const context: CallContext = {
       requestId: '',
       account: '',
       route: '',
       arrivedAt: this.parts.clock.now(),
+      forwardedAt: Infinity,
       isGeneration: false,
     };
     try {
-      await this.processCall(request, target, response, context);
+      if (await connection.enter(request, response))
+        await this.processCall(request, target, response, context);
+      else this.reportDropped(request, target, context);
     } catch (error) {
       this.endAfterInternalError(request, response, context, error);
     } finally {
-      // A response that started before draining had no `Connection: close`
-      // header, and another call on its connection might not finish in time.
-      if (this.isDraining && !socket.destroyed) socket.end();
       this.inFlight -= 1;
-      if (
-        this.isDraining &&
-        this.inFlight === 0 &&
-        !this.instance.server.listening
-      )
-        this.idleController.abort();
     }
   }
 
+  /** Reports a call that was read behind the last response of its connection. */
+  private reportDropped(
+    {method = '', rawHeaders}: IncomingMessage,
+    target: string,
+    context: CallContext,
+  ): void {
+    this.parts.wireFormat
+      .parseCall({method, target, rawHeaders}, context.arrivedAt)
+      .map(({id}) => (context.requestId = id));
+    this.reportEnd(context, clientClosedRequestStatus, connectionEnded);
+  }
+
   private async processCall(
     request: IncomingMessage,
     target: string,
@@ -185,7 +227,11 @@
   ): Promise<void> {
     const {wireFormat, host} = this.parts;
     const disconnected = new AbortController();
-    response.once('close', () => disconnected.abort());
+    this.activeCalls.add(disconnected);
+    response.once('close', () => {
+      this.activeCalls.delete(disconnected);
+      disconnected.abort();
+    });
     const call = this.checkHeaderSize(request).andThen(() =>
       wireFormat.parseCall(
         {
@@ -212,9 +258,14 @@
       return this.sendFailure(response, request, routing.error, context);
     context.account = routing.value.account ?? '';
     context.route = routing.value.route.name;
-    const body = await this.readBody(request);
+    const body = await this.readBodyInTime(
+      request,
+      host.deadlineOf(call.value, routing.value),
+      context,
+    );
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
+    context.forwardedAt = this.parts.clock.now();
     const upstreamResponse = await host.forward(
       {...call.value, isHandedOver},
       routing.value,
@@ -267,6 +318,27 @@
     });
   }
 
+  /**
+   * Reads the body. Fails once the host would stop before the call could end, which
+   * leaves its caller time to reach another host.
+   */
+  private readBodyInTime(
+    request: IncomingMessage,
+    deadline: number,
+    {route}: CallContext,
+  ): Promise<Result<Uint8Array, RequestFailure>> {
+    return new Promise(resolve => {
+      const endWatch = this.parts.shutdown.watch(
+        {route: {name: route}, deadline},
+        () => resolve(Result.err(hostStopping)),
+      );
+      void this.readBody(request).then(body => {
+        endWatch();
+        resolve(body);
+      });
+    });
+  }
+
   private async readBody(
     request: IncomingMessage,
   ): Promise<Result<Uint8Array, RequestFailure>> {
@@ -305,7 +377,8 @@
     disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
-    if (this.isDraining) response.setHeader('Connection', 'close');
+    if (this.shouldEndConnection(response))
+      response.setHeader('Connection', 'close');
     for (const [name, value] of upstreamResponse.headers)
       response.appendHeader(name, value);
     response.writeHead(upstreamResponse.status);
@@ -330,6 +403,8 @@
     }
     response.end();
     const isComplete = !disconnected.aborted || response.writableFinished;
+    if (isComplete && upstreamResponse.status < firstServerErrorStatus)
+      this.recordDuration(context);
     this.reportEnd(
       context,
       isComplete ? upstreamResponse.status : clientClosedRequestStatus,
@@ -340,9 +415,10 @@
   private sendFailure(
     response: ServerResponse,
     request: IncomingMessage,
-    failure: RequestFailure,
+    cause: RequestFailure,
     context: CallContext,
   ): void {
+    const failure = this.hasGivenUp ? failureOfGivenUp(cause) : cause;
     const status = httpStatusOf(failure.code);
     this.reportEnd(context, status, failure);
     if (response.destroyed) return;
@@ -356,7 +432,11 @@
     // body cannot be reused.
     const isNotReady =
       status === serviceUnavailableStatus && failure.code === 'not-ready';
-    if (this.isDraining || isNotReady || !request.complete)
+    if (
+      this.shouldEndConnection(response) ||
+      (isNotReady && !this.hasFurtherCall(response)) ||
+      !request.complete
+    )
       response.setHeader('Connection', 'close');
     response.writeHead(status, {
       'Content-Type': 'application/json',
@@ -365,6 +445,20 @@
     response.end(text);
   }
 
+  /** A call that was read behind this one is answered as well. */
+  private shouldEndConnection(response: ServerResponse): boolean {
+    return this.isDraining && !this.hasFurtherCall(response);
+  }
+
+  private hasFurtherCall({req}: ServerResponse): boolean {
+    return this.connections.get(req.socket)?.hasFurtherCall ?? false;
+  }
+
+  private recordDuration({route, forwardedAt}: CallContext): void {
+    const {clock, shutdown} = this.parts;
+    shutdown.recordDuration(route, clock.now() - forwardedAt);
+  }
+
   private reportEnd(
     {requestId, account, route, arrivedAt, isGeneration}: CallContext,
     status: number,
@@ -392,7 +486,7 @@
   return (
     ran === 'not-run' &&
     !wasSent &&
-    (code === 'no-upstream' || code === 'not-ready')
+    (code === 'no-upstream' || code === 'not-ready' || code === 'draining')
   );
 }
 
@@ -419,6 +513,8 @@
   route: string;
   /** Clock time in milliseconds. */
   readonly arrivedAt: number;
+  /** Clock time at which the call was complete. */
+  forwardedAt: number;
   isGeneration: boolean;
 }
 
@@ -434,6 +530,24 @@
   ran: 'unknown',
 };
 
+/** The call was read, but not forwarded. */
+const connectionEnded: RequestFailure = {
+  code: 'caller-gone',
+  message: 'the connection ended before the call could be answered',
+  ran: 'not-run',
+};
+
+/** Failure of a call that was given up because the host stops. */
+function failureOfGivenUp(failure: RequestFailure): RequestFailure {
+  if (failure.code !== 'caller-gone') return failure;
+  if (failure.ran === 'not-run') return hostStopping;
+  return {
+    code: 'upstream-timeout',
+    message: 'the host stopped before the upstream answered',
+    ran: failure.ran,
+  };
+}
+
 function statusOfBrokenResponse(
   disconnected: AbortSignal,
   status: number,
--- a/packages/daemon/src/upstreams/http-error.ts
+++ b/packages/daemon/src/upstreams/http-error.ts
@@ -17,6 +17,8 @@
 ): UpstreamError {
   if (signal.aborted) return {kind: 'cancelled', upstream};
   switch (kind) {
+    case 'withheld':
+      return {kind: 'unreachable', upstream};
     case 'unreachable':
     case 'silent':
     case 'cancelled':
--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -5,7 +5,11 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {systemClock} from '@persimmonwick/coordination';
-import type {RoutedCall, UpstreamDocument} from '@persimmonwick/coordination';
+import type {
+  RoutedCall,
+  SendGate,
+  UpstreamDocument,
+} from '@persimmonwick/coordination';
 import {HttpPassthroughTransport} from '../../src/passthrough/http-transport.js';
 import {UpstreamConnections} from '../../src/connections/upstream-connections.js';
 import type {UpstreamWireFormat} from '../../src/passthrough/wire-format.js';
@@ -60,13 +64,18 @@
   readonly connections: UpstreamConnections;
 }
 
-export function createTransport(t: ExecutionContext): TestTransport {
+/** `refusalOf` is that of the send gate. */
+export function createTransport(
+  t: ExecutionContext,
+  refusalOf: SendGate['refusalOf'] = () => undefined,
+): TestTransport {
   const connections = new UpstreamConnections(systemClock);
   t.teardown(() => connections.closeAll());
   const transport = new HttpPassthroughTransport(
     connections,
     wireFormat,
     () => undefined,
+    {refusalOf},
   );
   return {transport, connections};
 }
--- a/packages/daemon/test/passthrough/unexpected-errors.test.ts
+++ b/packages/daemon/test/passthrough/unexpected-errors.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {Result} from 'true-myth';
-import {systemClock} from '@persimmonwick/coordination';
+import {ShutdownSchedule, systemClock} from '@persimmonwick/coordination';
 import type {IncomingCall, PassthroughHost} from '@persimmonwick/coordination';
 import {EarlyListener} from '../../src/passthrough/early-listener.js';
 import {PassthroughServer} from '../../src/passthrough/passthrough-server.js';
@@ -13,7 +13,8 @@
   const errors: string[] = [];
   const server = new PassthroughServer({
     clock: systemClock,
-    host: host as PassthroughHost,
+    host: {deadlineOf: () => Infinity, ...host} as PassthroughHost,
+    shutdown: new ShutdownSchedule(systemClock),
     wireFormat: {
       parseCall: () => Result.ok({id: 'call-1'} as IncomingCall),
       failureHeaders: () => [],
