--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -10,11 +10,17 @@
 import type {RoutedCall} from './call.js';
 import type {ShutdownSchedule} from './shutdown-schedule.js';
 
-/** Why a call is not sent. */
-export type SendRefusal =
+/** Why a call may be sent nowhere any more. */
+export type CallRefusal =
   /** The call would not end before this host does. */
   'host-stopping';
 
+/** Why a call is not sent to the upstream that was chosen for it. */
+export type SendRefusal =
+  | CallRefusal
+  /** It holds values that can't be written as a request. */
+  | 'unwritable-request';
+
 export interface SendGateParts {
   readonly shutdown: ShutdownSchedule;
   readonly observer: CallObserver;
@@ -49,7 +55,7 @@
     }
   }
 
-  private callRefusalOf(call: RoutedCall): SendRefusal | undefined {
+  private callRefusalOf(call: RoutedCall): CallRefusal | undefined {
     return this.parts.shutdown.canFinish(call) ? undefined : 'host-stopping';
   }
 }
--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -170,7 +170,9 @@
     try {
       connection.client.dispatch(request, handler);
     } catch {
-      // A request that the HTTP client can't write is not sent.
+      // A request that the HTTP client can't write says nothing about the upstream.
+      const reason = 'unwritable-request';
+      settle(Result.err({kind: 'withheld', upstream, reason}));
       fail('unreachable');
     }
   });
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -252,6 +252,12 @@
     text: 'this host may now use a part of the extra retries of all hosts (counted), or not: it has started, or is out of contact with most seeds (detached)',
     fields: ['standing', 'hosts', 'contactAge'],
   },
+  upstreamAnswerUnreadable: {
+    number: 2223,
+    level: 'warn',
+    text: 'an upstream granted a reservation or a cache whose id can not be read; it is not used and lapses at the upstream',
+    fields: ['upstream', 'grant'],
+  },
   requestFinished: {
     number: 3001,
     level: 'info',
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -37,15 +37,28 @@
   needsNewConnection: false,
 };
 
+/** What an upstream grants in an answer. */
+export type GrantKind = 'reservation' | 'cache-handle';
+
+/** Receives what responses say beside their answer. */
+export interface UpstreamReports {
+  /** Receives what an upstream says about itself. */
+  readonly onNotice: (
+    upstream: UpstreamDocument,
+    notice: UpstreamNotice,
+  ) => void;
+  /**
+   * Called for a grant whose id can't be read. It can't be used or released, and
+   * lapses at the upstream.
+   */
+  readonly onUnreadable: (upstream: UpstreamDocument, grant: GrantKind) => void;
+}
+
 export class HttpPassthroughTransport implements PassthroughTransport {
   constructor(
     private readonly connections: UpstreamConnections,
     private readonly wireFormat: UpstreamWireFormat,
-    /** Receives what an upstream says about itself in a response. */
-    private readonly onNotice: (
-      upstream: UpstreamDocument,
-      notice: UpstreamNotice,
-    ) => void,
+    private readonly reports: UpstreamReports,
     private readonly sendGate: Pick<SendGate, 'refusalOf'>,
   ) {}
 
@@ -82,7 +95,7 @@
       signal,
       smallBodyLimits(options.headersTimeoutMilliseconds),
     );
-    return this.parseBody(upstream, response, body =>
+    return this.parseGrant('cache-handle', upstream, response, body =>
       this.wireFormat.parseCacheHandle(body),
     );
   }
@@ -109,7 +122,7 @@
       ),
       signal,
     );
-    return this.parseBody(upstream, response, body =>
+    return this.parseGrant('reservation', upstream, response, body =>
       this.wireFormat.parseReservation(body),
     );
   }
@@ -139,7 +152,7 @@
       return kind === 'refused' || kind === 'misdirected';
     }
     // The head is the answer; the body is read to reuse the connection.
-    void this.parseBody(upstream, response, body => body);
+    void this.readBody(upstream, response);
     return true;
   }
 
@@ -217,7 +230,10 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    this.onNotice(upstream, this.wireFormat.parseNotice(status, headers));
+    this.reports.onNotice(
+      upstream,
+      this.wireFormat.parseNotice(status, headers),
+    );
   }
 
   /** Sends a request whose response has no value. */
@@ -231,28 +247,38 @@
       request,
       neverAborted,
     );
-    const text = await this.parseBody(upstream, response, body => body);
+    const text = await this.readBody(upstream, response);
     return text.map(() => undefined);
   }
 
-  /** Reads a small response body and extracts its value with `parse`. */
-  private async parseBody<Value>(
+  /** Extracts what an upstream grants from its response. */
+  private async parseGrant<Value>(
+    kind: GrantKind,
     upstream: UpstreamDocument,
     response: Awaited<TransportResult<PassthroughResponse>>,
     parse: (body: string) => Value | undefined,
   ): TransportResult<Value> {
+    const body = await this.readBody(upstream, response);
+    if (body.isErr) return Result.err(body.error);
+    const value = parse(body.value);
+    if (value !== undefined) return Result.ok(value);
+    this.reports.onUnreadable(upstream, kind);
+    return Result.err({kind: 'broken', upstream: upstreamId(upstream.name)});
+  }
+
+  /** Reads a small response body. */
+  private async readBody(
+    {name}: UpstreamDocument,
+    response: Awaited<TransportResult<PassthroughResponse>>,
+  ): TransportResult<string> {
     if (response.isErr) return Result.err(response.error);
-    const id = upstreamId(upstream.name);
     const chunks: Uint8Array[] = [];
     try {
       for await (const chunk of response.value.body) chunks.push(chunk);
     } catch {
-      return Result.err({kind: 'broken', upstream: id});
+      return Result.err({kind: 'broken', upstream: upstreamId(name)});
     }
-    const value = parse(Buffer.concat(chunks).toString('utf8'));
-    return value === undefined
-      ? Result.err({kind: 'broken', upstream: id})
-      : Result.ok(value);
+    return Result.ok(Buffer.concat(chunks).toString('utf8'));
   }
 }
 
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -323,7 +323,13 @@
     const transport = new HttpPassthroughTransport(
       this.connections,
       adapter.upstreamWire,
-      (upstream, notice) => this.recordNotice(upstream, notice),
+      {
+        onNotice: (upstream, notice) => this.recordNotice(upstream, notice),
+        onUnreadable: ({name: upstream}, grant) => {
+          this.metrics.recordNotice('unreadable');
+          log.write('upstreamAnswerUnreadable', {upstream, grant});
+        },
+      },
       sendGate,
     );
     this.probes = new ReachabilityProbes({
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -202,7 +202,9 @@
   }
 
   /** Counts what upstreams say about themselves in responses. */
-  recordNotice(notice: 'leaving' | 'pause' | 'request-limit' | 'cold'): void {
+  recordNotice(
+    notice: 'leaving' | 'pause' | 'request-limit' | 'cold' | 'unreadable',
+  ): void {
     this.noticeCounter.inc({notice});
   }
 
--- a/packages/daemon/test/passthrough/transport-tools.ts
+++ b/packages/daemon/test/passthrough/transport-tools.ts
@@ -74,7 +74,7 @@
   const transport = new HttpPassthroughTransport(
     connections,
     wireFormat,
-    () => undefined,
+    {onNotice: () => undefined, onUnreadable: () => undefined},
     {refusalOf},
   );
   return {transport, connections};
