Drop headers of an unusable response from the failure that replaces it

Callers would see a 500 of the host with the signature of an upstream.

Cause: the headers of a response are set one by one. If one can't be written, the call fails, and the failure carried those that had been set before it. Found by reading, on the paths beside garbled ids.

Evidence: the test in unexpected-errors failed before ("of the upstream" in place of null). Change: a failure begins without headers.

--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -423,6 +423,8 @@
     this.reportEnd(context, status, failure);
     if (response.destroyed) return;
     const text = JSON.stringify(failureBody(failure));
+    // Those of an upstream's response that could not be passed on.
+    for (const name of response.getHeaderNames()) response.removeHeader(name);
     for (const [name, value] of this.parts.wireFormat.failureHeaders(failure))
       response.setHeader(name, value);
     if (this.peerSockets.has(request.socket) && isDeclined(failure))
--- a/packages/daemon/test/passthrough/unexpected-errors.test.ts
+++ b/packages/daemon/test/passthrough/unexpected-errors.test.ts
@@ -70,3 +70,25 @@
   );
   t.deepEqual(errors, ['call-1: TypeError: unforeseen']);
 });
+
+// Against: a failure carries headers of a response that could not be passed on.
+test('a response with a header that can not be written leaves no header in the failure', async t => {
+  const {address, errors} = await startServer(t, {
+    authorize: () => routing as never,
+    forward: async () =>
+      Result.ok({
+        status: 200,
+        headers: [
+          ['X-Signature', 'of the upstream'],
+          ['X-Odd', '\u0001'],
+        ],
+        body: (async function* () {
+          yield Buffer.from('first');
+        })(),
+      }),
+  });
+  const response = await fetch(`http://${address}/a`);
+  t.is(response.status, 500);
+  t.is(response.headers.get('x-signature'), null);
+  t.is(errors.length, 1);
+});
