Ask right before each send whether upstream, route and key still hold

Cause: the engine of a run is chosen with its reservation. A prefill that hangs lasts until long after the list has shown the leaving, and nothing looked again.

Change: the send gate also refuses sends to processes that are leaving, gone, replaced or in an evacuated failure domain, and calls whose route or key was withdrawn. A refused run gives back its reservation, keeps the cache and looks for another engine, with a new queue timeout.

Why it works: the gate is asked before the prefill, before the run and once the connection is open, with what is known then.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -337,7 +337,11 @@
 export {untilAborted} from './abort.js';
 export {hostStopping} from './passthrough/call-failures.js';
 export {SendGate} from './passthrough/send-gate.js';
-export type {SendGateParts, SendRefusal} from './passthrough/send-gate.js';
+export type {
+  CallRefusal,
+  SendGateParts,
+  SendRefusal,
+} from './passthrough/send-gate.js';
 export {ShutdownSchedule} from './passthrough/shutdown-schedule.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
--- a/packages/coordination/src/passthrough/call-failures.ts
+++ b/packages/coordination/src/passthrough/call-failures.ts
@@ -25,6 +25,18 @@
   retryAfterMilliseconds: 250,
 };
 
+export const routeNotFound: RequestFailure = {
+  code: 'route-not-found',
+  message: 'no route matches the host name and path of the request',
+  ran: 'not-run',
+};
+
+export const keyWithdrawn: RequestFailure = {
+  code: 'key-withdrawn',
+  message: 'the key was withdrawn while the request waited',
+  ran: 'not-run',
+};
+
 export const noUpstream: RequestFailure = {
   code: 'no-upstream',
   message: 'no upstream of this route is available',
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -153,12 +153,13 @@
     replacement: EngineReservation | undefined,
   ): Promise<Result<StartedGeneration, RequestFailure>> {
     const {signal} = state;
-    const {releases, upstreams} = this.parts;
+    const {clock, releases, upstreams} = this.parts;
     let granted = replacement;
+    let queuedAt = this.queuedAtOf(state);
     for (;;) {
       const reserved: Result<EngineReservation, RequestFailure> =
         granted === undefined
-          ? await this.reserve(state, signal, this.queuedAtOf(state))
+          ? await this.reserve(state, signal, queuedAt)
           : Result.ok(granted);
       if (reserved.isErr) return Result.err(reserved.error);
       const reservation = reserved.value;
@@ -171,6 +172,7 @@
       if (!this.isUsable(state, reservation)) {
         releases.releaseReservation(reservation);
         granted = undefined;
+        queuedAt = clock.now();
         continue;
       }
       const cache = await this.prefillStage.prefill(state, reservation);
@@ -193,11 +195,13 @@
         !this.isUsable(state, reservation) ||
         !upstreams.acquireRequest(reservation.upstream.document)
       ) {
-        // After it had granted the reservation, the engine asked for a pause, an
+        // After it had granted the reservation, the engine left or asked for a pause, an
         // evacuation of its failure domain began, or the list named another process.
+        // The call did not wait in the queue meanwhile.
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
         granted = undefined;
+        queuedAt = clock.now();
         continue;
       }
       const started = await this.sendAttempt(state, reservation, cache);
@@ -211,6 +215,8 @@
       if (granted !== undefined) continue;
       if (!(await this.acquireRetry(state, error.kind)))
         return Result.err(attemptFailureOf(state));
+      queuedAt =
+        error.kind === 'withheld' ? clock.now() : this.queuedAtOf(state);
     }
   }
 
@@ -279,21 +285,23 @@
   }
 
   /**
-   * Returns whether the engine of `reservation` may run the call. It may not go on
+   * Returns whether the engine of `reservation` may run the call. It may not if it
+   * left since it granted the reservation. It may not go on
    * with a stream if its process is another one than the list names, or if the list
    * names another version since the reservation was requested.
    */
   private isUsable(
     state: GenerationState,
-    {upstream, statedStart}: EngineReservation,
+    {upstream, document: chosen, statedStart}: EngineReservation,
   ): boolean {
-    const {softwareVersion} = state;
-    if (softwareVersion === undefined) return true;
+    const {call, softwareVersion} = state;
+    const isHere = this.parts.sendGate.refusalOf(call, chosen) === undefined;
+    if (softwareVersion === undefined) return isHere;
     const {document} = upstream;
     const hasVersion =
       (document.spec.softwareVersion ?? '') === softwareVersion;
     if (hasVersion && compareStatedStart(document, statedStart) !== 'other')
-      return true;
+      return isHere;
     this.reportOtherProcess(state, document, statedStart);
     state.avoidedUpstreams.add(document.name);
     upstream.reservationBackoffUntil =
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -24,6 +24,7 @@
 import {
   noConfiguration,
   placementExcluded,
+  routeNotFound,
   staleConfiguration,
 } from './call-failures.js';
 import type {RoutedCall, IncomingCall, PassthroughResponse} from './call.js';
@@ -69,12 +70,6 @@
   'queue-full',
 ]);
 
-const routeNotFound: RequestFailure = {
-  code: 'route-not-found',
-  message: 'no route matches the host name and path of the request',
-  ran: 'not-run',
-};
-
 export class PassthroughHost {
   private readonly plainCalls: PlainCallForwarder;
   private readonly generations: GenerationForwarder;
--- a/packages/coordination/src/passthrough/reservation-queue.ts
+++ b/packages/coordination/src/passthrough/reservation-queue.ts
@@ -46,6 +46,8 @@
 /** Engine memory reserved for one call. */
 export interface EngineReservation {
   readonly upstream: TrackedUpstream;
+  /** The engine as it was known when the reservation was requested. */
+  readonly document: UpstreamDocument;
   /** Undefined if the engines of the pool take no reservations. */
   readonly reservationId: string | undefined;
   /** Clock time until which the engine keeps the reservation. */
@@ -639,7 +641,8 @@
     this.parts.onLoadChanged?.();
     const startedAt = clock.now();
     upstream.health.recordAttempt(startedAt);
-    const {name} = upstream.document;
+    const {document} = upstream;
+    const {name} = document;
     this.parts.requestLimits.acquire(name, this.requestsPerCall(), 1);
     const recordStart = () => {
       if (remainingTokens === undefined) return;
@@ -658,6 +661,7 @@
       entry.settle(
         Result.ok({
           upstream,
+          document: upstream.document,
           reservationId: undefined,
           reservedUntil: Infinity,
           statedStart: undefined,
@@ -688,6 +692,7 @@
       const {id: reservationId, startedAt: statedStart} = reserved.value;
       const reservation = {
         upstream,
+        document,
         reservationId,
         reservedUntil,
         statedStart,
--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -4,41 +4,66 @@
  * have waited for a reservation, a prefill, a retry or a connection.
  */
 
+import type {UpstreamDocument} from '../generated/documents.js';
+import {
+  findAccountOfKey,
+  hashKey,
+  pathWithoutQuery,
+} from '../requests/authentication.js';
 import type {RequestFailure} from '../requests/failure.js';
 import type {CallObserver} from './call-events.js';
-import {hostStopping} from './call-failures.js';
+import {hostStopping, keyWithdrawn, routeNotFound} from './call-failures.js';
 import type {RoutedCall} from './call.js';
+import type {RouteTable} from './route-table.js';
 import type {ShutdownSchedule} from './shutdown-schedule.js';
+import type {UpstreamDeparture, UpstreamTable} from './upstream-table.js';
 
 /** Why a call may be sent nowhere any more. */
 export type CallRefusal =
   /** The call would not end before this host does. */
-  'host-stopping';
+  | 'host-stopping'
+  /** The configuration in force has no route for the call. */
+  | 'route-withdrawn'
+  /** The configuration in force does not let the key use the route. */
+  | 'key-withdrawn';
 
 /** Why a call is not sent to the upstream that was chosen for it. */
 export type SendRefusal =
   | CallRefusal
+  | UpstreamDeparture
   /** It holds values that can't be written as a request. */
   | 'unwritable-request';
 
 export interface SendGateParts {
   readonly shutdown: ShutdownSchedule;
+  readonly upstreams: Pick<UpstreamTable, 'departureOf'>;
+  /** The configuration in force. */
+  readonly routes: () => RouteTable | undefined;
   readonly observer: CallObserver;
 }
 
 export class SendGate {
   constructor(private readonly parts: SendGateParts) {}
 
-  /** Returns why `call` may not be sent to `upstream` now, and reports it. */
-  refusalOf(call: RoutedCall, upstream: string): SendRefusal | undefined {
-    const refusal = this.callRefusalOf(call);
-    if (refusal !== undefined)
-      this.parts.observer(call.id, {
-        kind: 'send-withheld',
-        upstream,
-        reason: refusal,
-      });
-    return refusal;
+  /**
+   * Returns why `call` may not be sent to the process that `upstream` names, and
+   * reports it.
+   */
+  refusalOf(
+    call: RoutedCall,
+    upstream: UpstreamDocument,
+  ): SendRefusal | undefined {
+    const refusal =
+      this.callRefusalOf(call) ?? this.parts.upstreams.departureOf(upstream);
+    return this.report(call, upstream.name, refusal);
+  }
+
+  /** Returns why `call` may not be handed over to the host at `address`. */
+  handoverRefusalOf(
+    call: RoutedCall,
+    address: string,
+  ): SendRefusal | undefined {
+    return this.report(call, address, this.callRefusalOf(call));
   }
 
   /**
@@ -52,10 +77,43 @@
         return undefined;
       case 'host-stopping':
         return hostStopping;
+      case 'route-withdrawn':
+        return routeNotFound;
+      case 'key-withdrawn':
+        return keyWithdrawn;
     }
   }
 
   private callRefusalOf(call: RoutedCall): CallRefusal | undefined {
-    return this.parts.shutdown.canFinish(call) ? undefined : 'host-stopping';
+    if (!this.parts.shutdown.canFinish(call)) return 'host-stopping';
+    return this.withdrawalOf(call);
+  }
+
+  /** What the configuration in force withdrew since it routed `call`. */
+  private withdrawalOf(call: RoutedCall): CallRefusal | undefined {
+    const {host, target, key, account} = call;
+    const table = this.parts.routes();
+    const route = table?.find(host, pathWithoutQuery(target));
+    // The same configuration routed the call.
+    if (table === undefined || route === call.route) return undefined;
+    if (route === undefined) return 'route-withdrawn';
+    if (account === undefined || route.document.spec.open === true)
+      return undefined;
+    const holder = findAccountOfKey(table.configuration, hashKey(key ?? ''));
+    return holder.isOk &&
+      holder.value === account &&
+      table.canUse(route, account)
+      ? undefined
+      : 'key-withdrawn';
+  }
+
+  private report(
+    {id}: RoutedCall,
+    upstream: string,
+    reason: SendRefusal | undefined,
+  ): SendRefusal | undefined {
+    if (reason !== undefined)
+      this.parts.observer(id, {kind: 'send-withheld', upstream, reason});
+    return reason;
   }
 }
--- a/packages/coordination/src/passthrough/upstream-table.ts
+++ b/packages/coordination/src/passthrough/upstream-table.ts
@@ -96,6 +96,14 @@
 /** Returns the region of a failure domain; undefined if none is configured. */
 export type RegionLookup = (failureDomain: string) => string | undefined;
 
+/** Why nothing may be sent to the process of an upstream that was chosen before. */
+export type UpstreamDeparture =
+  | 'upstream-leaving'
+  | 'upstream-gone'
+  /** Another process runs under its name. */
+  | 'upstream-replaced'
+  | 'domain-evacuated';
+
 /** Changes of a list of upstreams. */
 export interface UpstreamChanges {
   readonly joined: readonly UpstreamDocument[];
@@ -484,6 +492,25 @@
     return () => this.silenceListeners.delete(listener);
   }
 
+  /**
+   * Returns why nothing may be sent any more to the process of `document`, which
+   * was listed when it was chosen; undefined if it may.
+   */
+  departureOf(document: UpstreamDocument): UpstreamDeparture | undefined {
+    const listed = this.listedUpstreams.get(document.name);
+    if (listed === undefined) return 'upstream-gone';
+    const {startedAt, state} = listed.spec;
+    const {startedAt: chosenStart} = document.spec;
+    if (
+      startedAt !== undefined &&
+      chosenStart !== undefined &&
+      startedAt !== chosenStart
+    )
+      return 'upstream-replaced';
+    if (state === 'leaving') return 'upstream-leaving';
+    return this.isEvacuated(listed) ? 'domain-evacuated' : undefined;
+  }
+
   /** Listed upstreams of a failure domain. */
   inFailureDomain(failureDomain: string): TrackedUpstream[] {
     return [...this.listedUpstreams.values()]
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -225,6 +225,7 @@
   await clock.runUntil(
     new PrefillStage(parts).prefill(state, {
       upstream,
+      document: upstream.document,
       reservationId: 'hold-1',
       reservedUntil: 1000,
       statedStart: undefined,
@@ -254,6 +255,7 @@
   const stage = new PrefillStage({...parts, retryBudget});
   const reservation = {
     upstream: tracked('d-1'),
+    document: tracked('d-1').document,
     reservationId: 'hold-1',
     reservedUntil: Infinity,
     statedStart: undefined,
--- a/packages/coordination/test/tools/unlimited.ts
+++ b/packages/coordination/test/tools/unlimited.ts
@@ -7,7 +7,7 @@
   UpstreamRequestLimits,
   hostId,
 } from '../../src/index.js';
-import type {Clock} from '../../src/index.js';
+import type {Clock, SendGateParts} from '../../src/index.js';
 
 export function createRequestLimits(clock: Clock): UpstreamRequestLimits {
   const self = hostId('host-1');
@@ -22,10 +22,15 @@
   });
 }
 
-/** The send gate of a host that does not stop. */
-export function createSendGate(clock: Clock): SendGate {
+/** The send gate of a host that does not stop, before any change of what it knows. */
+export function createSendGate(
+  clock: Clock,
+  upstreams: SendGateParts['upstreams'] = {departureOf: () => undefined},
+): SendGate {
   return new SendGate({
     shutdown: new ShutdownSchedule(clock),
+    upstreams,
+    routes: () => undefined,
     observer: () => undefined,
   });
 }
--- a/packages/daemon/src/passthrough/http-handover-transport.ts
+++ b/packages/daemon/src/passthrough/http-handover-transport.ts
@@ -23,7 +23,7 @@
   constructor(
     private readonly connections: UpstreamConnections,
     private readonly wireFormat: CallerWireFormat,
-    private readonly sendGate: Pick<SendGate, 'refusalOf'>,
+    private readonly sendGate: Pick<SendGate, 'handoverRefusalOf'>,
   ) {}
 
   handOver(
@@ -52,7 +52,7 @@
       bodyIdleTimeoutMilliseconds: remainingMilliseconds,
       bodyLimits: () => undefined,
       signal,
-      refusalBeforeSend: () => this.sendGate.refusalOf(call, address),
+      refusalBeforeSend: () => this.sendGate.handoverRefusalOf(call, address),
       classify: (_status, responseHeaders) =>
         responseHeaders[handoverDeclinedHeader] === undefined
           ? 'ran'
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -193,7 +193,7 @@
       signal,
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
-      refusalBeforeSend: () => this.sendGate.refusalOf(call, upstream.name),
+      refusalBeforeSend: () => this.sendGate.refusalOf(call, upstream),
       onHead: (status, responseHeaders) =>
         this.readNotice(upstream, status, responseHeaders),
     });
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -319,7 +319,12 @@
       const version = String(this.platform.versionInForce ?? '');
       logCallEvent(log, requestId, event, version);
     };
-    const sendGate = new SendGate({shutdown: this.shutdown, observer});
+    const sendGate = new SendGate({
+      shutdown: this.shutdown,
+      upstreams: this.upstreams,
+      routes: () => this.platform.routes,
+      observer,
+    });
     const transport = new HttpPassthroughTransport(
       this.connections,
       adapter.upstreamWire,
