Count the time of a suspension as a gap between reads of the list

What callers could see: a stream begun at an engine of a new version by way of another host, taken up at a host that had stood still meanwhile, went on at an engine of the old version.

Cause: a host names the only version of a pool if no two of its reads of the list lie over 2 s apart. The gap was measured by the steady clock, which stands still while a machine is suspended. An engine that joined and was gone again in that time was missed, and the host's history counted as complete.

Keepers that know the stream refuse it, so it takes a caller that names no origin, or keepers that do not answer.

Change: ages that include a suspension, as the freshness of the configuration already has them, move to moment.ts and decide about the gap as well.

Why it works: the wall clock goes on in a suspension; where it was set forward, the history only begins anew.

--- a/packages/coordination/src/passthrough/configuration-freshness.ts
+++ b/packages/coordination/src/passthrough/configuration-freshness.ts
@@ -6,6 +6,8 @@
  */
 
 import type {Clock} from '../clock.js';
+import {ageOf, beforeStart, currentMoment} from './moment.js';
+import type {Moment} from './moment.js';
 
 export interface ConfigurationFreshnessParts {
   readonly clock: Clock;
@@ -19,19 +21,9 @@
  */
 const maximumAgeMarginMilliseconds = 250;
 
-/**
- * A wall clock that has advanced further than the steady clock by more than
- * this shows that the process was suspended.
- */
-const suspensionMilliseconds = 400;
-
 export class ConfigurationFreshness {
-  /**
-   * Steady and wall-clock time at which the read behind the newest proof
-   * started.
-   */
-  private steady = -Infinity;
-  private wall = -Infinity;
+  /** The start of the read behind the newest proof. */
+  private provenAt = beforeStart;
 
   constructor(private readonly parts: ConfigurationFreshnessParts) {}
 
@@ -39,30 +31,23 @@
    * Returns the current times. Pass them to `confirm` once the read that starts
    * now has succeeded.
    */
-  startProof(): {readonly steady: number; readonly wall: number} {
-    const {clock} = this.parts;
-    return {steady: clock.now(), wall: clock.wallNow()};
+  startProof(): Moment {
+    return currentMoment(this.parts.clock);
   }
 
   /**
    * Records that a read that started at `proof` returned the newest version.
    */
-  confirm(proof: {readonly steady: number; readonly wall: number}): void {
-    if (proof.steady <= this.steady) return;
-    this.steady = proof.steady;
-    this.wall = proof.wall;
+  confirm(proof: Moment): void {
+    if (proof.steady > this.provenAt.steady) this.provenAt = proof;
   }
 
   /**
    * Age of the newest proof in milliseconds; infinite before the first proof.
    */
   age(): number {
-    const {clock} = this.parts;
-    const steadyAge = clock.now() - this.steady;
-    const wallAge = clock.wallNow() - this.wall;
-    // A steady clock can stop while the machine is suspended. If the wall
-    // clock was set forward instead, the next read renews the proof.
-    return wallAge - steadyAge > suspensionMilliseconds ? wallAge : steadyAge;
+    // If the wall clock was set forward, the next read renews the proof.
+    return ageOf(this.parts.clock, this.provenAt);
   }
 
   /** Returns whether known keys may be accepted. */
--- a/packages/coordination/src/passthrough/software-version-history.ts
+++ b/packages/coordination/src/passthrough/software-version-history.ts
@@ -7,6 +7,7 @@
 import type {PoolDocument, UpstreamDocument} from '../generated/documents.js';
 import {matchesSelector} from '../labels.js';
 import {canDecode} from './can-decode.js';
+import {ageOf, beforeStart, currentMoment} from './moment.js';
 
 export interface SoftwareVersionHistoryParts {
   readonly clock: Clock;
@@ -42,8 +43,9 @@
   /** Clock time since which no version has been missed. */
   private completeSince: number;
   private lastReadStartedAt: number;
-  /** Clock time at which the read of the last list of `subscribe` began. */
-  private lastListStartedAt = -Infinity;
+  /** The time of the last record, and of the last list of `subscribe`. */
+  private lastRecord = beforeStart;
+  private lastList = beforeStart;
   /** As described by the route table; undefined before the first one. */
   private routing: string | undefined;
   private readonly listListeners = new Set<ListListener>();
@@ -54,6 +56,7 @@
     // that are still there when the process starts again.
     this.completeSince = now;
     this.lastReadStartedAt = now;
+    this.lastRecord = currentMoment(parts.clock);
   }
 
   /**
@@ -65,10 +68,16 @@
     readStartedAt: number,
     isCurrent = true,
   ): void {
-    const now = this.parts.clock.now();
-    if (now - this.lastReadStartedAt > maximumGapMilliseconds)
-      this.completeSince = readStartedAt;
+    const {clock} = this.parts;
+    const now = clock.now();
+    // The steady clock may have stood still since the last record.
+    const gap = Math.max(
+      now - this.lastReadStartedAt,
+      ageOf(clock, this.lastRecord),
+    );
+    if (gap > maximumGapMilliseconds) this.completeSince = readStartedAt;
     this.lastReadStartedAt = readStartedAt;
+    this.lastRecord = currentMoment(clock);
     const listed = new Map<string, UpstreamDocument>();
     for (const document of upstreams) {
       const {name, labels = {}, spec} = document;
@@ -80,7 +89,7 @@
     for (const [key, {lastSeenAt}] of this.seen)
       if (now - lastSeenAt > historyMilliseconds) this.seen.delete(key);
     if (!isCurrent) return;
-    this.lastListStartedAt = readStartedAt;
+    this.lastList = this.lastRecord;
     for (const listener of [...this.listListeners])
       listener(listed, readStartedAt);
   }
@@ -102,8 +111,7 @@
 
   /** Whether the next list is expected in time, because the last one is recent. */
   get isListRecent(): boolean {
-    const age = this.parts.clock.now() - this.lastListStartedAt;
-    return age <= maximumGapMilliseconds;
+    return ageOf(this.parts.clock, this.lastList) <= maximumGapMilliseconds;
   }
 
   /**
