Look a call's route up again only after a change of the configuration

The send gate is asked several times for each call, and each time looked the route up among all routes of its host name. A table now knows its own routes, and what another configuration withdrew from a call is found once.

--- a/packages/coordination/src/passthrough/route-table.ts
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -42,6 +42,7 @@
 export class RouteTable {
   /** Routes of each host name, longest prefix first. */
   private readonly routesByHostName = new Map<string, PassthroughRoute[]>();
+  private readonly routes = new Set<PassthroughRoute>();
 
   constructor(readonly configuration: Configuration) {
     const contendedPools = new Map<string, readonly number[]>();
@@ -58,6 +59,7 @@
       const host = route.target.host;
       const routes = this.routesByHostName.get(host) ?? [];
       routes.push(route);
+      this.routes.add(route);
       this.routesByHostName.set(host, routes);
     }
     for (const routes of this.routesByHostName.values())
@@ -67,6 +69,11 @@
       );
   }
 
+  /** Returns whether `route` is one of this table, and not of another one. */
+  contains(route: PassthroughRoute): boolean {
+    return this.routes.has(route);
+  }
+
   /**
    * Returns the route of the host name `host` with the longest prefix of
    * `path`.
--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -42,7 +42,16 @@
   readonly observer: CallObserver;
 }
 
+/** What a configuration withdrew from a call. */
+interface Withdrawal {
+  readonly table: RouteTable;
+  readonly refusal: CallRefusal | undefined;
+}
+
 export class SendGate {
+  /** Of calls that were routed by an older configuration. */
+  private readonly withdrawals = new WeakMap<RoutedCall, Withdrawal>();
+
   constructor(private readonly parts: SendGateParts) {}
 
   /**
@@ -91,20 +100,14 @@
 
   /** What the configuration in force withdrew since it routed `call`. */
   private withdrawalOf(call: RoutedCall): CallRefusal | undefined {
-    const {host, target, key, account} = call;
     const table = this.parts.routes();
-    const route = table?.find(host, pathWithoutQuery(target));
-    // The same configuration routed the call.
-    if (table === undefined || route === call.route) return undefined;
-    if (route === undefined) return 'route-withdrawn';
-    if (account === undefined || route.document.spec.open === true)
-      return undefined;
-    const holder = findAccountOfKey(table.configuration, hashKey(key ?? ''));
-    return holder.isOk &&
-      holder.value === account &&
-      table.canUse(route, account)
-      ? undefined
-      : 'key-withdrawn';
+    if (table === undefined || table.contains(call.route)) return undefined;
+    const known = this.withdrawals.get(call);
+    // A call that waits is asked about again and again.
+    if (known?.table === table) return known.refusal;
+    const refusal = findWithdrawal(table, call);
+    this.withdrawals.set(call, {table, refusal});
+    return refusal;
   }
 
   private report(
@@ -117,3 +120,17 @@
     return reason;
   }
 }
+
+function findWithdrawal(
+  table: RouteTable,
+  {host, target, key, account}: RoutedCall,
+): CallRefusal | undefined {
+  const route = table.find(host, pathWithoutQuery(target));
+  if (route === undefined) return 'route-withdrawn';
+  if (account === undefined || route.document.spec.open === true)
+    return undefined;
+  const holder = findAccountOfKey(table.configuration, hashKey(key ?? ''));
+  return holder.isOk && holder.value === account && table.canUse(route, account)
+    ? undefined
+    : 'key-withdrawn';
+}
