--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -22,6 +22,16 @@
 import {failureBody} from '../callers/failure-reply.js';
 import {CallerConnection} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
+import {readRequestBody} from './request-body.js';
+import {
+  callerDisconnectedFailure,
+  connectionEnded,
+  failureOfBrokenResponse,
+  failureOfGivenUp,
+  internalFailure,
+  isDeclined,
+  unknownPeer,
+} from './server-failures.js';
 import type {EarlyListener} from './early-listener.js';
 import type {CallerWireFormat} from './wire-format.js';
 
@@ -332,40 +342,14 @@
         {route: {name: route}, deadline},
         () => resolve(Result.err(hostStopping)),
       );
-      void this.readBody(request).then(body => {
+      const {bodyBytes} = this.parts.limits();
+      void readRequestBody(request, bodyBytes).then(body => {
         endWatch();
         resolve(body);
       });
     });
   }
 
-  private async readBody(
-    request: IncomingMessage,
-  ): Promise<Result<Uint8Array, RequestFailure>> {
-    const {bodyBytes} = this.parts.limits();
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const chunk of request as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > bodyBytes)
-          return Result.err({
-            code: 'body-too-large',
-            message: `the body exceeds ${bodyBytes} bytes`,
-            ran: 'not-run',
-          });
-        chunks.push(chunk);
-      }
-    } catch {
-      return Result.err({
-        code: 'caller-gone',
-        message: 'the caller disconnected while sending the body',
-        ran: 'not-run',
-      });
-    }
-    return Result.ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
-  }
-
   /**
    * Streams the upstream's response to the caller. When the upstream fails
    * midway, the caller's connection is destroyed.
@@ -479,26 +463,6 @@
   }
 }
 
-/**
- * Returns whether another host may handle the call instead. One that an upstream
- * has received is not passed on, because the host that handed it over takes a
- * declined one for unsent.
- */
-function isDeclined({code, ran, wasSent = false}: RequestFailure): boolean {
-  return (
-    ran === 'not-run' &&
-    !wasSent &&
-    (code === 'no-upstream' || code === 'not-ready' || code === 'draining')
-  );
-}
-
-/** Only hosts may hand calls over; a host that has just started knows none. */
-const unknownPeer: RequestFailure = {
-  code: 'not-ready',
-  message: 'the host that handed the call over is not known here',
-  ran: 'not-run',
-};
-
 /** Stub compilers: no route has a schema, and loading the real ones is slow. */
 const schemalessController = {
   compilersFactory: {
@@ -520,47 +484,9 @@
   isGeneration: boolean;
 }
 
-const internalFailure: RequestFailure = {
-  code: 'internal',
-  message: 'the host met an unexpected error; the call may have run',
-  ran: 'unknown',
-};
-
-const callerDisconnectedFailure: RequestFailure = {
-  code: 'caller-gone',
-  message: 'the caller disconnected before the response was complete',
-  ran: 'unknown',
-};
-
-/** The call was read, but not forwarded. */
-const connectionEnded: RequestFailure = {
-  code: 'caller-gone',
-  message: 'the connection ended before the call could be answered',
-  ran: 'not-run',
-};
-
-/** Failure of a call that was given up because the host stops. */
-function failureOfGivenUp(failure: RequestFailure): RequestFailure {
-  if (failure.code !== 'caller-gone') return failure;
-  if (failure.ran === 'not-run') return hostStopping;
-  return {
-    code: 'upstream-timeout',
-    message: 'the host stopped before the upstream answered',
-    ran: failure.ran,
-  };
-}
-
 function statusOfBrokenResponse(
   disconnected: AbortSignal,
   status: number,
 ): number {
   return disconnected.aborted ? clientClosedRequestStatus : status;
 }
-
-function failureOfBrokenResponse(
-  error: InterruptedResponseError,
-  disconnected: AbortSignal,
-): RequestFailure {
-  if (disconnected.aborted) return callerDisconnectedFailure;
-  return {code: 'upstream-failed', message: error.message, ran: 'ran'};
-}
