Answer malformed bytes behind the responses under way, not inside them

Callers would see: a stream cut after 3 of 40 events, with a 400 between its chunks, if bytes that are no request come behind it on its connection; the same with a 408 for a head that does not end in time.

Cause: the default handler of the framework writes its response at once and destroys the socket.

Found by reading, among the answers that end a connection.

Change: the response waits until those under way have ended, and the connection ends as after any other last response.

--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -20,6 +20,12 @@
     return undefined;
   }
   const failure = failureOfClientError(error.code);
+  socket.end(clientErrorResponse(failure), () => socket.destroy());
+  return failure;
+}
+
+/** The bytes of the response to a request that was not parsed. */
+export function clientErrorResponse(failure: RequestFailure): string {
   const status = httpStatusOf(failure.code);
   const body = JSON.stringify(failureBody(failure));
   const lines = [
@@ -29,8 +35,7 @@
     `content-length: ${Buffer.byteLength(body)}`,
     `${ranHeader}: ${failure.ran}`,
   ];
-  socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`, () => socket.destroy());
-  return failure;
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
 }
 
 /** Rejects a call whose `Expect` header is not supported. */
@@ -49,7 +54,8 @@
   return failure;
 }
 
-function failureOfClientError(code: string | undefined): RequestFailure {
+/** Failure of a request that Node reports with the error `code`. */
+export function failureOfClientError(code: string | undefined): RequestFailure {
   switch (code) {
     case 'HPE_HEADER_OVERFLOW':
       return {
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -31,6 +31,8 @@
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
   private isEnding = false;
+  /** Response to bytes that are no request, behind the responses under way. */
+  private errorResponse: string | undefined;
   private pendingEnd = new AbortController();
 
   constructor(
@@ -80,10 +82,31 @@
     else this.end();
   }
 
+  /**
+   * Ends the connection after bytes that are no request. `errorResponse` is sent
+   * once the responses under way have ended.
+   */
+  endMalformed(errorResponse: string): void {
+    if (this.isEnding || this.errorResponse !== undefined) return;
+    this.errorResponse = errorResponse;
+    this.socket.pause();
+    this.endIfMalformed();
+  }
+
+  private endIfMalformed(): void {
+    if (this.errorResponse === undefined) return;
+    // The malformed bytes are a part of it, and it gets no other response.
+    const isIncomplete = this.lastRequest?.complete === false;
+    if (this.openCalls > (isIncomplete ? 1 : 0)) return;
+    this.socket.write(this.errorResponse);
+    this.end();
+  }
+
   private onResponseEnd(): void {
     this.openCalls -= 1;
     this.bytesReadAtEnd = this.socket.bytesRead;
     this.endedAt = this.clock.now();
+    this.endIfMalformed();
     if (this.openCalls === 0 && this.isDraining() && !this.isEnding)
       void this.endAfterLastRequest();
   }
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -19,6 +19,10 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
+import {
+  clientErrorResponse,
+  failureOfClientError,
+} from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
 import {CallerConnection} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
@@ -94,6 +98,8 @@
   constructor(private readonly parts: PassthroughServerParts) {
     this.instance = fastify({
       schemaController: schemalessController,
+      clientErrorHandler: (error, socket) =>
+        this.handleClientError(error, socket),
       // One handler serves every URL; the host looks up the route.
       rewriteUrl: () => '/',
       http: {
@@ -185,6 +191,17 @@
     await this.instance.close();
   }
 
+  private handleClientError(
+    {code}: NodeJS.ErrnoException,
+    socket: Socket,
+  ): void {
+    const connection = this.connections.get(socket);
+    if (code === 'ECONNRESET' || !socket.writable || connection === undefined)
+      socket.destroy();
+    else
+      connection.endMalformed(clientErrorResponse(failureOfClientError(code)));
+  }
+
   private reportIfIdle(): void {
     const {listening} = this.instance.server;
     if (this.isDraining && !listening && this.connections.size === 0)
