--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -60,6 +60,7 @@
 
   /** Returns whether `call` will have ended before the host ends. */
   canFinish(call: TimedCall): boolean {
+    if (this.endsAt === Infinity) return true;
     return this.clock.now() <= this.latestSendOf(call);
   }
 
