--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -85,7 +85,7 @@
 
 /** Why an upstream gave no response that can be passed on. */
 export type PassthroughError =
-  /** The send gate refused the call, and nothing was sent. */
+  /** This host did not send the call, for a reason of its own. */
   | {
       readonly kind: 'withheld';
       readonly upstream: UpstreamId;
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -286,9 +286,9 @@
 
   /**
    * Returns whether the engine of `reservation` may run the call. It may not if it
-   * left since it granted the reservation. It may not go on
-   * with a stream if its process is another one than the list names, or if the list
-   * names another version since the reservation was requested.
+   * left since it granted the reservation. It may not go on with a stream if its
+   * process is another one than the list names, or if the list names another version
+   * since the reservation was requested.
    */
   private isUsable(
     state: GenerationState,
