--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -459,8 +459,8 @@
     });
   }
 
-  close(): Promise<void> {
-    this.closing ??= this.stop();
+  close(signalledAt = systemClock.now()): Promise<void> {
+    this.closing ??= this.stop(signalledAt);
     return this.closing;
   }
 
@@ -541,10 +541,10 @@
     };
   }
 
-  private async stop(): Promise<void> {
+  private async stop(signalledAt: number): Promise<void> {
     const {graceMilliseconds} = this.settings;
     const deadline =
-      systemClock.now() +
+      signalledAt +
       graceMilliseconds -
       exitReserveMilliseconds -
       giveUpMilliseconds;
@@ -555,9 +555,10 @@
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
     this.server.startDraining();
     // Load balancers open new connections until their next readiness check.
-    await systemClock.sleep(
-      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2),
-    );
+    const stopsListeningAt =
+      signalledAt +
+      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
+    await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
     this.server.stopListening();
     this.handoverListener.close();
     const cutRequests = await this.server.waitUntilIdle(
--- a/packages/daemon/src/passthrough/platform-adapter.ts
+++ b/packages/daemon/src/passthrough/platform-adapter.ts
@@ -32,7 +32,8 @@
   applySettings(settings: PassthroughSettings, fingerprint: string): void;
   /**
    * Drains the host and closes it. Calls still in flight near the end of
-   * `graceMilliseconds` are cut off.
+   * `graceMilliseconds` are cut off. `signalledAt` is the clock time at which that
+   * period began; now if absent.
    */
-  close(): Promise<void>;
+  close(signalledAt?: number): Promise<void>;
 }
