Serve routes without a finished call while a host stops

What callers saw: a host that stops right after its start, or a route that is called rarely, answered each call 503 `draining` from the signal on, over the whole grace period, unless the call's own deadline lay before the end of it.

Cause: ShutdownSchedule knew only the finished calls of the route itself. Without one it took the deadline for the time of the call.

Change: for a route without a finished call, the schedule takes the largest of the slowest recent call to the same pools with the same kind of response, the route's target latency, and the age of its oldest call under way, with the same factor of 2. The target of a stream is that of its first token, so a stream without a finished one to its pools may still take until its deadline. The SendGate tells the schedule of calls that begin.

--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -119,7 +119,8 @@
   }
 
   /**
-   * Forwards an authorized call. `signal` is aborted when the caller disconnects.
+   * Forwards an authorized call. `signal` is aborted when the caller disconnects,
+   * and at the end of the response.
    */
   async forward(
     incoming: IncomingCall,
@@ -129,6 +130,7 @@
   ): Promise<CallResult> {
     const call = this.buildRoutedCall(incoming, route, account, body);
     const sends = this.retryGate.createSends(call);
+    this.parts.sendGate.recordStart(call, signal);
     const response = await this.handOverOrForward(call, sends, signal);
     sends.settle();
     if (
--- a/packages/coordination/src/passthrough/route-table.ts
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -5,6 +5,7 @@
 import type {AccountId} from '../ids.js';
 import {matchesSelector} from '../labels.js';
 import {canUseRoute} from '../requests/authentication.js';
+import type {CallExpectation} from './shutdown-schedule.js';
 
 type PassthroughTarget = Extract<
   RouteDocument['spec']['target'],
@@ -43,6 +44,7 @@
   /** Routes of each host name, longest prefix first. */
   private readonly routesByHostName = new Map<string, PassthroughRoute[]>();
   private readonly routes = new Set<PassthroughRoute>();
+  private readonly routesByName = new Map<string, PassthroughRoute>();
 
   constructor(readonly configuration: Configuration) {
     const contendedPools = new Map<string, readonly number[]>();
@@ -60,6 +62,7 @@
       const routes = this.routesByHostName.get(host) ?? [];
       routes.push(route);
       this.routes.add(route);
+      this.routesByName.set(route.name, route);
       this.routesByHostName.set(host, routes);
     }
     for (const routes of this.routesByHostName.values())
@@ -84,6 +87,20 @@
       ?.find(route => path.startsWith(route.target.pathPrefix));
   }
 
+  /** What is known of the calls on the route `name` before one has ended. */
+  expectationOf(name: string): CallExpectation | undefined {
+    const route = this.routesByName.get(name);
+    if (route === undefined) return undefined;
+    const {pools, target, firstTokenTargetMilliseconds} = route;
+    const poolNames = pools.map(({pool}) => pool.name).sort();
+    return {
+      group: JSON.stringify([target.stream, poolNames]),
+      targetMilliseconds: target.stream
+        ? undefined
+        : firstTokenTargetMilliseconds,
+    };
+  }
+
   /**
    * What decides which upstreams a call reaches; equal texts lead each call to the
    * same pools.
--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -54,6 +54,11 @@
 
   constructor(private readonly parts: SendGateParts) {}
 
+  /** Records that `call` begins, which ends when `ended` is aborted. */
+  recordStart({route}: RoutedCall, ended: AbortSignal): void {
+    this.parts.shutdown.recordStart(route.name, ended);
+  }
+
   /**
    * Returns why `call` may not be sent to the process that `upstream` names, and
    * reports it.
--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -13,6 +13,14 @@
   readonly route: Pick<RoutedCall['route'], 'name'>;
 };
 
+/** What is known of the calls on a route before one of them has ended. */
+export interface CallExpectation {
+  /** Equal for routes that lead to the same pools with responses of one kind. */
+  readonly group: string;
+  /** Target for the whole response; undefined if its length is open. */
+  readonly targetMilliseconds: number | undefined;
+}
+
 interface SlowestCall {
   readonly milliseconds: number;
   /** Clock time at which it ended. */
@@ -37,12 +45,25 @@
 
 const maximumRoutes = 10_000;
 
+/** Slowest calls by name. */
+type SlowestCalls = BoundedMap<string, SlowestCall>;
+
 export class ShutdownSchedule {
   private endsAt = Infinity;
-  private readonly slowest = new BoundedMap<string, SlowestCall>(maximumRoutes);
+  private readonly slowest: SlowestCalls = new BoundedMap(maximumRoutes);
+  private readonly slowestOfGroups: SlowestCalls = new BoundedMap(
+    maximumRoutes,
+  );
+  /** Clock times at which the calls under way began, by their route, oldest first. */
+  private readonly underWay = new Map<string, Set<{readonly since: number}>>();
   private readonly watches = new Set<Watch>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly expectationOf: (
+      route: string,
+    ) => CallExpectation | undefined = () => undefined,
+  ) {}
 
   /** Records that the host stops, and ends all calls at the clock time `endsAt`. */
   begin(endsAt: number): void {
@@ -50,12 +71,26 @@
     for (const watch of this.watches) void this.run(watch);
   }
 
+  /** Records that a call on `route` begins, which ends when `ended` is aborted. */
+  recordStart(route: string, ended: AbortSignal): void {
+    if (ended.aborted) return;
+    const call = {since: this.clock.now()};
+    const calls = this.underWay.get(route) ?? new Set();
+    this.underWay.set(route, calls.add(call));
+    const onEnd = () => {
+      calls.delete(call);
+      if (calls.size === 0 && this.underWay.get(route) === calls)
+        this.underWay.delete(route);
+    };
+    ended.addEventListener('abort', onEnd, {once: true});
+  }
+
   /** Records the time from the first send of a call to the end of its answer. */
   recordDuration(route: string, milliseconds: number): void {
-    const now = this.clock.now();
-    const slowest = this.slowestOf(route, now);
-    if (slowest !== undefined && milliseconds < slowest) return;
-    this.slowest.set(route, {milliseconds, endedAt: now});
+    this.recordSlowest(this.slowest, route, milliseconds);
+    const group = this.expectationOf(route)?.group;
+    if (group !== undefined)
+      this.recordSlowest(this.slowestOfGroups, group, milliseconds);
   }
 
   /** Returns whether `call` will have ended before the host ends. */
@@ -89,16 +124,49 @@
   private latestSendOf({route, deadline}: TimedCall): number {
     // The deadline ends the call in time.
     if (deadline <= this.endsAt) return Infinity;
-    const slowest = this.slowestOf(route.name, this.clock.now());
-    // Without a finished call, this one may take until its deadline.
-    if (slowest === undefined) return -Infinity;
-    return this.endsAt - slowest * durationFactor - answerMilliseconds;
+    const expected = this.expectedDurationOf(route.name);
+    // Without an estimate, the call may take until its deadline.
+    if (expected === undefined) return -Infinity;
+    return this.endsAt - expected * durationFactor - answerMilliseconds;
+  }
+
+  private expectedDurationOf(route: string): number | undefined {
+    const slowest = this.slowestOf(this.slowest, route);
+    if (slowest !== undefined) return slowest;
+    const expectation = this.expectationOf(route);
+    if (expectation === undefined) return undefined;
+    const {group, targetMilliseconds} = expectation;
+    const slowestOfGroup = this.slowestOf(this.slowestOfGroups, group);
+    if (slowestOfGroup === undefined && targetMilliseconds === undefined)
+      return undefined;
+    // Calls on other routes may be quicker, and a target may be missed.
+    return Math.max(
+      slowestOfGroup ?? 0,
+      targetMilliseconds ?? 0,
+      this.longestUnderWay(route),
+    );
+  }
+
+  private longestUnderWay(route: string): number {
+    const [oldest] = this.underWay.get(route) ?? [];
+    return oldest === undefined ? 0 : this.clock.now() - oldest.since;
+  }
+
+  private recordSlowest(
+    calls: SlowestCalls,
+    name: string,
+    milliseconds: number,
+  ): void {
+    const slowest = this.slowestOf(calls, name);
+    if (slowest !== undefined && milliseconds < slowest) return;
+    calls.set(name, {milliseconds, endedAt: this.clock.now()});
   }
 
-  private slowestOf(route: string, now: number): number | undefined {
-    const slowest = this.slowest.get(route);
+  /** Returns the time of the slowest call, less the longer ago it ended. */
+  private slowestOf(calls: SlowestCalls, name: string): number | undefined {
+    const slowest = calls.get(name);
     if (slowest === undefined) return undefined;
-    const age = now - slowest.endedAt;
+    const age = this.clock.now() - slowest.endedAt;
     return slowest.milliseconds * 2 ** (-age / slowestHalfLifeMilliseconds);
   }
 }
--- a/packages/coordination/test/shutdown-schedule.test.ts
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -65,3 +65,64 @@
   await clock.advance(3000);
   t.is(reports, 1);
 });
+
+/** `plain` has a target, `bare` has none; both lead to the same pools. */
+function stoppingScheduleOfGroup(): {
+  readonly clock: VirtualClock;
+  readonly schedule: ShutdownSchedule;
+} {
+  const clock = new VirtualClock();
+  const schedule = new ShutdownSchedule(clock, route => ({
+    group: route === 'other' ? 'b' : 'a',
+    targetMilliseconds: route === 'plain' ? 300 : undefined,
+  }));
+  schedule.begin(endsAt);
+  return {clock, schedule};
+}
+
+const callOn = (name: string) => ({route: {name}, deadline: 20_000});
+
+// Against: a host that has just started, or a route that is called rarely, serves
+// nothing from the signal on.
+test('a call on a route without a finished call is sent while twice its target is left', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  await clock.advance(7200);
+  t.true(schedule.canFinish(callOn('plain')));
+  await clock.advance(200);
+  t.false(schedule.canFinish(callOn('plain')));
+});
+
+test('a route without a finished call is judged by others to the same pools', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  t.false(schedule.canFinish(callOn('bare')));
+  schedule.recordDuration('sibling', slowestMilliseconds);
+  await clock.advance(5800);
+  t.true(schedule.canFinish(callOn('bare')));
+  t.true(schedule.canFinish(callOn('plain')));
+  t.false(schedule.canFinish(callOn('other')));
+  await clock.advance(300);
+  t.false(schedule.canFinish(callOn('bare')));
+  t.false(schedule.canFinish(callOn('plain')));
+});
+
+test('calls under way count where none has finished', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  const ended = new AbortController();
+  schedule.recordStart('plain', ended.signal);
+  schedule.recordStart('plain', AbortSignal.abort());
+  await clock.advance(2600);
+  schedule.recordStart('plain', new AbortController().signal);
+  t.true(schedule.canFinish(callOn('plain')));
+  await clock.advance(200);
+  t.false(schedule.canFinish(callOn('plain')));
+  ended.abort();
+  t.true(schedule.canFinish(callOn('plain')));
+});
+
+test('the target counts where quicker calls to the same pools have finished', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  schedule.recordDuration('sibling', 5);
+  await clock.advance(7400);
+  t.false(schedule.canFinish(callOn('plain')));
+  t.true(schedule.canFinish(callOn('bare')));
+});
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -105,7 +105,9 @@
   private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
-  private readonly shutdown = new ShutdownSchedule(systemClock);
+  private readonly shutdown = new ShutdownSchedule(systemClock, route =>
+    this.platform.routes?.expectationOf(route),
+  );
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
   private readonly domains: DomainRouter | undefined;
