Read no request behind a response that announced the end of its connection

Callers of a stopping host that wrote a request while the announcement of the end was on its way to them waited until the end of the response under way, a stream of up to many seconds, and then saw the connection end without an answer.

Cause: the head of a response announces the end, but the connection went on reading until the response had ended. The request was read, waited behind the response and was dropped. It was never passed on, but its caller could not know that: bytes that a process has read look the same as bytes it has acted on.

Change: CallerConnection announces the end itself, and stops reading in the same step. A request that was read before the announcement still suppresses it and is answered; one that comes after it stays in the socket's buffer, and the reset at the end of the connection tells its caller that it was not read.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -47,7 +47,7 @@
   }
 
   /** Whether a call that was read waits for the response before it. */
-  get hasFurtherCall(): boolean {
+  private get hasFurtherCall(): boolean {
     return this.openCalls > 1;
   }
 
@@ -73,6 +73,17 @@
     return !this.isEnding && !this.socket.destroyed;
   }
 
+  /**
+   * Announces the end of the connection in the head of `response`, unless a call
+   * waits behind it. No further request is read: one that crosses the announcement
+   * could not be answered, and unread bytes tell its caller that it can't have run.
+   */
+  announceEnd(response: ServerResponse): void {
+    if (this.hasFurtherCall) return;
+    response.setHeader('Connection', 'close');
+    this.socket.pause();
+  }
+
   /** Ends the connection unless a request is being read or answered. */
   endIfIdle(): void {
     const {bytesRead} = this.socket;
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -378,8 +378,7 @@
     disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
-    if (this.shouldEndConnection(response))
-      response.setHeader('Connection', 'close');
+    if (this.isDraining) this.announceEnd(response);
     for (const [name, value] of upstreamResponse.headers)
       response.appendHeader(name, value);
     response.writeHead(upstreamResponse.status);
@@ -435,12 +434,8 @@
     // body cannot be reused.
     const isNotReady =
       status === serviceUnavailableStatus && failure.code === 'not-ready';
-    if (
-      this.shouldEndConnection(response) ||
-      (isNotReady && !this.hasFurtherCall(response)) ||
-      !request.complete
-    )
-      response.setHeader('Connection', 'close');
+    if (!request.complete) response.setHeader('Connection', 'close');
+    else if (this.isDraining || isNotReady) this.announceEnd(response);
     response.writeHead(status, {
       'Content-Type': 'application/json',
       'Content-Length': Buffer.byteLength(text),
@@ -448,13 +443,8 @@
     response.end(text);
   }
 
-  /** A call that was read behind this one is answered as well. */
-  private shouldEndConnection(response: ServerResponse): boolean {
-    return this.isDraining && !this.hasFurtherCall(response);
-  }
-
-  private hasFurtherCall({req}: ServerResponse): boolean {
-    return this.connections.get(req.socket)?.hasFurtherCall ?? false;
+  private announceEnd(response: ServerResponse): void {
+    this.connections.get(response.req.socket)?.announceEnd(response);
   }
 
   private recordDuration({route, forwardedAt}: CallContext): void {
