--- a/packages/coordination/src/passthrough/route-table.ts
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -44,7 +44,7 @@
   /** Routes of each host name, longest prefix first. */
   private readonly routesByHostName = new Map<string, PassthroughRoute[]>();
   private readonly routes = new Set<PassthroughRoute>();
-  private readonly routesByName = new Map<string, PassthroughRoute>();
+  private readonly expectations = new Map<string, CallExpectation>();
 
   constructor(readonly configuration: Configuration) {
     const contendedPools = new Map<string, readonly number[]>();
@@ -62,7 +62,7 @@
       const routes = this.routesByHostName.get(host) ?? [];
       routes.push(route);
       this.routes.add(route);
-      this.routesByName.set(route.name, route);
+      this.expectations.set(route.name, expectationOf(route));
       this.routesByHostName.set(host, routes);
     }
     for (const routes of this.routesByHostName.values())
@@ -89,16 +89,7 @@
 
   /** What is known of the calls on the route `name` before one has ended. */
   expectationOf(name: string): CallExpectation | undefined {
-    const route = this.routesByName.get(name);
-    if (route === undefined) return undefined;
-    const {pools, target, firstTokenTargetMilliseconds} = route;
-    const poolNames = pools.map(({pool}) => pool.name).sort();
-    return {
-      group: JSON.stringify([target.stream, poolNames]),
-      targetMilliseconds: target.stream
-        ? undefined
-        : firstTokenTargetMilliseconds,
-    };
+    return this.expectations.get(name);
   }
 
   /**
@@ -148,3 +139,15 @@
     contendedPools,
   };
 }
+
+function expectationOf({
+  pools,
+  target: {stream},
+  firstTokenTargetMilliseconds,
+}: PassthroughRoute): CallExpectation {
+  const poolNames = pools.map(({pool}) => pool.name).sort();
+  return {
+    group: JSON.stringify([stream, poolNames]),
+    targetMilliseconds: stream ? undefined : firstTokenTargetMilliseconds,
+  };
+}
