Log the end of a caller's connection with calls open

What callers saw: a closed connection in place of an answer. Operators saw at most a line 3002 with status 499 for each call, which does not tell a caller that left from a connection that the host ended, nor how far the call had come.

Change: event 3132 (callerConnectionEnded) with the id of the first unanswered call, how far it had come, the number of unanswered calls and the first cause of the end; the counter persimmonwick_caller_connections_lost_total. The connection keeps a list of its open calls in place of their number, and nothing is written for connections that end idle.

--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -469,6 +469,12 @@
     text: 'a call was not sent to the upstream that had been chosen for it: reason says what changed since',
     fields: ['request', 'upstream', 'reason'],
   },
+  callerConnectionEnded: {
+    number: 3132,
+    level: 'info',
+    text: "a caller's connection ended before all calls on it were answered",
+    fields: ['request', 'reason', 'calls', 'progress'],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -20,10 +20,57 @@
  */
 const lastRequestMilliseconds = 500;
 
+/** Why a connection ends. */
+export type ConnectionEnd =
+  /** The caller ended its direction, or closed the connection. */
+  | 'caller-ended'
+  /** The caller or the network reset the connection. */
+  | 'caller-reset'
+  /** The caller left the connection idle, or did not read a response. */
+  | 'idle-timeout'
+  /** The caller sent bytes that are no request. */
+  | 'malformed'
+  /** A response was broken off, which must not look complete. */
+  | 'broken-response'
+  /** A response announced the end of the connection. */
+  | 'last-response'
+  /** The host has stopped. */
+  | 'host-closed';
+
+/** How far a call has come. */
+export type CallProgress =
+  /** Behind an earlier call on its connection. */
+  | 'waiting'
+  /** Its body is being received. */
+  | 'receiving'
+  /** Waits for an upstream, or was sent to one. */
+  | 'forwarded'
+  | 'responding';
+
+/** A call that was read, and whose response has not ended. */
+export interface OpenCall {
+  /** Empty until the call is handled. */
+  readonly requestId: string;
+  readonly progress: CallProgress;
+}
+
+/** The end of a connection before all calls on it were answered. */
+export interface ConnectionLoss {
+  readonly reason: ConnectionEnd;
+  /** The calls that were read and not answered, in the order of arrival. */
+  readonly calls: readonly OpenCall[];
+}
+
+export interface CallerConnectionParts {
+  readonly clock: Clock;
+  /** Whether no request may follow one whose response ends now. */
+  readonly isDraining: () => boolean;
+  readonly onLoss: (loss: ConnectionLoss) => void;
+}
+
 export class CallerConnection {
   private readonly closed = new AbortController();
-  /** Calls that were read, without those whose responses have ended. */
-  private openCalls = 0;
+  private readonly openCalls: OpenCall[] = [];
   /** Resolves once the response to the last call that was read has ended. */
   private lastResponse: Promise<void> = Promise.resolve();
   private lastRequest: IncomingMessage | undefined;
@@ -31,24 +78,26 @@
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
   private isEnding = false;
+  private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
   private pendingEnd = new AbortController();
 
   constructor(
     private readonly socket: Socket,
-    private readonly clock: Clock,
-    /** Whether no request may follow one whose response ends now. */
-    private readonly isDraining: () => boolean,
+    private readonly parts: CallerConnectionParts,
   ) {
-    socket.once('close', () => this.closed.abort());
+    socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.once('end', () => this.setReason('caller-ended'));
+    socket.once('error', () => this.setReason('caller-reset'));
+    socket.once('close', () => this.onClose());
     // Node calls this after a response that announced the end of the connection.
-    socket.destroySoon = () => this.end();
+    socket.destroySoon = () => this.end('last-response');
   }
 
   /** Whether a call that was read waits for the response before it. */
   get hasFurtherCall(): boolean {
-    return this.openCalls > 1;
+    return this.openCalls.length > 1;
   }
 
   /**
@@ -58,14 +107,15 @@
   async enter(
     request: IncomingMessage,
     response: ServerResponse,
+    call: OpenCall,
   ): Promise<boolean> {
     this.pendingEnd.abort();
-    this.openCalls += 1;
+    this.openCalls.push(call);
     this.lastRequest = request;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
       response.once('close', () => {
-        this.onResponseEnd();
+        this.onResponseEnd(call);
         resolve();
       });
     });
@@ -76,10 +126,16 @@
   /** Ends the connection unless a request is being read or answered. */
   endIfIdle(): void {
     const {bytesRead} = this.socket;
-    if (this.openCalls > 0 || bytesRead > this.bytesReadAtEnd) return;
-    if (this.clock.now() - this.endedAt > lingerMilliseconds)
-      this.socket.destroy();
-    else this.end();
+    if (this.openCalls.length > 0 || bytesRead > this.bytesReadAtEnd) return;
+    if (this.parts.clock.now() - this.endedAt > lingerMilliseconds)
+      this.destroy('host-closed');
+    else this.end('host-closed');
+  }
+
+  /** Closes the connection at once; `reason` holds unless there is an earlier one. */
+  destroy(reason: ConnectionEnd): void {
+    this.setReason(reason);
+    this.socket.destroy();
   }
 
   /**
@@ -97,34 +153,37 @@
     if (this.errorResponse === undefined) return;
     // The malformed bytes are a part of it, and it gets no other response.
     const isIncomplete = this.lastRequest?.complete === false;
-    if (this.openCalls > (isIncomplete ? 1 : 0)) return;
+    if (this.openCalls.length > (isIncomplete ? 1 : 0)) return;
     this.socket.write(this.errorResponse);
-    this.end();
+    this.end('malformed');
   }
 
-  private onResponseEnd(): void {
-    this.openCalls -= 1;
+  private onResponseEnd(call: OpenCall): void {
+    if (this.socket.destroyed) return;
+    this.openCalls.splice(this.openCalls.indexOf(call), 1);
     this.bytesReadAtEnd = this.socket.bytesRead;
-    this.endedAt = this.clock.now();
+    this.endedAt = this.parts.clock.now();
     this.endIfMalformed();
-    if (this.openCalls === 0 && this.isDraining() && !this.isEnding)
+    const isIdle = this.openCalls.length === 0;
+    if (isIdle && this.parts.isDraining() && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
-    await this.clock.sleep(lastRequestMilliseconds, signal);
-    if (!signal.aborted) this.end();
+    await this.parts.clock.sleep(lastRequestMilliseconds, signal);
+    if (!signal.aborted) this.end('host-closed');
   }
 
   /**
    * Ends the connection behind the bytes written so far. Reads no further request:
    * its caller learns from the unread bytes that it can't have run.
    */
-  private end(): void {
+  private end(reason: ConnectionEnd): void {
     if (this.isEnding) return;
     this.isEnding = true;
+    this.setReason(reason);
     const {socket, lastRequest} = this;
     const stopReading = () => socket.pause();
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
@@ -134,7 +193,17 @@
   }
 
   private async destroyAfterLinger(): Promise<void> {
-    await this.clock.sleep(lingerMilliseconds, this.closed.signal);
+    await this.parts.clock.sleep(lingerMilliseconds, this.closed.signal);
     this.socket.destroy();
   }
+
+  private setReason(reason: ConnectionEnd): void {
+    this.reason ??= reason;
+  }
+
+  private onClose(): void {
+    this.closed.abort();
+    const {reason = 'caller-reset', openCalls: calls} = this;
+    if (calls.length > 0) this.parts.onLoss({reason, calls});
+  }
 }
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -44,6 +44,7 @@
 import {
   logCallEnd,
   logCallEvent,
+  logConnectionLoss,
   logQuarantineChange,
   logRequestLimitChange,
   logShareChange,
@@ -404,6 +405,10 @@
       onTakenOver: (request, peer) =>
         log.write('callTakenOver', {request, peer}),
       onEnd: summary => this.recordCallEnd(summary),
+      onConnectionLoss: loss => {
+        this.metrics.recordConnectionLoss(loss);
+        logConnectionLoss(log, loss);
+      },
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
     });
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -9,6 +9,7 @@
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
+import type {ConnectionLoss} from './caller-connection.js';
 import type {CallSummary} from './passthrough-server.js';
 
 /** Logs one event of a call. `version` is the configuration in force. */
@@ -230,6 +231,20 @@
     });
 }
 
+/** Logs the end of a caller's connection before its calls were answered. */
+export function logConnectionLoss(
+  log: EventLog,
+  {reason, calls}: ConnectionLoss,
+): void {
+  const [first] = calls;
+  log.write('callerConnectionEnded', {
+    request: first?.requestId ?? '',
+    reason,
+    calls: calls.length,
+    progress: first?.progress ?? '',
+  });
+}
+
 /** Logs the upstreams that joined, are leaving or are gone. */
 export function logUpstreamChanges(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -13,6 +13,7 @@
   QuarantineChange,
   SilenceProbe,
 } from '@persimmonwick/coordination';
+import type {ConnectionLoss} from './caller-connection.js';
 import type {CallSummary} from './passthrough-server.js';
 
 /** Gauges that are read on each scrape. */
@@ -46,6 +47,7 @@
   readonly registry = new Registry();
   private readonly histograms = new Map<string, Histogram>();
   private readonly callCounter: Counter<'route' | 'status' | 'code'>;
+  private readonly connectionLossCounter: Counter<'reason' | 'progress'>;
   private readonly decisionCounter: Counter<'decision' | 'outcome'>;
 
   private readonly domainCallCounter: Counter<'purpose' | 'reason'>;
@@ -69,6 +71,12 @@
       labelNames: ['route', 'status', 'code'],
       registers,
     });
+    this.connectionLossCounter = new Counter({
+      name: 'persimmonwick_caller_connections_lost_total',
+      help: 'Connections of callers that ended before all calls on them were answered',
+      labelNames: ['reason', 'progress'],
+      registers,
+    });
     this.decisionCounter = new Counter({
       name: 'persimmonwick_call_decisions_total',
       help: 'Decisions about passed-through calls',
@@ -191,6 +199,11 @@
       this.recordLatency('whole', durationMilliseconds);
   }
 
+  recordConnectionLoss({reason, calls: [first]}: ConnectionLoss): void {
+    const progress = first?.progress ?? '';
+    this.connectionLossCounter.inc({reason, progress});
+  }
+
   /** Counts retries that this host has given up for others. */
   recordRetryLoan(pool: string, amount: number): void {
     this.retryLoanCounter.inc({pool}, amount);
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -25,6 +25,7 @@
 } from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
 import {CallerConnection} from './caller-connection.js';
+import type {CallProgress, ConnectionLoss} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
@@ -70,6 +71,7 @@
   /** Receives the id of each call that the host at `address` has handed over. */
   readonly onTakenOver: (requestId: string, address: string) => void;
   readonly onEnd: (summary: CallSummary) => void;
+  readonly onConnectionLoss: (loss: ConnectionLoss) => void;
   /** Receives an unexpected error, which ends only the call that met it. */
   readonly onInternalError: (requestId: string, error: unknown) => void;
 }
@@ -115,7 +117,11 @@
     this.instance.server.on('connection', (socket: Socket) => {
       this.connections.set(
         socket,
-        new CallerConnection(socket, parts.clock, () => this.isDraining),
+        new CallerConnection(socket, {
+          clock: parts.clock,
+          isDraining: () => this.isDraining,
+          onLoss: parts.onConnectionLoss,
+        }),
       );
       socket.once('close', () => {
         this.connections.delete(socket);
@@ -187,7 +193,8 @@
   }
 
   async close(): Promise<void> {
-    for (const socket of this.connections.keys()) socket.destroy();
+    for (const connection of [...this.connections.values()])
+      connection.destroy('host-closed');
     await this.instance.close();
   }
 
@@ -217,6 +224,7 @@
     const connection = this.connections.get(request.socket)!;
     const context: CallContext = {
       requestId: '',
+      progress: 'waiting',
       account: '',
       route: '',
       arrivedAt: this.parts.clock.now(),
@@ -224,7 +232,7 @@
       isGeneration: false,
     };
     try {
-      if (await connection.enter(request, response))
+      if (await connection.enter(request, response, context))
         await this.processCall(request, target, response, context);
       else this.reportDropped(request, target, context);
     } catch (error) {
@@ -253,6 +261,7 @@
     context: CallContext,
   ): Promise<void> {
     const {wireFormat, host} = this.parts;
+    context.progress = 'receiving';
     const disconnected = new AbortController();
     this.activeCalls.add(disconnected);
     response.once('close', () => {
@@ -293,6 +302,7 @@
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
     context.forwardedAt = this.parts.clock.now();
+    context.progress = 'forwarded';
     const upstreamResponse = await host.forward(
       {...call.value, isHandedOver},
       routing.value,
@@ -325,7 +335,7 @@
     this.parts.onInternalError(context.requestId, error);
     if (!response.headersSent)
       return this.sendFailure(response, request, internalFailure, context);
-    response.destroy();
+    this.breakOff(response);
     this.reportEnd(context, response.statusCode, internalFailure);
   }
 
@@ -378,6 +388,7 @@
     disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
+    context.progress = 'responding';
     if (this.shouldEndConnection(response))
       response.setHeader('Connection', 'close');
     for (const [name, value] of upstreamResponse.headers)
@@ -394,7 +405,7 @@
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
       // A truncated response must not look complete to the caller.
-      response.destroy();
+      this.breakOff(response);
       this.reportEnd(
         context,
         statusOfBrokenResponse(disconnected, upstreamResponse.status),
@@ -448,6 +459,12 @@
     response.end(text);
   }
 
+  private breakOff(response: ServerResponse): void {
+    const connection = this.connections.get(response.req.socket);
+    connection?.destroy(this.hasGivenUp ? 'host-closed' : 'broken-response');
+    response.destroy();
+  }
+
   /** A call that was read behind this one is answered as well. */
   private shouldEndConnection(response: ServerResponse): boolean {
     return this.isDraining && !this.hasFurtherCall(response);
@@ -492,6 +509,7 @@
 /** What is known of a call so far. */
 interface CallContext {
   requestId: string;
+  progress: CallProgress;
   account: string;
   route: string;
   /** Clock time in milliseconds. */
--- a/packages/daemon/test/passthrough/unexpected-errors.test.ts
+++ b/packages/daemon/test/passthrough/unexpected-errors.test.ts
@@ -29,6 +29,7 @@
     isPeer: () => false,
     onTakenOver: () => undefined,
     onEnd: () => undefined,
+    onConnectionLoss: () => undefined,
     onInternalError: (requestId, error) =>
       errors.push(`${requestId}: ${String(error)}`),
   });
