--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -10,6 +10,7 @@
 import type {Socket} from 'node:net';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
+import {CallerProbe} from './caller-probe.js';
 
 /** Time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
@@ -20,10 +21,68 @@
  */
 const lastRequestMilliseconds = 500;
 
+/**
+ * Time after which bytes sent to a caller that has closed its connection have been
+ * answered with a reset.
+ */
+const resetMilliseconds = 100;
+
+/** Why a connection ends. */
+export type ConnectionEnd =
+  /** The caller closed the connection. */
+  | 'caller-closed'
+  /** The caller or the network reset the connection. */
+  | 'caller-reset'
+  /** The caller left the connection idle, or did not read a response. */
+  | 'idle-timeout'
+  /** The caller sent bytes that are no request. */
+  | 'malformed'
+  /** A response was broken off, which must not look complete. */
+  | 'broken-response'
+  /** A response announced the end of the connection. */
+  | 'last-response'
+  /** The host has stopped. */
+  | 'host-closed';
+
+/** How far a call has come. */
+export type CallProgress =
+  /** Behind an earlier call on its connection. */
+  | 'waiting'
+  /** Its body is being received. */
+  | 'receiving'
+  /** It was sent to no upstream, or has failed at one and is sent again. */
+  | 'queued'
+  /** An upstream may have received it. */
+  | 'sent'
+  | 'responding';
+
+/** A call that was read, and whose response has not ended. */
+export interface OpenCall {
+  /** Empty until the call is handled. */
+  readonly requestId: string;
+  readonly progress: CallProgress;
+  /** False if an upstream that has received the call is left to complete it. */
+  readonly isCancelable: boolean;
+  readonly response: ServerResponse;
+}
+
+/** The end of a connection before all calls on it were answered. */
+export interface ConnectionLoss {
+  readonly reason: ConnectionEnd;
+  /** The calls that were read and not answered, in the order of arrival. */
+  readonly calls: readonly OpenCall[];
+}
+
+export interface CallerConnectionParts {
+  readonly clock: Clock;
+  /** Whether no request may follow one whose response ends now. */
+  readonly isDraining: () => boolean;
+  readonly onLoss: (loss: ConnectionLoss) => void;
+}
+
 export class CallerConnection {
   private readonly closed = new AbortController();
-  /** Calls that were read, without those whose responses have ended. */
-  private openCalls = 0;
+  private readonly openCalls: OpenCall[] = [];
   /** Resolves once the response to the last call that was read has ended. */
   private lastResponse: Promise<void> = Promise.resolve();
   private lastRequest: IncomingMessage | undefined;
@@ -31,45 +90,50 @@
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
   private isEnding = false;
+  private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
   private pendingEnd = new AbortController();
+  /** Defined once the caller has ended its direction of the connection. */
+  private probe: CallerProbe | undefined;
 
   constructor(
     private readonly socket: Socket,
-    private readonly clock: Clock,
-    /** Whether no request may follow one whose response ends now. */
-    private readonly isDraining: () => boolean,
+    private readonly parts: CallerConnectionParts,
   ) {
-    socket.once('close', () => this.closed.abort());
+    socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.once('end', () => void this.onHalfClose());
+    socket.once('close', () => this.onClose());
     // Node calls this after a response that announced the end of the connection.
-    socket.destroySoon = () => this.end();
+    socket.destroySoon = () => this.end('last-response');
+  }
+
+  private get isHalfClosed(): boolean {
+    return this.probe !== undefined;
   }
 
   /** Whether a call that was read waits for the response before it. */
   private get hasFurtherCall(): boolean {
-    return this.openCalls > 1;
+    return this.openCalls.length > 1;
   }
 
   /**
    * Waits until the responses to earlier calls have ended. Resolves with whether the
    * connection can still carry a response.
    */
-  async enter(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<boolean> {
+  async enter(request: IncomingMessage, call: OpenCall): Promise<boolean> {
     this.pendingEnd.abort();
-    this.openCalls += 1;
+    const isBehind = this.openCalls.push(call) > 1;
     this.lastRequest = request;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
-      response.once('close', () => {
-        this.onResponseEnd();
+      call.response.once('close', () => {
+        this.onResponseEnd(call);
         resolve();
       });
     });
     await untilAborted(previous, this.closed.signal);
+    if (isBehind) await this.untilReading();
     return !this.isEnding && !this.socket.destroyed;
   }
 
@@ -84,13 +148,25 @@
     this.socket.pause();
   }
 
+  /** Announces the end if no call may follow the one that `response` answers. */
+  announceEndIfDue(response: ServerResponse): void {
+    if (this.parts.isDraining() || this.isHalfClosed)
+      this.announceEnd(response);
+  }
+
   /** Ends the connection unless a request is being read or answered. */
   endIfIdle(): void {
     const {bytesRead} = this.socket;
-    if (this.openCalls > 0 || bytesRead > this.bytesReadAtEnd) return;
-    if (this.clock.now() - this.endedAt > lingerMilliseconds)
-      this.socket.destroy();
-    else this.end();
+    if (this.openCalls.length > 0 || bytesRead > this.bytesReadAtEnd) return;
+    if (this.parts.clock.now() - this.endedAt > lingerMilliseconds)
+      this.destroy('host-closed');
+    else this.end('host-closed');
+  }
+
+  /** Closes the connection at once; `reason` holds unless there is an earlier one. */
+  destroy(reason: ConnectionEnd): void {
+    this.setReason(reason);
+    this.socket.destroy();
   }
 
   /**
@@ -108,34 +184,37 @@
     if (this.errorResponse === undefined) return;
     // The malformed bytes are a part of it, and it gets no other response.
     const isIncomplete = this.lastRequest?.complete === false;
-    if (this.openCalls > (isIncomplete ? 1 : 0)) return;
+    if (this.openCalls.length > (isIncomplete ? 1 : 0)) return;
     this.socket.write(this.errorResponse);
-    this.end();
+    this.end('malformed');
   }
 
-  private onResponseEnd(): void {
-    this.openCalls -= 1;
+  private onResponseEnd(call: OpenCall): void {
+    if (this.socket.destroyed) return;
+    this.openCalls.splice(this.openCalls.indexOf(call), 1);
     this.bytesReadAtEnd = this.socket.bytesRead;
-    this.endedAt = this.clock.now();
+    this.endedAt = this.parts.clock.now();
     this.endIfMalformed();
-    if (this.openCalls === 0 && this.isDraining() && !this.isEnding)
+    const isIdle = this.openCalls.length === 0;
+    if (isIdle && this.parts.isDraining() && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
-    await this.clock.sleep(lastRequestMilliseconds, signal);
-    if (!signal.aborted) this.end();
+    await this.parts.clock.sleep(lastRequestMilliseconds, signal);
+    if (!signal.aborted) this.end('host-closed');
   }
 
   /**
    * Ends the connection behind the bytes written so far. Reads no further request:
    * its caller learns from the unread bytes that it can't have run.
    */
-  private end(): void {
+  private end(reason: ConnectionEnd): void {
     if (this.isEnding) return;
     this.isEnding = true;
+    this.setReason(reason);
     const {socket, lastRequest} = this;
     const stopReading = () => socket.pause();
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
@@ -145,7 +224,51 @@
   }
 
   private async destroyAfterLinger(): Promise<void> {
-    await this.clock.sleep(lingerMilliseconds, this.closed.signal);
+    await this.parts.clock.sleep(lingerMilliseconds, this.closed.signal);
     this.socket.destroy();
   }
+
+  /**
+   * Waits until the caller would have reset the connection if it had not read the
+   * response before.
+   */
+  private async untilReading(): Promise<void> {
+    const {probe, closed} = this;
+    if (probe === undefined || this.isEnding) return;
+    await this.parts.clock.sleep(resetMilliseconds, closed.signal);
+    if (!closed.signal.aborted)
+      await untilAborted(probe.isConnected(), closed.signal);
+  }
+
+  /**
+   * A caller that has ended its direction may still read. The calls of one that has
+   * closed the connection are cancelled once it is found out.
+   */
+  private async onHalfClose(): Promise<void> {
+    const {socket, closed} = this;
+    const probe = new CallerProbe(socket);
+    this.probe = probe;
+    // Connections between hosts are closed in both directions at once.
+    if (!socket.allowHalfOpen) return;
+    for (;;) {
+      await this.parts.clock.sleep(resetMilliseconds, closed.signal);
+      const [call] = this.openCalls;
+      if (call === undefined || closed.signal.aborted || this.isEnding) return;
+      void probe.isConnected();
+      if (call.isCancelable || call.progress !== 'sent')
+        if (!probe.send(call.response)) return this.destroy('caller-closed');
+    }
+  }
+
+  private setReason(reason: ConnectionEnd): void {
+    this.reason ??= reason;
+  }
+
+  private onClose(): void {
+    this.closed.abort();
+    const {openCalls: calls} = this;
+    const byCaller = this.isHalfClosed ? 'caller-closed' : 'caller-reset';
+    const {reason = byCaller} = this;
+    if (calls.length > 0) this.parts.onLoss({reason, calls});
+  }
 }
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -44,6 +44,7 @@
 import {
   logCallEnd,
   logCallEvent,
+  logConnectionLoss,
   logQuarantineChange,
   logRequestLimitChange,
   logShareChange,
@@ -318,6 +319,8 @@
     );
     const observer: CallObserver = (requestId, event) => {
       this.metrics.recordEvent(event);
+      if (event.kind === 'stage-done' || event.kind === 'handed-over')
+        this.server.recordAttemptEnd(requestId);
       const version = String(this.platform.versionInForce ?? '');
       logCallEvent(log, requestId, event, version);
     };
@@ -326,6 +329,7 @@
       upstreams: this.upstreams,
       routes: () => this.platform.routes,
       observer,
+      onSend: requestId => this.server.recordSend(requestId),
     });
     const transport = new HttpPassthroughTransport(
       this.connections,
@@ -406,6 +410,10 @@
       onTakenOver: (request, peer) =>
         log.write('callTakenOver', {request, peer}),
       onEnd: summary => this.recordCallEnd(summary),
+      onConnectionLoss: loss => {
+        this.metrics.recordConnectionLoss(loss);
+        logConnectionLoss(log, loss);
+      },
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
     });
