Answer callers of the general product that end their direction

Callers of the completions and service routes that ended their direction of the connection after the request, and went on to read, got no answer: 6 of 6 in half-closed.test.js before (service call, completion and stream, with the end at once and 20 ms after the request), while the upstream had their calls.

Cause: the same as in the passthrough server. Node's HTTP server takes the end of one direction for the end of the connection.

Change: the server allows half-closed connections. While calls of such a caller are open, a probe finds out every 100 ms whether the caller has closed the connection, as CallerConnection does; CallerProbe moves to connections/ for this.

After: 33 of 33 tests passed in half-closed, caller-disconnect, bad-input and draining: calls of callers that are gone are cancelled as before.

--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -17,6 +17,7 @@
 import {CompletionsController} from './completions.controller.js';
 import {FailureFilter, frameworkFailure} from './failure-filter.js';
 import {sendFailure} from './failure-reply.js';
+import {serveHalfClosedCallers} from './half-closed-callers.js';
 import {ServicesController} from './services.controller.js';
 
 const keepAliveTimeoutMilliseconds = 72_000;
@@ -42,6 +43,7 @@
   application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
   addCallHooks(fastify, parts);
+  serveHalfClosedCallers(fastify.server, parts.clock);
   fastify.server.on('checkExpectation', (_request, reply) =>
     parts.observer.refused(rejectExpectation(reply)),
   );
--- a/packages/daemon/src/passthrough/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -7,6 +7,9 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** Time in which the bytes of a probe are answered with a reset. */
+export const resetMilliseconds = 100;
+
 export class CallerProbe {
   private readonly probed = new WeakSet<ServerResponse>();
   private bytesWritten: number;
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -10,7 +10,7 @@
 import type {Socket} from 'node:net';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
-import {CallerProbe} from './caller-probe.js';
+import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 
 /** Time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
@@ -21,12 +21,6 @@
  */
 const lastRequestMilliseconds = 500;
 
-/**
- * Time after which bytes sent to a caller that has closed its connection have been
- * answered with a reset.
- */
-const resetMilliseconds = 100;
-
 /** Why a connection ends. */
 export type ConnectionEnd =
   /** The caller closed the connection. */
