Sleep without an end until the abort, not for a millisecond

A search for another engine whose call has no deadline was given up after a millisecond: Node's timers fire at once if they are set to more than 31 bits hold, which Infinity is. The warnings of this (TimeoutOverflowWarning) came from StallMonitor in the tests of bad-input and caller-disconnect.

--- a/packages/coordination/src/clock.ts
+++ b/packages/coordination/src/clock.ts
@@ -16,6 +16,9 @@
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void>;
 }
 
+/** Timers fire at once if they are set to more. */
+const maximumTimerMilliseconds = 2 ** 31 - 1;
+
 /** The clock of the process, based on `performance.now` and timers. */
 export const systemClock: Clock = {
   now: () => performance.now(),
@@ -28,7 +31,10 @@
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, milliseconds);
+      const timer = setTimeout(
+        finish,
+        Math.min(milliseconds, maximumTimerMilliseconds),
+      );
       signal?.addEventListener('abort', finish);
     });
   },
