Survive a full disk, a reset collector and a closed pipe at the output

What callers saw: a host whose standard output is a file on a full disk ended by itself at the next log line, with all calls under way; so did one whose output is a socket that the collector resets, and one that Node warns of something while standard error is a closed pipe.

Cause: Node's stream for a file throws ENOSPC from `write`, and never writes again afterwards. Roarr listens for errors of standard output and throws each but EPIPE. Nothing listened for errors of standard error.

A line that can't be written is dropped and counted, and the count is reported once lines can be written again. Roarr's listener is removed, and errors of standard error are ignored.

--- a/packages/daemon/src/log/bounded-output.ts
+++ b/packages/daemon/src/log/bounded-output.ts
@@ -4,7 +4,14 @@
  * a higher limit than ordinary lines.
  */
 
-import type {Writable} from 'node:stream';
+/** Where lines go, such as a stream. */
+export interface LineSink {
+  /** Bytes that wait for a slow reader. */
+  readonly writableLength: number;
+  /** May throw, for example because a disk is full. */
+  write(text: string): unknown;
+  on(event: 'error', listener: () => void): unknown;
+}
 
 /** Buffered bytes above which ordinary lines are dropped. */
 const maximumBufferedBytes = 256 * 1024;
@@ -16,9 +23,9 @@
   private dropped = 0;
   private isClosed = false;
 
-  constructor(private readonly stream: Writable) {
+  constructor(private readonly sink: LineSink) {
     // Without a listener, a closed pipe would terminate the process.
-    stream.on('error', () => (this.isClosed = true));
+    sink.on('error', () => (this.isClosed = true));
   }
 
   /** Number of lines dropped since the last notice about dropped lines. */
@@ -27,23 +34,37 @@
   }
 
   /**
-   * Writes `line`, or drops it if the buffer exceeds its limit. Discards all
-   * lines, uncounted, once the stream has failed.
+   * Writes `line`, or drops it if the buffer exceeds its limit or the line can't be
+   * written now. Discards all lines, uncounted, once the sink has failed.
    */
   write(line: string, isImportant: boolean): void {
     if (this.isClosed) return;
     const limitBytes = isImportant
       ? maximumBufferedBytesForImportantLines
       : maximumBufferedBytes;
-    if (this.stream.writableLength > limitBytes) {
+    const isFull = this.sink.writableLength > limitBytes;
+    if (isFull || !this.reportDropped() || !this.tryWrite(line))
       this.dropped += 1;
-      return;
-    }
-    if (this.dropped > 0) {
-      const notice = {message: 'log lines were dropped', dropped: this.dropped};
-      this.dropped = 0;
-      this.stream.write(`${JSON.stringify(notice)}\n`);
+  }
+
+  /** Writes how many lines were dropped; returns whether it could. */
+  private reportDropped(): boolean {
+    if (this.dropped === 0) return true;
+    const notice = {
+      message: 'log lines were dropped',
+      dropped: this.dropped,
+    };
+    if (!this.tryWrite(JSON.stringify(notice))) return false;
+    this.dropped = 0;
+    return true;
+  }
+
+  private tryWrite(line: string): boolean {
+    try {
+      this.sink.write(`${line}\n`);
+      return true;
+    } catch {
+      return false;
     }
-    this.stream.write(`${line}\n`);
   }
 }
--- a/packages/daemon/src/log/logger.ts
+++ b/packages/daemon/src/log/logger.ts
@@ -5,6 +5,7 @@
 import {ROARR, Roarr} from 'roarr';
 import {BoundedOutput} from './bounded-output.js';
 import {logEvents} from './catalogue.js';
+import {openStandardOutput} from './standard-output.js';
 import type {LogEventName, LogFields} from './catalogue.js';
 
 /** Writes numbered events. */
@@ -24,7 +25,11 @@
 /** Writes events as JSON lines to standard output without blocking. */
 export function createEventLog(host: string): EventLog {
   const logger = Roarr.child({application: 'persimmonwickd', host});
-  const output = new BoundedOutput(process.stdout);
+  // It would end the process after any error of the output but a closed pipe.
+  ROARR.teardown?.();
+  // Without a listener, Node's warnings to a closed pipe would end the process.
+  process.stderr.on('error', () => undefined);
+  const output = new BoundedOutput(openStandardOutput());
   return {
     write(name, fields) {
       const {number, level, text} = logEvents[name];
--- a/packages/daemon/test/log/bounded-output.test.ts
+++ b/packages/daemon/test/log/bounded-output.test.ts
@@ -66,3 +66,24 @@
   for (let count = 0; count < 1000; count += 1) output.write(line, true);
   t.is(output.droppedLines, 0);
 });
+
+// Against: a full disk ends the process.
+test('lines that can not be written are dropped, and reported once they can', t => {
+  const lines: string[] = [];
+  let isFull = true;
+  const output = new BoundedOutput({
+    writableLength: 0,
+    write: text => {
+      if (isFull) throw new RangeError('no space left');
+      lines.push(text);
+    },
+    on: () => undefined,
+  });
+  for (let count = 0; count < 10; count += 1) output.write(line, true);
+  t.is(output.droppedLines, 10);
+  isFull = false;
+  output.write(line, true);
+  t.is(JSON.parse(lines[0]!).dropped, 10);
+  t.is(lines[1], `${line}\n`);
+  t.is(output.droppedLines, 0);
+});
