Answer calls that are handed over to a host that still starts

Callers saw: a host ended right after its start, with all calls that waited for it, when another host handed a call to it before its first configuration was read.

Cause: the port for calls of other hosts opens, and heartbeats name it, up to 400 ms before Fastify is ready. A request on it ran through a route whose hooks were not set yet; the TypeError reached no handler and ended the process. Class: a port is open before what serves it is complete.

Change: PassthroughServer.prepare() resolves before the port opens. The port for callers was right already: it is handed to the server once that is ready. Heartbeats pass no Fastify; the readiness and metrics ports open after it.

--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -412,6 +412,8 @@
   async start(): Promise<void> {
     const {listen, readinessPath, metricsPath, host} = this.adapter.settings;
     this.adapter.feed.start(this.platform);
+    // The other hosts hand calls over while the first configuration is awaited.
+    await this.server.prepare();
     await this.handoverListener.listen(listen.handover);
     await this.heartbeatSocket.listen(listen.beats);
     this.fleet.start();
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -131,9 +131,14 @@
     this.applyLimits();
   }
 
+  /** Has to resolve before `servePeer` is called. */
+  async prepare(): Promise<void> {
+    await this.instance.ready();
+  }
+
   /** Takes over the port of `listener`; resolves with the bound address. */
   async serve(listener: EarlyListener): Promise<string> {
-    await this.instance.ready();
+    await this.prepare();
     return listener.handOver(this.instance.server as Server);
   }
 
