--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -40,6 +40,8 @@
   /** The configuration in force. */
   readonly routes: () => RouteTable | undefined;
   readonly observer: CallObserver;
+  /** Receives the id of each call that is about to be sent. */
+  readonly onSend: (requestId: string) => void;
 }
 
 /** What a configuration withdrew from a call. */
@@ -54,6 +56,11 @@
 
   constructor(private readonly parts: SendGateParts) {}
 
+  /** Records that `call` begins, which ends when `ended` is aborted. */
+  recordStart({route}: RoutedCall, ended: AbortSignal): void {
+    this.parts.shutdown.recordStart(route.name, ended);
+  }
+
   /**
    * Returns why `call` may not be sent to the process that `upstream` names, and
    * reports it.
@@ -115,8 +122,8 @@
     upstream: string,
     reason: SendRefusal | undefined,
   ): SendRefusal | undefined {
-    if (reason !== undefined)
-      this.parts.observer(id, {kind: 'send-withheld', upstream, reason});
+    if (reason === undefined) this.parts.onSend(id);
+    else this.parts.observer(id, {kind: 'send-withheld', upstream, reason});
     return reason;
   }
 }
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -44,6 +44,7 @@
 import {
   logCallEnd,
   logCallEvent,
+  logConnectionLoss,
   logQuarantineChange,
   logRequestLimitChange,
   logShareChange,
@@ -105,7 +106,9 @@
   private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
-  private readonly shutdown = new ShutdownSchedule(systemClock);
+  private readonly shutdown = new ShutdownSchedule(systemClock, route =>
+    this.platform.routes?.expectationOf(route),
+  );
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
   private readonly domains: DomainRouter | undefined;
@@ -316,6 +319,8 @@
     );
     const observer: CallObserver = (requestId, event) => {
       this.metrics.recordEvent(event);
+      if (event.kind === 'stage-done' || event.kind === 'handed-over')
+        this.server.recordAttemptEnd(requestId);
       const version = String(this.platform.versionInForce ?? '');
       logCallEvent(log, requestId, event, version);
     };
@@ -324,6 +329,7 @@
       upstreams: this.upstreams,
       routes: () => this.platform.routes,
       observer,
+      onSend: requestId => this.server.recordSend(requestId),
     });
     const transport = new HttpPassthroughTransport(
       this.connections,
@@ -404,6 +410,10 @@
       onTakenOver: (request, peer) =>
         log.write('callTakenOver', {request, peer}),
       onEnd: summary => this.recordCallEnd(summary),
+      onConnectionLoss: loss => {
+        this.metrics.recordConnectionLoss(loss);
+        logConnectionLoss(log, loss);
+      },
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
     });
@@ -459,8 +469,8 @@
     });
   }
 
-  close(): Promise<void> {
-    this.closing ??= this.stop();
+  close(signalledAt = systemClock.now()): Promise<void> {
+    this.closing ??= this.stop(signalledAt);
     return this.closing;
   }
 
@@ -541,10 +551,10 @@
     };
   }
 
-  private async stop(): Promise<void> {
+  private async stop(signalledAt: number): Promise<void> {
     const {graceMilliseconds} = this.settings;
     const deadline =
-      systemClock.now() +
+      signalledAt +
       graceMilliseconds -
       exitReserveMilliseconds -
       giveUpMilliseconds;
@@ -555,9 +565,10 @@
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
     this.server.startDraining();
     // Load balancers open new connections until their next readiness check.
-    await systemClock.sleep(
-      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2),
-    );
+    const stopsListeningAt =
+      signalledAt +
+      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
+    await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
     this.server.stopListening();
     this.handoverListener.close();
     const cutRequests = await this.server.waitUntilIdle(
