Read the rest of an upload whose call was refused

What callers saw: a caller that sends a body above the limit and reads only after it got a reset connection in place of its 413, and of the response to the call before, which an upstream had run. A caller that declares such a body and waits for more than 2.5 s with the rest of it saw no status at all.

Cause: leaving `for await` destroys the request. A destroyed request takes no more bytes, so the end of the connection could not discard the rest of the body, the close 0.5 s later met unread bytes, and the reset overtook the responses. Class: a close with unread bytes. Besides, a declared length was not looked at before so many bytes had come.

Change: the request is not destroyed, and the rest is discarded. A length above the limit is refused at once. A connection that ends stays open as long as the upload goes on, at most 10 s.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -15,6 +15,9 @@
 /** Time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
 
+/** Time for the rest of an upload that was refused. */
+const uploadMilliseconds = 10_000;
+
 /**
  * Time for one more request of a caller that was not told that its connection ends,
  * because the head of its response was sent before.
@@ -207,9 +210,17 @@
     socket.end(() => void this.destroyAfterLinger());
   }
 
+  /** Waits for an upload that goes on: it may have to end before its caller reads. */
   private async destroyAfterLinger(): Promise<void> {
-    await this.parts.clock.sleep(lingerMilliseconds, this.closed.signal);
-    this.socket.destroy();
+    const {socket, closed} = this;
+    const {clock} = this.parts;
+    const end = clock.now() + uploadMilliseconds;
+    let bytesRead: number;
+    do {
+      ({bytesRead} = socket);
+      await clock.sleep(lingerMilliseconds, closed.signal);
+    } while (socket.bytesRead > bytesRead && clock.now() < end);
+    socket.destroy();
   }
 
   /**
--- a/packages/daemon/src/passthrough/request-body.ts
+++ b/packages/daemon/src/passthrough/request-body.ts
@@ -4,23 +4,34 @@
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {Result} from 'true-myth';
 
-/** Reads a body of at most `maximumBytes`. Never rejects. */
+/**
+ * Reads a body of at most `maximumBytes`. Discards the rest of a larger one, so that
+ * its caller can read the response behind its upload. Never rejects.
+ */
 export async function readRequestBody(
   request: IncomingMessage,
   maximumBytes: number,
 ): Promise<Result<Uint8Array, RequestFailure>> {
   const chunks: Buffer[] = [];
-  let size = 0;
+  let size = Number(request.headers['content-length'] ?? 0);
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > maximumBytes)
-        return Result.err({
-          code: 'body-too-large',
-          message: `the body exceeds ${maximumBytes} bytes`,
-          ran: 'not-run',
-        });
-      chunks.push(chunk);
+    if (size <= maximumBytes) {
+      size = 0;
+      // A destroyed request would take no more bytes from its connection.
+      const parts = request.iterator({destroyOnReturn: false});
+      for await (const part of parts as AsyncIterable<Buffer>) {
+        size += part.length;
+        if (size > maximumBytes) break;
+        chunks.push(part);
+      }
+    }
+    if (size > maximumBytes) {
+      request.resume();
+      return Result.err({
+        code: 'body-too-large',
+        message: `the body exceeds ${maximumBytes} bytes`,
+        ran: 'not-run',
+      });
     }
   } catch {
     return Result.err({
