Planned work on hosts as real processes, judged from outside

Callers saw requests that had reached a server end without an answer around planned stops. Tests with hosts in the process of the test show single cases of it; this runs hosts as processes, stops them, changes their settings and publishes configurations while callers use kept connections in eight ways, and compares what callers saw with what servers received. No log of a host is read.

node bench/planned-work.mjs seed=N seconds=25 callers=60 hosts=3 \ without=half-close work=stops program=BUNDLE

Callers that end their direction of a connection are a habit of their own (`half-close`), which the test leaves out.

--- /dev/null
+++ b/bench/planned-work.mjs
@@ -0,0 +1,75 @@
+/**
+ * Stops, reconfigures and restarts hosts that are real processes while callers use
+ * kept connections, and compares what callers saw with what servers received. Exits
+ * with 1 if a request was lost, ran twice or ran although it was refused.
+ *
+ *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
+ *
+ * `work` is a list of stops, pairs, early-stops, repeated-stops, freezes, settings,
+ * configurations, or `all`, which leaves out the freezes. Other arguments: `habits` (a list of the habits of
+ * callers) or `without` (such a list to leave out), `program` (path of the bundle),
+ * `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
+ * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
+ * (seconds) and `stranded` (number of hosts that reach no server).
+ */
+
+import {fileURLToPath} from 'node:url';
+import {
+  PlannedWorkRun,
+  callerHabits,
+  describeFinding,
+  plannedKinds,
+  workKinds,
+} from '../platform/dist/src/standins/planned-work/index.js';
+
+const values = Object.fromEntries(
+  process.argv.slice(2).map(argument => argument.split('=')),
+);
+const listOf = (value, all) => {
+  if (value === undefined) return [...all];
+  const list = value.split(',');
+  const unknown = list.filter(each => !all.includes(each));
+  if (unknown.length > 0) throw new RangeError(`unknown: ${unknown}`);
+  return list;
+};
+const number = (name, fallback) => Number(values[name] ?? fallback);
+const left = listOf(values.without ?? '', ['', ...callerHabits]);
+
+const run = new PlannedWorkRun({
+  seed: number('seed', 1),
+  seconds: number('seconds', 25),
+  callers: number('callers', 60),
+  hosts: number('hosts', 3),
+  work:
+    values.work === 'all'
+      ? plannedKinds
+      : listOf(values.work ?? 'stops', workKinds),
+  habits: listOf(values.habits, callerHabits).filter(
+    habit => !left.includes(habit),
+  ),
+  program:
+    values.program ??
+    fileURLToPath(new URL('../target/persimmonwick.mjs', import.meta.url)),
+  output: values.output ?? (values.folder === undefined ? 'discarded' : 'file'),
+  folder: values.folder,
+  workMilliseconds: number('server-work', 60),
+  idleTimeoutMilliseconds: number('idle-timeout', 15_000),
+  pauseMilliseconds: number('pause', 300),
+  graceSeconds: number('grace', 8),
+  serverIdleMilliseconds:
+    values['server-idle'] === undefined ? undefined : number('server-idle'),
+  strandedHosts: number('stranded', 0),
+});
+const {requests, outcomes, findings, work, unplannedEnds} = await run.run();
+for (const finding of findings) console.log(describeFinding(finding));
+const counts = {};
+for (const {breach, exchange} of findings) {
+  const name = `${breach}, ${exchange.kind}`;
+  counts[name] = (counts[name] ?? 0) + 1;
+}
+console.log(JSON.stringify({work, outcomes, unplannedEnds, counts}));
+const lost = findings.filter(({breach}) => breach === 'lost').length;
+console.log(
+  `${findings.length} findings, ${lost} lost, ${requests} requests, seed ${values.seed ?? 1}`,
+);
+process.exitCode = findings.length > 0 ? 1 : 0;
