--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -10,7 +10,8 @@
  * callers) or `without` (such a list to leave out), `program` (path of the bundle),
  * `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
  * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
- * (seconds) and `stranded` (number of hosts that reach no server).
+ * (seconds), `server-requests` (requests after which servers close a connection at its
+ * next use) and `stranded` (number of hosts that reach no server).
  */
 
 import {fileURLToPath} from 'node:url';
@@ -56,8 +57,14 @@
   idleTimeoutMilliseconds: number('idle-timeout', 15_000),
   pauseMilliseconds: number('pause', 300),
   graceSeconds: number('grace', 8),
-  serverIdleMilliseconds:
-    values['server-idle'] === undefined ? undefined : number('server-idle'),
+  connectionEnds: {
+    ...(values['server-idle'] !== undefined && {
+      keepAliveMilliseconds: number('server-idle'),
+    }),
+    ...(values['server-requests'] !== undefined && {
+      requestsPerConnection: number('server-requests'),
+    }),
+  },
   strandedHosts: number('stranded', 0),
 });
 const {requests, outcomes, findings, work, unplannedEnds} = await run.run();
