Planned work: signal hosts that are starting to read their settings again

`early-settings` sends SIGHUP to a host 0 to 400 ms after its start. A host that ends without being stopped is counted, started again, and fails the run.

Without handlers, Node's default action ends the process.

--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -1,17 +1,19 @@
 /**
  * Stops, reconfigures and restarts hosts that are real processes while callers use
  * kept connections, and compares what callers saw with what servers received. Exits
- * with 1 if a request was lost, ran twice or ran although it was refused.
+ * with 1 if a request was lost, ran twice or ran although it was refused, or if a host
+ * ended that was not stopped.
  *
  *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
  *
- * `work` is a list of stops, pairs, early-stops, repeated-stops, freezes, settings,
- * configurations, or `all`, which leaves out the freezes. Other arguments: `habits` (a list of the habits of
- * callers) or `without` (such a list to leave out), `program` (path of the bundle),
- * `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
- * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
- * (seconds), `server-requests` (requests after which servers close a connection at its
- * next use) and `stranded` (number of hosts that reach no server).
+ * `work` is a list of stops, pairs, early-stops, repeated-stops, early-settings,
+ * settings, configurations and freezes, or `all`, which leaves out the freezes. Other
+ * arguments: `habits` (a list of the habits of callers) or `without` (such a list to
+ * leave out), `program` (path of the bundle), `output` (`discarded`, `unread` or `file`)
+ * and `folder` (for the files), `server-work`, `idle-timeout`, `pause` and `server-idle`
+ * (milliseconds), `grace` (seconds), `server-requests` (requests after which servers
+ * close a connection at its next use) and `stranded` (number of hosts that reach no
+ * server).
  */
 
 import {fileURLToPath} from 'node:url';
@@ -79,4 +81,4 @@
 console.log(
   `${findings.length} findings, ${lost} lost, ${requests} requests, seed ${values.seed ?? 1}`,
 );
-process.exitCode = findings.length > 0 ? 1 : 0;
+process.exitCode = findings.length + unplannedEnds.length > 0 ? 1 : 0;
