--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -25,6 +25,11 @@
 } from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
 import {CallerConnection} from './caller-connection.js';
+import type {
+  CallProgress,
+  ConnectionLoss,
+  OpenCall,
+} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
@@ -70,6 +75,7 @@
   /** Receives the id of each call that the host at `address` has handed over. */
   readonly onTakenOver: (requestId: string, address: string) => void;
   readonly onEnd: (summary: CallSummary) => void;
+  readonly onConnectionLoss: (loss: ConnectionLoss) => void;
   /** Receives an unexpected error, which ends only the call that met it. */
   readonly onInternalError: (requestId: string, error: unknown) => void;
 }
@@ -88,6 +94,7 @@
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Aborted when their callers disconnect or the host gives them up. */
   private readonly activeCalls = new Set<AbortController>();
+  private readonly forwardedCalls = new Map<string, CallContext>();
   /** Connections of other hosts that hand calls over. */
   private readonly peerSockets = new WeakSet<Socket>();
   private readonly idleController = new AbortController();
@@ -115,7 +122,11 @@
     this.instance.server.on('connection', (socket: Socket) => {
       this.connections.set(
         socket,
-        new CallerConnection(socket, parts.clock, () => this.isDraining),
+        new CallerConnection(socket, {
+          clock: parts.clock,
+          isDraining: () => this.isDraining,
+          onLoss: parts.onConnectionLoss,
+        }),
       );
       socket.once('close', () => {
         this.connections.delete(socket);
@@ -128,6 +139,9 @@
       for (const connection of [...this.connections.values()])
         connection.endIfIdle();
     };
+    // The end of a caller's direction alone does not end the connection. Node's
+    // types lack the property.
+    Object.assign(this.instance.server, {httpAllowHalfOpen: true});
     this.applyLimits();
   }
 
@@ -159,6 +173,16 @@
     server.keepAliveTimeout = keepAliveTimeoutMilliseconds;
   }
 
+  /** Records that an upstream or another host may have received a call. */
+  recordSend(requestId: string): void {
+    this.recordProgress(requestId, 'sent');
+  }
+
+  /** Records that the upstream that had received a call has answered or failed. */
+  recordAttemptEnd(requestId: string): void {
+    this.recordProgress(requestId, 'queued');
+  }
+
   /** Makes every response from now on close its connection. */
   startDraining(): void {
     this.isDraining = true;
@@ -192,10 +216,16 @@
   }
 
   async close(): Promise<void> {
-    for (const socket of this.connections.keys()) socket.destroy();
+    for (const connection of [...this.connections.values()])
+      connection.destroy('host-closed');
     await this.instance.close();
   }
 
+  private recordProgress(requestId: string, progress: CallProgress): void {
+    const call = this.forwardedCalls.get(requestId);
+    if (call !== undefined) call.progress = progress;
+  }
+
   private handleClientError(
     {code}: NodeJS.ErrnoException,
     socket: Socket,
@@ -222,6 +252,9 @@
     const connection = this.connections.get(request.socket)!;
     const context: CallContext = {
       requestId: '',
+      progress: 'waiting',
+      isCancelable: true,
+      response,
       account: '',
       route: '',
       arrivedAt: this.parts.clock.now(),
@@ -229,12 +262,13 @@
       isGeneration: false,
     };
     try {
-      if (await connection.enter(request, response))
+      if (await connection.enter(request, context))
         await this.processCall(request, target, response, context);
       else this.reportDropped(request, target, context);
     } catch (error) {
       this.endAfterInternalError(request, response, context, error);
     } finally {
+      this.forwardedCalls.delete(context.requestId);
       this.inFlight -= 1;
     }
   }
@@ -258,6 +292,7 @@
     context: CallContext,
   ): Promise<void> {
     const {wireFormat, host} = this.parts;
+    context.progress = 'receiving';
     const disconnected = new AbortController();
     this.activeCalls.add(disconnected);
     response.once('close', () => {
@@ -298,6 +333,10 @@
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
     context.forwardedAt = this.parts.clock.now();
+    context.progress = 'queued';
+    context.isCancelable =
+      context.isGeneration || routing.value.route.target.repeatable;
+    this.forwardedCalls.set(context.requestId, context);
     const upstreamResponse = await host.forward(
       {...call.value, isHandedOver},
       routing.value,
@@ -330,7 +369,7 @@
     this.parts.onInternalError(context.requestId, error);
     if (!response.headersSent)
       return this.sendFailure(response, request, internalFailure, context);
-    response.destroy();
+    this.breakOff(response);
     this.reportEnd(context, response.statusCode, internalFailure);
   }
 
@@ -383,6 +422,7 @@
     disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
+    context.progress = 'responding';
     if (this.shouldEndConnection(response))
       response.setHeader('Connection', 'close');
     for (const [name, value] of upstreamResponse.headers)
@@ -399,7 +439,7 @@
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
       // A truncated response must not look complete to the caller.
-      response.destroy();
+      this.breakOff(response);
       this.reportEnd(
         context,
         statusOfBrokenResponse(disconnected, upstreamResponse.status),
@@ -453,9 +493,17 @@
     response.end(text);
   }
 
+  private breakOff(response: ServerResponse): void {
+    const connection = this.connections.get(response.req.socket);
+    connection?.destroy(this.hasGivenUp ? 'host-closed' : 'broken-response');
+    response.destroy();
+  }
+
   /** A call that was read behind this one is answered as well. */
   private shouldEndConnection(response: ServerResponse): boolean {
-    return this.isDraining && !this.hasFurtherCall(response);
+    const connection = this.connections.get(response.req.socket);
+    const isLast = this.isDraining || connection?.isHalfClosed === true;
+    return isLast && !this.hasFurtherCall(response);
   }
 
   private hasFurtherCall({req}: ServerResponse): boolean {
@@ -495,8 +543,10 @@
 } as unknown as FastifyServerOptions['schemaController'];
 
 /** What is known of a call so far. */
-interface CallContext {
+interface CallContext extends OpenCall {
   requestId: string;
+  progress: CallProgress;
+  isCancelable: boolean;
   account: string;
   route: string;
   /** Clock time in milliseconds. */
