--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -10,7 +10,7 @@
 import type {Socket} from 'node:net';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
-import {CallerProbe} from './caller-probe.js';
+import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 
 /** Time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
@@ -21,12 +21,6 @@
  */
 const lastRequestMilliseconds = 500;
 
-/**
- * Time after which bytes sent to a caller that has closed its connection have been
- * answered with a reset.
- */
-const resetMilliseconds = 100;
-
 /** Why a connection ends. */
 export type ConnectionEnd =
   /** The caller closed the connection. */
@@ -108,13 +102,12 @@
     socket.destroySoon = () => this.end('last-response');
   }
 
-  /** Whether no call follows those that were read. */
-  get isHalfClosed(): boolean {
+  private get isHalfClosed(): boolean {
     return this.probe !== undefined;
   }
 
   /** Whether a call that was read waits for the response before it. */
-  get hasFurtherCall(): boolean {
+  private get hasFurtherCall(): boolean {
     return this.openCalls.length > 1;
   }
 
@@ -138,6 +131,23 @@
     return !this.isEnding && !this.socket.destroyed;
   }
 
+  /**
+   * Announces the end of the connection in the head of `response`, unless a call
+   * waits behind it. No further request is read: one that crosses the announcement
+   * could not be answered, and unread bytes tell its caller that it can't have run.
+   */
+  announceEnd(response: ServerResponse): void {
+    if (this.hasFurtherCall) return;
+    response.setHeader('Connection', 'close');
+    this.socket.pause();
+  }
+
+  /** Announces the end if no call may follow the one that `response` answers. */
+  announceEndIfDue(response: ServerResponse): void {
+    if (this.parts.isDraining() || this.isHalfClosed)
+      this.announceEnd(response);
+  }
+
   /** Ends the connection unless a request is being read or answered. */
   endIfIdle(): void {
     const {bytesRead} = this.socket;
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -423,8 +423,7 @@
     context: CallContext,
   ): Promise<void> {
     context.progress = 'responding';
-    if (this.shouldEndConnection(response))
-      response.setHeader('Connection', 'close');
+    this.connections.get(response.req.socket)?.announceEndIfDue(response);
     for (const [name, value] of upstreamResponse.headers)
       response.appendHeader(name, value);
     response.writeHead(upstreamResponse.status);
@@ -480,12 +479,10 @@
     // body cannot be reused.
     const isNotReady =
       status === serviceUnavailableStatus && failure.code === 'not-ready';
-    if (
-      this.shouldEndConnection(response) ||
-      (isNotReady && !this.hasFurtherCall(response)) ||
-      !request.complete
-    )
-      response.setHeader('Connection', 'close');
+    const connection = this.connections.get(request.socket);
+    if (!request.complete) response.setHeader('Connection', 'close');
+    else if (isNotReady) connection?.announceEnd(response);
+    else connection?.announceEndIfDue(response);
     response.writeHead(status, {
       'Content-Type': 'application/json',
       'Content-Length': Buffer.byteLength(text),
@@ -499,17 +496,6 @@
     response.destroy();
   }
 
-  /** A call that was read behind this one is answered as well. */
-  private shouldEndConnection(response: ServerResponse): boolean {
-    const connection = this.connections.get(response.req.socket);
-    const isLast = this.isDraining || connection?.isHalfClosed === true;
-    return isLast && !this.hasFurtherCall(response);
-  }
-
-  private hasFurtherCall({req}: ServerResponse): boolean {
-    return this.connections.get(req.socket)?.hasFurtherCall ?? false;
-  }
-
   private recordDuration({route, forwardedAt}: CallContext): void {
     const {clock, shutdown} = this.parts;
     shutdown.recordDuration(route, clock.now() - forwardedAt);
