--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -7,13 +7,13 @@
  *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
  *
  * `work` is a list of stops, pairs, early-stops, repeated-stops, early-settings,
- * settings, configurations and freezes, or `all`, which leaves out the freezes. Other
- * arguments: `habits` (a list of the habits of callers) or `without` (such a list to
- * leave out), `program` (path of the bundle), `output` (`discarded`, `unread` or `file`)
- * and `folder` (for the files), `server-work`, `idle-timeout`, `pause` and `server-idle`
- * (milliseconds), `grace` (seconds), `server-requests` (requests after which servers
- * close a connection at its next use) and `stranded` (number of hosts that reach no
- * server).
+ * settings, configurations and freezes, or `all`, which leaves out early-settings and
+ * freezes. Other arguments: `habits` (a list of the habits of callers) or `without` (such
+ * a list to leave out), `program` (path of the bundle), `output` (`discarded`, `unread`
+ * or `file`) and `folder` (for the files), `server-work`, `idle-timeout`, `pause` and
+ * `server-idle` (milliseconds), `grace` (seconds), `server-requests` (requests after
+ * which servers close a connection at its next use) and `stranded` (number of hosts that
+ * reach no server).
  */
 
 import {fileURLToPath} from 'node:url';
