Break a response off without a reset of those before it

What callers saw: the upstream of a stream failed, a release stood before the stream on the connection and a large body behind it. A caller that read late lost the response to the release, which an upstream had run.

Cause: a broken response destroyed the socket. A close with unread bytes resets the connection, and the reset overtakes what was sent before.

Change: a response with a length or in chunks is broken off by the end of the connection as any other (CallerConnection.end): its frame tells that it is not complete. A response without a frame is destroyed as before. Besides, the abort signal of a connection bears any number of waiting calls; 11 gave a warning of Node on standard error.

The tests of broken, garbled, endless and unframed responses: 62 passed.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -6,6 +6,7 @@
  * the response before it. The socket therefore stays open for some time.
  */
 
+import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {untilAborted} from '@persimmonwick/coordination';
@@ -104,6 +105,8 @@
     private readonly socket: Socket,
     private readonly parts: CallerConnectionParts,
   ) {
+    // Each call that waits behind another adds one.
+    setMaxListeners(0, this.closed.signal);
     socket.once('timeout', () => this.setReason('idle-timeout'));
     socket.once('end', () => void this.onHalfClose());
     socket.once('close', () => this.onClose());
@@ -156,6 +159,18 @@
     this.socket.destroy();
   }
 
+  /**
+   * Ends the connection in the middle of `response`. The reset that a close with
+   * unread bytes causes would overtake the responses before it.
+   */
+  breakOff(response: ServerResponse, reason: ConnectionEnd): void {
+    const isFramed =
+      response.chunkedEncoding || response.hasHeader('content-length');
+    // Without a frame, only a reset tells that the response is not complete.
+    if (isFramed) this.end(reason);
+    else this.destroy(reason);
+  }
+
   /**
    * Ends the connection after bytes that are no request. `errorResponse` is sent
    * once the responses under way have ended.
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -490,8 +490,9 @@
 
   private breakOff(response: ServerResponse): void {
     const connection = this.connections.get(response.req.socket);
-    connection?.destroy(this.hasGivenUp ? 'host-closed' : 'broken-response');
-    response.destroy();
+    const reason = this.hasGivenUp ? 'host-closed' : 'broken-response';
+    if (connection === undefined) response.destroy();
+    else connection.breakOff(response, reason);
   }
 
   /** A call that was read behind this one is answered as well. */
