Keep the end of a connection open until a slow caller has read its response

Cause: the socket was closed 0.5 s after the last bytes had been handed to the system. A close with unread bytes resets the connection, and the reset discards what the caller has not received yet. Half a second is enough for a response that fits into the buffers of both ends, not for a larger one. Same class as refused uploads and responses that are broken off.

Change: ReceiptEstimate works out by when a caller that reads 100 KB a second has received what was written; the socket stays open until then, at least 0.5 s and at most 10 s, or the end of the process.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -12,12 +12,13 @@
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
+import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 
-/** Time for the last response to reach the caller. */
+/** Least time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
 
-/** Time for the rest of an upload that was refused. */
-const uploadMilliseconds = 10_000;
+/** Longest time for a slow caller to receive it, or to send the rest of an upload. */
+const maximumLingerMilliseconds = 10_000;
 
 /**
  * Time for one more request of a caller that was not told that its connection ends,
@@ -87,6 +88,7 @@
   /** Bytes read when the last response ended; more of them begin a request. */
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
+  private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
@@ -158,8 +160,11 @@
   endIfIdle(): void {
     const {bytesRead} = this.socket;
     if (this.openCalls.length > 0 || bytesRead > this.bytesReadAtEnd) return;
-    if (this.parts.clock.now() - this.endedAt > lingerMilliseconds)
-      this.destroy('host-closed');
+    const lingersUntil = Math.max(
+      this.endedAt + lingerMilliseconds,
+      this.estimateReceipt(),
+    );
+    if (this.parts.clock.now() > lingersUntil) this.destroy('host-closed');
     else this.end('host-closed');
   }
 
@@ -206,6 +211,7 @@
     this.openCalls.splice(this.openCalls.indexOf(call), 1);
     this.bytesReadAtEnd = this.socket.bytesRead;
     this.endedAt = this.parts.clock.now();
+    this.estimateReceipt();
     this.endIfMalformed();
     const isIdle = this.openCalls.length === 0;
     if (isIdle && this.parts.isDraining() && !this.isEnding)
@@ -235,19 +241,36 @@
     socket.end(() => void this.destroyAfterLinger());
   }
 
-  /** Waits for an upload that goes on: it may have to end before its caller reads. */
+  /**
+   * Waits for a caller that is slow to receive the last response, and for an upload
+   * that goes on: it may have to end before its caller reads.
+   */
   private async destroyAfterLinger(): Promise<void> {
     const {socket, closed} = this;
     const {clock} = this.parts;
-    const end = clock.now() + uploadMilliseconds;
-    let bytesRead: number;
+    const latest = clock.now() + maximumLingerMilliseconds;
+    const receivedAt = this.estimateReceipt();
+    let hasReadMore: boolean;
     do {
-      ({bytesRead} = socket);
+      const {bytesRead} = socket;
       await clock.sleep(lingerMilliseconds, closed.signal);
-    } while (socket.bytesRead > bytesRead && clock.now() < end);
+      hasReadMore = socket.bytesRead > bytesRead;
+    } while (
+      !closed.signal.aborted &&
+      clock.now() < latest &&
+      (hasReadMore || clock.now() < receivedAt)
+    );
     socket.destroy();
   }
 
+  /** Clock time by which the caller has received all that was written. */
+  private estimateReceipt(): number {
+    return this.receipt.update(
+      this.socket.bytesWritten,
+      this.parts.clock.now(),
+    );
+  }
+
   /**
    * Waits until the caller would have reset the connection if it had not read the
    * response before.
