Accept the connections that wait at the port before it is closed

Cause: Node accepts one connection in each turn of the event loop. A host that is slow or stood still has a queue when it stops listening, and the system resets what is left. Connections accepted last, of which nothing was read yet, were closed as idle.

Change: the port is closed once a turn has brought no connection, 0.5 s later at the latest. A connection that is younger than 0.5 s and has sent nothing gets that time for its first request.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -22,7 +22,7 @@
 
 /**
  * Time for one more request of a caller that was not told that its connection ends,
- * because the head of its response was sent before.
+ * because the head of its response was sent before, or there was none yet.
  */
 const lastRequestMilliseconds = 500;
 
@@ -88,6 +88,7 @@
   /** Bytes read when the last response ended; more of them begin a request. */
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
+  private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
   private reason: ConnectionEnd | undefined;
@@ -101,6 +102,7 @@
     private readonly socket: Socket,
     private readonly parts: CallerConnectionParts,
   ) {
+    this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
     socket.once('timeout', () => this.setReason('idle-timeout'));
@@ -160,11 +162,15 @@
   endIfIdle(): void {
     const {bytesRead} = this.socket;
     if (this.openCalls.length > 0 || bytesRead > this.bytesReadAtEnd) return;
+    const now = this.parts.clock.now();
+    // The first request of a new connection may not have been read yet.
+    if (bytesRead === 0 && now - this.openedAt < lastRequestMilliseconds)
+      return void this.endAfterLastRequest();
     const lingersUntil = Math.max(
       this.endedAt + lingerMilliseconds,
       this.estimateReceipt(),
     );
-    if (this.parts.clock.now() > lingersUntil) this.destroy('host-closed');
+    if (now > lingersUntil) this.destroy('host-closed');
     else this.end('host-closed');
   }
 
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -571,7 +571,7 @@
       signalledAt +
       Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
     await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
-    this.server.stopListening();
+    await this.server.stopListening();
     this.handoverListener.close();
     const cutRequests = await this.server.waitUntilIdle(
       deadline - systemClock.now(),
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {once} from 'node:events';
+import {setImmediate} from 'node:timers/promises';
 import {
   InterruptedResponseError,
   hostStopping,
@@ -83,6 +84,8 @@
 /** Node rejects larger headers before the configured limit is checked. */
 const parserHeaderLimitBytes = 128 * 1024;
 const timeoutCheckIntervalMilliseconds = 500;
+/** Longest time to accept the connections that wait when the port is closed. */
+const acceptMilliseconds = 500;
 const serviceUnavailableStatus = 503;
 /** Lowest status that reports a failure of the upstream. */
 const firstServerErrorStatus = 500;
@@ -101,6 +104,7 @@
   private isDraining = false;
   private hasGivenUp = false;
   inFlight = 0;
+  private acceptedCount = 0;
 
   constructor(private readonly parts: PassthroughServerParts) {
     this.instance = fastify({
@@ -120,6 +124,7 @@
     });
     this.instance.all('/', () => undefined);
     this.instance.server.on('connection', (socket: Socket) => {
+      this.acceptedCount += 1;
       this.connections.set(
         socket,
         new CallerConnection(socket, {
@@ -188,8 +193,20 @@
     this.isDraining = true;
   }
 
-  /** Stops accepting connections and closes the idle ones. */
-  stopListening(): void {
+  /**
+   * Accepts the connections that wait at the port, closes it, and closes the idle
+   * connections. A connection that still waits when the port is closed is reset.
+   */
+  async stopListening(): Promise<void> {
+    const {clock} = this.parts;
+    const latest = clock.now() + acceptMilliseconds;
+    let accepted: number;
+    // Node accepts one connection in each turn of the event loop.
+    do {
+      accepted = this.acceptedCount;
+      await setImmediate();
+      await setImmediate();
+    } while (this.acceptedCount > accepted && clock.now() < latest);
     this.instance.server.close();
     this.reportIfIdle();
   }
