Refuse a CONNECT behind the responses under way

What callers saw: a CONNECT behind a release closed the connection, and the release, which an upstream had, got no answer.

Cause: Node's HTTP server destroys the socket of a CONNECT that nothing handles.

Change: a CONNECT ends the connection as malformed bytes do: 400 (not run) behind the responses under way.

--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -54,6 +54,13 @@
   return failure;
 }
 
+/** Failure of a request for a tunnel. */
+export const connectNotSupported: RequestFailure = {
+  code: 'invalid-request',
+  message: 'the method CONNECT is not supported',
+  ran: 'not-run',
+};
+
 /** Failure of a request that Node reports with the error `code`. */
 export function failureOfClientError(code: string | undefined): RequestFailure {
   switch (code) {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -21,6 +21,7 @@
 import {Result} from 'true-myth';
 import {
   clientErrorResponse,
+  connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
@@ -133,6 +134,13 @@
         this.reportIfIdle();
       });
     });
+    // Node would destroy the connection, with the responses under way.
+    this.instance.server.on('connect', (_request, socket: Socket) => {
+      socket.on('error', () => socket.destroy());
+      this.connections
+        .get(socket)
+        ?.endMalformed(clientErrorResponse(connectNotSupported));
+    });
     // Node calls this when it stops listening, and would close connections whose
     // last response is still on its way.
     this.instance.server.closeIdleConnections = () => {
