Find out sooner that a half-closed caller is gone

Cause: a caller that closes its connection in the middle of a stream was found out 100 to 200 ms later, and a search for another engine sent one request more meanwhile: `a caller that leaves during a search ends the search` (replacement) failed in 1 of 1 whole run of the platform's tests, which else passed (without soak, stopping-hosts, endless-responses and stranded-hosts).

Change: the zero before the next chunk is sent at once, and the first look for a reset follows 5 ms later, the next ones after 15, 35, 75 and 155 ms. The interim response is sent after 75 ms. The set-up of connections moved to a method of its own.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -31,6 +31,15 @@
  */
 const resetMilliseconds = 100;
 
+/**
+ * Time between the end of a caller's direction and the first look for a reset; those
+ * that follow are twice as far apart each, up to `resetMilliseconds`.
+ */
+const firstCheckMilliseconds = 5;
+
+/** Time after which a caller whose response has not begun gets an interim one. */
+const interimResponseMilliseconds = 60;
+
 /** Why a connection ends. */
 export type ConnectionEnd =
   /** The caller closed the connection. */
@@ -166,8 +175,9 @@
   breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const isFramed =
       response.chunkedEncoding || response.hasHeader('content-length');
-    // Without a frame, only a reset tells that the response is not complete.
-    if (isFramed) this.end(reason);
+    // Without a frame, only a reset tells that the response is not complete. A caller
+    // that does not read would keep the connection open.
+    if (isFramed && this.socket.writableLength === 0) this.end(reason);
     else this.destroy(reason);
   }
 
@@ -260,13 +270,16 @@
     this.probe = probe;
     // Connections between hosts are closed in both directions at once.
     if (!socket.allowHalfOpen) return;
-    for (;;) {
-      await this.parts.clock.sleep(resetMilliseconds, closed.signal);
+    let wait = firstCheckMilliseconds;
+    for (let waited = 0; ; waited += wait, wait = nextWait(wait)) {
       const [call] = this.openCalls;
       if (call === undefined || closed.signal.aborted || this.isEnding) return;
-      void probe.isConnected();
-      if (call.isCancelable || call.progress !== 'sent')
+      const mayProbe =
+        call.response.headersSent || waited > interimResponseMilliseconds;
+      if (mayProbe && (call.isCancelable || call.progress !== 'sent'))
         if (!probe.send(call.response)) return this.destroy('caller-closed');
+      await this.parts.clock.sleep(wait, closed.signal);
+      void probe.isConnected();
     }
   }
 
@@ -282,3 +295,7 @@
     if (calls.length > 0) this.parts.onLoss({reason, calls});
   }
 }
+
+function nextWait(milliseconds: number): number {
+  return Math.min(2 * milliseconds, resetMilliseconds);
+}
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -120,36 +120,7 @@
       void this.handle(request.raw, request.originalUrl, reply.raw);
     });
     this.instance.all('/', () => undefined);
-    this.instance.server.on('connection', (socket: Socket) => {
-      this.connections.set(
-        socket,
-        new CallerConnection(socket, {
-          clock: parts.clock,
-          isDraining: () => this.isDraining,
-          onLoss: parts.onConnectionLoss,
-        }),
-      );
-      socket.once('close', () => {
-        this.connections.delete(socket);
-        this.reportIfIdle();
-      });
-    });
-    // Node would destroy the connection, with the responses under way.
-    this.instance.server.on('connect', (_request, socket: Socket) => {
-      socket.on('error', () => socket.destroy());
-      this.connections
-        .get(socket)
-        ?.endMalformed(clientErrorResponse(connectNotSupported));
-    });
-    // Node calls this when it stops listening, and would close connections whose
-    // last response is still on its way.
-    this.instance.server.closeIdleConnections = () => {
-      for (const connection of [...this.connections.values()])
-        connection.endIfIdle();
-    };
-    // The end of a caller's direction alone does not end the connection. Node's
-    // types lack the property.
-    Object.assign(this.instance.server, {httpAllowHalfOpen: true});
+    this.ownConnections(this.instance.server as Server);
     this.applyLimits();
   }
 
@@ -224,6 +195,40 @@
     await this.instance.close();
   }
 
+  /** Takes from Node's server all decisions about the end of a connection. */
+  private ownConnections(server: Server): void {
+    server.on('connection', socket => this.addConnection(socket));
+    // Node would destroy the connection, with the responses under way.
+    server.on('connect', (_request, socket: Socket) => {
+      socket.on('error', () => socket.destroy());
+      this.connections
+        .get(socket)
+        ?.endMalformed(clientErrorResponse(connectNotSupported));
+    });
+    // Node calls this when it stops listening, and would close connections whose
+    // last response is still on its way.
+    server.closeIdleConnections = () => {
+      for (const connection of [...this.connections.values()])
+        connection.endIfIdle();
+    };
+    // The end of a caller's direction alone does not end the connection. Node's
+    // types lack the property.
+    Object.assign(server, {httpAllowHalfOpen: true});
+  }
+
+  private addConnection(socket: Socket): void {
+    const {clock, onConnectionLoss: onLoss} = this.parts;
+    const isDraining = () => this.isDraining;
+    this.connections.set(
+      socket,
+      new CallerConnection(socket, {clock, isDraining, onLoss}),
+    );
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.reportIfIdle();
+    });
+  }
+
   private recordProgress(requestId: string, progress: CallProgress): void {
     const call = this.forwardedCalls.get(requestId);
     if (call !== undefined) call.progress = progress;
