--- a/packages/daemon/src/callers/half-closed-callers.ts
+++ b/packages/daemon/src/callers/half-closed-callers.ts
@@ -3,10 +3,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
-import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
-
-/** Responses that have not ended, in the order of their calls. */
-type OpenResponses = ReadonlySet<ServerResponse>;
+import {CallerProbe} from '../connections/caller-probe.js';
 
 /**
  * Lets `server` answer the calls that it has read after their caller has ended its
@@ -15,30 +12,29 @@
 export function serveHalfClosedCallers(server: Server, clock: Clock): void {
   // Node's types lack the property.
   Object.assign(server, {httpAllowHalfOpen: true});
-  const responsesBySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  /** Those that have not ended, in the order of their calls. */
+  const openResponses = new WeakMap<Socket, Set<ServerResponse>>();
   server.on('connection', (socket: Socket) => {
     const responses = new Set<ServerResponse>();
-    responsesBySocket.set(socket, responses);
+    openResponses.set(socket, responses);
     socket.once('end', () => void probeUntilAnswered(socket, responses, clock));
   });
   server.on('request', ({socket}, response) => {
-    const responses = responsesBySocket.get(socket)?.add(response);
+    const responses = openResponses.get(socket)?.add(response);
     response.once('close', () => responses?.delete(response));
   });
 }
 
-/** Returns once the caller is answered, after which Node ends the connection. */
+/** Resolves once the caller is answered, after which Node ends the connection. */
 async function probeUntilAnswered(
   socket: Socket,
-  responses: OpenResponses,
+  responses: ReadonlySet<ServerResponse>,
   clock: Clock,
 ): Promise<void> {
-  const probe = new CallerProbe(socket);
-  for (;;) {
-    await clock.sleep(resetMilliseconds);
+  const probe = new CallerProbe(socket, clock);
+  const isAnswered = await probe.run(() => {
     const [response] = responses;
-    if (response === undefined || socket.destroyed) return;
-    void probe.isConnected();
-    if (!probe.send(response)) socket.destroy();
-  }
+    return response && {response, isProbed: true};
+  });
+  if (!isAnswered) socket.destroy();
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -12,6 +12,7 @@
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
+import type {AwaitedResponse} from '../connections/caller-probe.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 
 /** Least time for the last response to reach the caller. */
@@ -187,8 +188,9 @@
   breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const isFramed =
       response.chunkedEncoding || response.hasHeader('content-length');
-    // Without a frame, only a reset tells that the response is not complete.
-    if (isFramed) this.end(reason);
+    // Without a frame, only a reset tells that the response is not complete. A caller
+    // that does not read would keep the connection open.
+    if (isFramed && this.socket.writableLength === 0) this.end(reason);
     else this.destroy(reason);
   }
 
@@ -295,18 +297,22 @@
    */
   private async onHalfClose(): Promise<void> {
     const {socket, closed} = this;
-    const probe = new CallerProbe(socket);
+    const probe = new CallerProbe(socket, this.parts.clock);
     this.probe = probe;
     // Connections between hosts are closed in both directions at once.
     if (!socket.allowHalfOpen) return;
-    for (;;) {
-      await this.parts.clock.sleep(resetMilliseconds, closed.signal);
-      const [call] = this.openCalls;
-      if (call === undefined || closed.signal.aborted || this.isEnding) return;
-      void probe.isConnected();
-      if (call.isCancelable || call.progress !== 'sent')
-        if (!probe.send(call.response)) return this.destroy('caller-closed');
-    }
+    const canProbe = await probe.run(
+      () => this.findAwaitedResponse(),
+      closed.signal,
+    );
+    if (!canProbe) this.destroy('caller-closed');
+  }
+
+  private findAwaitedResponse(): AwaitedResponse | undefined {
+    const [call] = this.openCalls;
+    if (call === undefined || this.isEnding) return undefined;
+    const {response, isCancelable, progress} = call;
+    return {response, isProbed: isCancelable || progress !== 'sent'};
   }
 
   private setReason(reason: ConnectionEnd): void {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -22,6 +22,7 @@
 import {Result} from 'true-myth';
 import {
   clientErrorResponse,
+  connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
@@ -123,30 +124,7 @@
       void this.handle(request.raw, request.originalUrl, reply.raw);
     });
     this.instance.all('/', () => undefined);
-    this.instance.server.on('connection', (socket: Socket) => {
-      this.acceptedCount += 1;
-      this.connections.set(
-        socket,
-        new CallerConnection(socket, {
-          clock: parts.clock,
-          isDraining: () => this.isDraining,
-          onLoss: parts.onConnectionLoss,
-        }),
-      );
-      socket.once('close', () => {
-        this.connections.delete(socket);
-        this.reportIfIdle();
-      });
-    });
-    // Node calls this when it stops listening, and would close connections whose
-    // last response is still on its way.
-    this.instance.server.closeIdleConnections = () => {
-      for (const connection of [...this.connections.values()])
-        connection.endIfIdle();
-    };
-    // The end of a caller's direction alone does not end the connection. Node's
-    // types lack the property.
-    Object.assign(this.instance.server, {httpAllowHalfOpen: true});
+    this.ownConnections(this.instance.server as Server);
     this.applyLimits();
   }
 
@@ -238,6 +216,41 @@
     await this.instance.close();
   }
 
+  /** Takes from Node's server all decisions about the end of a connection. */
+  private ownConnections(server: Server): void {
+    server.on('connection', socket => this.addConnection(socket));
+    // Node would destroy the connection, with the responses under way.
+    server.on('connect', (_request, socket: Socket) => {
+      socket.on('error', () => socket.destroy());
+      this.connections
+        .get(socket)
+        ?.endMalformed(clientErrorResponse(connectNotSupported));
+    });
+    // Node calls this when it stops listening, and would close connections whose
+    // last response is still on its way.
+    server.closeIdleConnections = () => {
+      for (const connection of [...this.connections.values()])
+        connection.endIfIdle();
+    };
+    // The end of a caller's direction alone does not end the connection. Node's
+    // types lack the property.
+    Object.assign(server, {httpAllowHalfOpen: true});
+  }
+
+  private addConnection(socket: Socket): void {
+    this.acceptedCount += 1;
+    const {clock, onConnectionLoss: onLoss} = this.parts;
+    const isDraining = () => this.isDraining;
+    this.connections.set(
+      socket,
+      new CallerConnection(socket, {clock, isDraining, onLoss}),
+    );
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.reportIfIdle();
+    });
+  }
+
   private recordProgress(requestId: string, progress: CallProgress): void {
     const call = this.forwardedCalls.get(requestId);
     if (call !== undefined) call.progress = progress;
@@ -285,7 +298,9 @@
     } catch (error) {
       this.endAfterInternalError(request, response, context, error);
     } finally {
-      this.forwardedCalls.delete(context.requestId);
+      // A caller may use an id again while its first call is open.
+      if (this.forwardedCalls.get(context.requestId) === context)
+        this.forwardedCalls.delete(context.requestId);
       this.inFlight -= 1;
     }
   }
