Report a message to another host that can't be encoded or sent

What callers saw: nothing so far. A heartbeat with a value outside its field's range, or a send on a closed socket, throws in the timer of the heartbeats, which would end the process with all its calls.

Cause: `HeartbeatSocket.send` reported what the socket reports later, but not what it or the encoder throws at once.

Evidence, before the change: `npx ava packages/daemon/dist/test/passthrough/heartbeat-socket.test.js` fails with `invalid uint32: -1`.

--- a/packages/daemon/src/passthrough/heartbeat-socket.ts
+++ b/packages/daemon/src/passthrough/heartbeat-socket.ts
@@ -77,9 +77,15 @@
       return;
     }
     const {host, port} = parseAddress(address);
-    this.socket.send(Beat.encode(heartbeat).finish(), port, host, error => {
-      if (error !== null) this.parts.onError(address, error.message);
-    });
+    // Heartbeats are sent from timers, where an exception would end the process.
+    try {
+      const bytes = Beat.encode(heartbeat).finish();
+      this.socket.send(bytes, port, host, error => {
+        if (error !== null) this.parts.onError(address, error.message);
+      });
+    } catch (error) {
+      this.parts.onError(address, String(error));
+    }
   }
 
   close(): void {
