--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -492,8 +492,9 @@
 
   private breakOff(response: ServerResponse): void {
     const connection = this.connections.get(response.req.socket);
-    connection?.destroy(this.hasGivenUp ? 'host-closed' : 'broken-response');
-    response.destroy();
+    const reason = this.hasGivenUp ? 'host-closed' : 'broken-response';
+    if (connection === undefined) response.destroy();
+    else connection.breakOff(response, reason);
   }
 
   private recordDuration({route, forwardedAt}: CallContext): void {
