Write no error response behind the end of a connection

Cause: the rest of the request's head is no longer read, its timeout asks for an error response, and that was written once the response had ended, behind the end of the connection. The failed write destroys the socket, and the reset discards what the caller has not received.

Change: the error response is dropped if the connection has ended by then.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -206,7 +206,7 @@
   }
 
   private endIfMalformed(): void {
-    if (this.errorResponse === undefined) return;
+    if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
     const isIncomplete = this.lastRequest?.complete === false;
     if (this.openCalls.length > (isIncomplete ? 1 : 0)) return;
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -12,7 +12,7 @@
   t: ExecutionContext,
   host: Partial<PassthroughHost>,
   listener?: EarlyListener,
-): Promise<{address: string; errors: string[]}> {
+): Promise<{address: string; errors: string[]; server: PassthroughServer}> {
   const errors: string[] = [];
   const server = new PassthroughServer({
     clock: systemClock,
@@ -42,6 +42,7 @@
       listener ?? (await EarlyListener.open('127.0.0.1:0')),
     ),
     errors,
+    server,
   };
 }
 
