General product: answer malformed bytes behind the responses under way

A caller of the general product that sent malformed bytes behind a call under way lost the response to that call, though a service had run it; behind a stream the 400 was written into the stream.

Cause: the error response is written to the socket at once, and the socket is closed.

Change: OpenResponses knows the responses that have not ended on each connection. The error response follows once those of the calls that were read whole have ended.

--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -18,6 +18,7 @@
 import {FailureFilter, frameworkFailure} from './failure-filter.js';
 import {sendFailure} from './failure-reply.js';
 import {serveHalfClosedCallers} from './half-closed-callers.js';
+import {OpenResponses} from './open-responses.js';
 import {ServicesController} from './services.controller.js';
 
 const keepAliveTimeoutMilliseconds = 72_000;
@@ -34,7 +35,8 @@
   })
   class CallerModule {}
 
-  const adapter = createAdapter(settings.limits, parts);
+  const responses = new OpenResponses();
+  const adapter = createAdapter(settings.limits, parts, responses);
   const application = await NestFactory.create<NestFastifyApplication>(
     CallerModule,
     adapter,
@@ -42,8 +44,9 @@
   );
   application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
+  responses.observe(fastify.server);
   addCallHooks(fastify, parts);
-  serveHalfClosedCallers(fastify.server, parts.clock);
+  serveHalfClosedCallers(fastify.server, responses, parts.clock);
   fastify.server.on('checkExpectation', (_request, reply) =>
     parts.observer.refused(rejectExpectation(reply)),
   );
@@ -57,6 +60,7 @@
 function createAdapter(
   limits: CompleteSettings['limits'],
   {observer}: ControllerDependencies,
+  responses: OpenResponses,
 ): FastifyAdapter {
   const {slowSenderMilliseconds} = limits;
   return new FastifyAdapter({
@@ -65,7 +69,7 @@
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
     return503OnClosing: false,
     clientErrorHandler: (error: NodeJS.ErrnoException, socket: Socket) => {
-      const failure = respondToClientError(error, socket);
+      const failure = respondToClientError(error, socket, responses);
       if (failure !== undefined) observer.refused(failure);
     },
     frameworkErrors: (
--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -6,21 +6,27 @@
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {httpStatusOf} from '@persimmonwick/coordination';
 import {failureBody, ranHeader} from './failure-reply.js';
+import type {OpenResponses} from './open-responses.js';
 
 /**
- * Writes an error response to a socket that has no reply object and closes it.
- * Returns the failure; undefined if the caller has disconnected.
+ * Writes an error response behind the `responses` under way on a socket, and closes
+ * it. Returns the failure; undefined if the caller has disconnected.
  */
 export function respondToClientError(
   error: NodeJS.ErrnoException,
   socket: Socket,
+  responses: OpenResponses,
 ): RequestFailure | undefined {
   if (error.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
     return undefined;
   }
   const failure = failureOfClientError(error.code);
-  socket.end(clientErrorResponse(failure), () => socket.destroy());
+  socket.pause();
+  responses.afterAnswers(socket, () => {
+    if (socket.writable)
+      socket.end(clientErrorResponse(failure), () => socket.destroy());
+  });
   return failure;
 }
 
