General product: announce the end of a connection only in its last response

Cause: the first response announces the end of the connection, and Node closes it behind that response. A response that waits behind another one gets no socket, so it never closes, and the record of its call stays open.

Change: a response announces the end only if no call was read behind its own, and the record of a call ends with its connection as well. Calls that come later are refused as not run, as before.

The test 'calls behind another are answered when the host stops' failed before and passes.

--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -3,6 +3,7 @@
 import type {RequestFailure} from '@persimmonwick/coordination';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import type {ControllerDependencies} from '../controller-dependencies.js';
+import type {OpenResponses} from './open-responses.js';
 import {requestIdOf} from './request-headers.js';
 import {CallRecord} from './call-record.js';
 import {sendFailure} from './failure-reply.js';
@@ -31,6 +32,7 @@
 export function addCallHooks(
   fastify: FastifyInstance,
   parts: ControllerDependencies,
+  responses: OpenResponses,
 ): void {
   fastify.decorateRequest('callRecord', null);
   fastify.addHook('onRequest', async (request, reply) => {
@@ -42,7 +44,8 @@
     return undefined;
   });
   fastify.addHook('onSend', async (_request, reply) => {
-    if (parts.gate.isDraining) reply.header('connection', 'close');
+    if (parts.gate.isDraining && responses.isLast(reply.raw))
+      reply.header('connection', 'close');
   });
 }
 
@@ -54,10 +57,15 @@
   const record = new CallRecord(requestIdOf(request), reply, parts);
   request.callRecord = record;
   reply.header('x-request-id', record.requestId);
-  reply.raw.once('close', () => {
+  const {socket} = request.raw;
+  const close = () => {
+    socket.removeListener('close', close);
     record.close();
     parts.gate.remove(record);
-  });
+  };
+  reply.raw.once('close', close);
+  // A response that waits behind another one is not told of it.
+  socket.once('close', close);
   return record;
 }
 
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -45,7 +45,7 @@
   application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
   responses.observe(fastify.server);
-  addCallHooks(fastify, parts);
+  addCallHooks(fastify, parts, responses);
   serveHalfClosedCallers(fastify.server, responses, parts.clock);
   fastify.server.on('checkExpectation', (_request, reply) =>
     parts.observer.refused(rejectExpectation(reply)),
--- a/packages/daemon/test/callers/pipelined.test.ts
+++ b/packages/daemon/test/callers/pipelined.test.ts
@@ -45,3 +45,15 @@
   t.true(stream!.includes('[DONE]'));
   t.regex(rest!, /^HTTP\/1\.1 400 /);
 });
+
+// Against: the response to the first call announces the end of the connection, and the
+// calls behind it run without an answer.
+test('calls behind another are answered when the host stops', async t => {
+  const {daemon, fleet} = await runDaemon(t);
+  const {socket, response} = openRawConnection(t, daemon.addresses.callers);
+  socket.write(completionText(false) + orderText);
+  await waitUntil(() => fleet.service.runs.length === 1);
+  const stopped = daemon.close();
+  t.deepEqual(statusesIn(await response), ['200', '201']);
+  await stopped;
+});
