--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -12,6 +12,7 @@
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
+import type {AwaitedResponse} from '../connections/caller-probe.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 
 /** Least time for the last response to reach the caller. */
@@ -22,7 +23,7 @@
 
 /**
  * Time for one more request of a caller that was not told that its connection ends,
- * because the head of its response was sent before.
+ * because the head of its response was sent before, or there was none yet.
  */
 const lastRequestMilliseconds = 500;
 
@@ -88,6 +89,7 @@
   /** Bytes read when the last response ended; more of them begin a request. */
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
+  private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
   private reason: ConnectionEnd | undefined;
@@ -101,6 +103,7 @@
     private readonly socket: Socket,
     private readonly parts: CallerConnectionParts,
   ) {
+    this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
     socket.once('timeout', () => this.setReason('idle-timeout'));
@@ -160,11 +163,15 @@
   endIfIdle(): void {
     const {bytesRead} = this.socket;
     if (this.openCalls.length > 0 || bytesRead > this.bytesReadAtEnd) return;
+    const now = this.parts.clock.now();
+    // The first request of a new connection may not have been read yet.
+    if (bytesRead === 0 && now - this.openedAt < lastRequestMilliseconds)
+      return void this.endAfterLastRequest();
     const lingersUntil = Math.max(
       this.endedAt + lingerMilliseconds,
       this.estimateReceipt(),
     );
-    if (this.parts.clock.now() > lingersUntil) this.destroy('host-closed');
+    if (now > lingersUntil) this.destroy('host-closed');
     else this.end('host-closed');
   }
 
@@ -181,8 +188,9 @@
   breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const isFramed =
       response.chunkedEncoding || response.hasHeader('content-length');
-    // Without a frame, only a reset tells that the response is not complete.
-    if (isFramed) this.end(reason);
+    // Without a frame, only a reset tells that the response is not complete. A caller
+    // that does not read would keep the connection open.
+    if (isFramed && this.socket.writableLength === 0) this.end(reason);
     else this.destroy(reason);
   }
 
@@ -198,7 +206,7 @@
   }
 
   private endIfMalformed(): void {
-    if (this.errorResponse === undefined) return;
+    if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
     const isIncomplete = this.lastRequest?.complete === false;
     if (this.openCalls.length > (isIncomplete ? 1 : 0)) return;
@@ -289,18 +297,22 @@
    */
   private async onHalfClose(): Promise<void> {
     const {socket, closed} = this;
-    const probe = new CallerProbe(socket);
+    const probe = new CallerProbe(socket, this.parts.clock);
     this.probe = probe;
     // Connections between hosts are closed in both directions at once.
     if (!socket.allowHalfOpen) return;
-    for (;;) {
-      await this.parts.clock.sleep(resetMilliseconds, closed.signal);
-      const [call] = this.openCalls;
-      if (call === undefined || closed.signal.aborted || this.isEnding) return;
-      void probe.isConnected();
-      if (call.isCancelable || call.progress !== 'sent')
-        if (!probe.send(call.response)) return this.destroy('caller-closed');
-    }
+    const canProbe = await probe.run(
+      () => this.findAwaitedResponse(),
+      closed.signal,
+    );
+    if (!canProbe) this.destroy('caller-closed');
+  }
+
+  private findAwaitedResponse(): AwaitedResponse | undefined {
+    const [call] = this.openCalls;
+    if (call === undefined || this.isEnding) return undefined;
+    const {response, isCancelable, progress} = call;
+    return {response, isProbed: isCancelable || progress !== 'sent'};
   }
 
   private setReason(reason: ConnectionEnd): void {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {once} from 'node:events';
+import {setImmediate} from 'node:timers/promises';
 import {
   InterruptedResponseError,
   hostStopping,
@@ -21,6 +22,7 @@
 import {Result} from 'true-myth';
 import {
   clientErrorResponse,
+  connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
 import {failureBody} from '../callers/failure-reply.js';
@@ -83,6 +85,8 @@
 /** Node rejects larger headers before the configured limit is checked. */
 const parserHeaderLimitBytes = 128 * 1024;
 const timeoutCheckIntervalMilliseconds = 500;
+/** Longest time to accept the connections that wait when the port is closed. */
+const acceptMilliseconds = 500;
 const serviceUnavailableStatus = 503;
 /** Lowest status that reports a failure of the upstream. */
 const firstServerErrorStatus = 500;
@@ -101,6 +105,7 @@
   private isDraining = false;
   private hasGivenUp = false;
   inFlight = 0;
+  private acceptedCount = 0;
 
   constructor(private readonly parts: PassthroughServerParts) {
     this.instance = fastify({
@@ -119,29 +124,7 @@
       void this.handle(request.raw, request.originalUrl, reply.raw);
     });
     this.instance.all('/', () => undefined);
-    this.instance.server.on('connection', (socket: Socket) => {
-      this.connections.set(
-        socket,
-        new CallerConnection(socket, {
-          clock: parts.clock,
-          isDraining: () => this.isDraining,
-          onLoss: parts.onConnectionLoss,
-        }),
-      );
-      socket.once('close', () => {
-        this.connections.delete(socket);
-        this.reportIfIdle();
-      });
-    });
-    // Node calls this when it stops listening, and would close connections whose
-    // last response is still on its way.
-    this.instance.server.closeIdleConnections = () => {
-      for (const connection of [...this.connections.values()])
-        connection.endIfIdle();
-    };
-    // The end of a caller's direction alone does not end the connection. Node's
-    // types lack the property.
-    Object.assign(this.instance.server, {httpAllowHalfOpen: true});
+    this.ownConnections(this.instance.server as Server);
     this.applyLimits();
   }
 
@@ -188,8 +171,20 @@
     this.isDraining = true;
   }
 
-  /** Stops accepting connections and closes the idle ones. */
-  stopListening(): void {
+  /**
+   * Accepts the connections that wait at the port, closes it, and closes the idle
+   * connections. A connection that still waits when the port is closed is reset.
+   */
+  async stopListening(): Promise<void> {
+    const {clock} = this.parts;
+    const latest = clock.now() + acceptMilliseconds;
+    let accepted: number;
+    // Node accepts one connection in each turn of the event loop.
+    do {
+      accepted = this.acceptedCount;
+      await setImmediate();
+      await setImmediate();
+    } while (this.acceptedCount > accepted && clock.now() < latest);
     this.instance.server.close();
     this.reportIfIdle();
   }
@@ -221,6 +216,41 @@
     await this.instance.close();
   }
 
+  /** Takes from Node's server all decisions about the end of a connection. */
+  private ownConnections(server: Server): void {
+    server.on('connection', socket => this.addConnection(socket));
+    // Node would destroy the connection, with the responses under way.
+    server.on('connect', (_request, socket: Socket) => {
+      socket.on('error', () => socket.destroy());
+      this.connections
+        .get(socket)
+        ?.endMalformed(clientErrorResponse(connectNotSupported));
+    });
+    // Node calls this when it stops listening, and would close connections whose
+    // last response is still on its way.
+    server.closeIdleConnections = () => {
+      for (const connection of [...this.connections.values()])
+        connection.endIfIdle();
+    };
+    // The end of a caller's direction alone does not end the connection. Node's
+    // types lack the property.
+    Object.assign(server, {httpAllowHalfOpen: true});
+  }
+
+  private addConnection(socket: Socket): void {
+    this.acceptedCount += 1;
+    const {clock, onConnectionLoss: onLoss} = this.parts;
+    const isDraining = () => this.isDraining;
+    this.connections.set(
+      socket,
+      new CallerConnection(socket, {clock, isDraining, onLoss}),
+    );
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.reportIfIdle();
+    });
+  }
+
   private recordProgress(requestId: string, progress: CallProgress): void {
     const call = this.forwardedCalls.get(requestId);
     if (call !== undefined) call.progress = progress;
@@ -268,7 +298,9 @@
     } catch (error) {
       this.endAfterInternalError(request, response, context, error);
     } finally {
-      this.forwardedCalls.delete(context.requestId);
+      // A caller may use an id again while its first call is open.
+      if (this.forwardedCalls.get(context.requestId) === context)
+        this.forwardedCalls.delete(context.requestId);
       this.inFlight -= 1;
     }
   }
