The log says who ended a caller's connection

What callers saw: streams under way at the end of a stop's grace period were cut, and the log of the host said 499 `caller-gone`. Calls behind a response that the host had broken off were logged in the same way. From the log, a host that gave its callers up could not be told from callers that had left.

Cause: `response.once('close')` and the end of the grace period abort the signal of a call without a reason, and everything behind the signal takes an abort for a caller that has gone. A stream that the host gives up is interrupted as `cancelled`, and an aborted signal became 499.

Evidence: tests of logged-ends on, with the lines of the catalogue that it had: a stream that outlasts the grace period is `status: 499, code: 'caller-gone', ran: 'unknown'`, and so is a release behind a broken stream. That line has no 3132 beside it before the end of the process: the connection is ended first, and closed half a second later.

Change: a call is aborted with a `Cancellation` as the reason, which CallerConnection decides: `caller-gone` after a close, a reset or a failed write, `connection-closed` (444, only in the log) after an end by the host, and `grace-over`. The failures of the calls, 3002, 3108 and the flag of calls that were given up follow from it. A connection that closes without a sign of the caller on its socket is an end by the host. 3002 and 3108 have `cause`, 3002 and 3132 the time that the call was open, 3132 who ended the connection and the time since the stop began; the counter has `by`. What callers receive is unchanged.

--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -43,6 +43,8 @@
       return 'Refused: the host could not confirm that its configuration was current; see the last platformLost line in its log.';
     case 'caller-gone':
       return `The caller disconnected${formatLastAttempt(lines)}.`;
+    case 'connection-closed':
+      return `This host ended the caller's connection${formatLastAttempt(lines)}; see event 3132 for the reason.`;
     case 'upstream-failed':
     case 'upstream-timeout':
       return explainUpstreamFailure(lines);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -267,6 +267,12 @@
   CallRouting,
   PassthroughHostParts,
 } from './passthrough/passthrough-host.js';
+export {
+  cancellationCauseOf,
+  cancellationFailureOf,
+  cancellationOf,
+} from './passthrough/cancellation.js';
+export type {Cancellation} from './passthrough/cancellation.js';
 export {InterruptedResponseError} from './passthrough/call.js';
 export type {
   GrantedReservation,
--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -102,6 +102,8 @@
       readonly upstream: string;
       /** `silent` and `cancelled` were decided by this host. */
       readonly reason: InterruptedResponseError['reason'];
+      /** What cancelled the call; empty if nothing has. */
+      readonly cause: string;
       readonly softwareVersion: string;
     } & StreamProgress)
   | {
--- a/packages/coordination/src/passthrough/call-handover.ts
+++ b/packages/coordination/src/passthrough/call-handover.ts
@@ -8,11 +8,8 @@
 
 import {Result} from 'true-myth';
 import type {RequestFailure} from '../requests/failure.js';
-import {
-  callerDisconnected,
-  upstreamFailed,
-  upstreamTimeout,
-} from './call-failures.js';
+import {upstreamFailed, upstreamTimeout} from './call-failures.js';
+import {cancellationFailureOf} from './cancellation.js';
 import type {
   PassthroughError,
   PassthroughResponse,
@@ -78,7 +75,8 @@
       const response = await this.handOverTo(member, call, signal);
       for (const send of begun) send.end(...handoverOutcomeOf(response));
       if (response.isOk) return Result.ok(response.value);
-      if (signal.aborted) return Result.err(callerDisconnected);
+      if (signal.aborted)
+        return Result.err(cancellationFailureOf(signal, 'unknown'));
       if (provesCallNotRun(response.error)) continue;
       possibleRuns += 1;
       if (clock.now() >= call.deadline) return Result.err(upstreamTimeout);
--- a/packages/coordination/src/passthrough/generation-run.ts
+++ b/packages/coordination/src/passthrough/generation-run.ts
@@ -4,7 +4,6 @@
 import type {OutputEstimate} from '../decisions/memory-forecast.js';
 import type {RequestFailure} from '../requests/failure.js';
 import {
-  callerDisconnected,
   continuationRefused,
   noUpstream,
   notRunFailureOf,
@@ -12,6 +11,7 @@
   upstreamFailed,
   upstreamTimeout,
 } from './call-failures.js';
+import {cancellationFailureOf} from './cancellation.js';
 import type {CallSends} from './call-sends.js';
 import type {
   RoutedCall,
@@ -138,13 +138,15 @@
   return {call, pool, counts: state, sends, reason};
 }
 
-/** Failure of a call whose caller disconnected. */
+/** Failure of a call that was cancelled. */
 export function disconnectFailureOf({
   possibleRuns,
+  signal,
 }: GenerationState): RequestFailure {
-  return possibleRuns === 0
-    ? {...callerDisconnected, ran: 'not-run'}
-    : callerDisconnected;
+  return cancellationFailureOf(
+    signal,
+    possibleRuns === 0 ? 'not-run' : 'unknown',
+  );
 }
 
 /** Failure of a call for which no memory was reserved in time. */
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -12,6 +12,7 @@
   GenerationRequirements,
   PassthroughResponse,
 } from './call.js';
+import {cancellationCauseOf} from './cancellation.js';
 import type {CallSends} from './call-sends.js';
 import {cacheBytesOf} from './domain-router.js';
 import {relayEvents} from './event-relay.js';
@@ -226,6 +227,7 @@
       kind: 'interrupted',
       upstream: document.name,
       reason,
+      cause: cancellationCauseOf(state.signal),
       softwareVersion: document.spec.softwareVersion ?? '',
       ...progress,
     });
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -10,7 +10,6 @@
 import type {RequestFailure} from '../requests/failure.js';
 import type {RetryLimit} from './call-events.js';
 import {
-  callerDisconnected,
   noUpstream,
   notRunFailureOf,
   queueFull,
@@ -25,6 +24,7 @@
 } from './call.js';
 import {provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {CallSends} from './call-sends.js';
+import {cancellationFailureOf} from './cancellation.js';
 import {bufferResponse} from './buffered-response.js';
 import {firstResponse} from './plain-attempt.js';
 import type {PlainAttempt} from './plain-attempt.js';
@@ -431,9 +431,10 @@
   signal: AbortSignal,
 ): RequestFailure {
   if (signal.aborted)
-    return attempts === 0
-      ? {...callerDisconnected, ran: 'not-run'}
-      : callerDisconnected;
+    return cancellationFailureOf(
+      signal,
+      attempts === 0 ? 'not-run' : 'unknown',
+    );
   if (possibleRuns === 0 && limitWaitMilliseconds !== undefined)
     return withResumption(queueFull, limitWaitMilliseconds);
   if (possibleRuns === 0) return notRunFailureOf(lastError);
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -30,6 +30,7 @@
   | 'upstream-failed'
   | 'upstream-timeout'
   | 'caller-gone'
+  | 'connection-closed'
   | 'draining'
   | 'not-ready'
   | 'internal';
@@ -77,6 +78,8 @@
       return 429;
     case 'caller-gone':
       return 499;
+    case 'connection-closed':
+      return 444;
     case 'internal':
       return 500;
     case 'upstream-failed':
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -167,6 +167,8 @@
       status: httpStatusOf(code),
       code,
       ran,
+      cause: this.interruptionReason ?? '',
+      milliseconds: Math.round(clock.now() - this.arrivedAt),
     });
   }
 }
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -268,7 +268,16 @@
     number: 3002,
     level: 'warn',
     text: 'a request was refused or failed',
-    fields: ['request', 'account', 'route', 'status', 'code', 'ran'],
+    fields: [
+      'request',
+      'account',
+      'route',
+      'status',
+      'code',
+      'ran',
+      'cause',
+      'milliseconds',
+    ],
   },
   internalError: {
     number: 3003,
@@ -355,6 +364,7 @@
       'request',
       'upstream',
       'reason',
+      'cause',
       'events',
       'millisecondsSinceByte',
       'millisecondsSinceEvent',
@@ -473,7 +483,15 @@
     number: 3132,
     level: 'info',
     text: "a caller's connection ended before all calls on it were answered",
-    fields: ['request', 'reason', 'calls', 'progress'],
+    fields: [
+      'request',
+      'by',
+      'reason',
+      'calls',
+      'progress',
+      'milliseconds',
+      'millisecondsSinceStop',
+    ],
   },
 } as const satisfies Record<string, LogEventDefinition>;
 
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -161,6 +161,7 @@
     case 'prompt-quarantined':
     case 'request-quarantined':
     case 'caller-gone':
+    case 'connection-closed':
       return false;
   }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -10,10 +10,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {untilAborted} from '@persimmonwick/coordination';
-import type {Clock} from '@persimmonwick/coordination';
+import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
+import {cancellationBy, endOfSocketError} from './connection-end.js';
+import type {ConnectionEnd} from './connection-end.js';
 
 /** Least time for the last response to reach the caller. */
 const lingerMilliseconds = 500;
@@ -27,23 +29,6 @@
  */
 const lastRequestMilliseconds = 500;
 
-/** Why a connection ends. */
-export type ConnectionEnd =
-  /** The caller closed the connection. */
-  | 'caller-closed'
-  /** The caller or the network reset the connection. */
-  | 'caller-reset'
-  /** The caller left the connection idle, or did not read a response. */
-  | 'idle-timeout'
-  /** The caller sent bytes that are no request. */
-  | 'malformed'
-  /** A response was broken off, which must not look complete. */
-  | 'broken-response'
-  /** A response announced the end of the connection. */
-  | 'last-response'
-  /** The host has stopped. */
-  | 'host-closed';
-
 /** How far a call has come. */
 export type CallProgress =
   /** Behind an earlier call on its connection. */
@@ -60,6 +45,8 @@
 export interface OpenCall {
   /** Empty until the call is handled. */
   readonly requestId: string;
+  /** Clock time in milliseconds. */
+  readonly arrivedAt: number;
   readonly progress: CallProgress;
   /** False if an upstream that has received the call is left to complete it. */
   readonly isCancelable: boolean;
@@ -71,12 +58,19 @@
   readonly reason: ConnectionEnd;
   /** The calls that were read and not answered, in the order of arrival. */
   readonly calls: readonly OpenCall[];
+  /** Time since the first of them arrived. */
+  readonly durationMilliseconds: number;
+  /** Undefined unless the host is stopping. */
+  readonly millisecondsSinceStop: number | undefined;
 }
 
 export interface CallerConnectionParts {
   readonly clock: Clock;
-  /** Whether no request may follow one whose response ends now. */
-  readonly isDraining: () => boolean;
+  /**
+   * Clock time at which the host began to stop: no request may follow one whose
+   * response ends later.
+   */
+  readonly stoppingSince: () => number | undefined;
   readonly onLoss: (loss: ConnectionLoss) => void;
 }
 
@@ -107,12 +101,27 @@
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
     socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.once('error', error => this.onError(error));
     socket.once('end', () => void this.onHalfClose());
     socket.once('close', () => this.onClose());
     // Node calls this after a response that announced the end of the connection.
     socket.destroySoon = () => this.end('last-response');
   }
 
+  /** Why calls on the connection are cancelled, once it has ended. */
+  get cancellation(): Cancellation {
+    return cancellationBy(this.endReason);
+  }
+
+  /** Ends by callers show on the socket; all others are the host's. */
+  private get endReason(): ConnectionEnd {
+    return this.reason ?? (this.isHalfClosed ? 'caller-closed' : 'host-closed');
+  }
+
+  private get isDraining(): boolean {
+    return this.parts.stoppingSince() !== undefined;
+  }
+
   private get isHalfClosed(): boolean {
     return this.probe !== undefined;
   }
@@ -155,8 +164,7 @@
 
   /** Announces the end if no call may follow the one that `response` answers. */
   announceEndIfDue(response: ServerResponse): void {
-    if (this.parts.isDraining() || this.isHalfClosed)
-      this.announceEnd(response);
+    if (this.isDraining || this.isHalfClosed) this.announceEnd(response);
   }
 
   /** Ends the connection unless a request is being read or answered. */
@@ -222,7 +230,7 @@
     this.estimateReceipt();
     this.endIfMalformed();
     const isIdle = this.openCalls.length === 0;
-    if (isIdle && this.parts.isDraining() && !this.isEnding)
+    if (isIdle && this.isDraining && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
@@ -319,11 +327,26 @@
     this.reason ??= reason;
   }
 
+  private onError(error: Error): void {
+    this.setReason(
+      // The system of a caller that has closed answers bytes with a reset.
+      this.isHalfClosed ? 'caller-closed' : endOfSocketError(error),
+    );
+  }
+
   private onClose(): void {
     this.closed.abort();
-    const {openCalls: calls} = this;
-    const byCaller = this.isHalfClosed ? 'caller-closed' : 'caller-reset';
-    const {reason = byCaller} = this;
-    if (calls.length > 0) this.parts.onLoss({reason, calls});
+    const {openCalls: calls, endReason: reason} = this;
+    const [first] = calls;
+    if (first === undefined) return;
+    const now = this.parts.clock.now();
+    const stoppingSince = this.parts.stoppingSince();
+    this.parts.onLoss({
+      reason,
+      calls,
+      durationMilliseconds: now - first.arrivedAt,
+      millisecondsSinceStop:
+        stoppingSince === undefined ? undefined : now - stoppingSince,
+    });
   }
 }
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -9,6 +9,7 @@
   UpstreamDocument,
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
+import {endingPartyOf} from './connection-end.js';
 import type {ConnectionLoss} from './caller-connection.js';
 import type {CallSummary} from './passthrough-server.js';
 
@@ -215,33 +216,37 @@
     status,
     durationMilliseconds,
     failure,
+    cause,
   }: CallSummary,
 ): void {
   const common = {request: requestId, account, route, status};
+  const milliseconds = Math.round(durationMilliseconds);
   if (failure === undefined)
-    log.write('requestFinished', {
-      ...common,
-      milliseconds: Math.round(durationMilliseconds),
-    });
+    log.write('requestFinished', {...common, milliseconds});
   else
     log.write('requestFailed', {
       ...common,
       code: failure.code,
       ran: failure.ran,
+      cause,
+      milliseconds,
     });
 }
 
 /** Logs the end of a caller's connection before its calls were answered. */
 export function logConnectionLoss(
   log: EventLog,
-  {reason, calls}: ConnectionLoss,
+  {reason, calls, durationMilliseconds, millisecondsSinceStop}: ConnectionLoss,
 ): void {
   const [first] = calls;
   log.write('callerConnectionEnded', {
     request: first?.requestId ?? '',
+    by: endingPartyOf(reason),
     reason,
     calls: calls.length,
     progress: first?.progress ?? '',
+    milliseconds: Math.round(durationMilliseconds),
+    millisecondsSinceStop: Math.round(millisecondsSinceStop ?? notStopping),
   });
 }
 
@@ -288,6 +293,9 @@
 
 const roundingFactor = 100;
 
+/** Logged as the time since the signal to stop of a host that had none. */
+const notStopping = -1;
+
 /** Logged as the wait of a call that only other hosts may send. */
 const otherHostsOnly = -1;
 
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -14,6 +14,7 @@
   SilenceProbe,
 } from '@persimmonwick/coordination';
 import type {ConnectionLoss} from './caller-connection.js';
+import {endingPartyOf} from './connection-end.js';
 import type {CallSummary} from './passthrough-server.js';
 
 /** Gauges that are read on each scrape. */
@@ -47,7 +48,7 @@
   readonly registry = new Registry();
   private readonly histograms = new Map<string, Histogram>();
   private readonly callCounter: Counter<'route' | 'status' | 'code'>;
-  private readonly connectionLossCounter: Counter<'reason' | 'progress'>;
+  private readonly connectionLossCounter: Counter<'by' | 'reason' | 'progress'>;
   private readonly decisionCounter: Counter<'decision' | 'outcome'>;
 
   private readonly domainCallCounter: Counter<'purpose' | 'reason'>;
@@ -74,7 +75,7 @@
     this.connectionLossCounter = new Counter({
       name: 'persimmonwick_caller_connections_lost_total',
       help: 'Connections of callers that ended before all calls on them were answered',
-      labelNames: ['reason', 'progress'],
+      labelNames: ['by', 'reason', 'progress'],
       registers,
     });
     this.decisionCounter = new Counter({
@@ -201,7 +202,8 @@
 
   recordConnectionLoss({reason, calls: [first]}: ConnectionLoss): void {
     const progress = first?.progress ?? '';
-    this.connectionLossCounter.inc({reason, progress});
+    const by = endingPartyOf(reason);
+    this.connectionLossCounter.inc({by, reason, progress});
   }
 
   /** Counts retries that this host has given up for others. */
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -5,11 +5,14 @@
 import {once} from 'node:events';
 import {
   InterruptedResponseError,
+  cancellationCauseOf,
+  cancellationFailureOf,
   hostStopping,
   httpStatusOf,
 } from '@persimmonwick/coordination';
 import type {
   Clock,
+  Cancellation,
   IncomingCall,
   PassthroughResponse,
   PassthroughHost,
@@ -21,6 +24,7 @@
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
 import {CallerConnections} from './caller-connections.js';
+import type {ConnectionEnd} from './connection-end.js';
 import type {
   CallProgress,
   ConnectionLoss,
@@ -29,12 +33,11 @@
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
-  callerDisconnectedFailure,
-  connectionEnded,
+  endOfBrokenResponse,
   failureOfBrokenResponse,
-  failureOfGivenUp,
   internalFailure,
   isDeclined,
+  statusOfCutResponse,
   unknownPeer,
 } from './server-failures.js';
 import type {EarlyListener} from './early-listener.js';
@@ -56,6 +59,8 @@
   readonly status: number;
   readonly durationMilliseconds: number;
   readonly failure: RequestFailure | undefined;
+  /** What cancelled the call; empty if nothing has. */
+  readonly cause: string;
   /** True for a call that generates tokens, as opposed to a service call. */
   readonly isGeneration: boolean;
 }
@@ -82,8 +87,6 @@
 const serviceUnavailableStatus = 503;
 /** Lowest status that reports a failure of the upstream. */
 const firstServerErrorStatus = 500;
-/** Logged status of a call whose caller disconnected. */
-const clientClosedRequestStatus = 499;
 
 export class PassthroughServer {
   private readonly instance: FastifyInstance;
@@ -94,15 +97,14 @@
   /** Connections of other hosts that hand calls over. */
   private readonly peerSockets = new WeakSet<Socket>();
   private readonly idleController = new AbortController();
-  private isDraining = false;
-  private hasGivenUp = false;
+  private stoppingSince: number | undefined;
   inFlight = 0;
 
   constructor(private readonly parts: PassthroughServerParts) {
     this.connections = new CallerConnections(
       {
         clock: parts.clock,
-        isDraining: () => this.isDraining,
+        stoppingSince: () => this.stoppingSince,
         onLoss: parts.onConnectionLoss,
       },
       () => this.reportIfIdle(),
@@ -167,7 +169,7 @@
 
   /** Makes every response from now on close its connection. */
   startDraining(): void {
-    this.isDraining = true;
+    this.stoppingSince = this.parts.clock.now();
   }
 
   /**
@@ -196,8 +198,11 @@
    * callers are told.
    */
   async giveUpCalls(timeoutMilliseconds: number): Promise<void> {
-    this.hasGivenUp = true;
-    for (const call of this.activeCalls) call.abort();
+    const cancellation: Cancellation = {
+      kind: 'grace-over',
+      cause: 'grace-over',
+    };
+    for (const call of this.activeCalls) call.abort(cancellation);
     await this.waitUntilIdle(timeoutMilliseconds);
   }
 
@@ -213,7 +218,8 @@
 
   private reportIfIdle(): void {
     const {listening} = this.instance.server;
-    if (this.isDraining && !listening && this.connections.size === 0)
+    const isStopping = this.stoppingSince !== undefined;
+    if (isStopping && !listening && this.connections.size === 0)
       this.idleController.abort();
   }
 
@@ -229,6 +235,7 @@
       progress: 'waiting',
       isCancelable: true,
       response,
+      ended: new AbortController(),
       account: '',
       route: '',
       arrivedAt: this.parts.clock.now(),
@@ -238,7 +245,10 @@
     try {
       if (await connection.enter(request, context))
         await this.processCall(request, target, response, context);
-      else this.reportDropped(request, target, context);
+      else {
+        context.ended.abort(connection.cancellation);
+        this.reportDropped(request, target, context);
+      }
     } catch (error) {
       this.endAfterInternalError(request, response, context, error);
     } finally {
@@ -258,7 +268,8 @@
     this.parts.wireFormat
       .parseCall({method, target, rawHeaders}, context.arrivedAt)
       .map(({id}) => (context.requestId = id));
-    this.reportEnd(context, clientClosedRequestStatus, connectionEnded);
+    const failure = cancellationFailureOf(context.ended.signal, 'not-run');
+    this.reportEnd(context, httpStatusOf(failure.code), failure);
   }
 
   private async processCall(
@@ -269,11 +280,12 @@
   ): Promise<void> {
     const {wireFormat, host} = this.parts;
     context.progress = 'receiving';
-    const disconnected = new AbortController();
-    this.activeCalls.add(disconnected);
+    const {ended} = context;
+    const connection = this.connections.carrying(response)!;
+    this.activeCalls.add(ended);
     response.once('close', () => {
-      this.activeCalls.delete(disconnected);
-      disconnected.abort();
+      this.activeCalls.delete(ended);
+      ended.abort(connection.cancellation);
     });
     const call = this.checkHeaderSize(request).andThen(() =>
       wireFormat.parseCall(
@@ -317,7 +329,7 @@
       {...call.value, isHandedOver},
       routing.value,
       body.value,
-      disconnected.signal,
+      ended.signal,
     );
     if (upstreamResponse.isErr)
       return this.sendFailure(
@@ -330,7 +342,6 @@
       call.value,
       upstreamResponse.value,
       response,
-      disconnected.signal,
       context,
     );
   }
@@ -345,7 +356,7 @@
     this.parts.onInternalError(context.requestId, error);
     if (!response.headersSent)
       return this.sendFailure(response, request, internalFailure, context);
-    this.breakOff(response);
+    this.breakOff(response, 'broken-response');
     this.reportEnd(context, response.statusCode, internalFailure);
   }
 
@@ -372,7 +383,7 @@
   private readBodyInTime(
     request: IncomingMessage,
     deadline: number,
-    {route}: CallContext,
+    {route, ended}: CallContext,
   ): Promise<Result<Uint8Array, RequestFailure>> {
     return new Promise(resolve => {
       const endWatch = this.parts.shutdown.watch(
@@ -380,7 +391,7 @@
         () => resolve(Result.err(hostStopping)),
       );
       const {bodyBytes} = this.parts.limits();
-      void readRequestBody(request, bodyBytes).then(body => {
+      void readRequestBody(request, bodyBytes, ended.signal).then(body => {
         endWatch();
         resolve(body);
       });
@@ -395,9 +406,9 @@
     call: IncomingCall,
     upstreamResponse: PassthroughResponse,
     response: ServerResponse,
-    disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
+    const {signal} = context.ended;
     context.progress = 'responding';
     this.connections.carrying(response)?.announceEndIfDue(response);
     for (const [name, value] of upstreamResponse.headers)
@@ -407,39 +418,38 @@
       for await (const chunk of upstreamResponse.body) {
         if (response.destroyed) break;
         if (!response.write(chunk))
-          await once(response, 'drain', {signal: disconnected}).catch(
-            () => undefined,
-          );
+          await once(response, 'drain', {signal}).catch(() => undefined);
       }
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
       // A truncated response must not look complete to the caller.
-      this.breakOff(response);
+      this.breakOff(response, endOfBrokenResponse(signal));
       this.reportEnd(
         context,
-        statusOfBrokenResponse(disconnected, upstreamResponse.status),
-        failureOfBrokenResponse(error, disconnected),
+        statusOfCutResponse(signal, upstreamResponse.status),
+        failureOfBrokenResponse(error, signal),
       );
       return;
     }
     response.end();
-    const isComplete = !disconnected.aborted || response.writableFinished;
+    const isComplete = !response.destroyed || response.writableFinished;
     if (isComplete && upstreamResponse.status < firstServerErrorStatus)
       this.recordDuration(context);
     this.reportEnd(
       context,
-      isComplete ? upstreamResponse.status : clientClosedRequestStatus,
-      isComplete ? undefined : callerDisconnectedFailure,
+      isComplete
+        ? upstreamResponse.status
+        : statusOfCutResponse(signal, upstreamResponse.status),
+      isComplete ? undefined : cancellationFailureOf(signal, 'unknown'),
     );
   }
 
   private sendFailure(
     response: ServerResponse,
     request: IncomingMessage,
-    cause: RequestFailure,
+    failure: RequestFailure,
     context: CallContext,
   ): void {
-    const failure = this.hasGivenUp ? failureOfGivenUp(cause) : cause;
     const status = httpStatusOf(failure.code);
     this.reportEnd(context, status, failure);
     if (response.destroyed) return;
@@ -466,9 +476,8 @@
     response.end(text);
   }
 
-  private breakOff(response: ServerResponse): void {
+  private breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const connection = this.connections.carrying(response);
-    const reason = this.hasGivenUp ? 'host-closed' : 'broken-response';
     if (connection === undefined) response.destroy();
     else connection.breakOff(response, reason);
   }
@@ -479,7 +488,7 @@
   }
 
   private reportEnd(
-    {requestId, account, route, arrivedAt, isGeneration}: CallContext,
+    {requestId, account, route, arrivedAt, isGeneration, ended}: CallContext,
     status: number,
     failure: RequestFailure | undefined,
   ): void {
@@ -491,6 +500,7 @@
       status,
       durationMilliseconds,
       failure,
+      cause: cancellationCauseOf(ended.signal),
       isGeneration,
     });
   }
@@ -512,16 +522,9 @@
   isCancelable: boolean;
   account: string;
   route: string;
-  /** Clock time in milliseconds. */
-  readonly arrivedAt: number;
+  /** Aborted with a `Cancellation` when the call is cancelled, or has ended. */
+  readonly ended: AbortController;
   /** Clock time at which the call was complete. */
   forwardedAt: number;
   isGeneration: boolean;
 }
-
-function statusOfBrokenResponse(
-  disconnected: AbortSignal,
-  status: number,
-): number {
-  return disconnected.aborted ? clientClosedRequestStatus : status;
-}
--- a/packages/daemon/src/passthrough/request-body.ts
+++ b/packages/daemon/src/passthrough/request-body.ts
@@ -1,26 +1,25 @@
 /** Reads the body of a call. */
 
 import type {IncomingMessage} from 'node:http';
+import {cancellationFailureOf} from '@persimmonwick/coordination';
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {Result} from 'true-myth';
 
 /**
  * Reads a body of at most `maximumBytes`. Discards the rest of a larger one, so that
- * its caller can read the response behind its upload. Never rejects.
+ * its caller can read the response behind its upload. `disconnected` says why the
+ * connection has ended. Never rejects.
  */
 export async function readRequestBody(
   request: IncomingMessage,
   maximumBytes: number,
+  disconnected: AbortSignal,
 ): Promise<Result<Uint8Array, RequestFailure>> {
   try {
     const body = await collectBody(request, maximumBytes);
     if (body !== undefined) return Result.ok(body);
   } catch {
-    return Result.err({
-      code: 'caller-gone',
-      message: 'the caller disconnected while sending the body',
-      ran: 'not-run',
-    });
+    return Result.err(cancellationFailureOf(disconnected, 'not-run'));
   }
   request.resume();
   return Result.err({
--- a/packages/daemon/src/passthrough/server-failures.ts
+++ b/packages/daemon/src/passthrough/server-failures.ts
@@ -1,10 +1,15 @@
 /** Failures of calls that the server itself decides. */
 
-import {hostStopping} from '@persimmonwick/coordination';
+import {
+  cancellationFailureOf,
+  cancellationOf,
+  httpStatusOf,
+} from '@persimmonwick/coordination';
 import type {
   InterruptedResponseError,
   RequestFailure,
 } from '@persimmonwick/coordination';
+import type {ConnectionEnd} from './connection-end.js';
 
 /**
  * Returns whether another host may handle the call instead. One that an upstream
@@ -36,34 +41,41 @@
   ran: 'unknown',
 };
 
-export const callerDisconnectedFailure: RequestFailure = {
-  code: 'caller-gone',
-  message: 'the caller disconnected before the response was complete',
-  ran: 'unknown',
+/** Failure of a call whose response the host has broken off at the end of a stop. */
+const responseCutByStop: RequestFailure = {
+  code: 'draining',
+  message: 'the host stopped before the response was complete',
+  ran: 'ran',
 };
 
-/** The call was read, but not forwarded. */
-export const connectionEnded: RequestFailure = {
-  code: 'caller-gone',
-  message: 'the connection ended before the call could be answered',
-  ran: 'not-run',
-};
-
-/** Failure of a call that was given up because the host stops. */
-export function failureOfGivenUp(failure: RequestFailure): RequestFailure {
-  if (failure.code !== 'caller-gone') return failure;
-  if (failure.ran === 'not-run') return hostStopping;
-  return {
-    code: 'upstream-timeout',
-    message: 'the host stopped before the upstream answered',
-    ran: failure.ran,
-  };
-}
-
 export function failureOfBrokenResponse(
   error: InterruptedResponseError,
-  disconnected: AbortSignal,
+  signal: AbortSignal,
 ): RequestFailure {
-  if (disconnected.aborted) return callerDisconnectedFailure;
-  return {code: 'upstream-failed', message: error.message, ran: 'ran'};
+  if (!signal.aborted)
+    return {code: 'upstream-failed', message: error.message, ran: 'ran'};
+  return cancellationOf(signal)?.kind === 'grace-over'
+    ? responseCutByStop
+    : cancellationFailureOf(signal, 'unknown');
+}
+
+/** Why a connection ends in the middle of a response. */
+export function endOfBrokenResponse(signal: AbortSignal): ConnectionEnd {
+  return cancellationOf(signal)?.kind === 'grace-over'
+    ? 'grace-over'
+    : 'broken-response';
+}
+
+/**
+ * Logged status of a call whose response was cut: that of the response, unless its
+ * connection had ended.
+ */
+export function statusOfCutResponse(
+  signal: AbortSignal,
+  status: number,
+): number {
+  const kind = cancellationOf(signal)?.kind;
+  return kind === 'caller-gone' || kind === 'connection-closed'
+    ? httpStatusOf(kind)
+    : status;
 }
