--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -7,10 +7,12 @@
  *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
  *
  * `work` is a list of stops, pairs, early-stops, repeated-stops, early-settings,
- * settings, configurations and freezes, or `all`, which leaves out early-settings and
- * freezes. Other arguments: `habits` (a list of the habits of callers) or `without` (such
+ * settings, configurations, freezes and engine-failures, or `all`, which leaves out
+ * early-settings, freezes and engine-failures. While engines fail, only resumable
+ * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of the habits of callers) or `without` (such
  * a list to leave out), `program` (path of the bundle), `output` (`discarded`, `unread`
- * or `file`) and `folder` (for the files), `server-work`, `idle-timeout`, `pause` and
+ * or `file`) and `folder` (for the files), `streams` (`even` or `uneven`),
+ * `engine-delay` (of reservations and prefills, in milliseconds), `server-work`, `idle-timeout`, `pause` and
  * `server-idle` (milliseconds), `grace` (seconds), `server-requests` (requests after
  * which servers close a connection at its next use) and `stranded` (number of hosts that
  * reach no server).
@@ -55,7 +57,11 @@
     fileURLToPath(new URL('../target/persimmonwick.mjs', import.meta.url)),
   output: values.output ?? (values.folder === undefined ? 'discarded' : 'file'),
   folder: values.folder,
-  workMilliseconds: number('server-work', 60),
+  serverWork: {
+    workMilliseconds: number('server-work', 60),
+    streams: values.streams ?? 'even',
+    engineDelayMilliseconds: number('engine-delay', 0),
+  },
   idleTimeoutMilliseconds: number('idle-timeout', 15_000),
   pauseMilliseconds: number('pause', 300),
   graceSeconds: number('grace', 8),
@@ -69,9 +75,11 @@
   },
   strandedHosts: number('stranded', 0),
 });
-const {requests, outcomes, findings, work, unplannedEnds} = await run.run();
+const {requests, requestsByKind, outcomes, findings, work, unplannedEnds} =
+  await run.run();
 for (const finding of findings) console.log(describeFinding(finding));
 const counts = {};
+console.log(JSON.stringify({requestsByKind}));
 for (const {breach, exchange} of findings) {
   const name = `${breach}, ${exchange.kind}`;
   counts[name] = (counts[name] ?? 0) + 1;
