An upstream is reached if the process pauses while it connects

Callers saw: one of three got 503 `no-upstream` (314 bytes) in place of its response, though the upstream was sound and had spare capacity.

Cause: the connection timeout of `UpstreamSocket`, and that of the reachability probe, were plain timers. After a pause of the process longer than 250 ms the timer runs before the event loop sees that the connection was made in the meantime, and the upstream counts as unreachable; a route with one upstream has no other one. `PauseAwareTimeout`, which the request itself uses, left the same gap for pauses that end up to 100 ms behind the timeout.

Change: both use `PauseAwareTimeout`, which lets the event loop read once more before a timeout that was not late ends the wait.

--- a/packages/daemon/src/connections/pause-aware-timeout.ts
+++ b/packages/daemon/src/connections/pause-aware-timeout.ts
@@ -1,7 +1,6 @@
 /**
  * Timeouts that do not mistake a pause of this process for silence of the other
- * side. After a pause all expired timers run before what arrived meanwhile is
- * read.
+ * side. After a pause expired timers may run before what arrived meanwhile is read.
  */
 
 /** A timer that fires later than this shows that the process stood still. */
@@ -12,6 +11,8 @@
 
 export class PauseAwareTimeout {
   private timer: NodeJS.Timeout | undefined;
+  /** Set once the time has passed; what has arrived until then is read before. */
+  private lastTurn: NodeJS.Immediate | undefined;
   private expiresAt = 0;
   /** Whether the timer runs for the grace, which can't be refreshed. */
   private isInGrace = false;
@@ -25,6 +26,7 @@
 
   /** Starts the time anew. */
   restart(): void {
+    clearImmediate(this.lastTurn);
     if (this.timer === undefined || this.isInGrace) {
       this.startTimer(this.milliseconds, false);
       return;
@@ -34,6 +36,7 @@
   }
 
   clear(): void {
+    clearImmediate(this.lastTurn);
     clearTimeout(this.timer);
     this.timer = undefined;
   }
@@ -49,6 +52,6 @@
     const isLate = performance.now() - this.expiresAt > lateTimerMilliseconds;
     // One grace is enough: a process that is always late must time out too.
     if (isLate && !this.isInGrace) this.startTimer(graceMilliseconds, true);
-    else this.onTimeout();
+    else this.lastTurn = setImmediate(() => this.onTimeout());
   }
 }
--- a/packages/daemon/src/connections/upstream-socket.ts
+++ b/packages/daemon/src/connections/upstream-socket.ts
@@ -6,6 +6,7 @@
 
 import {Socket} from 'node:net';
 import type {SocketConstructorOpts} from 'node:net';
+import {PauseAwareTimeout} from './pause-aware-timeout.js';
 
 /**
  * Bytes without the end of a head and without data of a body after which a
@@ -37,11 +38,10 @@
    * `timeoutMilliseconds` pass before it is connected.
    */
   open(host: string, port: number, timeoutMilliseconds: number): this {
-    const timer = setTimeout(
-      () => this.destroy(new Error(`no connection to ${host}:${port}`)),
-      timeoutMilliseconds,
+    const timeout = new PauseAwareTimeout(timeoutMilliseconds, () =>
+      this.destroy(new Error(`no connection to ${host}:${port}`)),
     );
-    const clear = () => clearTimeout(timer);
+    const clear = () => timeout.clear();
     return this.once('connect', clear).once('close', clear).connect(port, host);
   }
 
--- a/packages/daemon/src/passthrough/can-connect.ts
+++ b/packages/daemon/src/passthrough/can-connect.ts
@@ -2,6 +2,7 @@
 
 import {connect} from 'node:net';
 import {isHostAddress} from '@persimmonwick/coordination';
+import {PauseAwareTimeout} from '../connections/pause-aware-timeout.js';
 
 /**
  * Opens a TCP connection to `address` and closes it. Resolves to false when the
@@ -18,13 +19,13 @@
   return new Promise(resolve => {
     const socket = connect({host, port: Number(port)});
     const settle = (isConnected: boolean) => {
-      clearTimeout(timer);
+      timeout.clear();
       signal.removeEventListener('abort', onAbort);
       socket.destroy();
       resolve(isConnected);
     };
     const onAbort = () => settle(false);
-    const timer = setTimeout(onAbort, timeoutMilliseconds);
+    const timeout = new PauseAwareTimeout(timeoutMilliseconds, onAbort);
     signal.addEventListener('abort', onAbort);
     socket.once('connect', () => settle(true));
     socket.once('error', () => settle(false));
--- a/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
+++ b/packages/daemon/test/passthrough/pause-aware-timeout.test.ts
@@ -2,18 +2,13 @@
 import {stat} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {PauseAwareTimeout} from '../../src/connections/pause-aware-timeout.js';
+import {standStill} from '../tools/stand-still.js';
 
 const timeoutMilliseconds = 40;
 
 const sleep = (milliseconds: number) =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
 
-/** Keeps the process from running timers and reading input. */
-function standStill(milliseconds: number): void {
-  const until = performance.now() + milliseconds;
-  while (performance.now() < until);
-}
-
 test.serial(
   'input that arrived during a pause is read before the timeout ends the wait',
   async t => {
