A pause that ends shortly after a timeout is not taken for silence

Callers saw: of six streams at a host that is about to stop, some got 503 `no-upstream` at once, and so no last chunk.

Cause: a timeout that fired up to 100 ms late counted as if the process had run, so a pause of 430 ms made a request silent whose timeout is 400 ms: its connection was made during the pause, and the request was not yet written.

Evidence: one pause of 290, 420 or 700 ms behind one of six steps between the first admitted and the first running stream.

Change: a timeout that is over 10 ms late gets the grace of 50 ms.

The case of 430 ms fails without the change.

--- a/packages/daemon/src/connections/pause-aware-timeout.ts
+++ b/packages/daemon/src/connections/pause-aware-timeout.ts
@@ -4,7 +4,7 @@
  */
 
 /** A timer that fires later than this shows that the process stood still. */
-const lateTimerMilliseconds = 100;
+const lateTimerMilliseconds = 10;
 
 /** Time to read what arrived during a pause. */
 const graceMilliseconds = 50;
