A connection is read once more before a pause of the process ends it

Callers saw: at a host that stops, a release written right after its stream got no answer and a reset, though the host had 0.5 s to read it; and the 413 of an upload that went on was discarded by a reset.

Cause: the timers of the end of a connection (time for one more request, linger behind the last response) run before the event loop reads the sockets. After a pause of the process longer than the rest of such a time, bytes that arrived in time count as none.

Change: both times end after the sockets were read once more.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -9,6 +9,7 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
@@ -229,7 +230,7 @@
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
-    await this.parts.clock.sleep(lastRequestMilliseconds, signal);
+    await this.sleepAndRead(lastRequestMilliseconds, signal);
     if (!signal.aborted) this.end('host-closed');
   }
 
@@ -261,7 +262,7 @@
     let hasReadMore: boolean;
     do {
       const {bytesRead} = socket;
-      await clock.sleep(lingerMilliseconds, closed.signal);
+      await this.sleepAndRead(lingerMilliseconds, closed.signal);
       hasReadMore = socket.bytesRead > bytesRead;
     } while (
       !closed.signal.aborted &&
@@ -271,6 +272,16 @@
     socket.destroy();
   }
 
+  /** Resolves after `milliseconds`, once the bytes that came until then are read. */
+  private async sleepAndRead(
+    milliseconds: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.parts.clock.sleep(milliseconds, signal);
+    // Timers that expired while the process paused run before its sockets are read.
+    await setImmediate();
+  }
+
   /** Clock time by which the caller has received all that was written. */
   private estimateReceipt(): number {
     return this.receipt.update(
