An idle connection is read once more before its timeout closes it

Callers saw: a request sent before the idle timeout of its connection is reset unread if the host stands still while the timeout passes.

Cause: Node destroys the connection in the timer, which runs before the event loop reads the sockets after a pause.

Evidence: with a pause of 600 ms that begins 0.3 s before the timeout and in which the request comes, the connection ends without an answer each time.

Change: the connection closes once its socket was read again and no byte came.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -107,7 +107,7 @@
     this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
-    socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.on('timeout', () => void this.onTimeout());
     socket.once('end', () => void this.onHalfClose());
     socket.once('close', () => this.onClose());
     // Node calls this after a response that announced the end of the connection.
@@ -330,6 +330,14 @@
     this.reason ??= reason;
   }
 
+  private async onTimeout(): Promise<void> {
+    const {socket} = this;
+    const {bytesRead} = socket;
+    // A request may have come while the process paused.
+    if (!socket.destroyed) await setImmediate();
+    if (socket.bytesRead === bytesRead) this.destroy('idle-timeout');
+  }
+
   private onClose(): void {
     this.closed.abort();
     const {openCalls: calls} = this;
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -30,6 +30,8 @@
   /** Has to be called before `server` accepts connections. */
   observe(server: Server): void {
     server.on('connection', socket => this.add(socket));
+    // Without a listener, Node destroys connections that are idle for too long.
+    server.on('timeout', () => undefined);
     // Node would destroy the connection, with the responses under way.
     server.on('connect', (_request, socket: Socket) => {
       socket.on('error', () => socket.destroy());
