A response that fails before its first bytes is answered with an error

Callers saw: a connection that ended without a byte (`UND_ERR_SOCKET`, 0 bytes read, or an unexpected end), though the host had taken the request and an upstream had accepted it.

Cause: the head of the upstream's response was handed to Node at once, which holds it back until the first bytes of the body. If the upstream failed or fell silent before these, the head could not be taken back, and the only thing left was to end the connection.

With a response that fails at once the connection ends without an answer each time.

Change: the head is written with the first bytes, so a failure before them is answered, 504 after silence and 502 otherwise, as `ran`. The end of the connection is announced then as well, which a stop in between no longer misses. Half-closed callers of calls that may not run twice still get no interim response before it.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -323,7 +323,10 @@
     const [call] = this.openCalls;
     if (call === undefined || this.isEnding) return undefined;
     const {response, isCancelable, progress} = call;
-    return {response, isProbed: isCancelable || progress !== 'sent'};
+    const isAtUpstream =
+      progress === 'sent' ||
+      (progress === 'responding' && !response.headersSent);
+    return {response, isProbed: isCancelable || !isAtUpstream};
   }
 
   private setReason(reason: ConnectionEnd): void {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -10,7 +10,6 @@
 } from '@persimmonwick/coordination';
 import type {
   Clock,
-  IncomingCall,
   PassthroughResponse,
   PassthroughHost,
   RequestFailure,
@@ -327,7 +326,7 @@
         context,
       );
     await this.streamResponse(
-      call.value,
+      request,
       upstreamResponse.value,
       response,
       disconnected.signal,
@@ -388,24 +387,22 @@
   }
 
   /**
-   * Streams the upstream's response to the caller. When the upstream fails
-   * midway, the caller's connection is destroyed.
+   * Streams the upstream's response to the caller. When the upstream fails before
+   * the first bytes, the caller gets an error response; when it fails midway, the
+   * caller's connection ends.
    */
   private async streamResponse(
-    call: IncomingCall,
+    request: IncomingMessage,
     upstreamResponse: PassthroughResponse,
     response: ServerResponse,
     disconnected: AbortSignal,
     context: CallContext,
   ): Promise<void> {
     context.progress = 'responding';
-    this.connections.carrying(response)?.announceEndIfDue(response);
-    for (const [name, value] of upstreamResponse.headers)
-      response.appendHeader(name, value);
-    response.writeHead(upstreamResponse.status);
     try {
       for await (const chunk of upstreamResponse.body) {
         if (response.destroyed) break;
+        this.writeHead(upstreamResponse, response);
         if (!response.write(chunk))
           await once(response, 'drain', {signal: disconnected}).catch(
             () => undefined,
@@ -413,15 +410,19 @@
       }
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
+      const failure = failureOfBrokenResponse(error, disconnected);
+      if (!response.headersSent)
+        return this.sendFailure(response, request, failure, context);
       // A truncated response must not look complete to the caller.
       this.breakOff(response);
       this.reportEnd(
         context,
         statusOfBrokenResponse(disconnected, upstreamResponse.status),
-        failureOfBrokenResponse(error, disconnected),
+        failure,
       );
       return;
     }
+    this.writeHead(upstreamResponse, response);
     response.end();
     const isComplete = !disconnected.aborted || response.writableFinished;
     if (isComplete && upstreamResponse.status < firstServerErrorStatus)
@@ -433,6 +434,17 @@
     );
   }
 
+  /** Writes the head with the first bytes, until which the call may still fail. */
+  private writeHead(
+    {status, headers}: PassthroughResponse,
+    response: ServerResponse,
+  ): void {
+    if (response.headersSent) return;
+    this.connections.carrying(response)?.announceEndIfDue(response);
+    for (const [name, value] of headers) response.appendHeader(name, value);
+    response.writeHead(status);
+  }
+
   private sendFailure(
     response: ServerResponse,
     request: IncomingMessage,
--- a/packages/daemon/src/passthrough/server-failures.ts
+++ b/packages/daemon/src/passthrough/server-failures.ts
@@ -65,5 +65,7 @@
   disconnected: AbortSignal,
 ): RequestFailure {
   if (disconnected.aborted) return callerDisconnectedFailure;
-  return {code: 'upstream-failed', message: error.message, ran: 'ran'};
+  const code =
+    error.reason === 'silent' ? 'upstream-timeout' : 'upstream-failed';
+  return {code, message: error.message, ran: 'ran'};
 }
