--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -9,6 +9,7 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
@@ -100,7 +101,7 @@
     this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
-    socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.on('timeout', () => void this.onTimeout());
     socket.once('error', error => this.onError(error));
     socket.once('end', () => void this.onHalfClose());
     socket.once('close', () => this.onClose());
@@ -237,7 +238,7 @@
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
-    await this.parts.clock.sleep(lastRequestMilliseconds, signal);
+    await this.sleepAndRead(lastRequestMilliseconds, signal);
     if (!signal.aborted) this.end('host-closed');
   }
 
@@ -269,7 +270,7 @@
     let hasReadMore: boolean;
     do {
       const {bytesRead} = socket;
-      await clock.sleep(lingerMilliseconds, closed.signal);
+      await this.sleepAndRead(lingerMilliseconds, closed.signal);
       hasReadMore = socket.bytesRead > bytesRead;
     } while (
       !closed.signal.aborted &&
@@ -279,6 +280,16 @@
     socket.destroy();
   }
 
+  /** Resolves after `milliseconds`, once the bytes that came until then are read. */
+  private async sleepAndRead(
+    milliseconds: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.parts.clock.sleep(milliseconds, signal);
+    // Timers that expired while the process paused run before its sockets are read.
+    await setImmediate();
+  }
+
   /** Clock time by which the caller has received all that was written. */
   private estimateReceipt(): number {
     return this.receipt.update(
@@ -320,7 +331,10 @@
     const [call] = this.openCalls;
     if (call === undefined || this.isEnding) return undefined;
     const {response, isCancelable, progress} = call;
-    return {response, isProbed: isCancelable || progress !== 'sent'};
+    const isAtUpstream =
+      progress === 'sent' ||
+      (progress === 'responding' && !response.headersSent);
+    return {response, isProbed: isCancelable || !isAtUpstream};
   }
 
   private setReason(reason: ConnectionEnd): void {
@@ -334,6 +348,14 @@
     );
   }
 
+  private async onTimeout(): Promise<void> {
+    const {socket} = this;
+    const {bytesRead} = socket;
+    // A request may have come while the process paused.
+    if (!socket.destroyed) await setImmediate();
+    if (socket.bytesRead === bytesRead) this.destroy('idle-timeout');
+  }
+
   private onClose(): void {
     this.closed.abort();
     const {openCalls: calls, endReason: reason} = this;
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -13,7 +13,6 @@
 import type {
   Clock,
   Cancellation,
-  IncomingCall,
   PassthroughResponse,
   PassthroughHost,
   RequestFailure,
@@ -34,7 +33,8 @@
 import {readRequestBody} from './request-body.js';
 import {
   endOfBrokenResponse,
-  failureOfBrokenResponse,
+  failureOfCutResponse,
+  failureOfUnbegunResponse,
   internalFailure,
   isDeclined,
   statusOfCutResponse,
@@ -339,7 +339,7 @@
         context,
       );
     await this.streamResponse(
-      call.value,
+      request,
       upstreamResponse.value,
       response,
       context,
@@ -399,38 +399,44 @@
   }
 
   /**
-   * Streams the upstream's response to the caller. When the upstream fails
-   * midway, the caller's connection is destroyed.
+   * Streams the upstream's response to the caller. When the upstream fails before
+   * the first bytes, the caller gets an error response; when it fails midway, the
+   * caller's connection ends.
    */
   private async streamResponse(
-    call: IncomingCall,
+    request: IncomingMessage,
     upstreamResponse: PassthroughResponse,
     response: ServerResponse,
     context: CallContext,
   ): Promise<void> {
     const {signal} = context.ended;
     context.progress = 'responding';
-    this.connections.carrying(response)?.announceEndIfDue(response);
-    for (const [name, value] of upstreamResponse.headers)
-      response.appendHeader(name, value);
-    response.writeHead(upstreamResponse.status);
     try {
       for await (const chunk of upstreamResponse.body) {
         if (response.destroyed) break;
+        this.writeHead(upstreamResponse, response);
         if (!response.write(chunk))
           await once(response, 'drain', {signal}).catch(() => undefined);
       }
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
+      if (!response.headersSent)
+        return this.sendFailure(
+          response,
+          request,
+          failureOfUnbegunResponse(error, signal),
+          context,
+        );
       // A truncated response must not look complete to the caller.
       this.breakOff(response, endOfBrokenResponse(signal));
       this.reportEnd(
         context,
         statusOfCutResponse(signal, upstreamResponse.status),
-        failureOfBrokenResponse(error, signal),
+        failureOfCutResponse(error, signal),
       );
       return;
     }
+    this.writeHead(upstreamResponse, response);
     response.end();
     const isComplete = !response.destroyed || response.writableFinished;
     if (isComplete && upstreamResponse.status < firstServerErrorStatus)
@@ -444,6 +450,17 @@
     );
   }
 
+  /** Writes the head with the first bytes, until which the call may still fail. */
+  private writeHead(
+    {status, headers}: PassthroughResponse,
+    response: ServerResponse,
+  ): void {
+    if (response.headersSent) return;
+    this.connections.carrying(response)?.announceEndIfDue(response);
+    for (const [name, value] of headers) response.appendHeader(name, value);
+    response.writeHead(status);
+  }
+
   private sendFailure(
     response: ServerResponse,
     request: IncomingMessage,
