Reset a broken response that has no frame

What callers saw: an HTTP/1.0 caller reads a stream up to the end of its connection. When the engine broke off, the host closed the connection in the usual way, and the part that had arrived looked like the whole stream.

Cause: a response without a frame was broken off with the destroy of its socket, which resets the connection only if bytes of the caller are unread.

Change: the host resets the connection if the response under way is not complete and has no frame, and gives the caller the time of the last response to receive what was written before. That holds for all ways in which the host closes a connection.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -178,19 +178,17 @@
   /** Closes the connection at once; `reason` holds unless there is an earlier one. */
   destroy(reason: ConnectionEnd): void {
     this.setReason(reason);
-    this.socket.destroy();
+    if (this.needsReset) this.socket.resetAndDestroy();
+    else this.socket.destroy();
   }
 
   /**
-   * Ends the connection in the middle of `response`. The reset that a close with
+   * Ends the connection in the middle of a response. The reset that a close with
    * unread bytes causes would overtake the responses before it.
    */
-  breakOff(response: ServerResponse, reason: ConnectionEnd): void {
-    const isFramed =
-      response.chunkedEncoding || response.hasHeader('content-length');
-    // Without a frame, only a reset tells that the response is not complete. A caller
-    // that does not read would keep the connection open.
-    if (isFramed && this.socket.writableLength === 0) this.end(reason);
+  breakOff(reason: ConnectionEnd): void {
+    // A caller that does not read would keep the connection open.
+    if (this.socket.writableLength === 0) this.end(reason);
     else this.destroy(reason);
   }
 
@@ -246,14 +244,23 @@
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
     // The caller of an upload may read the response only after it has sent it.
     else lastRequest.once('end', stopReading).resume();
-    socket.end(() => void this.destroyAfterLinger());
+    if (this.needsReset) void this.destroyAfterLinger(reason);
+    else socket.end(() => void this.destroyAfterLinger(reason));
+  }
+
+  /** Whether only a reset tells that the response under way is not complete. */
+  private get needsReset(): boolean {
+    const response = this.openCalls[0]?.response;
+    if (response?.headersSent !== true || response.writableFinished)
+      return false;
+    return !isFramed(response);
   }
 
   /**
    * Waits for a caller that is slow to receive the last response, and for an upload
    * that goes on: it may have to end before its caller reads.
    */
-  private async destroyAfterLinger(): Promise<void> {
+  private async destroyAfterLinger(reason: ConnectionEnd): Promise<void> {
     const {socket, closed} = this;
     const {clock} = this.parts;
     const latest = clock.now() + maximumLingerMilliseconds;
@@ -268,7 +275,7 @@
       clock.now() < latest &&
       (hasReadMore || clock.now() < receivedAt)
     );
-    socket.destroy();
+    this.destroy(reason);
   }
 
   /** Clock time by which the caller has received all that was written. */
@@ -327,3 +334,7 @@
     if (calls.length > 0) this.parts.onLoss({reason, calls});
   }
 }
+
+function isFramed(response: ServerResponse): boolean {
+  return response.chunkedEncoding || response.hasHeader('content-length');
+}
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -470,7 +470,7 @@
     const connection = this.connections.carrying(response);
     const reason = this.hasGivenUp ? 'host-closed' : 'broken-response';
     if (connection === undefined) response.destroy();
-    else connection.breakOff(response, reason);
+    else connection.breakOff(reason);
   }
 
   private recordDuration({route, forwardedAt}: CallContext): void {
