Reset a stream that breaks off behind a probe

What callers saw: a caller that has ended its direction is probed once with a zero before the size of the next chunk. When the stream broke off there, the host ended the connection, and the bytes ended in "0". Node, undici and a strict reader take that for a broken response.

Change: while the zero is the last byte that was written, the connection is reset, after the time that the last response has to arrive. The same holds for a host that stops.

Not solved: the system closes the connections of a killed process in order, so a lenient client still reads the zero before a kill as the last chunk.

--- a/packages/daemon/src/connections/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -30,6 +30,8 @@
 export class CallerProbe {
   private readonly probed = new WeakSet<ServerResponse>();
   private bytesWritten: number;
+  /** Bytes written up to the last probe within a response in chunks. */
+  private probeEnd: number | undefined;
 
   constructor(
     private readonly socket: Socket,
@@ -38,6 +40,11 @@
     this.bytesWritten = socket.bytesWritten;
   }
 
+  /** Whether the size of a chunk has begun and nothing was written behind it. */
+  get isInsideSize(): boolean {
+    return this.socket.bytesWritten === this.probeEnd;
+  }
+
   /**
    * Probes until `findAwaited` returns undefined or the connection is closed. Returns
    * false if it can't be found out whether the caller still reads.
@@ -92,6 +99,7 @@
       response.flushHeaders();
       // A leading zero of the size of the next chunk.
       this.socket.write('0');
+      this.probeEnd = this.socket.bytesWritten;
     }
     this.bytesWritten = this.socket.bytesWritten;
     return true;
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -248,12 +248,15 @@
     else socket.end(() => void this.destroyAfterLinger(reason));
   }
 
-  /** Whether only a reset tells that the response under way is not complete. */
+  /**
+   * Whether only a reset tells that the response under way is not complete: it has no
+   * frame, or ends in a zero, which lenient callers take for the last chunk.
+   */
   private get needsReset(): boolean {
     const response = this.openCalls[0]?.response;
     if (response?.headersSent !== true || response.writableFinished)
       return false;
-    return !isFramed(response);
+    return !isFramed(response) || this.probe?.isInsideSize === true;
   }
 
   /**
