--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -496,7 +496,7 @@
   private breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const connection = this.connections.carrying(response);
     if (connection === undefined) response.destroy();
-    else connection.breakOff(response, reason);
+    else connection.breakOff(reason);
   }
 
   private recordDuration({route, forwardedAt}: CallContext): void {
