A host that has announced the end sees its callers leave

What upstreams saw: an engine went on with the stream of a caller that had closed or reset its connection, if the stream's head had announced the end (every response of a host that stops), or if malformed bytes followed the request. With a silent engine it went on to the end of the grace period or of the deadline.

Cause: the host paused the socket so that it would read no further request. A paused socket reports neither the end of the caller's direction nor a reset.

Evidence: leaving-callers, streams that fall silent after two events, 6 callers that close or reset. 450 ms later 0 of 6 streams were cancelled in each of the four cases before this change.

Change: in place of the pause, Node's parser gets no more bytes. The host reads on until the first bytes arrive, which belong to no request. It discards them, pauses, and resets the connection in the end, as the close of a socket with unread bytes does.

Result: 6 of 6 are cancelled in all four cases. Three callers that wrote a release behind the announced end got the whole stream and a reset after it, with and without the change. connection-ends, half-closed-callers, stopping-channels, stopping-hosts, slow-readers, unframed-responses, announced-ends, cut-heads and early-callers pass.

Not found out: a caller that leaves after it has sent bytes behind the announced end, and one that half-closes, reads on and closes during a silence.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -86,6 +86,8 @@
   private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
+  /** Whether bytes were read that belong to no request. */
+  private hasDiscarded = false;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
@@ -153,13 +155,13 @@
 
   /**
    * Announces the end of the connection in the head of `response`, unless a call
-   * waits behind it. No further request is read: one that crosses the announcement
-   * could not be answered, and unread bytes tell its caller that it can't have run.
+   * waits behind it. No further request is handled: one that crosses the announcement
+   * could not be answered, and a reset tells its caller that it can't have run.
    */
   announceEnd(response: ServerResponse): void {
     if (this.hasFurtherCall) return;
     response.setHeader('Connection', 'close');
-    this.socket.pause();
+    this.stopParsing();
   }
 
   /** Announces the end if no call may follow the one that `response` answers. */
@@ -186,7 +188,16 @@
   /** Closes the connection at once; `reason` holds unless there is an earlier one. */
   destroy(reason: ConnectionEnd): void {
     this.setReason(reason);
-    this.socket.destroy();
+    this.closeSocket();
+  }
+
+  /** Resets the connection like a close with unread bytes if bytes were discarded. */
+  private closeSocket(): void {
+    const {socket} = this;
+    // Node can't reset a connection whose direction it is about to end.
+    const isShuttingDown = socket.writableEnded && !socket.writableFinished;
+    if (this.hasDiscarded && !isShuttingDown) socket.resetAndDestroy();
+    else socket.destroy();
   }
 
   /**
@@ -209,10 +220,24 @@
   endMalformed(errorResponse: string): void {
     if (this.isEnding || this.errorResponse !== undefined) return;
     this.errorResponse = errorResponse;
-    this.socket.pause();
+    this.stopParsing();
     this.endIfMalformed();
   }
 
+  /**
+   * Handles no further request, and reads on until one begins: a caller that leaves
+   * while a response is under way shows in reads alone.
+   */
+  private stopParsing(): void {
+    const {socket} = this;
+    // Those of Node's parser.
+    socket.removeAllListeners('data');
+    socket.on('data', () => {
+      this.hasDiscarded = true;
+      socket.pause();
+    });
+  }
+
   private endIfMalformed(): void {
     if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
@@ -276,7 +301,7 @@
       clock.now() < latest &&
       (hasReadMore || clock.now() < receivedAt)
     );
-    socket.destroy();
+    this.closeSocket();
   }
 
   /** Clock time by which the caller has received all that was written. */
