The general server sees callers leave behind malformed bytes

What callers and upstreams saw: a caller that had written bytes that are no request behind a call, and closed or reset its connection, was not noticed on a host that serves callers by itself. Its call went on until its answer or its time limit.

Cause: the server pauses the socket after malformed bytes, while the responses before them are under way. A paused socket reports neither an end nor a reset.

Evidence: a call whose service gives no answer, malformed bytes behind it, and the end of the connection.

Change: as on the connections of passed-through calls, the parser gets no more bytes and the socket is read until the first ones arrive. Both servers use `discardInput`.

--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -5,6 +5,7 @@
 import type {Socket} from 'node:net';
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {httpStatusOf} from '@persimmonwick/coordination';
+import {discardInput} from '../connections/discard-input.js';
 import {failureBody, ranHeader} from './failure-reply.js';
 import type {OpenResponses} from './open-responses.js';
 
@@ -22,7 +23,7 @@
     return undefined;
   }
   const failure = failureOfClientError(error.code);
-  socket.pause();
+  discardInput(socket);
   responses.afterAnswers(socket, () => {
     if (socket.writable)
       socket.end(clientErrorResponse(failure), () => socket.destroy());
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -13,6 +13,7 @@
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
+import {discardInput} from '../connections/discard-input.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
 import type {ConnectionEnd} from './connection-end.js';
@@ -224,18 +225,8 @@
     this.endIfMalformed();
   }
 
-  /**
-   * Handles no further request, and reads on until one begins: a caller that leaves
-   * while a response is under way shows in reads alone.
-   */
   private stopParsing(): void {
-    const {socket} = this;
-    // Those of Node's parser.
-    socket.removeAllListeners('data');
-    socket.on('data', () => {
-      this.hasDiscarded = true;
-      socket.pause();
-    });
+    discardInput(this.socket, () => (this.hasDiscarded = true));
   }
 
   private endIfMalformed(): void {
--- a/packages/daemon/test/callers/caller-disconnect.test.ts
+++ b/packages/daemon/test/callers/caller-disconnect.test.ts
@@ -1,4 +1,5 @@
 import {sampleKeys, sampleModel} from '@persimmonwick/standins';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import {openRawConnection, waitUntil} from '../tools/raw-connection.js';
@@ -102,6 +103,22 @@
   t.is(fixture.fleet.service.runs.length, 1);
 });
 
+// Against: the server does not read behind malformed bytes.
+for (const end of ['destroy', 'resetAndDestroy'] as const)
+  test(`caller disconnects behind malformed bytes: ${end}`, async t => {
+    const fixture = await runDaemon(t);
+    fixture.fleet.service.losesAnswers = true;
+    const call = openRawConnection(t, fixture.daemon.addresses.callers);
+    call.socket.write(
+      'GET /orders/1 HTTP/1.1\r\nhost: x\r\n' +
+        `authorization: Bearer ${sampleKeys.batinah}\r\n\r\n\0\r\n\r\n`,
+    );
+    await waitUntil(() => fixture.fleet.service.runs.length === 1);
+    call.socket[end]();
+    await sleep(1000);
+    t.is(fixture.log.countFailures('caller-gone'), 1);
+  });
+
 test('a caller that never reads does not block others', async t => {
   const fixture = await runDaemon(
     t,
