--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -14,6 +14,7 @@
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
+import {discardInput} from '../connections/discard-input.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
 import type {ConnectionEnd} from './connection-end.js';
@@ -87,6 +88,8 @@
   private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
+  /** Whether bytes were read that belong to no request. */
+  private hasDiscarded = false;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
@@ -154,13 +157,13 @@
 
   /**
    * Announces the end of the connection in the head of `response`, unless a call
-   * waits behind it. No further request is read: one that crosses the announcement
-   * could not be answered, and unread bytes tell its caller that it can't have run.
+   * waits behind it. No further request is handled: one that crosses the announcement
+   * could not be answered, and a reset tells its caller that it can't have run.
    */
   announceEnd(response: ServerResponse): void {
     if (this.hasFurtherCall) return;
     response.setHeader('Connection', 'close');
-    this.socket.pause();
+    this.stopParsing();
   }
 
   /** Announces the end if no call may follow the one that `response` answers. */
@@ -187,8 +190,13 @@
   /** Closes the connection at once; `reason` holds unless there is an earlier one. */
   destroy(reason: ConnectionEnd): void {
     this.setReason(reason);
-    if (this.needsReset) this.socket.resetAndDestroy();
-    else this.socket.destroy();
+    const {socket, hasDiscarded, needsReset} = this;
+    // Node can't reset a connection whose direction it is about to end.
+    const isShuttingDown = socket.writableEnded && !socket.writableFinished;
+    // Bytes that were discarded count like those that a close leaves unread.
+    if ((hasDiscarded || needsReset) && !isShuttingDown)
+      socket.resetAndDestroy();
+    else socket.destroy();
   }
 
   /**
@@ -208,10 +216,14 @@
   endMalformed(errorResponse: string): void {
     if (this.isEnding || this.errorResponse !== undefined) return;
     this.errorResponse = errorResponse;
-    this.socket.pause();
+    this.stopParsing();
     this.endIfMalformed();
   }
 
+  private stopParsing(): void {
+    discardInput(this.socket, () => (this.hasDiscarded = true));
+  }
+
   private endIfMalformed(): void {
     if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
