Share the turns of the event loop among connections to upstreams

Callers saw: while one server sent chunks of one byte, or small events, without end, the host stood still for seconds or its process ended, and the calls of all other callers with it.

Cause: a connection was read until the kernel had no more bytes. Each of tens of thousands of chunks was queued as an object that kept the buffer it was read into, and a pause took effect only when the whole buffer had been parsed.

Events that arrive together are passed on together. Framing is given up as broken when it exceeds three times the body by 64 KB, less 16 KB a second, which replaces the count of bytes without any data.

What is held for each call still has no owner of its sum; see the body.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -267,6 +267,7 @@
   CallRouting,
   PassthroughHostParts,
 } from './passthrough/passthrough-host.js';
+export {ChunkQueue} from './passthrough/chunk-queue.js';
 export {InterruptedResponseError} from './passthrough/call.js';
 export type {
   GrantedReservation,
--- a/packages/coordination/src/passthrough/buffered-response.ts
+++ b/packages/coordination/src/passthrough/buffered-response.ts
@@ -4,6 +4,7 @@
 import {upstreamId} from '../ids.js';
 import type {PassthroughResponse, PassthroughError} from './call.js';
 import {InterruptedResponseError} from './call.js';
+import {ChunkQueue} from './chunk-queue.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /** Responses up to this size are buffered before they are passed on. */
@@ -19,15 +20,13 @@
   isOverdue: () => boolean,
 ): Promise<Result<PassthroughResponse, PassthroughError>> {
   const iterator = response.body[Symbol.asyncIterator]();
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const chunks = new ChunkQueue();
   try {
-    while (size <= maximumBufferedBytes) {
+    while (chunks.length <= maximumBufferedBytes) {
       const {done, value} = await iterator.next();
       if (done === true)
         return Result.ok({...response, body: yieldChunks(chunks)});
       chunks.push(value);
-      size += value.length;
       if (isOverdue()) {
         await iterator.return?.();
         return Result.err({
@@ -43,16 +42,17 @@
   return Result.ok({...response, body: yieldChunksAndRest(chunks, iterator)});
 }
 
-async function* yieldChunks(chunks: Uint8Array[]): AsyncGenerator<Uint8Array> {
-  yield* chunks;
+async function* yieldChunks(chunks: ChunkQueue): AsyncGenerator<Uint8Array> {
+  for (let next = chunks.shift(); next !== undefined; next = chunks.shift())
+    yield next;
 }
 
 async function* yieldChunksAndRest(
-  chunks: Uint8Array[],
+  chunks: ChunkQueue,
   iterator: AsyncIterator<Uint8Array>,
 ): AsyncGenerator<Uint8Array> {
   try {
-    yield* chunks;
+    yield* yieldChunks(chunks);
     for (;;) {
       const {done, value} = await iterator.next();
       if (done === true) return;
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -78,16 +78,19 @@
       if (next.value.done === true) break;
       byteAt = clock.now();
       monitor.recordActivity();
+      // Events that arrive together are passed on together.
+      const passedOn: Uint8Array[] = [];
+      let hasProgress = false;
+      let isForeign = false;
       for (const event of splitter.push(next.value.value)) {
         // What a continuation begins with is an event that the stream numbers. An
         // error that is written in its place is no part of the stream.
-        if (
+        isForeign =
           isContinuation &&
           state.attemptEvents === 0 &&
           event.id === undefined &&
-          (event.hasData || event.hasUnknownFields)
-        )
-          return interruptedBy(errorOf('broken'));
+          (event.hasData || event.hasUnknownFields);
+        if (isForeign) break;
         const isRepeated = recordEventId(state, event.id);
         if (event.id !== undefined) {
           state.attemptEvents += 1;
@@ -96,20 +99,23 @@
         if (event.hasData) hasAnswered = true;
         // Comments do not count, nor events without ids where others have ids.
         const hasIds = state.lastEventId !== undefined;
-        const isProgress = event.id !== undefined || (event.hasData && !hasIds);
-        if (isProgress) monitor.suspend();
-        if (!isRepeated) {
-          events += 1;
-          const isContent = event.id !== undefined || event.hasData;
-          if (isContent && !hasBegun) parts.onBegin();
-          hasBegun ||= isContent;
-          recordMemory(state, reservation, events);
-          yield event.bytes;
-        }
-        if (isProgress) monitor.resume();
-        // A slow caller may take long for the events of one part.
-        if (monitor.isAbandoned) break;
+        hasProgress ||= event.id !== undefined || (event.hasData && !hasIds);
+        if (isRepeated) continue;
+        events += 1;
+        const isContent = event.id !== undefined || event.hasData;
+        if (isContent && !hasBegun) parts.onBegin();
+        hasBegun ||= isContent;
+        passedOn.push(event.bytes);
+      }
+      if (hasProgress) monitor.suspend();
+      if (passedOn.length > 0) {
+        recordMemory(state, reservation, events);
+        yield passedOn.length === 1 ? passedOn[0]! : Buffer.concat(passedOn);
       }
+      if (hasProgress) monitor.resume();
+      if (isForeign) return interruptedBy(errorOf('broken'));
+      // A slow caller may take long for the events of one part.
+      if (monitor.isAbandoned) break;
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return interruptedBy(error);
--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -128,7 +128,7 @@
       onResponseStart(controller, status, headers) {
         // Informational (1xx) responses precede the final one.
         if (status < 200 || isSettled) return;
-        connection.recordProgress();
+        connection.recordHead();
         const kind = exchange.classify(status, headers);
         if (kind === 'foreign') {
           fail('broken');
@@ -151,7 +151,7 @@
         else settle(Result.err({kind, upstream}));
       },
       onResponseData(_controller, chunk) {
-        connection.recordProgress();
+        connection.recordData(chunk.length);
         body?.push(chunk);
       },
       onResponseEnd() {
--- a/packages/daemon/src/connections/response-body.ts
+++ b/packages/daemon/src/connections/response-body.ts
@@ -1,6 +1,9 @@
 /** Streamed response body with backpressure and an idle timeout. */
 
-import {InterruptedResponseError} from '@persimmonwick/coordination';
+import {
+  ChunkQueue,
+  InterruptedResponseError,
+} from '@persimmonwick/coordination';
 import type {UpstreamId} from '@persimmonwick/coordination';
 import type {BodyLimits} from './body-limits.js';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
@@ -22,8 +25,7 @@
 
 /** Buffers chunks from one producer for one consumer. */
 export class ResponseBody implements AsyncIterable<Uint8Array> {
-  private readonly chunks: Uint8Array[] = [];
-  private bufferedBytes = 0;
+  private readonly chunks = new ChunkQueue();
   private receivedBytes = 0;
   private isPaused = false;
   private state: 'open' | 'complete' | InterruptedResponseError = 'open';
@@ -51,8 +53,7 @@
       return;
     }
     this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > pauseThresholdBytes && !this.isPaused) {
+    if (this.chunks.length > pauseThresholdBytes && !this.isPaused) {
       this.isPaused = true;
       this.parts.pause();
     }
@@ -73,7 +74,7 @@
       for (;;) {
         const chunk = this.chunks.shift();
         if (chunk !== undefined) {
-          this.onChunkRead(chunk);
+          this.onChunkRead();
           yield chunk;
         } else if (this.state === 'complete') return;
         else if (this.state !== 'open') throw this.state;
@@ -87,9 +88,8 @@
     }
   }
 
-  private onChunkRead(chunk: Uint8Array): void {
-    this.bufferedBytes -= chunk.length;
-    if (!this.isPaused || this.bufferedBytes > pauseThresholdBytes / 2) return;
+  private onChunkRead(): void {
+    if (!this.isPaused || this.chunks.length > pauseThresholdBytes / 2) return;
     this.isPaused = false;
     this.parts.resume();
     this.restartIdleTimeout();
--- a/packages/daemon/src/connections/upstream-connections.ts
+++ b/packages/daemon/src/connections/upstream-connections.ts
@@ -6,6 +6,7 @@
 
 import type {Clock} from '@persimmonwick/coordination';
 import {Client} from 'undici';
+import {ReadTurns} from './read-turns.js';
 import {UpstreamSocket} from './upstream-socket.js';
 
 /** A connection in use by one call. */
@@ -17,8 +18,10 @@
    * ends this way is truncated, but the HTTP client reports it as complete.
    */
   readonly hasSocketFailed: () => boolean;
-  /** Records that the final head or data of the body has arrived. */
-  recordProgress(): void;
+  /** Records that the final head has arrived. */
+  recordHead(): void;
+  /** Records that data of the body has arrived. */
+  recordData(bytes: number): void;
   /** Stops reading from the connection until `resumeReading` is called. */
   pauseReading(): void;
   /** Has no effect once the connection was released or destroyed. */
@@ -59,6 +62,7 @@
   private readonly openClients = new Set<Client>();
   private readonly clientsWithFailedSocket = new WeakSet<Client>();
   private readonly sockets = new WeakMap<Client, UpstreamSocket>();
+  private readonly turns = new ReadTurns();
   private readonly sweepTimer: NodeJS.Timeout;
   /** Number of connections opened since the start. */
   openedCount = 0;
@@ -84,7 +88,8 @@
       client,
       connectTimeoutMilliseconds: this.limits.connectTimeoutMilliseconds,
       hasSocketFailed: () => this.clientsWithFailedSocket.has(client),
-      recordProgress: () => this.sockets.get(client)?.recordProgress(),
+      recordHead: () => this.sockets.get(client)?.recordHead(),
+      recordData: bytes => this.sockets.get(client)?.recordData(bytes),
       pauseReading: () => {
         if (!isReleased) this.sockets.get(client)?.pauseReading();
       },
@@ -126,7 +131,7 @@
     const client: Client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: ({hostname, port}, callback) => {
-        const socket = new UpstreamSocket();
+        const socket = new UpstreamSocket(this.turns);
         this.sockets.set(client, socket);
         this.clientsWithFailedSocket.delete(client);
         // Added before the HTTP client's listeners. `hasSocketFailed` is then
--- a/packages/daemon/src/connections/upstream-socket.ts
+++ b/packages/daemon/src/connections/upstream-socket.ts
@@ -6,30 +6,43 @@
 
 import {Socket} from 'node:net';
 import type {SocketConstructorOpts} from 'node:net';
+import type {ReadTurns, TurnShare} from './read-turns.js';
 
 /**
- * Bytes without the end of a head and without data of a body after which a
- * response is given up. They include informational responses, status texts,
- * blank lines and chunk extensions, to which the HTTP client's limit on headers
- * does not apply.
+ * Bytes of framing in excess after which a response is given up. They include
+ * informational responses, status texts, blank lines and chunk extensions, to which
+ * the HTTP client's limit on headers does not apply.
  */
-const maximumFramingBytes = 64 * 1024;
+const maximumExcessBytes = 64 * 1024;
+
+/** Bytes on the wire for a byte of a body beyond which framing is in excess. */
+const maximumBytesPerBodyByte = 3;
+
+/**
+ * Excess that is forgiven in a millisecond, so that slow streams of single characters
+ * may last.
+ */
+const forgivenExcessBytes = 16;
 
 /** Bytes that the socket buffers before it stops reading. */
-const highWaterMark = 64 * 1024;
+const highWaterMark = 16 * 1024;
 
 const keepAliveDelayMilliseconds = 60_000;
 
 export class UpstreamSocket extends Socket {
   private isReadingPaused = false;
-  /** Bytes read since the last end of a head or data of a body. */
-  private framingBytes = 0;
+  /** Bytes of framing beyond those that heads and data of bodies justify. */
+  private excessBytes = 0;
+  private excessAt = performance.now();
+  private readonly share: TurnShare;
 
-  constructor() {
+  constructor(turns: ReadTurns) {
     // The types of Node omit the options of the stream.
     super({highWaterMark} as SocketConstructorOpts);
     this.setNoDelay(true);
     this.setKeepAlive(true, keepAliveDelayMilliseconds);
+    this.share = turns.open({read: () => this.offer()});
+    this.once('close', () => this.share.close());
   }
 
   /**
@@ -53,12 +66,18 @@
   resumeReading(): void {
     if (!this.isReadingPaused) return;
     this.isReadingPaused = false;
-    if (!this.destroyed) this.emit('readable');
+    this.offer();
+  }
+
+  /** Records that a final head has arrived. */
+  recordHead(): void {
+    this.excessBytes = 0;
   }
 
-  /** Records that a final head or data of a body has arrived. */
-  recordProgress(): void {
-    this.framingBytes = 0;
+  /** Records that data of a body has arrived. */
+  recordData(bytes: number): void {
+    this.excessBytes -= bytes * maximumBytesPerBodyByte;
+    this.share.recordChunk();
   }
 
   /**
@@ -67,7 +86,7 @@
    */
   endResponse(): void {
     this.isReadingPaused = false;
-    this.framingBytes = 0;
+    this.excessBytes = 0;
   }
 
   override read(size?: number): unknown {
@@ -75,12 +94,35 @@
     if (size === 0) return super.read(size);
     if (this.isReadingPaused) return null;
     // The client has parsed all bytes that are counted.
-    if (this.framingBytes > maximumFramingBytes) {
-      this.destroy(new Error('the response has no end of its head or no data'));
+    if (this.hasExcessFraming()) {
+      this.destroy(new Error('the framing of the response has no bound'));
       return null;
     }
-    const chunk = super.read(size) as Buffer | null;
-    this.framingBytes += chunk?.length ?? 0;
+    const available = this.readableLength;
+    // A read of nothing lets the stream end or ask for more.
+    if (available === 0) return super.read(size);
+    const allowed = this.share.take();
+    if (allowed === 0) return null;
+    const chunk = super.read(
+      Math.min(size ?? available, available, allowed),
+    ) as Buffer | null;
+    this.excessBytes += chunk?.length ?? 0;
+    this.share.recordBytes(chunk?.length ?? 0);
     return chunk;
   }
+
+  private hasExcessFraming(): boolean {
+    const now = performance.now();
+    const forgiven = (now - this.excessAt) * forgivenExcessBytes;
+    this.excessAt = now;
+    this.excessBytes = Math.max(0, this.excessBytes);
+    if (this.excessBytes > maximumExcessBytes) return true;
+    this.excessBytes = Math.max(0, this.excessBytes - forgiven);
+    return false;
+  }
+
+  /** Lets the HTTP client read what has arrived. */
+  private offer(): void {
+    if (!this.destroyed) this.emit('readable');
+  }
 }
