Bound the bytes of responses that a host holds for all callers

Callers saw: a host whose callers read slowly from a server without an end of its responses used more than the 200 MB that its deployment allows; at its limit it ends with the calls of all.

Cause: each response is bounded (1 MB before it is passed on, 1 MB of an incomplete event, 64 KB in the queue), and the sum had no owner. An incomplete event also left the smaller buffers that it had outgrown to the collector.

Change: one object counts what is held for each response. Beyond half of it, responses share the rest: they are read no further than their callers read, and passed on earlier. Beyond the whole, the largest incomplete event is given up as broken. Bodies that can be passed on wait, and are never given up. Events 1010 and 3140, a counter and a gauge tell of it. Incomplete events are held in the pieces in which they came.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -267,6 +267,13 @@
   CallRouting,
   PassthroughHostParts,
 } from './passthrough/passthrough-host.js';
+export {ResponseMemory} from './passthrough/response-memory.js';
+export type {
+  HeldBytes,
+  ResponseMemoryEvent,
+  ResponseMemoryParts,
+} from './passthrough/response-memory.js';
+export type {HeldTotal} from './decisions/response-memory.js';
 export {ChunkQueue} from './passthrough/chunk-queue.js';
 export {InterruptedResponseError} from './passthrough/call.js';
 export type {
--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -8,6 +8,7 @@
 import type {UpstreamDocument} from '../generated/documents.js';
 import type {SendOutcome} from './call-sends.js';
 import type {SendRefusal} from './send-gate.js';
+import type {HeldBytes} from './response-memory.js';
 import type {PassthroughRoute} from './route-table.js';
 
 /** Name and value of a header. The name keeps the spelling of the sender. */
@@ -154,6 +155,8 @@
    * reader that stops before the end cancels the call at the upstream.
    */
   readonly body: AsyncIterable<Uint8Array>;
+  /** Counts the bytes that are held for the response beside `body`. */
+  readonly held?: HeldBytes | undefined;
 }
 
 /** A response that ended before it was complete. */
--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -107,6 +107,7 @@
         hasBegun ||= isContent;
         passedOn.push(event.bytes);
       }
+      response.held?.setIncomplete(splitter.pendingBytes);
       if (hasProgress) monitor.suspend();
       if (passedOn.length > 0) {
         recordMemory(state, reservation, events);
--- a/packages/coordination/src/passthrough/event-stream-splitter.ts
+++ b/packages/coordination/src/passthrough/event-stream-splitter.ts
@@ -3,6 +3,8 @@
  * ids. The bytes are not changed. An incomplete event at the end is buffered.
  */
 
+import {ChunkQueue} from './chunk-queue.js';
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 
@@ -36,9 +38,11 @@
 }
 
 export class EventStreamSplitter {
-  /** Bytes of the incomplete event, followed by unused space. */
-  private buffer = Buffer.alloc(0);
-  private bufferedBytes = 0;
+  /** Bytes of the incomplete event. */
+  private readonly buffer = new ChunkQueue();
+  /** The last two bytes of the buffer; 0 if there are fewer. */
+  private last = 0;
+  private beforeLast = 0;
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Uint8Array): EventFrame[] {
@@ -52,13 +56,13 @@
       start = end;
     }
     this.append(bytes.subarray(start));
-    if (this.bufferedBytes > maximumEventBytes) throw new EventTooLongError();
+    if (this.pendingBytes > maximumEventBytes) throw new EventTooLongError();
     return frames;
   }
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.bufferedBytes;
+    return this.buffer.length;
   }
 
   /**
@@ -66,38 +70,35 @@
    * undefined if there is none.
    */
   private findEndAcross(bytes: Buffer): number | undefined {
-    const last = this.buffer[this.bufferedBytes - 1];
-    const isAfterLineFeed = this.bufferedBytes > 0 && last === lineFeed;
-    if (isAfterLineFeed && bytes[0] === lineFeed) return 1;
-    if (isAfterLineFeed && bytes[0] === carriageReturn && bytes[1] === lineFeed)
+    const {last, beforeLast} = this;
+    if (last === lineFeed && bytes[0] === lineFeed) return 1;
+    if (
+      last === lineFeed &&
+      bytes[0] === carriageReturn &&
+      bytes[1] === lineFeed
+    )
       return 2;
-    const isAfterBoth =
-      this.bufferedBytes > 1 &&
-      last === carriageReturn &&
-      this.buffer[this.bufferedBytes - 2] === lineFeed;
+    const isAfterBoth = last === carriageReturn && beforeLast === lineFeed;
     return isAfterBoth && bytes[0] === lineFeed ? 1 : undefined;
   }
 
   /** Returns the buffered bytes with `rest`, and empties the buffer. */
   private takeEvent(rest: Buffer): Buffer {
-    if (this.bufferedBytes === 0) return rest;
-    const buffered = this.buffer.subarray(0, this.bufferedBytes);
-    const event = Buffer.concat([buffered, rest]);
-    this.buffer = Buffer.alloc(0);
-    this.bufferedBytes = 0;
-    return event;
+    const {buffer} = this;
+    if (buffer.length === 0) return rest;
+    const parts: Uint8Array[] = [];
+    for (let part = buffer.shift(); part !== undefined; part = buffer.shift())
+      parts.push(part);
+    this.last = 0;
+    this.beforeLast = 0;
+    return Buffer.concat([...parts, rest]);
   }
 
   private append(bytes: Buffer): void {
-    const size = this.bufferedBytes + bytes.length;
-    if (size > this.buffer.length) {
-      // Doubling the size makes the cost of all copies proportional to the size.
-      const grown = Buffer.alloc(Math.max(size, 2 * this.buffer.length));
-      this.buffer.copy(grown, 0, 0, this.bufferedBytes);
-      this.buffer = grown;
-    }
-    bytes.copy(this.buffer, this.bufferedBytes);
-    this.bufferedBytes = size;
+    if (bytes.length === 0) return;
+    this.beforeLast = bytes.at(-2) ?? this.last;
+    this.last = bytes.at(-1)!;
+    this.buffer.push(bytes);
   }
 }
 
--- a/packages/daemon/src/connections/exchange.ts
+++ b/packages/daemon/src/connections/exchange.ts
@@ -4,6 +4,7 @@
   Header,
   PassthroughError,
   PassthroughResponse,
+  ResponseMemory,
   SendRefusal,
   TransportResult,
   UpstreamId,
@@ -65,6 +66,8 @@
    */
   readonly bodyLimits: (status: number) => BodyLimits | undefined;
   readonly signal: AbortSignal;
+  /** Counts the bytes held for the response to a call until `signal` is aborted. */
+  readonly memory?: ResponseMemory;
   /** Classifies the response head; `foreign` closes the connection. */
   readonly classify: (status: number, headers: ResponseHeaders) => ResponseKind;
   /** Asked right before the request is written, which a reason prevents. */
@@ -136,6 +139,10 @@
         }
         // A misdirected request was answered by another process.
         if (kind !== 'misdirected') exchange.onHead?.(status, headers);
+        const held =
+          kind === 'ran'
+            ? exchange.memory?.open(upstream, signal, () => fail('broken'))
+            : undefined;
         body = new ResponseBody({
           upstream,
           pause: () => connection.pauseReading(),
@@ -143,10 +150,16 @@
           cancel: () => fail('cancelled'),
           idleTimeoutMilliseconds: exchange.bodyIdleTimeoutMilliseconds,
           limits: bodyLimitsOf(exchange, kind, status, startedAt),
+          held,
         });
         if (kind === 'ran')
           settle(
-            Result.ok({status, headers: endToEndHeaders(controller), body}),
+            Result.ok({
+              status,
+              headers: endToEndHeaders(controller),
+              body,
+              held,
+            }),
           );
         else settle(Result.err({kind, upstream}));
       },
--- a/packages/daemon/src/connections/response-body.ts
+++ b/packages/daemon/src/connections/response-body.ts
@@ -4,7 +4,7 @@
   ChunkQueue,
   InterruptedResponseError,
 } from '@persimmonwick/coordination';
-import type {UpstreamId} from '@persimmonwick/coordination';
+import type {HeldBytes, UpstreamId} from '@persimmonwick/coordination';
 import type {BodyLimits} from './body-limits.js';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
 
@@ -21,6 +21,8 @@
   readonly idleTimeoutMilliseconds: number;
   /** If undefined, the body may have any length and duration. */
   readonly limits?: BodyLimits | undefined;
+  /** Counts the buffered bytes. */
+  readonly held?: HeldBytes | undefined;
 }
 
 /** Buffers chunks from one producer for one consumer. */
@@ -53,7 +55,8 @@
       return;
     }
     this.chunks.push(chunk);
-    if (this.chunks.length > pauseThresholdBytes && !this.isPaused) {
+    this.parts.held?.add(chunk.length);
+    if (this.chunks.length > this.pauseThreshold && !this.isPaused) {
       this.isPaused = true;
       this.parts.pause();
     }
@@ -74,7 +77,7 @@
       for (;;) {
         const chunk = this.chunks.shift();
         if (chunk !== undefined) {
-          this.onChunkRead();
+          this.onChunkRead(chunk);
           yield chunk;
         } else if (this.state === 'complete') return;
         else if (this.state !== 'open') throw this.state;
@@ -88,7 +91,13 @@
     }
   }
 
-  private onChunkRead(): void {
+  private get pauseThreshold(): number {
+    const allowance = this.parts.held?.allowance ?? Infinity;
+    return Math.min(pauseThresholdBytes, allowance);
+  }
+
+  private onChunkRead(chunk: Uint8Array): void {
+    this.parts.held?.add(-chunk.length);
     if (!this.isPaused || this.chunks.length > pauseThresholdBytes / 2) return;
     this.isPaused = false;
     this.parts.resume();
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -66,6 +66,12 @@
     text: 'the process did not run for some time; timeouts that ended meanwhile may have been its own delay',
     fields: ['milliseconds'],
   },
+  responseMemoryChanged: {
+    number: 1010,
+    level: 'warn',
+    text: 'responses hold more than half of their budget of memory, and are read no faster than their callers read (short), or less again (enough)',
+    fields: ['memory', 'heldBytes', 'budgetBytes', 'responses'],
+  },
   configurationApplied: {
     number: 2001,
     level: 'info',
@@ -475,6 +481,18 @@
     text: "a caller's connection ended before all calls on it were answered",
     fields: ['request', 'reason', 'calls', 'progress'],
   },
+  responseGivenUp: {
+    number: 3140,
+    level: 'warn',
+    text: 'a response was broken off, because its incomplete event is the largest and responses hold more than their budget of memory',
+    fields: [
+      'upstream',
+      'incompleteBytes',
+      'heldBytes',
+      'budgetBytes',
+      'responses',
+    ],
+  },
 } as const satisfies Record<string, LogEventDefinition>;
 
 export type LogEventName = keyof typeof logEvents;
--- a/packages/daemon/src/passthrough/http-handover-transport.ts
+++ b/packages/daemon/src/passthrough/http-handover-transport.ts
@@ -4,6 +4,7 @@
 import type {
   HandoverTransport,
   PassthroughResponse,
+  ResponseMemory,
   RoutedCall,
   SendGate,
   TransportResult,
@@ -24,6 +25,7 @@
     private readonly connections: UpstreamConnections,
     private readonly wireFormat: CallerWireFormat,
     private readonly sendGate: Pick<SendGate, 'handoverRefusalOf'>,
+    private readonly memory?: ResponseMemory,
   ) {}
 
   handOver(
@@ -52,6 +54,7 @@
       bodyIdleTimeoutMilliseconds: remainingMilliseconds,
       bodyLimits: () => undefined,
       signal,
+      ...(this.memory !== undefined && {memory: this.memory}),
       refusalBeforeSend: () => this.sendGate.handoverRefusalOf(call, address),
       classify: (_status, responseHeaders) =>
         responseHeaders[handoverDeclinedHeader] === undefined
--- a/packages/daemon/src/passthrough/http-transport.ts
+++ b/packages/daemon/src/passthrough/http-transport.ts
@@ -9,6 +9,7 @@
   PassthroughError,
   PassthroughResponse,
   PassthroughTransport,
+  ResponseMemory,
   SendGate,
   AttemptOptions,
   TransportResult,
@@ -60,6 +61,7 @@
     private readonly wireFormat: UpstreamWireFormat,
     private readonly reports: UpstreamReports,
     private readonly sendGate: Pick<SendGate, 'refusalOf'>,
+    private readonly memory?: ResponseMemory,
   ) {}
 
   send(
@@ -191,6 +193,7 @@
       bodyIdleTimeoutMilliseconds: options.remainingMilliseconds,
       bodyLimits: () => bodyLimits,
       signal,
+      ...(this.memory !== undefined && {memory: this.memory}),
       classify: (status, responseHeaders) =>
         this.wireFormat.classifyResponse(call, status, responseHeaders),
       refusalBeforeSend: () => this.sendGate.refusalOf(call, upstream),
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -8,6 +8,7 @@
   FleetContact,
   PassthroughHost,
   RequestQuarantine,
+  ResponseMemory,
   RetryLoans,
   SendGate,
   ShutdownSchedule,
@@ -47,6 +48,7 @@
   logConnectionLoss,
   logQuarantineChange,
   logRequestLimitChange,
+  logResponseMemory,
   logShareChange,
   logSilenceProbe,
   logUpstreamReachability,
@@ -79,6 +81,9 @@
  */
 const readyProofAgeFraction = 0.55;
 
+/** Part of the memory of the process that responses may hold for all callers. */
+const responseMemoryFraction = 1 / 8;
+
 /** Logged as the age of a contact that there never was. */
 const noContact = -1;
 
@@ -112,6 +117,7 @@
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
   private readonly domains: DomainRouter | undefined;
+  private readonly responseMemory: ResponseMemory;
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
   private readonly fleetChangeLog: FleetChangeLog;
@@ -324,6 +330,13 @@
       const version = String(this.platform.versionInForce ?? '');
       logCallEvent(log, requestId, event, version);
     };
+    this.responseMemory = new ResponseMemory({
+      budgetBytes: settings.memoryBytes * responseMemoryFraction,
+      onEvent: (event, total) => {
+        this.metrics.recordResponseMemory(event);
+        logResponseMemory(log, event, total);
+      },
+    });
     const sendGate = new SendGate({
       shutdown: this.shutdown,
       upstreams: this.upstreams,
@@ -342,6 +355,7 @@
         },
       },
       sendGate,
+      this.responseMemory,
     );
     this.probes = new ReachabilityProbes({
       clock,
@@ -383,6 +397,7 @@
         this.connections,
         adapter.callerWire,
         sendGate,
+        this.responseMemory,
       ),
       versionHistory: this.versionHistory,
       speeds: this.speeds,
@@ -549,6 +564,7 @@
       platformEpoch: this.platform.epochs.current ?? 0,
       proofAgeSeconds: this.platform.freshness.age() / 1000,
       seedContactSeconds: this.fleetContact.ageMilliseconds / 1000,
+      responseBytesHeld: this.responseMemory.heldBytes,
       connectionsOpened: this.connections.openedCount,
     };
   }
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -2,8 +2,10 @@
 
 import type {
   CallEvent,
+  HeldTotal,
   QuarantineChange,
   RequestLimitChange,
+  ResponseMemoryEvent,
   ShareChange,
   SilenceProbe,
   UpstreamDocument,
@@ -205,6 +207,28 @@
   });
 }
 
+export function logResponseMemory(
+  log: EventLog,
+  event: ResponseMemoryEvent,
+  total: HeldTotal,
+): void {
+  switch (event.kind) {
+    case 'shortage':
+      return log.write('responseMemoryChanged', {
+        memory: event.isShort ? 'short' : 'enough',
+        ...total,
+      });
+    case 'given-up': {
+      const {upstream, incompleteBytes} = event;
+      return log.write('responseGivenUp', {
+        upstream,
+        incompleteBytes,
+        ...total,
+      });
+    }
+  }
+}
+
 /** Logs the outcome of a call. */
 export function logCallEnd(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -11,6 +11,7 @@
 import type {
   CallEvent,
   QuarantineChange,
+  ResponseMemoryEvent,
   SilenceProbe,
 } from '@persimmonwick/coordination';
 import type {ConnectionLoss} from './caller-connection.js';
@@ -33,6 +34,8 @@
   readonly proofAgeSeconds: number;
   /** Time since contact with most seeds. */
   readonly seedContactSeconds: number;
+  /** Bytes of responses that are held for callers. */
+  readonly responseBytesHeld: number;
   readonly connectionsOpened: number;
 }
 
@@ -52,6 +55,7 @@
 
   private readonly domainCallCounter: Counter<'purpose' | 'reason'>;
   private readonly domainByteCounter: Counter<'purpose' | 'reason'>;
+  private readonly responseMemoryCounter: Counter<'event'>;
   private readonly noticeCounter: Counter<'notice'>;
   private readonly quarantineCounter: Counter<'change' | 'detail'>;
   private readonly silenceProbeCounter: Counter<'outcome'>;
@@ -95,6 +99,12 @@
       labelNames: ['purpose', 'reason'],
       registers,
     });
+    this.responseMemoryCounter = new Counter({
+      name: 'persimmonwick_response_memory_events_total',
+      help: 'Shortages of memory for responses, and responses given up in them',
+      labelNames: ['event'],
+      registers,
+    });
     this.noticeCounter = new Counter({
       name: 'persimmonwick_upstream_notices_total',
       help: 'Notices of upstreams about themselves that were applied',
@@ -169,6 +179,7 @@
       'platformEpoch',
       'proofAgeSeconds',
       'seedContactSeconds',
+      'responseBytesHeld',
       'connectionsOpened',
     ];
     for (const name of names)
@@ -204,6 +215,11 @@
     this.connectionLossCounter.inc({reason, progress});
   }
 
+  recordResponseMemory(event: ResponseMemoryEvent): void {
+    if (event.kind === 'shortage' && !event.isShort) return;
+    this.responseMemoryCounter.inc({event: event.kind});
+  }
+
   /** Counts retries that this host has given up for others. */
   recordRetryLoan(pool: string, amount: number): void {
     this.retryLoanCounter.inc({pool}, amount);
--- a/packages/daemon/src/passthrough/passthrough-settings.ts
+++ b/packages/daemon/src/passthrough/passthrough-settings.ts
@@ -52,6 +52,8 @@
   readonly domainTraffic: DomainTraffic;
   /** Whether pools that routes of several urgencies share use a forecast. */
   readonly usesMemoryForecast: boolean;
+  /** Resident memory that the process may use. */
+  readonly memoryBytes: number;
   /** Time between the stop signal and the exit of the process. */
   readonly graceMilliseconds: number;
 }
