--- a/packages/daemon/src/connections/response-body.ts
+++ b/packages/daemon/src/connections/response-body.ts
@@ -1,7 +1,10 @@
 /** Streamed response body with backpressure and an idle timeout. */
 
-import {InterruptedResponseError} from '@persimmonwick/coordination';
-import type {UpstreamId} from '@persimmonwick/coordination';
+import {
+  ChunkQueue,
+  InterruptedResponseError,
+} from '@persimmonwick/coordination';
+import type {HeldBytes, UpstreamId} from '@persimmonwick/coordination';
 import type {BodyLimits} from './body-limits.js';
 import {PauseAwareTimeout} from './pause-aware-timeout.js';
 
@@ -18,12 +21,13 @@
   readonly idleTimeoutMilliseconds: number;
   /** If undefined, the body may have any length and duration. */
   readonly limits?: BodyLimits | undefined;
+  /** Counts the buffered bytes. */
+  readonly held?: HeldBytes | undefined;
 }
 
 /** Buffers chunks from one producer for one consumer. */
 export class ResponseBody implements AsyncIterable<Uint8Array> {
-  private readonly chunks: Uint8Array[] = [];
-  private bufferedBytes = 0;
+  private readonly chunks = new ChunkQueue();
   private receivedBytes = 0;
   private isPaused = false;
   private state: 'open' | 'complete' | InterruptedResponseError = 'open';
@@ -51,8 +55,8 @@
       return;
     }
     this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes > pauseThresholdBytes && !this.isPaused) {
+    this.parts.held?.add(chunk.length);
+    if (this.chunks.length > this.pauseThreshold && !this.isPaused) {
       this.isPaused = true;
       this.parts.pause();
     }
@@ -87,9 +91,14 @@
     }
   }
 
+  private get pauseThreshold(): number {
+    const allowance = this.parts.held?.allowance ?? Infinity;
+    return Math.min(pauseThresholdBytes, allowance);
+  }
+
   private onChunkRead(chunk: Uint8Array): void {
-    this.bufferedBytes -= chunk.length;
-    if (!this.isPaused || this.bufferedBytes > pauseThresholdBytes / 2) return;
+    this.parts.held?.add(-chunk.length);
+    if (!this.isPaused || this.chunks.length > pauseThresholdBytes / 2) return;
     this.isPaused = false;
     this.parts.resume();
     this.restartIdleTimeout();
