--- a/packages/daemon/src/passthrough/index.ts
+++ b/packages/daemon/src/passthrough/index.ts
@@ -9,6 +9,7 @@
 export {HttpPassthroughTransport} from './http-transport.js';
 export type {UpstreamReports} from './http-transport.js';
 export {UpstreamConnections} from '../connections/upstream-connections.js';
+export {PauseAwareTimeout} from '../connections/pause-aware-timeout.js';
 export {hopByHopHeaders} from '../connections/exchange.js';
 export {createEventLog} from '../log/logger.js';
 export type {EventLog} from '../log/logger.js';
