The general server logs the failure that the caller of an incomplete call got

What the log said: a call whose body came too slowly, or was malformed, was logged as 499 `caller-gone`, though its caller waited for the answer, got 408 or 400, and the host then ended the connection.

Cause: the error of Node's parser is answered on the socket. The record of the call learns only that its connection has closed, and took every closed connection for a caller that has gone.

Evidence: the tests of bad-input failed before: `status: 499, code: 'caller-gone', ran: 'unknown'` for both.

Change: the failure is recorded for the response of the incomplete call, whose record reports it; metrics count it once. `cause` names an interruption only if the call failed because of it.

Result: 408 `request-timeout` and 400 `invalid-request`, both `not-run`.

--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -36,7 +36,7 @@
 ): void {
   fastify.decorateRequest('callRecord', null);
   fastify.addHook('onRequest', async (request, reply) => {
-    const record = createCallRecord(request, reply, parts);
+    const record = createCallRecord(request, reply, parts, responses);
     if (lacksHostHeader(request)) return sendFailure(reply, missingHostFailure);
     if (parts.gate.isDraining) return sendFailure(reply, drainingFailure);
     if (!parts.host.isReady) return sendFailure(reply, notReadyFailure);
@@ -53,6 +53,7 @@
   request: FastifyRequest,
   reply: FastifyReply,
   parts: ControllerDependencies,
+  responses: OpenResponses,
 ): CallRecord {
   const record = new CallRecord(requestIdOf(request), reply, parts);
   request.callRecord = record;
@@ -60,6 +61,8 @@
   const {socket} = request.raw;
   const close = () => {
     socket.removeListener('close', close);
+    const failure = responses.failureOf(reply.raw);
+    if (failure !== undefined) record.recordFailure(failure);
     record.close();
     parts.gate.remove(record);
   };
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -48,6 +48,8 @@
   private account: AccountId | undefined;
   private route: Route | undefined;
   private failure: RequestFailure | undefined;
+  /** What interrupted the call, if it failed because of that. */
+  private cause: InterruptionReason | '' = '';
   private keyHash: KeyHash | undefined;
   /** Set once the account and route are known. */
   observation: RequestObservation | undefined;
@@ -99,12 +101,17 @@
    * proves that the request was not executed.
    */
   recordFailure(failure: RequestFailure): RequestFailure {
-    const reported =
-      this.interruptionReason === undefined || failure.ran === 'not-run'
-        ? failure
-        : interruptionFailure(this.interruptionReason);
-    this.failure ??= reported;
-    return reported;
+    if (this.interruptionReason !== undefined && failure.ran !== 'not-run')
+      return this.recordInterruption(this.interruptionReason);
+    this.failure ??= failure;
+    return failure;
+  }
+
+  private recordInterruption(reason: InterruptionReason): RequestFailure {
+    const failure = interruptionFailure(reason);
+    if (this.failure === undefined) this.cause = reason;
+    this.failure ??= failure;
+    return failure;
   }
 
   /** Aborts the call and, after a timeout, destroys its connection. */
@@ -124,9 +131,7 @@
     if (this.closedController.signal.aborted) return;
     if (!this.reply.raw.writableFinished) {
       this.interrupt('caller-gone');
-      this.failure ??= interruptionFailure(
-        this.interruptionReason ?? 'caller-gone',
-      );
+      this.recordInterruption(this.interruptionReason ?? 'caller-gone');
     }
     this.closedController.abort();
     this.reportEnd();
@@ -167,7 +172,7 @@
       status: httpStatusOf(code),
       code,
       ran,
-      cause: this.interruptionReason ?? '',
+      cause: this.cause,
       milliseconds: Math.round(clock.now() - this.arrivedAt),
     });
   }
--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -11,7 +11,8 @@
 
 /**
  * Writes an error response behind the `responses` under way on a socket, and closes
- * it. Returns the failure; undefined if the caller has disconnected.
+ * it. Returns the failure; undefined if the caller has disconnected, or if the call that
+ * was being read fails with it.
  */
 export function respondToClientError(
   error: NodeJS.ErrnoException,
@@ -23,12 +24,13 @@
     return undefined;
   }
   const failure = failureOfClientError(error.code);
+  const isOfCall = responses.failIncomplete(socket, failure);
   discardInput(socket);
   responses.afterAnswers(socket, () => {
     if (socket.writable)
       socket.end(clientErrorResponse(failure), () => socket.destroy());
   });
-  return failure;
+  return isOfCall ? undefined : failure;
 }
 
 /** The bytes of the response to a request that was not parsed. */
--- a/packages/daemon/src/callers/open-responses.ts
+++ b/packages/daemon/src/callers/open-responses.ts
@@ -2,11 +2,13 @@
 
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {RequestFailure} from '@persimmonwick/coordination';
 
 const none: ReadonlySet<ServerResponse> = new Set();
 
 export class OpenResponses {
   private readonly bySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  private readonly failures = new WeakMap<ServerResponse, RequestFailure>();
 
   /** Has to be called before `server` accepts connections. */
   observe(server: Server): void {
@@ -24,6 +26,22 @@
     return this.bySocket.get(socket) ?? none;
   }
 
+  /**
+   * Records why the call of `socket` that was not read whole gets no response of its
+   * own. Returns whether there is one.
+   */
+  failIncomplete(socket: Socket, failure: RequestFailure): boolean {
+    const response = [...this.of(socket)].find(({req}) => !req.complete);
+    if (response === undefined) return false;
+    this.failures.set(response, failure);
+    return true;
+  }
+
+  /** The failure of a call that was not read whole. */
+  failureOf(response: ServerResponse): RequestFailure | undefined {
+    return this.failures.get(response);
+  }
+
   /** Whether no call was read behind the one that `response` answers. */
   isLast(response: ServerResponse): boolean {
     const responses = [...this.of(response.req.socket)];
--- a/packages/daemon/test/callers/bad-input.test.ts
+++ b/packages/daemon/test/callers/bad-input.test.ts
@@ -193,9 +193,27 @@
     t.true(response.includes('"code":"request-timeout"'));
   }
   t.is(fixture.fleet.service.runs.length, 0);
+  // Against: the server ends the connection, and the log says that the caller left.
+  t.like(fixture.log.eventsOf('requestFailed'), [
+    {status: 408, code: 'request-timeout', ran: 'not-run', cause: ''},
+  ]);
   await assertStillServing(t, fixture);
 });
 
+test('a malformed body is not logged as caller-gone', async t => {
+  const fixture = await runDaemon(t);
+  const response = await sendRaw(
+    t,
+    fixture.daemon.addresses.callers,
+    `POST /orders HTTP/1.1\r\nhost: x\r\nauthorization: ${authorization}\r\n` +
+      'transfer-encoding: chunked\r\n\r\nno size\r\n',
+  );
+  t.regex(response, /^HTTP\/1.1 400 /);
+  t.like(fixture.log.eventsOf('requestFailed'), [
+    {status: 400, code: 'invalid-request', ran: 'not-run', cause: ''},
+  ]);
+});
+
 test('two Authorization headers are rejected', async t => {
   const fixture = await runDaemon(t);
   const response = await sendRaw(
