Count the end of long responses in the health of their upstream

Callers saw: a server whose long responses broke off, or never ended, was chosen again like a sound one.

Cause: a plain response counted as a success once 1 MB of it was buffered, and what happened to the rest was not recorded.

The bench serves the other calls from a server outside the thread of the faulty ones.

--- a/bench/endless-responses.mjs
+++ b/bench/endless-responses.mjs
@@ -19,6 +19,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Worker} from 'node:worker_threads';
+import {FakeServer} from '../platform/dist/src/standins/fake-server.js';
 import {
   HostProcess,
   findHostAddresses,
@@ -107,6 +108,13 @@
   return {isServed, milliseconds: performance.now() - startedAt};
 }
 
+// In this thread, so that the faulty servers don't delay it.
+const otherServer = new FakeServer({
+  id: 'other-1',
+  service: 'other',
+  zone: 'zone-a',
+});
+await otherServer.start();
 const servers = new Worker(
   new URL('endless-responses/servers.mjs', import.meta.url),
   {
@@ -115,6 +123,7 @@
       faultyServers: number('faulty', 1),
       soundServers: number('sound', 0),
       timeoutMilliseconds,
+      other: {id: 'other-1', entry: otherServer.storeEntry()},
     },
   },
 );
@@ -208,6 +217,7 @@
     isRunning,
   }),
 );
+await otherServer.close();
 servers.postMessage('close');
 rmSync(folder, {recursive: true});
 if (!isRunning) process.exitCode = 1;
--- a/bench/endless-responses/servers.mjs
+++ b/bench/endless-responses/servers.mjs
@@ -7,7 +7,8 @@
   sampleRoute,
 } from '../../platform/dist/src/standins/sample-site.js';
 
-const {fault, faultyServers, soundServers, timeoutMilliseconds} = workerData;
+const {fault, faultyServers, soundServers, timeoutMilliseconds, other} =
+  workerData;
 
 /** The faulty servers come first. */
 function serversOf(prefix, service, stage) {
@@ -24,10 +25,10 @@
 const servers = [
   ...serversOf('s', 'desk'),
   ...serversOf('d', 'engines', 'decode'),
-  {id: 'other-1', service: 'other', zone: 'zone-a'},
 ];
 const site = new SampleSite();
 await site.start(servers);
+site.store.put(`servers/${other.id}`, other.entry);
 const configuration = sampleConfiguration(2);
 site.store.put('op/config', {
   ...configuration,
@@ -51,10 +52,8 @@
   for (const prefix of ['s', 'd'])
     site.findServer(`${prefix}-${index}`).fault = fault;
 
-const isFaulty = ({options}) => {
-  const [prefix, number] = options.id.split('-');
-  return prefix !== 'other' && Number(number) <= faultyServers;
-};
+const isFaulty = ({options}) =>
+  Number(options.id.split('-')[1]) <= faultyServers;
 const endlessBytes = () =>
   site.servers.reduce((sum, server) => sum + server.endlessBytes, 0);
 
@@ -64,7 +63,6 @@
       const executedBy = sound =>
         site.servers
           .filter(each => isFaulty(each) !== sound)
-          .filter(({options}) => options.service !== 'other')
           .reduce((sum, {executed}) => sum + executed.length, 0);
       parentPort.postMessage({
         endlessBytes: endlessBytes(),
--- a/packages/coordination/src/passthrough/plain-calls.ts
+++ b/packages/coordination/src/passthrough/plain-calls.ts
@@ -26,6 +26,7 @@
 import {provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {CallSends} from './call-sends.js';
 import {bufferResponse} from './buffered-response.js';
+import type {BufferedResponse} from './buffered-response.js';
 import {firstResponse} from './plain-attempt.js';
 import type {PlainAttempt} from './plain-attempt.js';
 import {RetryGate} from './retry-gate.js';
@@ -269,11 +270,10 @@
     call: RoutedCall,
     upstream: TrackedUpstream,
     head: Result<PassthroughResponse, PassthroughError>,
-  ): Promise<Result<PassthroughResponse, PassthroughError>> {
-    const {clock} = this.parts;
+  ): Promise<Result<BufferedResponse, PassthroughError>> {
     if (head.isErr) return Result.err(head.error);
-    const isOverdue = () => clock.now() > call.deadline;
-    return bufferResponse(head.value, upstream, isOverdue);
+    const {clock} = this.parts;
+    return bufferResponse(head.value, upstream, clock, call.deadline);
   }
 
   /**
@@ -343,7 +343,7 @@
     pool: PoolDocument,
     upstream: TrackedUpstream,
     progress: CallProgress,
-    response: Result<PassthroughResponse, PassthroughError>,
+    response: Result<BufferedResponse, PassthroughError>,
     startedAt: number,
     callsThere: number,
   ): PassthroughResponse | undefined {
@@ -366,7 +366,8 @@
     upstream.health.recordDurationRatio(now, ratio);
     this.recordSpeed(upstream, callsThere, startedAt, now);
     if (response.value.status < firstServerErrorStatus) {
-      upstream.health.recordSuccess(now);
+      // The end of a longer response is recorded when it is known.
+      if (response.value.isComplete) upstream.health.recordSuccess(now);
       return response.value;
     }
     upstream.health.recordFailure(now);
