Silence and probes wait until what arrived in a pause is read

Callers saw: nothing yet; a sound upstream became suspect, or was suspended for a moment, so calls went elsewhere or were refused.

Cause: two conclusions from a timer, the silence of an upstream and the 50 ms in which a neighbour of an unreachable one has to be reached, ran behind a pause of the process before what had arrived was read.

Change: both wait with sleepUntilRead, which reads once more, and for 50 ms if its timer was late.

--- a/packages/coordination/src/passthrough/reachability-probes.ts
+++ b/packages/coordination/src/passthrough/reachability-probes.ts
@@ -19,6 +19,7 @@
   unansweredMilliseconds,
 } from '../decisions/link-silence.js';
 import type {UpstreamDocument} from '../generated/documents.js';
+import {sleepUntilRead} from '../pause-aware-sleep.js';
 import type {PassthroughTransport} from './call.js';
 import type {TrackedUpstream, UpstreamTable} from './upstream-table.js';
 
@@ -241,7 +242,8 @@
     if (milliseconds === 0) return false;
     const {clock, transport} = this.parts;
     const probe = transport.probe(upstream.document, this.closing.signal);
-    return Promise.race([probe, clock.sleep(milliseconds).then(() => false)]);
+    const timeout = sleepUntilRead(clock, milliseconds).then(() => false);
+    return Promise.race([probe, timeout]);
   }
 
   private async suspendUntilReachable(
--- a/packages/coordination/src/passthrough/silence-watch.ts
+++ b/packages/coordination/src/passthrough/silence-watch.ts
@@ -2,13 +2,10 @@
 
 import type {Clock} from '../clock.js';
 import {silenceBoundOf} from '../decisions/link-silence.js';
-import {lateTimerMilliseconds} from '../placement/abort-scope.js';
+import {sleepUntilRead} from '../pause-aware-sleep.js';
 import type {RoutedCall, TransportResult} from './call.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
-/** Time to read what arrived while the process stood still. */
-const graceMilliseconds = 50;
-
 export interface WatchedAttempt<Value> {
   readonly call: RoutedCall;
   readonly upstream: TrackedUpstream;
@@ -37,9 +34,7 @@
     if (hasResponse && needsNewConnection) health.recordResponse(clock.now());
   });
   const bound = silenceBoundOf(call.route.firstTokenTargetMilliseconds);
-  await clock.sleep(bound, ended.signal);
-  if (clock.now() - startedAt - bound > lateTimerMilliseconds)
-    await clock.sleep(graceMilliseconds, ended.signal);
+  await sleepUntilRead(clock, bound, ended.signal);
   // A response to a later call shows that the upstream is only slow.
   if (ended.signal.aborted || health.lastResponseAt > startedAt) return;
   health.recordSilence(clock.now());
