--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -36,7 +36,7 @@
 import {EventLoopMonitor} from './event-loop-monitor.js';
 import {HeartbeatSocket} from './heartbeat-socket.js';
 import {PassthroughServer} from './passthrough-server.js';
-import type {CallSummary} from './passthrough-server.js';
+import type {CallSummary} from './call-context.js';
 import {EarlyListener} from './early-listener.js';
 import {HandoverListener} from './handover-listener.js';
 import {HttpHandoverTransport} from './http-handover-transport.js';
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -11,7 +11,7 @@
 import type {EventLog} from '../log/logger.js';
 import {endingPartyOf} from './connection-end.js';
 import type {ConnectionLoss} from './caller-connection.js';
-import type {CallSummary} from './passthrough-server.js';
+import type {CallSummary} from './call-context.js';
 
 /** Logs one event of a call. `version` is the configuration in force. */
 export function logCallEvent(
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -15,7 +15,7 @@
 } from '@persimmonwick/coordination';
 import type {ConnectionLoss} from './caller-connection.js';
 import {endingPartyOf} from './connection-end.js';
-import type {CallSummary} from './passthrough-server.js';
+import type {CallSummary} from './call-context.js';
 
 /** Gauges that are read on each scrape. */
 export interface PassthroughGauges {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -5,7 +5,6 @@
 import {once} from 'node:events';
 import {
   InterruptedResponseError,
-  cancellationCauseOf,
   cancellationFailureOf,
   hostStopping,
   httpStatusOf,
@@ -23,13 +22,11 @@
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
+import {summaryOf, newCallContext} from './call-context.js';
+import type {CallContext, CallSummary} from './call-context.js';
 import {CallerConnections} from './caller-connections.js';
 import type {ConnectionEnd} from './connection-end.js';
-import type {
-  CallProgress,
-  ConnectionLoss,
-  OpenCall,
-} from './caller-connection.js';
+import type {CallProgress, ConnectionLoss} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
@@ -51,20 +48,6 @@
   readonly keepAliveTimeoutMilliseconds: number;
 }
 
-/** Outcome of a finished call, for logs and metrics. */
-export interface CallSummary {
-  readonly requestId: string;
-  readonly account: string;
-  readonly route: string;
-  readonly status: number;
-  readonly durationMilliseconds: number;
-  readonly failure: RequestFailure | undefined;
-  /** What cancelled the call; empty if nothing has. */
-  readonly cause: string;
-  /** True for a call that generates tokens, as opposed to a service call. */
-  readonly isGeneration: boolean;
-}
-
 export interface PassthroughServerParts {
   readonly clock: Clock;
   readonly host: PassthroughHost;
@@ -230,18 +213,7 @@
   ): Promise<void> {
     this.inFlight += 1;
     const connection = this.connections.of(request.socket)!;
-    const context: CallContext = {
-      requestId: '',
-      progress: 'waiting',
-      isCancelable: true,
-      response,
-      ended: new AbortController(),
-      account: '',
-      route: '',
-      arrivedAt: this.parts.clock.now(),
-      forwardedAt: Infinity,
-      isGeneration: false,
-    };
+    const context = newCallContext(response, this.parts.clock.now());
     try {
       if (await connection.enter(request, context))
         await this.processCall(request, target, response, context);
@@ -488,21 +460,12 @@
   }
 
   private reportEnd(
-    {requestId, account, route, arrivedAt, isGeneration, ended}: CallContext,
+    context: CallContext,
     status: number,
     failure: RequestFailure | undefined,
   ): void {
-    const durationMilliseconds = this.parts.clock.now() - arrivedAt;
-    this.parts.onEnd({
-      requestId,
-      account,
-      route,
-      status,
-      durationMilliseconds,
-      failure,
-      cause: cancellationCauseOf(ended.signal),
-      isGeneration,
-    });
+    const {clock, onEnd} = this.parts;
+    onEnd(summaryOf(context, status, failure, clock.now()));
   }
 }
 
@@ -514,17 +477,3 @@
   },
   // Fastify's types accept only the compilers of its own packages.
 } as unknown as FastifyServerOptions['schemaController'];
-
-/** What is known of a call so far. */
-interface CallContext extends OpenCall {
-  requestId: string;
-  progress: CallProgress;
-  isCancelable: boolean;
-  account: string;
-  route: string;
-  /** Aborted with a `Cancellation` when the call is cancelled, or has ended. */
-  readonly ended: AbortController;
-  /** Clock time at which the call was complete. */
-  forwardedAt: number;
-  isGeneration: boolean;
-}
