Half-closed callers of HTTP/1.0 are not logged as gone

The host had given it up.

Cause: callers of HTTP/1.0 can't be probed, and their calls are cancelled; the end was given the reason of a caller that had closed.

Change: a reason of its own, `half-closed`, which is an end by the host.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -117,7 +117,10 @@
     return cancellationBy(this.endReason);
   }
 
-  /** Ends by callers show on the socket; all others are the host's. */
+  /**
+   * Ends by callers show on the socket; all others are the host's. A caller that has
+   * ended its direction and whose connection closes by itself has closed the other one.
+   */
   private get endReason(): ConnectionEnd {
     return this.reason ?? (this.isHalfClosed ? 'caller-closed' : 'host-closed');
   }
@@ -346,7 +349,7 @@
       () => this.findAwaitedResponse(),
       closed.signal,
     );
-    if (!canProbe) this.destroy('caller-closed');
+    if (!canProbe) this.destroy('half-closed');
   }
 
   private findAwaitedResponse(): AwaitedResponse | undefined {
--- a/packages/daemon/src/passthrough/connection-end.ts
+++ b/packages/daemon/src/passthrough/connection-end.ts
@@ -10,6 +10,8 @@
   | 'caller-reset'
   /** Bytes could not be sent, because the caller or the network had closed it. */
   | 'write-failed'
+  /** The caller had ended its direction, and can't be asked whether it still reads. */
+  | 'half-closed'
   /** The caller left the connection idle, or did not read a response. */
   | 'idle-timeout'
   /** The caller sent bytes that are no request. */
@@ -33,6 +35,7 @@
     case 'caller-reset':
     case 'write-failed':
       return 'caller';
+    case 'half-closed':
     case 'idle-timeout':
     case 'malformed':
     case 'broken-response':
