--- a/bench/endless-responses/servers.mjs
+++ b/bench/endless-responses/servers.mjs
@@ -9,6 +9,7 @@
 
 const {fault, faultyServers, soundServers, timeoutMilliseconds, other} =
   workerData;
+const {responseBytes} = workerData;
 
 /** The faulty servers come first. */
 function serversOf(prefix, service, stage) {
@@ -18,6 +19,7 @@
     service,
     zone: 'zone-a',
     slots: 100,
+    responseBytes,
     ...(stage !== undefined && {stage}),
   }));
 }
--- a/packages/daemon/src/connections/read-turns.ts
+++ b/packages/daemon/src/connections/read-turns.ts
@@ -6,8 +6,12 @@
  * any length or framing delays other connections by no more than these reads.
  */
 
-/** Bytes of one read. */
-const readBytes = 4096;
+/** Bytes of a read at once, and the least of one from the queue. */
+const minimumReadBytes = 4096;
+const maximumReadBytes = 32 * 1024;
+
+/** Time of a read from the queue to which its size is adapted. */
+const aimedReadMilliseconds = 0.5;
 
 /** Cost of a chunk beside its bytes, in bytes. */
 const chunkCostBytes = 64;
@@ -43,6 +47,7 @@
   /** Whether it used up its allowance and has not regained half of it. */
   private isQueued = false;
   private isGranted = false;
+  private queuedReadBytes = minimumReadBytes;
 
   constructor(
     private readonly turns: ReadTurns,
@@ -58,8 +63,9 @@
       this.turns.enqueue(this, !this.isQueued);
       return 0;
     }
+    const bytes = this.isGranted ? this.queuedReadBytes : minimumReadBytes;
     this.isGranted = false;
-    return readBytes;
+    return bytes;
   }
 
   /** Records `bytes` that were read, or a chunk that was found in them. */
@@ -71,6 +77,15 @@
     this.allowance -= chunkCostBytes;
   }
 
+  /** Records how long a read from the queue and what it caused took. */
+  recordTime(milliseconds: number): void {
+    const factor = milliseconds < aimedReadMilliseconds ? 2 : 0.5;
+    this.queuedReadBytes = Math.min(
+      maximumReadBytes,
+      Math.max(minimumReadBytes, this.queuedReadBytes * factor),
+    );
+  }
+
   /** Called by `ReadTurns` for a share in its queue. */
   grant(): void {
     this.isGranted = true;
@@ -145,13 +160,20 @@
   /** Reads from the queues in the turn that began at `startedAt`. */
   private serve(startedAt: number): void {
     this.serveFirst(this.prompt);
-    if (startedAt >= this.restsUntil) this.serveFirst(this.queued);
+    const servedAt = performance.now();
+    const share =
+      startedAt >= this.restsUntil ? this.serveFirst(this.queued) : undefined;
     // The read bytes are passed on in microtasks, whose time counts as well.
-    queueMicrotask(() => process.nextTick(() => this.continue(startedAt)));
+    queueMicrotask(() =>
+      process.nextTick(() => {
+        const now = performance.now();
+        share?.recordTime(now - servedAt);
+        this.continue(startedAt, now);
+      }),
+    );
   }
 
-  private continue(startedAt: number): void {
-    const now = performance.now();
+  private continue(startedAt: number, now: number): void {
     const isResting = startedAt < this.restsUntil;
     const hasReads =
       this.prompt.size > 0 || (this.queued.size > 0 && !isResting);
@@ -179,10 +201,11 @@
     }, this.restsUntil - now);
   }
 
-  private serveFirst(shares: Set<TurnShare>): void {
+  private serveFirst(shares: Set<TurnShare>): TurnShare | undefined {
     const [share] = shares;
-    if (share === undefined) return;
+    if (share === undefined) return undefined;
     shares.delete(share);
     share.grant();
+    return share;
   }
 }
