A stream that is given up while its caller reads is interrupted

What callers could see: a stream cut at its deadline, or because another engine had taken over, that ended as whole.

Cause: since events that arrive together are passed on together, the check for a stream that was given up in the meantime left the loop over the chunks instead of that over the events, and a stream whose loop ends counts as complete.

Evidence: a stream of one event and comments without an end to a slow caller: the relay returned no interruption after the deadline. Found in reading the merged code; it was never in a released build.

Change: the check is gone, because nothing is left to skip; the next wait of the monitor reports the end.

Result: the test failed before (no reason) and passes (silent).

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -115,8 +115,6 @@
       }
       if (hasProgress) monitor.resume();
       if (isForeign) return interruptedBy(errorOf('broken'));
-      // A slow caller may take long for the events of one part.
-      if (monitor.isAbandoned) break;
     }
   } catch (error) {
     if (error instanceof InterruptedResponseError) return interruptedBy(error);
--- a/packages/coordination/src/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -73,11 +73,6 @@
     return this.progressAt;
   }
 
-  /** Whether the attempt is to be given up, as the next `wait` will report. */
-  get isAbandoned(): boolean {
-    return this.abandonment !== undefined;
-  }
-
   /** Records a sign of life that is no progress. It postpones a search once. */
   recordActivity(): void {
     this.activityAt = this.parts.clock.now();
--- a/packages/coordination/test/event-relay.test.ts
+++ b/packages/coordination/test/event-relay.test.ts
@@ -67,6 +67,21 @@
   t.true(clock.now() <= deadline + 2, `${clock.now()} ms`);
 });
 
+// Guards against a stream that is given up while its caller reads, and ends as whole.
+test('a stream that is given up while a slow caller reads is interrupted', async t => {
+  const {relay, clock} = relayOf(async function* () {
+    yield Buffer.from('data: token\n\n');
+    for (;;) yield Buffer.from(': comment\n\n');
+  });
+  let next = await relay.next();
+  for (let count = 0; count < 1000 && next.done !== true; count += 1) {
+    await clock.advance(100);
+    next = await relay.next();
+  }
+  t.true(next.done);
+  t.is(next.done === true ? next.value?.error.reason : undefined, 'silent');
+});
+
 test('a stream that goes on is not cut at its deadline', async t => {
   const {relay, clock} = relayOf(async function* (clock: VirtualClock) {
     for (let id = 1; id <= 20; id += 1) {
