--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -273,6 +273,14 @@
   cancellationOf,
 } from './passthrough/cancellation.js';
 export type {Cancellation} from './passthrough/cancellation.js';
+export {ResponseMemory} from './passthrough/response-memory.js';
+export type {
+  HeldBytes,
+  ResponseMemoryEvent,
+  ResponseMemoryParts,
+} from './passthrough/response-memory.js';
+export type {HeldTotal} from './decisions/response-memory.js';
+export {ChunkQueue} from './passthrough/chunk-queue.js';
 export {InterruptedResponseError} from './passthrough/call.js';
 export type {
   GrantedReservation,
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -9,10 +9,12 @@
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
+import {discardInput} from '../connections/discard-input.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
 import type {ConnectionEnd} from './connection-end.js';
@@ -86,6 +88,8 @@
   private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
+  /** Whether bytes were read that belong to no request. */
+  private hasDiscarded = false;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
@@ -100,7 +104,7 @@
     this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
-    socket.once('timeout', () => this.setReason('idle-timeout'));
+    socket.on('timeout', () => void this.onTimeout());
     socket.once('error', error => this.onError(error));
     socket.once('end', () => void this.onHalfClose());
     socket.once('close', () => this.onClose());
@@ -113,7 +117,10 @@
     return cancellationBy(this.endReason);
   }
 
-  /** Ends by callers show on the socket; all others are the host's. */
+  /**
+   * Ends by callers show on the socket; all others are the host's. A caller that has
+   * ended its direction and whose connection closes by itself has closed the other one.
+   */
   private get endReason(): ConnectionEnd {
     return this.reason ?? (this.isHalfClosed ? 'caller-closed' : 'host-closed');
   }
@@ -153,13 +160,13 @@
 
   /**
    * Announces the end of the connection in the head of `response`, unless a call
-   * waits behind it. No further request is read: one that crosses the announcement
-   * could not be answered, and unread bytes tell its caller that it can't have run.
+   * waits behind it. No further request is handled: one that crosses the announcement
+   * could not be answered, and a reset tells its caller that it can't have run.
    */
   announceEnd(response: ServerResponse): void {
     if (this.hasFurtherCall) return;
     response.setHeader('Connection', 'close');
-    this.socket.pause();
+    this.stopParsing();
   }
 
   /** Announces the end if no call may follow the one that `response` answers. */
@@ -186,19 +193,22 @@
   /** Closes the connection at once; `reason` holds unless there is an earlier one. */
   destroy(reason: ConnectionEnd): void {
     this.setReason(reason);
-    this.socket.destroy();
+    const {socket, hasDiscarded, needsReset} = this;
+    // Node can't reset a connection whose direction it is about to end.
+    const isShuttingDown = socket.writableEnded && !socket.writableFinished;
+    // Bytes that were discarded count like those that a close leaves unread.
+    if ((hasDiscarded || needsReset) && !isShuttingDown)
+      socket.resetAndDestroy();
+    else socket.destroy();
   }
 
   /**
-   * Ends the connection in the middle of `response`. The reset that a close with
+   * Ends the connection in the middle of a response. The reset that a close with
    * unread bytes causes would overtake the responses before it.
    */
-  breakOff(response: ServerResponse, reason: ConnectionEnd): void {
-    const isFramed =
-      response.chunkedEncoding || response.hasHeader('content-length');
-    // Without a frame, only a reset tells that the response is not complete. A caller
-    // that does not read would keep the connection open.
-    if (isFramed && this.socket.writableLength === 0) this.end(reason);
+  breakOff(reason: ConnectionEnd): void {
+    // A caller that does not read would keep the connection open.
+    if (this.socket.writableLength === 0) this.end(reason);
     else this.destroy(reason);
   }
 
@@ -209,10 +219,14 @@
   endMalformed(errorResponse: string): void {
     if (this.isEnding || this.errorResponse !== undefined) return;
     this.errorResponse = errorResponse;
-    this.socket.pause();
+    this.stopParsing();
     this.endIfMalformed();
   }
 
+  private stopParsing(): void {
+    discardInput(this.socket, () => (this.hasDiscarded = true));
+  }
+
   private endIfMalformed(): void {
     if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
@@ -237,7 +251,7 @@
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
-    await this.parts.clock.sleep(lastRequestMilliseconds, signal);
+    await this.sleepAndRead(lastRequestMilliseconds, signal);
     if (!signal.aborted) this.end('host-closed');
   }
 
@@ -254,14 +268,26 @@
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
     // The caller of an upload may read the response only after it has sent it.
     else lastRequest.once('end', stopReading).resume();
-    socket.end(() => void this.destroyAfterLinger());
+    if (this.needsReset) void this.destroyAfterLinger(reason);
+    else socket.end(() => void this.destroyAfterLinger(reason));
+  }
+
+  /**
+   * Whether only a reset tells that the response under way is not complete: it has no
+   * frame, or ends in a zero, which lenient callers take for the last chunk.
+   */
+  private get needsReset(): boolean {
+    const response = this.openCalls[0]?.response;
+    if (response?.headersSent !== true || response.writableFinished)
+      return false;
+    return !isFramed(response) || this.probe?.isInsideSize === true;
   }
 
   /**
    * Waits for a caller that is slow to receive the last response, and for an upload
    * that goes on: it may have to end before its caller reads.
    */
-  private async destroyAfterLinger(): Promise<void> {
+  private async destroyAfterLinger(reason: ConnectionEnd): Promise<void> {
     const {socket, closed} = this;
     const {clock} = this.parts;
     const latest = clock.now() + maximumLingerMilliseconds;
@@ -269,14 +295,24 @@
     let hasReadMore: boolean;
     do {
       const {bytesRead} = socket;
-      await clock.sleep(lingerMilliseconds, closed.signal);
+      await this.sleepAndRead(lingerMilliseconds, closed.signal);
       hasReadMore = socket.bytesRead > bytesRead;
     } while (
       !closed.signal.aborted &&
       clock.now() < latest &&
       (hasReadMore || clock.now() < receivedAt)
     );
-    socket.destroy();
+    this.destroy(reason);
+  }
+
+  /** Resolves after `milliseconds`, once the bytes that came until then are read. */
+  private async sleepAndRead(
+    milliseconds: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.parts.clock.sleep(milliseconds, signal);
+    // Timers that expired while the process paused run before its sockets are read.
+    await setImmediate();
   }
 
   /** Clock time by which the caller has received all that was written. */
@@ -313,14 +349,17 @@
       () => this.findAwaitedResponse(),
       closed.signal,
     );
-    if (!canProbe) this.destroy('caller-closed');
+    if (!canProbe) this.destroy('half-closed');
   }
 
   private findAwaitedResponse(): AwaitedResponse | undefined {
     const [call] = this.openCalls;
     if (call === undefined || this.isEnding) return undefined;
     const {response, isCancelable, progress} = call;
-    return {response, isProbed: isCancelable || progress !== 'sent'};
+    const isAtUpstream =
+      progress === 'sent' ||
+      (progress === 'responding' && !response.headersSent);
+    return {response, isProbed: isCancelable || !isAtUpstream};
   }
 
   private setReason(reason: ConnectionEnd): void {
@@ -334,6 +373,14 @@
     );
   }
 
+  private async onTimeout(): Promise<void> {
+    const {socket} = this;
+    const {bytesRead} = socket;
+    // A request may have come while the process paused.
+    if (!socket.destroyed) await setImmediate();
+    if (socket.bytesRead === bytesRead) this.destroy('idle-timeout');
+  }
+
   private onClose(): void {
     this.closed.abort();
     const {openCalls: calls, endReason: reason} = this;
@@ -350,3 +397,7 @@
     });
   }
 }
+
+function isFramed(response: ServerResponse): boolean {
+  return response.chunkedEncoding || response.hasHeader('content-length');
+}
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -2,8 +2,10 @@
 
 import type {
   CallEvent,
+  HeldTotal,
   QuarantineChange,
   RequestLimitChange,
+  ResponseMemoryEvent,
   ShareChange,
   SilenceProbe,
   UpstreamDocument,
@@ -11,7 +13,7 @@
 import type {EventLog} from '../log/logger.js';
 import {endingPartyOf} from './connection-end.js';
 import type {ConnectionLoss} from './caller-connection.js';
-import type {CallSummary} from './passthrough-server.js';
+import type {CallSummary} from './call-context.js';
 
 /** Logs one event of a call. `version` is the configuration in force. */
 export function logCallEvent(
@@ -206,6 +208,28 @@
   });
 }
 
+export function logResponseMemory(
+  log: EventLog,
+  event: ResponseMemoryEvent,
+  total: HeldTotal,
+): void {
+  switch (event.kind) {
+    case 'shortage':
+      return log.write('responseMemoryChanged', {
+        memory: event.isShort ? 'short' : 'enough',
+        ...total,
+      });
+    case 'given-up': {
+      const {upstream, incompleteBytes} = event;
+      return log.write('responseGivenUp', {
+        upstream,
+        incompleteBytes,
+        ...total,
+      });
+    }
+  }
+}
+
 /** Logs the outcome of a call. */
 export function logCallEnd(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -5,7 +5,6 @@
 import {once} from 'node:events';
 import {
   InterruptedResponseError,
-  cancellationCauseOf,
   cancellationFailureOf,
   hostStopping,
   httpStatusOf,
@@ -13,7 +12,6 @@
 import type {
   Clock,
   Cancellation,
-  IncomingCall,
   PassthroughResponse,
   PassthroughHost,
   RequestFailure,
@@ -23,18 +21,17 @@
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
+import {summaryOf, newCallContext} from './call-context.js';
+import type {CallContext, CallSummary} from './call-context.js';
 import {CallerConnections} from './caller-connections.js';
 import type {ConnectionEnd} from './connection-end.js';
-import type {
-  CallProgress,
-  ConnectionLoss,
-  OpenCall,
-} from './caller-connection.js';
+import type {CallProgress, ConnectionLoss} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
   endOfBrokenResponse,
-  failureOfBrokenResponse,
+  failureOfCutResponse,
+  failureOfUnbegunResponse,
   internalFailure,
   isDeclined,
   statusOfCutResponse,
@@ -51,20 +48,6 @@
   readonly keepAliveTimeoutMilliseconds: number;
 }
 
-/** Outcome of a finished call, for logs and metrics. */
-export interface CallSummary {
-  readonly requestId: string;
-  readonly account: string;
-  readonly route: string;
-  readonly status: number;
-  readonly durationMilliseconds: number;
-  readonly failure: RequestFailure | undefined;
-  /** What cancelled the call; empty if nothing has. */
-  readonly cause: string;
-  /** True for a call that generates tokens, as opposed to a service call. */
-  readonly isGeneration: boolean;
-}
-
 export interface PassthroughServerParts {
   readonly clock: Clock;
   readonly host: PassthroughHost;
@@ -230,18 +213,7 @@
   ): Promise<void> {
     this.inFlight += 1;
     const connection = this.connections.of(request.socket)!;
-    const context: CallContext = {
-      requestId: '',
-      progress: 'waiting',
-      isCancelable: true,
-      response,
-      ended: new AbortController(),
-      account: '',
-      route: '',
-      arrivedAt: this.parts.clock.now(),
-      forwardedAt: Infinity,
-      isGeneration: false,
-    };
+    const context = newCallContext(response, this.parts.clock.now());
     try {
       if (await connection.enter(request, context))
         await this.processCall(request, target, response, context);
@@ -339,7 +311,7 @@
         context,
       );
     await this.streamResponse(
-      call.value,
+      request,
       upstreamResponse.value,
       response,
       context,
@@ -399,38 +371,44 @@
   }
 
   /**
-   * Streams the upstream's response to the caller. When the upstream fails
-   * midway, the caller's connection is destroyed.
+   * Streams the upstream's response to the caller. When the upstream fails before
+   * the first bytes, the caller gets an error response; when it fails midway, the
+   * caller's connection ends.
    */
   private async streamResponse(
-    call: IncomingCall,
+    request: IncomingMessage,
     upstreamResponse: PassthroughResponse,
     response: ServerResponse,
     context: CallContext,
   ): Promise<void> {
     const {signal} = context.ended;
     context.progress = 'responding';
-    this.connections.carrying(response)?.announceEndIfDue(response);
-    for (const [name, value] of upstreamResponse.headers)
-      response.appendHeader(name, value);
-    response.writeHead(upstreamResponse.status);
     try {
       for await (const chunk of upstreamResponse.body) {
         if (response.destroyed) break;
+        this.writeHead(upstreamResponse, response);
         if (!response.write(chunk))
           await once(response, 'drain', {signal}).catch(() => undefined);
       }
     } catch (error) {
       if (!(error instanceof InterruptedResponseError)) throw error;
+      if (!response.headersSent)
+        return this.sendFailure(
+          response,
+          request,
+          failureOfUnbegunResponse(error, signal),
+          context,
+        );
       // A truncated response must not look complete to the caller.
       this.breakOff(response, endOfBrokenResponse(signal));
       this.reportEnd(
         context,
         statusOfCutResponse(signal, upstreamResponse.status),
-        failureOfBrokenResponse(error, signal),
+        failureOfCutResponse(error, signal),
       );
       return;
     }
+    this.writeHead(upstreamResponse, response);
     response.end();
     const isComplete = !response.destroyed || response.writableFinished;
     if (isComplete && upstreamResponse.status < firstServerErrorStatus)
@@ -444,6 +422,17 @@
     );
   }
 
+  /** Writes the head with the first bytes, until which the call may still fail. */
+  private writeHead(
+    {status, headers}: PassthroughResponse,
+    response: ServerResponse,
+  ): void {
+    if (response.headersSent) return;
+    this.connections.carrying(response)?.announceEndIfDue(response);
+    for (const [name, value] of headers) response.appendHeader(name, value);
+    response.writeHead(status);
+  }
+
   private sendFailure(
     response: ServerResponse,
     request: IncomingMessage,
@@ -479,7 +468,7 @@
   private breakOff(response: ServerResponse, reason: ConnectionEnd): void {
     const connection = this.connections.carrying(response);
     if (connection === undefined) response.destroy();
-    else connection.breakOff(response, reason);
+    else connection.breakOff(reason);
   }
 
   private recordDuration({route, forwardedAt}: CallContext): void {
@@ -488,21 +477,12 @@
   }
 
   private reportEnd(
-    {requestId, account, route, arrivedAt, isGeneration, ended}: CallContext,
+    context: CallContext,
     status: number,
     failure: RequestFailure | undefined,
   ): void {
-    const durationMilliseconds = this.parts.clock.now() - arrivedAt;
-    this.parts.onEnd({
-      requestId,
-      account,
-      route,
-      status,
-      durationMilliseconds,
-      failure,
-      cause: cancellationCauseOf(ended.signal),
-      isGeneration,
-    });
+    const {clock, onEnd} = this.parts;
+    onEnd(summaryOf(context, status, failure, clock.now()));
   }
 }
 
@@ -514,17 +494,3 @@
   },
   // Fastify's types accept only the compilers of its own packages.
 } as unknown as FastifyServerOptions['schemaController'];
-
-/** What is known of a call so far. */
-interface CallContext extends OpenCall {
-  requestId: string;
-  progress: CallProgress;
-  isCancelable: boolean;
-  account: string;
-  route: string;
-  /** Aborted with a `Cancellation` when the call is cancelled, or has ended. */
-  readonly ended: AbortController;
-  /** Clock time at which the call was complete. */
-  forwardedAt: number;
-  isGeneration: boolean;
-}
--- a/packages/daemon/src/passthrough/server-failures.ts
+++ b/packages/daemon/src/passthrough/server-failures.ts
@@ -48,15 +48,24 @@
   ran: 'ran',
 };
 
-export function failureOfBrokenResponse(
+/** Failure of a call whose response was interrupted before its first bytes. */
+export function failureOfUnbegunResponse(
+  {reason, message}: InterruptedResponseError,
+  signal: AbortSignal,
+): RequestFailure {
+  if (signal.aborted) return cancellationFailureOf(signal, 'unknown');
+  const code = reason === 'silent' ? 'upstream-timeout' : 'upstream-failed';
+  return {code, message, ran: 'ran'};
+}
+
+/** Failure of a call whose response was cut; its caller gets no other response. */
+export function failureOfCutResponse(
   error: InterruptedResponseError,
   signal: AbortSignal,
 ): RequestFailure {
-  if (!signal.aborted)
-    return {code: 'upstream-failed', message: error.message, ran: 'ran'};
   return cancellationOf(signal)?.kind === 'grace-over'
     ? responseCutByStop
-    : cancellationFailureOf(signal, 'unknown');
+    : failureOfUnbegunResponse(error, signal);
 }
 
 /** Why a connection ends in the middle of a response. */
