--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -9,13 +9,13 @@
  * `work` is a list of stops, pairs, early-stops, repeated-stops, early-settings,
  * settings, configurations, freezes and engine-failures, or `all`, which leaves out
  * early-settings, freezes and engine-failures. While engines fail, only resumable
- * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of the habits of callers) or `without` (such
- * a list to leave out), `program` (path of the bundle), `output` (`discarded`, `unread`
- * or `file`) and `folder` (for the files), `streams` (`even` or `uneven`),
- * `engine-delay` (of reservations and prefills, in milliseconds), `server-work`, `idle-timeout`, `pause` and
- * `server-idle` (milliseconds), `grace` (seconds), `server-requests` (requests after
- * which servers close a connection at its next use) and `stranded` (number of hosts that
- * reach no server).
+ * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of
+ * the habits of callers) or `without` (such a list to leave out), `program` (path of
+ * the bundle), `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
+ * `streams` (`even` or `uneven`), `engine-delay` (of reservations and prefills),
+ * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
+ * (seconds), `server-requests` (requests after which servers close a connection at its
+ * next use) and `stranded` (number of hosts that reach no server).
  */
 
 import {fileURLToPath} from 'node:url';
