The line of a failed request names its times relative to the stop

What was seen: from 3002 alone it can't be told whether a stream that a stop cut had come before the signal, whether its body ended late, when it was sent, or what the host expected of its duration. The three hypotheses on streams sent late in a stop predict different times.

Change: 3002 has the times from the head to the last byte and to the first send, the time since the beginning of the stop, and the expected duration of a call on the route; -1 where there is none. The general product does not know them.

--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -130,7 +130,11 @@
     return this.endsAt - expected * durationFactor - answerMilliseconds;
   }
 
-  private expectedDurationOf(route: string): number | undefined {
+  /**
+   * Returns the time in milliseconds that calls on `route` are known or expected to
+   * take; undefined if nothing is known of them.
+   */
+  expectedDurationOf(route: string): number | undefined {
     const slowest = this.slowestOf(this.slowest, route);
     if (slowest !== undefined) return slowest;
     const expectation = this.expectationOf(route);
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -174,10 +174,19 @@
       ran,
       cause: this.cause,
       milliseconds: Math.round(clock.now() - this.arrivedAt),
+      ...unknownTiming,
     });
   }
 }
 
+/** Only hosts that pass calls through know these times. */
+const unknownTiming = {
+  bodyMilliseconds: -1,
+  sendMilliseconds: -1,
+  millisecondsSinceStop: -1,
+  expectedMilliseconds: -1,
+} as const;
+
 /** Returns the record of a call; throws if the `onRequest` hook has not run. */
 export function callRecordOf(request: FastifyRequest): CallRecord {
   if (request.callRecord === null) throw new MissingCallRecordError();
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -283,6 +283,10 @@
       'ran',
       'cause',
       'milliseconds',
+      'bodyMilliseconds',
+      'sendMilliseconds',
+      'millisecondsSinceStop',
+      'expectedMilliseconds',
     ],
   },
   internalError: {
--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -14,8 +14,10 @@
   route: string;
   /** Aborted with a `Cancellation` when the call is cancelled, or has ended. */
   readonly ended: AbortController;
-  /** Clock time at which the call was complete. */
+  /** Clock time at which the call was complete; infinite until then. */
   forwardedAt: number;
+  /** Clock time of the first send to an upstream or another host. */
+  sentAt: number;
   isGeneration: boolean;
 }
 
@@ -31,6 +33,25 @@
   readonly cause: string;
   /** True for a call that generates tokens, as opposed to a service call. */
   readonly isGeneration: boolean;
+  readonly timing: CallTiming;
+}
+
+/** When a call reached the steps before its response, in milliseconds. */
+export interface CallTiming {
+  /** From its head to its last byte; undefined if that was not read. */
+  readonly body: number | undefined;
+  /** From its head to its first send; undefined if it was not sent. */
+  readonly send: number | undefined;
+  /** Undefined unless the host is stopping. */
+  readonly stop: StopTiming | undefined;
+}
+
+/** What decides which calls a host still sends that is stopping, in milliseconds. */
+export interface StopTiming {
+  /** From the beginning of the stop to the end of the call. */
+  readonly sinceStop: number;
+  /** Expected duration of a call on the route; undefined without an estimate. */
+  readonly expected: number | undefined;
 }
 
 /** The context of a call that arrived at the clock time `arrivedAt`. */
@@ -48,17 +69,20 @@
     route: '',
     arrivedAt,
     forwardedAt: Infinity,
+    sentAt: Infinity,
     isGeneration: false,
   };
 }
 
 /** The outcome of a call that ended at the clock time `endedAt`. */
 export function summaryOf(
-  {requestId, account, route, arrivedAt, isGeneration, ended}: CallContext,
+  context: CallContext,
   status: number,
   failure: RequestFailure | undefined,
   endedAt: number,
+  stop: StopTiming | undefined,
 ): CallSummary {
+  const {requestId, account, route, arrivedAt, isGeneration, ended} = context;
   return {
     requestId,
     account,
@@ -68,5 +92,14 @@
     failure,
     cause: cancellationCauseOf(ended.signal),
     isGeneration,
+    timing: {
+      body: finiteOrUndefined(context.forwardedAt - arrivedAt),
+      send: finiteOrUndefined(context.sentAt - arrivedAt),
+      stop,
+    },
   };
 }
+
+function finiteOrUndefined(value: number): number | undefined {
+  return Number.isFinite(value) ? value : undefined;
+}
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -241,6 +241,7 @@
     durationMilliseconds,
     failure,
     cause,
+    timing: {body, send, stop},
   }: CallSummary,
 ): void {
   const common = {request: requestId, account, route, status};
@@ -254,6 +255,12 @@
       ran: failure.ran,
       cause,
       milliseconds,
+      ...roundNumbers({
+        bodyMilliseconds: body ?? unknownTime,
+        sendMilliseconds: send ?? unknownTime,
+        millisecondsSinceStop: stop?.sinceStop ?? notStopping,
+        expectedMilliseconds: stop?.expected ?? unknownTime,
+      }),
     });
 }
 
@@ -320,6 +327,9 @@
 /** Logged as the time since the signal to stop of a host that had none. */
 const notStopping = -1;
 
+/** Logged as the time of a step that a call did not reach. */
+const unknownTime = -1;
+
 /** Logged as the wait of a call that only other hosts may send. */
 const otherHostsOnly = -1;
 
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -22,7 +22,7 @@
 import {Result} from 'true-myth';
 import {failureBody} from '../callers/failure-reply.js';
 import {summaryOf, newCallContext} from './call-context.js';
-import type {CallContext, CallSummary} from './call-context.js';
+import type {CallContext, CallSummary, StopTiming} from './call-context.js';
 import {CallerConnections} from './caller-connections.js';
 import type {ConnectionEnd} from './connection-end.js';
 import type {CallProgress, ConnectionLoss} from './caller-connection.js';
@@ -142,7 +142,8 @@
 
   /** Records that an upstream or another host may have received a call. */
   recordSend(requestId: string): void {
-    this.recordProgress(requestId, 'sent');
+    const call = this.recordProgress(requestId, 'sent');
+    if (call?.sentAt === Infinity) call.sentAt = this.parts.clock.now();
   }
 
   /** Records that the upstream that had received a call has answered or failed. */
@@ -194,9 +195,13 @@
     await this.instance.close();
   }
 
-  private recordProgress(requestId: string, progress: CallProgress): void {
+  private recordProgress(
+    requestId: string,
+    progress: CallProgress,
+  ): CallContext | undefined {
     const call = this.forwardedCalls.get(requestId);
     if (call !== undefined) call.progress = progress;
+    return call;
   }
 
   private reportIfIdle(): void {
@@ -482,7 +487,17 @@
     failure: RequestFailure | undefined,
   ): void {
     const {clock, onEnd} = this.parts;
-    onEnd(summaryOf(context, status, failure, clock.now()));
+    const stop = this.stopTimingOf(context);
+    onEnd(summaryOf(context, status, failure, clock.now(), stop));
+  }
+
+  private stopTimingOf({route}: CallContext): StopTiming | undefined {
+    const {clock, shutdown} = this.parts;
+    if (this.stoppingSince === undefined) return undefined;
+    return {
+      sinceStop: clock.now() - this.stoppingSince,
+      expected: shutdown.expectedDurationOf(route),
+    };
   }
 }
 
