A stopping host begins calls that come during the stop only if their deadline ends in time

What callers saw: around the SIGTERM of their host, streams that can't be taken up began with 200 and ended in the middle, 7.4 s after the signal.

Cause: the schedule let a call be sent until the end of the grace period less twice the slowest call of its route that had ended. That is no bound: a host that knows only short streams begins long ones until 6 s after the signal. It asked at the time of the send alone, so a call whose body ended late was begun like one that had come with its head.

Change: a call counts from its last byte. Streams that are read to their end after the signal, and other calls that are read after the port has closed, are begun only if their deadline ends before the host; the others are refused at once (503, not run), also while their bodies are on the way. The estimate stays for what was read before. A deadline is a bound whatever a host knows of its calls, and refused callers are served from the start by another host.

New tests of the schedule use the new interface. Tests of the schedule that were there state that their calls were read before the stop; their times are unchanged.

--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -67,6 +67,8 @@
  */
 export interface RoutedCall extends IncomingCall {
   readonly body: Uint8Array;
+  /** Clock time at which it was read to its end. */
+  readonly receivedAt: number;
   readonly account: AccountId | undefined;
   readonly route: PassthroughRoute;
   /**
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -246,6 +246,7 @@
     return {
       ...incoming,
       body,
+      receivedAt: this.parts.clock.now(),
       account,
       route,
       deadline: this.deadlineOf(incoming, {route, account}),
--- a/packages/coordination/src/passthrough/route-table.ts
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -149,5 +149,6 @@
   return {
     group: JSON.stringify([stream, poolNames]),
     targetMilliseconds: stream ? undefined : firstTokenTargetMilliseconds,
+    isStream: stream ?? false,
   };
 }
--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -11,14 +11,25 @@
 /** What decides how long a call may take. */
 export type TimedCall = Pick<RoutedCall, 'deadline'> & {
   readonly route: Pick<RoutedCall['route'], 'name'>;
+  /** Clock time at which it was read to its end; undefined until then. */
+  readonly receivedAt: number | undefined;
 };
 
+/** Clock times of a stop. */
+export interface Shutdown {
+  /** Until then callers may not know of the stop, and reach the host. */
+  readonly admitsUntil: number;
+  /** All calls end. */
+  readonly endsAt: number;
+}
+
 /** What is known of the calls on a route before one of them has ended. */
 export interface CallExpectation {
   /** Equal for routes that lead to the same pools with responses of one kind. */
   readonly group: string;
   /** Target for the whole response; undefined if its length is open. */
   readonly targetMilliseconds: number | undefined;
+  readonly isStream: boolean;
 }
 
 interface SlowestCall {
@@ -49,6 +60,8 @@
 type SlowestCalls = BoundedMap<string, SlowestCall>;
 
 export class ShutdownSchedule {
+  private beganAt = Infinity;
+  private admitsUntil = Infinity;
   private endsAt = Infinity;
   private readonly slowest: SlowestCalls = new BoundedMap(maximumRoutes);
   private readonly slowestOfGroups: SlowestCalls = new BoundedMap(
@@ -65,8 +78,10 @@
     ) => CallExpectation | undefined = () => undefined,
   ) {}
 
-  /** Records that the host stops, and ends all calls at the clock time `endsAt`. */
-  begin(endsAt: number): void {
+  /** Records that the host stops. */
+  begin({admitsUntil, endsAt}: Shutdown): void {
+    this.beganAt = this.clock.now();
+    this.admitsUntil = admitsUntil;
     this.endsAt = endsAt;
     for (const watch of this.watches) void this.run(watch);
   }
@@ -93,7 +108,7 @@
       this.recordSlowest(this.slowestOfGroups, group, milliseconds);
   }
 
-  /** Returns whether `call` will have ended before the host ends. */
+  /** Returns whether `call` can be expected to end before the host does. */
   canFinish(call: TimedCall): boolean {
     if (this.endsAt === Infinity) return true;
     return this.clock.now() <= this.latestSendOf(call);
@@ -121,10 +136,28 @@
   }
 
   /** Clock time until which `call` may be sent. */
-  private latestSendOf({route, deadline}: TimedCall): number {
+  private latestSendOf({route, deadline, receivedAt}: TimedCall): number {
     // The deadline ends the call in time.
     if (deadline <= this.endsAt) return Infinity;
-    const expected = this.expectedDurationOf(route.name);
+    const latestReceipt = this.latestReceiptOn(route.name);
+    if (receivedAt === undefined)
+      return Math.min(latestReceipt, this.latestExpectedSendOn(route.name));
+    // Another host can serve it from the start, and no estimate is a bound.
+    if (receivedAt > latestReceipt) return -Infinity;
+    return this.latestExpectedSendOn(route.name);
+  }
+
+  /**
+   * Clock time until which a call whose deadline is too late must have been read.
+   * The length of a stream is open, so none is begun that comes during a stop.
+   */
+  private latestReceiptOn(route: string): number {
+    const isStream = this.expectationOf(route)?.isStream ?? false;
+    return isStream ? this.beganAt : this.admitsUntil;
+  }
+
+  private latestExpectedSendOn(route: string): number {
+    const expected = this.expectedDurationOf(route);
     // Without an estimate, the call may take until its deadline.
     if (expected === undefined) return -Infinity;
     return this.endsAt - expected * durationFactor - answerMilliseconds;
--- a/packages/coordination/test/shutdown-schedule.test.ts
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -3,7 +3,13 @@
 
 const endsAt = 8000;
 const slowestMilliseconds = 1000;
-const callUntil = (deadline: number) => ({route: {name: 'r'}, deadline});
+const admitsUntil = 2500;
+/** A call that was read before the stop. */
+const callUntil = (deadline: number) => ({
+  route: {name: 'r'},
+  deadline,
+  receivedAt: 0,
+});
 
 function stoppingSchedule(): {
   readonly clock: VirtualClock;
@@ -12,7 +18,7 @@
   const clock = new VirtualClock();
   const schedule = new ShutdownSchedule(clock);
   schedule.recordDuration('r', slowestMilliseconds);
-  schedule.begin(endsAt);
+  schedule.begin({admitsUntil, endsAt});
   return {clock, schedule};
 }
 
@@ -37,8 +43,9 @@
 
 test('a call on a route without a finished call may take until its deadline', t => {
   const {schedule} = stoppingSchedule();
-  t.false(schedule.canFinish({route: {name: 'new'}, deadline: 8001}));
-  t.true(schedule.canFinish({route: {name: 'new'}, deadline: 8000}));
+  const call = {...callUntil(8000), route: {name: 'new'}};
+  t.false(schedule.canFinish({...call, deadline: 8001}));
+  t.true(schedule.canFinish(call));
 });
 
 test('a slow call is forgotten', async t => {
@@ -47,7 +54,8 @@
   schedule.recordDuration('r', 60_000);
   await clock.advance(600_000);
   schedule.recordDuration('r', slowestMilliseconds);
-  schedule.begin(clock.now() + endsAt);
+  const now = clock.now();
+  schedule.begin({admitsUntil: now + admitsUntil, endsAt: now + endsAt});
   t.true(schedule.canFinish(callUntil(Infinity)));
 });
 
@@ -58,7 +66,7 @@
   other.recordDuration('r', slowestMilliseconds);
   other.watch(callUntil(20_000), () => (reports += 1));
   const endWatch = schedule.watch(callUntil(20_000), () => (reports += 100));
-  other.begin(endsAt);
+  other.begin({admitsUntil, endsAt});
   endWatch();
   await clock.advance(5800);
   t.is(reports, 0);
@@ -75,12 +83,17 @@
   const schedule = new ShutdownSchedule(clock, route => ({
     group: route === 'other' ? 'b' : 'a',
     targetMilliseconds: route === 'plain' ? 300 : undefined,
+    isStream: route === 'stream',
   }));
-  schedule.begin(endsAt);
+  schedule.begin({admitsUntil, endsAt});
   return {clock, schedule};
 }
 
-const callOn = (name: string) => ({route: {name}, deadline: 20_000});
+const callOn = (name: string, receivedAt = 0) => ({
+  route: {name},
+  deadline: 20_000,
+  receivedAt,
+});
 
 // Against: a host that has just started, or a route that is called rarely, serves
 // nothing from the signal on.
@@ -126,3 +139,42 @@
   t.false(schedule.canFinish(callOn('plain')));
   t.true(schedule.canFinish(callOn('bare')));
 });
+
+// Against: a host that has ended one short stream begins others during a stop, and cuts
+// them at the end of it.
+test('a stream that comes during a stop is begun if its deadline is in time', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  schedule.recordDuration('stream', 5);
+  t.true(schedule.canFinish(callOn('stream', 0)));
+  await clock.advance(1);
+  t.false(schedule.canFinish(callOn('stream', clock.now())));
+  t.true(
+    schedule.canFinish({...callOn('stream', clock.now()), deadline: endsAt}),
+  );
+});
+
+test('a call that callers could send elsewhere is begun if its deadline is in time', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  await clock.advance(admitsUntil);
+  t.true(schedule.canFinish(callOn('plain', clock.now())));
+  await clock.advance(1);
+  t.true(schedule.canFinish(callOn('plain', admitsUntil)));
+  t.false(schedule.canFinish(callOn('plain', clock.now())));
+  t.true(
+    schedule.canFinish({...callOn('plain', clock.now()), deadline: endsAt}),
+  );
+});
+
+test('a watch reports when a call that is still read would be refused', async t => {
+  const {clock, schedule} = stoppingScheduleOfGroup();
+  schedule.recordDuration('stream', 5);
+  const reports: string[] = [];
+  for (const name of ['stream', 'plain'])
+    schedule.watch({...callOn(name), receivedAt: undefined}, () =>
+      reports.push(name),
+    );
+  await clock.advance(1);
+  t.deepEqual(reports, ['stream']);
+  await clock.advance(admitsUntil);
+  t.deepEqual(reports, ['stream', 'plain']);
+});
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -576,16 +576,16 @@
       graceMilliseconds -
       exitReserveMilliseconds -
       giveUpMilliseconds;
+    // Load balancers open new connections until their next readiness check.
+    const stopsListeningAt =
+      signalledAt +
+      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
     this.isDraining = true;
-    this.shutdown.begin(deadline);
+    this.shutdown.begin({admitsUntil: stopsListeningAt, endsAt: deadline});
     // The heartbeat says that this host takes no calls over any more.
     this.fleet.scheduleHeartbeat();
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
     this.server.startDraining();
-    // Load balancers open new connections until their next readiness check.
-    const stopsListeningAt =
-      signalledAt +
-      Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
     await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
     await this.server.stopListening();
     this.handoverListener.close();
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -364,7 +364,7 @@
   ): Promise<Result<Uint8Array, RequestFailure>> {
     return new Promise(resolve => {
       const endWatch = this.parts.shutdown.watch(
-        {route: {name: route}, deadline},
+        {route: {name: route}, deadline, receivedAt: undefined},
         () => resolve(Result.err(hostStopping)),
       );
       const {bodyBytes} = this.parts.limits();
