--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -168,15 +168,20 @@
    * take; undefined if nothing is known of them.
    */
   expectedDurationOf(route: string): number | undefined {
+    const slowest = this.slowestOf(this.slowest, route);
+    if (slowest !== undefined) return slowest;
     const expectation = this.expectationOf(route);
-    const target = expectation?.targetMilliseconds;
-    const slowest =
-      this.slowestOf(this.slowest, route) ??
-      (expectation && this.slowestOf(this.slowestOfGroups, expectation.group));
-    if (slowest === undefined && target === undefined) return undefined;
-    // The slowest call may be one of the first that have ended, and a target may be
-    // missed.
-    return Math.max(slowest ?? 0, target ?? 0, this.longestUnderWay(route));
+    if (expectation === undefined) return undefined;
+    const {group, targetMilliseconds} = expectation;
+    const slowestOfGroup = this.slowestOf(this.slowestOfGroups, group);
+    if (slowestOfGroup === undefined && targetMilliseconds === undefined)
+      return undefined;
+    // Calls on other routes may be quicker, and a target may be missed.
+    return Math.max(
+      slowestOfGroup ?? 0,
+      targetMilliseconds ?? 0,
+      this.longestUnderWay(route),
+    );
   }
 
   private longestUnderWay(route: string): number {
