Whether a late call is a stream is known from its own route

What callers would see: a stream that comes during a stop is begun and cut, if its route has another name in the configuration that has come into force meanwhile.

Cause: the schedule looked up by name, in the newest configuration, whether the route is of streams, and took an unknown name for another kind. The gate lets such a call go on, since another route matches its path.

Change: the call carries its route, which says so.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -357,6 +357,7 @@
   SendRefusal,
 } from './passthrough/send-gate.js';
 export {ShutdownSchedule} from './passthrough/shutdown-schedule.js';
+export type {TimedCall} from './passthrough/shutdown-schedule.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {
--- a/packages/coordination/src/passthrough/route-table.ts
+++ b/packages/coordination/src/passthrough/route-table.ts
@@ -149,6 +149,5 @@
   return {
     group: JSON.stringify([stream, poolNames]),
     targetMilliseconds: stream ? undefined : firstTokenTargetMilliseconds,
-    isStream: stream ?? false,
   };
 }
--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -10,7 +10,10 @@
 
 /** What decides how long a call may take. */
 export type TimedCall = Pick<RoutedCall, 'deadline'> & {
-  readonly route: Pick<RoutedCall['route'], 'name'>;
+  readonly route: {
+    readonly name: string;
+    readonly target: Pick<RoutedCall['route']['target'], 'stream'>;
+  };
   /** Clock time at which it was read to its end; undefined until then. */
   readonly receivedAt: number | undefined;
 };
@@ -29,7 +32,6 @@
   readonly group: string;
   /** Target for the whole response; undefined if its length is open. */
   readonly targetMilliseconds: number | undefined;
-  readonly isStream: boolean;
 }
 
 interface SlowestCall {
@@ -139,7 +141,9 @@
   private latestSendOf({route, deadline, receivedAt}: TimedCall): number {
     // The deadline ends the call in time.
     if (deadline <= this.endsAt) return Infinity;
-    const latestReceipt = this.latestReceiptOn(route.name);
+    // The length of a stream is open.
+    const isStream = route.target.stream === true;
+    const latestReceipt = isStream ? this.beganAt : this.admitsUntil;
     if (receivedAt === undefined)
       return Math.min(latestReceipt, this.latestExpectedSendOn(route.name));
     // Another host can serve it from the start, and no estimate is a bound.
@@ -147,15 +151,6 @@
     return this.latestExpectedSendOn(route.name);
   }
 
-  /**
-   * Clock time until which a call whose deadline is too late must have been read.
-   * The length of a stream is open, so none is begun that comes during a stop.
-   */
-  private latestReceiptOn(route: string): number {
-    const isStream = this.expectationOf(route)?.isStream ?? false;
-    return isStream ? this.beganAt : this.admitsUntil;
-  }
-
   private latestExpectedSendOn(route: string): number {
     const expected = this.expectedDurationOf(route);
     // Without an estimate, the call may take until its deadline.
--- a/packages/coordination/test/shutdown-schedule.test.ts
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -4,9 +4,10 @@
 const endsAt = 8000;
 const slowestMilliseconds = 1000;
 const admitsUntil = 2500;
+const routeOf = (name: string) => ({name, target: {stream: name === 'stream'}});
 /** A call that was read before the stop. */
 const callUntil = (deadline: number) => ({
-  route: {name: 'r'},
+  route: routeOf('r'),
   deadline,
   receivedAt: 0,
 });
@@ -43,7 +44,7 @@
 
 test('a call on a route without a finished call may take until its deadline', t => {
   const {schedule} = stoppingSchedule();
-  const call = {...callUntil(8000), route: {name: 'new'}};
+  const call = {...callUntil(8000), route: routeOf('new')};
   t.false(schedule.canFinish({...call, deadline: 8001}));
   t.true(schedule.canFinish(call));
 });
@@ -83,14 +84,13 @@
   const schedule = new ShutdownSchedule(clock, route => ({
     group: route === 'other' ? 'b' : 'a',
     targetMilliseconds: route === 'plain' ? 300 : undefined,
-    isStream: route === 'stream',
   }));
   schedule.begin({admitsUntil, endsAt});
   return {clock, schedule};
 }
 
 const callOn = (name: string, receivedAt = 0) => ({
-  route: {name},
+  route: routeOf(name),
   deadline: 20_000,
   receivedAt,
 });
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -16,6 +16,7 @@
   PassthroughHost,
   RequestFailure,
   ShutdownSchedule,
+  TimedCall,
 } from '@persimmonwick/coordination';
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
@@ -292,8 +293,12 @@
     context.route = routing.value.route.name;
     const body = await this.readBodyInTime(
       request,
-      host.deadlineOf(call.value, routing.value),
-      context,
+      {
+        route: routing.value.route,
+        deadline: host.deadlineOf(call.value, routing.value),
+        receivedAt: undefined,
+      },
+      ended.signal,
     );
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
@@ -359,16 +364,15 @@
    */
   private readBodyInTime(
     request: IncomingMessage,
-    deadline: number,
-    {route, ended}: CallContext,
+    call: TimedCall,
+    disconnected: AbortSignal,
   ): Promise<Result<Uint8Array, RequestFailure>> {
     return new Promise(resolve => {
-      const endWatch = this.parts.shutdown.watch(
-        {route: {name: route}, deadline, receivedAt: undefined},
-        () => resolve(Result.err(hostStopping)),
+      const endWatch = this.parts.shutdown.watch(call, () =>
+        resolve(Result.err(hostStopping)),
       );
       const {bodyBytes} = this.parts.limits();
-      void readRequestBody(request, bodyBytes, ended.signal).then(body => {
+      void readRequestBody(request, bodyBytes, disconnected).then(body => {
         endWatch();
         resolve(body);
       });
