A stop has one time: that of its signal

What callers would see: a stream that comes between the signal and the beginning of the stop counts as one that came before the signal.

Cause: the end of the calls counted from the signal, but what comes during the stop from the moment at which the schedule, or the server, was told of it. While a process starts, or reads its settings once more, these lie apart.

The new test of the schedule can't run on the code before, whose interface has no such time.

--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -19,7 +19,8 @@
 };
 
 /** Clock times of a stop. */
-export interface Shutdown {
+export interface StopTimes {
+  readonly signalledAt: number;
   /** Until then callers may not know of the stop, and reach the host. */
   readonly admitsUntil: number;
   /** All calls end. */
@@ -62,9 +63,7 @@
 type SlowestCalls = BoundedMap<string, SlowestCall>;
 
 export class ShutdownSchedule {
-  private beganAt = Infinity;
-  private admitsUntil = Infinity;
-  private endsAt = Infinity;
+  private stop: StopTimes | undefined;
   private readonly slowest: SlowestCalls = new BoundedMap(maximumRoutes);
   private readonly slowestOfGroups: SlowestCalls = new BoundedMap(
     maximumRoutes,
@@ -81,11 +80,9 @@
   ) {}
 
   /** Records that the host stops. */
-  begin({admitsUntil, endsAt}: Shutdown): void {
-    this.beganAt = this.clock.now();
-    this.admitsUntil = admitsUntil;
-    this.endsAt = endsAt;
-    for (const watch of this.watches) void this.run(watch);
+  begin(stop: StopTimes): void {
+    this.stop = stop;
+    for (const watch of this.watches) void this.run(watch, stop);
   }
 
   /** Records that a call on `route` begins, which ends when `ended` is aborted. */
@@ -102,7 +99,7 @@
     ended.addEventListener('abort', onEnd, {once: true});
   }
 
-  /** Records the time from the first send of a call to the end of its answer. */
+  /** Records the time from the last byte of a call to the end of its answer. */
   recordDuration(route: string, milliseconds: number): void {
     this.recordSlowest(this.slowest, route, milliseconds);
     const group = this.expectationOf(route)?.group;
@@ -112,8 +109,10 @@
 
   /** Returns whether `call` can be expected to end before the host does. */
   canFinish(call: TimedCall): boolean {
-    if (this.endsAt === Infinity) return true;
-    return this.clock.now() <= this.latestSendOf(call);
+    const {stop} = this;
+    return (
+      stop === undefined || this.clock.now() <= this.latestSendOf(call, stop)
+    );
   }
 
   /**
@@ -123,39 +122,43 @@
   watch(call: TimedCall, onTooLate: () => void): () => void {
     const watch = {call, onTooLate, ended: new AbortController()};
     this.watches.add(watch);
-    if (this.endsAt !== Infinity) void this.run(watch);
+    if (this.stop !== undefined) void this.run(watch, this.stop);
     return () => {
       this.watches.delete(watch);
       watch.ended.abort();
     };
   }
 
-  private async run({call, onTooLate, ended: {signal}}: Watch): Promise<void> {
-    const latest = this.latestSendOf(call);
+  private async run(
+    {call, onTooLate, ended: {signal}}: Watch,
+    stop: StopTimes,
+  ): Promise<void> {
+    const latest = this.latestSendOf(call, stop);
     if (latest === Infinity) return;
     await this.clock.sleep(Math.max(0, latest - this.clock.now()), signal);
     if (!signal.aborted) onTooLate();
   }
 
-  /** Clock time until which `call` may be sent. */
-  private latestSendOf({route, deadline, receivedAt}: TimedCall): number {
+  /** Clock time until which `call` may be sent; -Infinity if it may not. */
+  private latestSendOf(call: TimedCall, stop: StopTimes): number {
     // The deadline ends the call in time.
-    if (deadline <= this.endsAt) return Infinity;
-    // The length of a stream is open.
-    const isStream = route.target.stream === true;
-    const latestReceipt = isStream ? this.beganAt : this.admitsUntil;
-    if (receivedAt === undefined)
-      return Math.min(latestReceipt, this.latestExpectedSendOn(route.name));
+    if (call.deadline <= stop.endsAt) return Infinity;
+    const latestReceipt = latestReceiptOf(call, stop);
+    const latestExpected = this.latestExpectedSendOf(call, stop);
+    if (call.receivedAt === undefined)
+      return Math.min(latestReceipt, latestExpected);
     // Another host can serve it from the start, and no estimate is a bound.
-    if (receivedAt > latestReceipt) return -Infinity;
-    return this.latestExpectedSendOn(route.name);
+    return call.receivedAt > latestReceipt ? -Infinity : latestExpected;
   }
 
-  private latestExpectedSendOn(route: string): number {
-    const expected = this.expectedDurationOf(route);
+  private latestExpectedSendOf(
+    {route}: TimedCall,
+    {endsAt}: StopTimes,
+  ): number {
+    const expected = this.expectedDurationOf(route.name);
     // Without an estimate, the call may take until its deadline.
     if (expected === undefined) return -Infinity;
-    return this.endsAt - expected * durationFactor - answerMilliseconds;
+    return endsAt - expected * durationFactor - answerMilliseconds;
   }
 
   /**
@@ -202,3 +205,12 @@
     return slowest.milliseconds * 2 ** (-age / slowestHalfLifeMilliseconds);
   }
 }
+
+/** Clock time until which a call with a late deadline must have been received. */
+function latestReceiptOf(
+  {route}: TimedCall,
+  {signalledAt, admitsUntil}: StopTimes,
+): number {
+  // The length of a stream is open.
+  return route.target.stream === true ? signalledAt : admitsUntil;
+}
--- a/packages/coordination/test/shutdown-schedule.test.ts
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -19,7 +19,7 @@
   const clock = new VirtualClock();
   const schedule = new ShutdownSchedule(clock);
   schedule.recordDuration('r', slowestMilliseconds);
-  schedule.begin({admitsUntil, endsAt});
+  schedule.begin({signalledAt: 0, admitsUntil, endsAt});
   return {clock, schedule};
 }
 
@@ -56,7 +56,11 @@
   await clock.advance(600_000);
   schedule.recordDuration('r', slowestMilliseconds);
   const now = clock.now();
-  schedule.begin({admitsUntil: now + admitsUntil, endsAt: now + endsAt});
+  schedule.begin({
+    signalledAt: now,
+    admitsUntil: now + admitsUntil,
+    endsAt: now + endsAt,
+  });
   t.true(schedule.canFinish(callUntil(Infinity)));
 });
 
@@ -67,7 +71,7 @@
   other.recordDuration('r', slowestMilliseconds);
   other.watch(callUntil(20_000), () => (reports += 1));
   const endWatch = schedule.watch(callUntil(20_000), () => (reports += 100));
-  other.begin({admitsUntil, endsAt});
+  other.begin({signalledAt: 0, admitsUntil, endsAt});
   endWatch();
   await clock.advance(5800);
   t.is(reports, 0);
@@ -85,7 +89,7 @@
     group: route === 'other' ? 'b' : 'a',
     targetMilliseconds: route === 'plain' ? 300 : undefined,
   }));
-  schedule.begin({admitsUntil, endsAt});
+  schedule.begin({signalledAt: 0, admitsUntil, endsAt});
   return {clock, schedule};
 }
 
@@ -165,6 +169,18 @@
   );
 });
 
+// Against: a stream that comes between the signal and the beginning of the stop counts as
+// one that came before.
+test('a stream that comes after the signal is refused though the stop begins later', async t => {
+  const clock = new VirtualClock();
+  const schedule = new ShutdownSchedule(clock);
+  schedule.recordDuration('stream', 5);
+  await clock.advance(1000);
+  schedule.begin({signalledAt: 0, admitsUntil, endsAt});
+  t.true(schedule.canFinish(callOn('stream', 0)));
+  t.false(schedule.canFinish(callOn('stream', 500)));
+});
+
 test('a watch reports when a call that is still read would be refused', async t => {
   const {clock, schedule} = stoppingScheduleOfGroup();
   schedule.recordDuration('stream', 5);
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -581,11 +581,15 @@
       signalledAt +
       Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
     this.isDraining = true;
-    this.shutdown.begin({admitsUntil: stopsListeningAt, endsAt: deadline});
+    this.shutdown.begin({
+      signalledAt,
+      admitsUntil: stopsListeningAt,
+      endsAt: deadline,
+    });
     // The heartbeat says that this host takes no calls over any more.
     this.fleet.scheduleHeartbeat();
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
-    this.server.startDraining();
+    this.server.startDraining(signalledAt);
     await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
     await this.server.stopListening();
     this.handoverListener.close();
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -153,8 +153,8 @@
   }
 
   /** Makes every response from now on close its connection. */
-  startDraining(): void {
-    this.stoppingSince = this.parts.clock.now();
+  startDraining(signalledAt = this.parts.clock.now()): void {
+    this.stoppingSince = signalledAt;
   }
 
   /**
