The time in the queue counts from the last byte of a call

What callers saw: 503 queue-full, with 1.5 s to wait, for a call whose body took longer than 2.5 s (or 2.7 times the target of its route), though an engine was free.

Cause: the time that a call may wait for a reservation, or for a plain service at its limit, counted from its head, as in the incident of streams sent late in a stop. The call expired before it was put in the queue.

Found by an independent review. For services the same line was read, not tested.

Change: both times count from the last byte; the wait of a service ends at the deadline of the call. Tests that build calls by hand state when these were received.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -385,7 +385,7 @@
 
   /** The queue timeout starts again when an interrupted stream is resumed. */
   private queuedAtOf({call, isInterrupted}: GenerationState): number {
-    return isInterrupted ? this.parts.clock.now() : call.arrivedAt;
+    return isInterrupted ? this.parts.clock.now() : call.receivedAt;
   }
 
   private usableDecodeEngines(state: GenerationState): TrackedUpstream[] {
--- a/packages/coordination/src/passthrough/service-selector.ts
+++ b/packages/coordination/src/passthrough/service-selector.ts
@@ -71,7 +71,7 @@
   ): Promise<ServiceChoice> {
     const {clock, observer} = this.parts;
     const line = this.waitingLineOf(pool);
-    const latest = call.arrivedAt + limitWaitOf(call);
+    const latest = Math.min(call.deadline, call.receivedAt + limitWaitOf(call));
     const triedUpstreams = new Set<string>();
     try {
       for (;;) {
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -108,6 +108,7 @@
   ({
     id: `call-${arrivedAt}`,
     arrivedAt,
+    receivedAt: arrivedAt,
     urgency: 1,
     deadline: 14_000,
     route: {target: {repeatable: true, maximumTries: 2, resumable: true}},
--- a/packages/coordination/test/tools/domain-replay.ts
+++ b/packages/coordination/test/tools/domain-replay.ts
@@ -301,6 +301,7 @@
     const call = {
       id,
       arrivedAt,
+      receivedAt: arrivedAt,
       route,
       deadline: arrivedAt + 3000,
       body: new Uint8Array(300),
--- a/packages/coordination/test/tools/overload-fleet.ts
+++ b/packages/coordination/test/tools/overload-fleet.ts
@@ -233,6 +233,7 @@
     const routed = {
       id: String(calls.length),
       arrivedAt: call.arrivedAt,
+      receivedAt: call.arrivedAt,
       urgency,
       deadline: call.arrivedAt + 30_000,
       account: `account-${call.account}`,
