The log has the duration that was expected at the send of a cut call

What was seen: 3002 of a cut stream had the duration that was expected at its end, with what the host had learned after the send, so that the line could not show why the call was sent.

Change: the expectation is taken with the first send.

--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -18,6 +18,8 @@
   forwardedAt: number;
   /** Clock time of the first send to an upstream or another host. */
   sentAt: number;
+  /** Expected duration at that time, in milliseconds; undefined without an estimate. */
+  expectedAtSend: number | undefined;
   isGeneration: boolean;
 }
 
@@ -50,7 +52,10 @@
 export interface StopTiming {
   /** From the beginning of the stop to the end of the call. */
   readonly sinceStop: number;
-  /** Expected duration of a call on the route; undefined without an estimate. */
+  /**
+   * Duration that was expected of the call when it was first sent, or else at its end;
+   * undefined without an estimate.
+   */
   readonly expected: number | undefined;
 }
 
@@ -70,6 +75,7 @@
     arrivedAt,
     forwardedAt: Infinity,
     sentAt: Infinity,
+    expectedAtSend: undefined,
     isGeneration: false,
   };
 }
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -144,7 +144,10 @@
   /** Records that an upstream or another host may have received a call. */
   recordSend(requestId: string): void {
     const call = this.recordProgress(requestId, 'sent');
-    if (call?.sentAt === Infinity) call.sentAt = this.parts.clock.now();
+    if (call === undefined || call.sentAt !== Infinity) return;
+    const {clock, shutdown} = this.parts;
+    call.sentAt = clock.now();
+    call.expectedAtSend = shutdown.expectedDurationOf(call.route);
   }
 
   /** Records that the upstream that had received a call has answered or failed. */
@@ -495,12 +498,15 @@
     onEnd(summaryOf(context, status, failure, clock.now(), stop));
   }
 
-  private stopTimingOf({route}: CallContext): StopTiming | undefined {
+  private stopTimingOf(context: CallContext): StopTiming | undefined {
     const {clock, shutdown} = this.parts;
+    const wasSent = context.sentAt !== Infinity;
     if (this.stoppingSince === undefined) return undefined;
     return {
       sinceStop: clock.now() - this.stoppingSince,
-      expected: shutdown.expectedDurationOf(route),
+      expected: wasSent
+        ? context.expectedAtSend
+        : shutdown.expectedDurationOf(context.route),
     };
   }
 }
