A draining host refuses calls that are still being read

What callers saw: a call of which the body ended late in the drain was sent to its upstream and cut at the end of the drain: 503 `draining` with `ran: unknown`, although the upstream had run it.

Cause: the drain gate admitted a call at its head, and nothing asked again once its body had ended. A call whose head came before the signal was begun at any time of the drain.

Evidence: with a drain of 1.5 s and a service that takes 1 s, a call whose last byte came 1.3 s after the signal was run and answered `unknown` at 1.53 s.

Change: when the drain begins, calls that are still being read are refused as not run, unless their time limit ends within the drain. Whoever comes after the signal is refused already, so callers are ready for it.

--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -5,16 +5,10 @@
 import type {ControllerDependencies} from '../controller-dependencies.js';
 import type {OpenResponses} from './open-responses.js';
 import {requestIdOf} from './request-headers.js';
-import {CallRecord} from './call-record.js';
+import {CallRecord, callRecordOf} from './call-record.js';
+import {drainingFailure} from './drain-gate.js';
 import {sendFailure} from './failure-reply.js';
 
-const drainingFailure: RequestFailure = {
-  code: 'draining',
-  message: 'the host is stopping; send the request to another one',
-  ran: 'not-run',
-  retryAfterMilliseconds: 1000,
-};
-
 const notReadyFailure: RequestFailure = {
   code: 'not-ready',
   message: 'the host is still starting',
@@ -43,6 +37,9 @@
     parts.gate.add(record);
     return undefined;
   });
+  fastify.addHook('preValidation', async request =>
+    callRecordOf(request).recordReceipt(),
+  );
   fastify.addHook('onSend', async (_request, reply) => {
     if (parts.gate.isDraining && responses.isLast(reply.raw))
       reply.header('connection', 'close');
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -17,6 +17,7 @@
   RequestObservation,
   RequestObserver,
 } from '../operators/request-observer.js';
+import {sendFailure} from './failure-reply.js';
 
 declare module 'fastify' {
   interface FastifyRequest {
@@ -51,6 +52,7 @@
   /** What interrupted the call, if it failed because of that. */
   private cause: InterruptionReason | '' = '';
   private keyHash: KeyHash | undefined;
+  private isReceived = false;
   /** Set once the account and route are known. */
   observation: RequestObservation | undefined;
 
@@ -63,11 +65,30 @@
     void this.enforceTimeLimit();
   }
 
+  /** Clock time at which the call is interrupted by its time limit. */
+  get deadline(): number {
+    return this.arrivedAt + this.parts.requestMilliseconds;
+  }
+
   /** Aborted when the call is interrupted. */
   get signal(): AbortSignal {
     return this.interruptedController.signal;
   }
 
+  /** Records that the call was read to its end. */
+  recordReceipt(): void {
+    this.isReceived = true;
+  }
+
+  /**
+   * Refuses the call with `failure` if it is still being read and may not end until
+   * the clock time `endsAt`.
+   */
+  refuseIfLate(endsAt: number, failure: RequestFailure): void {
+    if (this.isReceived || this.deadline <= endsAt) return;
+    void sendFailure(this.reply, failure);
+  }
+
   /** Sets the account and route; metrics count the call from here on. */
   assign(account: AccountId, route: Route): void {
     this.account = account;
--- a/packages/daemon/src/callers/drain-gate.ts
+++ b/packages/daemon/src/callers/drain-gate.ts
@@ -1,6 +1,10 @@
 /** Set of the calls in flight, which is drained on shutdown. */
 
-import type {Clock, Configuration} from '@persimmonwick/coordination';
+import type {
+  Clock,
+  Configuration,
+  RequestFailure,
+} from '@persimmonwick/coordination';
 import type {CallRecord} from './call-record.js';
 
 /**
@@ -9,6 +13,14 @@
  */
 const interruptedCloseTimeoutMilliseconds = 3000;
 
+/** Failure of the calls that a draining host does not begin. */
+export const drainingFailure: RequestFailure = {
+  code: 'draining',
+  message: 'the host is stopping; send the request to another one',
+  ran: 'not-run',
+  retryAfterMilliseconds: 1000,
+};
+
 export class DrainGate {
   private readonly calls = new Set<CallRecord>();
   private readonly drainedController = new AbortController();
@@ -47,10 +59,13 @@
 
   /**
    * Waits for the calls in flight, then interrupts the remaining ones. Returns
-   * the number of interrupted calls.
+   * the number of interrupted calls. A call that is still being read is refused
+   * unless its time limit ends before: another host can serve it from the start.
    */
   async drain(timeoutMilliseconds: number): Promise<number> {
     this.startDraining();
+    const endsAt = this.clock.now() + timeoutMilliseconds;
+    for (const call of this.calls) call.refuseIfLate(endsAt, drainingFailure);
     const {signal} = this.drainedController;
     if (!signal.aborted) await this.clock.sleep(timeoutMilliseconds, signal);
     const interruptedCalls = [...this.calls];
--- a/packages/daemon/test/callers/draining.test.ts
+++ b/packages/daemon/test/callers/draining.test.ts
@@ -1,7 +1,9 @@
 import {sampleKeys, sampleModel} from '@persimmonwick/standins';
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
-import {waitUntil} from '../tools/raw-connection.js';
+import {openRawConnection, waitUntil} from '../tools/raw-connection.js';
 import {runDaemon} from '../tools/run-daemon.js';
 import type {DaemonWithFleet} from '../tools/run-daemon.js';
 
@@ -68,3 +70,43 @@
   t.is(response.headers['x-persimmonwick-ran'], 'not-run');
   t.is(await readinessStatus(fixture), 503);
 });
+
+const startUpload = (t: ExecutionContext, address: string, framing: string) => {
+  const caller = openRawConnection(t, address);
+  const key = `authorization: Bearer ${sampleKeys.batinah}`;
+  caller.socket.write(
+    `POST /orders/1 HTTP/1.1\r\nhost: a\r\n${key}\r\n${framing}\r\n\r\n`,
+  );
+  return caller;
+};
+
+// Against: a call whose body ends late in a drain is sent, and cut at the end of it.
+test('a call that is still read when the drain begins is refused', async t => {
+  const limits = {drainMilliseconds: 20_000};
+  const {daemon, fleet} = await runDaemon(t, {}, {limits});
+  const {callers} = daemon.addresses;
+  const upload = startUpload(t, callers, 'transfer-encoding: chunked');
+  await sleep(100);
+  const closing = daemon.close();
+  upload.socket.write('1\r\nx\r\n');
+  const response = await upload.response;
+  t.regex(response, /^HTTP\/1\.1 503 /);
+  t.true(response.includes('"code":"draining"'), response);
+  t.true(response.includes('"ran":"not-run"'), response);
+  await closing;
+  t.is(fleet.service.runs.length, 0);
+});
+
+// Against: the same refusal for a call that its time limit ends within the drain.
+test('a call whose time limit is within the drain may still be read', async t => {
+  const limits = {drainMilliseconds: 20_000, requestMilliseconds: 10_000};
+  const {daemon} = await runDaemon(t, {}, {limits});
+  const {callers} = daemon.addresses;
+  const upload = startUpload(t, callers, 'content-length: 1');
+  await sleep(100);
+  const closing = daemon.close();
+  await sleep(100);
+  upload.socket.write('x');
+  t.regex(await upload.response, /^HTTP\/1\.1 201 /);
+  await closing;
+});
