The caller of a refused upload reads the refusal behind the upload

What callers saw: a reset in place of the refusal of an upload (503 in a drain; the same holds for other refusals of bodies), if they read only once they have written all.

Cause: Node closes the connection as soon as a response that announces its end is written. The close with unread bytes, or the next bytes after it, reset the connection, and the caller's write fails before the response is read.

Evidence: the new test failed on the commit before; the caller received nothing.

--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -19,6 +19,7 @@
 import {sendFailure} from './failure-reply.js';
 import {serveHalfClosedCallers} from './half-closed-callers.js';
 import {OpenResponses} from './open-responses.js';
+import {awaitRefusedUploads} from './refused-uploads.js';
 import {ServicesController} from './services.controller.js';
 
 const keepAliveTimeoutMilliseconds = 72_000;
@@ -47,6 +48,7 @@
   responses.observe(fastify.server);
   addCallHooks(fastify, parts, responses);
   serveHalfClosedCallers(fastify.server, responses, parts.clock);
+  awaitRefusedUploads(fastify.server, responses, parts.clock);
   fastify.server.on('checkExpectation', (_request, reply) =>
     parts.observer.refused(rejectExpectation(reply)),
   );
--- a/packages/daemon/src/callers/open-responses.ts
+++ b/packages/daemon/src/callers/open-responses.ts
@@ -37,6 +37,11 @@
     return true;
   }
 
+  /** Whether `socket` carries a call that was not read whole. */
+  isUploading(socket: Socket): boolean {
+    return [...this.of(socket)].some(({req}) => !req.complete);
+  }
+
   /** The failure of a call that was not read whole. */
   failureOf(response: ServerResponse): RequestFailure | undefined {
     return this.failures.get(response);
--- a/packages/daemon/test/callers/draining.test.ts
+++ b/packages/daemon/test/callers/draining.test.ts
@@ -110,3 +110,22 @@
   t.regex(await upload.response, /^HTTP\/1\.1 201 /);
   await closing;
 });
+
+// Against: a host closes the connection of a refused upload, and its caller, which reads
+// once it has written all, gets a reset in place of the refusal.
+test('a caller that reads behind its upload reads its refusal', async t => {
+  const limits = {drainMilliseconds: 20_000};
+  const {daemon} = await runDaemon(t, {}, {limits});
+  const {callers} = daemon.addresses;
+  const upload = startUpload(t, callers, 'content-length: 400000');
+  upload.socket.pause();
+  await sleep(100);
+  const closing = daemon.close();
+  for (let count = 0; count < 40; count += 1) {
+    upload.socket.write('x'.repeat(10_000));
+    await sleep(10);
+  }
+  upload.socket.resume();
+  t.regex(await upload.response, /^HTTP\/1\.1 503 /);
+  await closing;
+});
