No call is sent to engines once its deadline has passed

What callers saw: a call whose deadline passed while it waited was answered 504, which says that it may have run, and calls after it 503 `no-upstream`, since its engines were taken for silent.

Cause: nothing asked for the deadline between the reservation of memory, or a prefill, and the next send. The prefill and the run were sent with no time left, and the timeout of 0 ms ended them as silent. Plain calls were asked at each attempt, before the choice of the server only.

Change: the checks before each send refuse a call whose deadline has passed: as not run (503 `queue-full`), or as timed out if an upstream may have run it. A prefill asks again after it has waited for its share of the retries, and so does a handover.

--- a/packages/coordination/src/passthrough/call-handover.ts
+++ b/packages/coordination/src/passthrough/call-handover.ts
@@ -69,6 +69,7 @@
       if (member === undefined) break;
       triedHosts.add(member.host);
       if (!(await this.coverSends(call, pool, sends))) break;
+      if (clock.now() >= call.deadline) break;
       const begun = this.sendsOf(call, sends).map(purpose =>
         sends.begin(pool.name, purpose),
       );
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -86,14 +86,16 @@
     if (reusable !== undefined) return reusable;
     if (state.shouldSkipPrefillStage) return undefined;
     const triedEngines = new Set<string>();
+    const sendsUntil = Math.min(reservation.reservedUntil, state.call.deadline);
+    const canSend = () =>
+      !state.signal.aborted && this.parts.clock.now() < sendsUntil;
     for (let index = 0; index < maximumPrefillAttempts; index += 1) {
       const engine = this.choosePrefillEngine(
         state,
         triedEngines,
         reservation.upstream.document.spec.failureDomain,
       );
-      if (engine === undefined || state.signal.aborted) return undefined;
-      if (this.parts.clock.now() >= reservation.reservedUntil) return undefined;
+      if (engine === undefined || !canSend()) return undefined;
       if (quarantine.findQuarantined(traits) !== undefined) return undefined;
       // After a refused prefill, the run would need a retry that there is not. The
       // decode engine computes the prompt instead.
@@ -105,7 +107,7 @@
       const isAllowed = await this.retryGate.acquirePrefill(
         retryRequestOf(state, 'prefill'),
       );
-      if (!isAllowed || state.signal.aborted) return undefined;
+      if (!isAllowed || !canSend()) return undefined;
       triedEngines.add(engine.document.name);
       const cache = await this.prefillAt(state, engine, reservation);
       if (cache !== undefined) return cache;
