Planned work: late bodies, rare long streams and young hosts

What callers saw: streams that can't be taken up ended in the middle, around the SIGTERM of their host. No play had callers, streams or stops of the kind that showed it.

Cause: all bodies came at once or within 0.25 s, streams had even or evenly drawn lengths, and hosts were stopped before they were ready or when they were old.

Change: bodies in chunks or in two pieces that end up to 4 s after the head, written on after a refusal; streams behind streams; callers that return to their first host; streams that are short but for one in ten, or for half of those begun during a stop; hosts that are stopped again 3 s after their start; the slots of engines.

--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -6,16 +6,25 @@
  *
  *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
  *
- * `work` is a list of stops, pairs, early-stops, repeated-stops, early-settings,
- * settings, configurations, freezes and engine-failures, or `all`, which leaves out
+ * `work` is a list of stops, pairs, early-stops, young-hosts, repeated-stops,
+ * early-settings, settings, configurations, freezes and engine-failures, or `all`, which leaves out
  * early-settings, freezes and engine-failures. While engines fail, only resumable
  * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of
  * the habits of callers) or `without` (such a list to leave out), `program` (path of
  * the bundle), `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
- * `streams` (`even` or `uneven`), `engine-delay` (of reservations and prefills),
+ * `streams` (`even`, `uneven`, `rare-long` or `long-in-stops`), `engine-delay` (of reservations and prefills),
  * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
  * (seconds), `server-requests` (requests after which servers close a connection at its
- * next use) and `stranded` (number of hosts that reach no server).
+ * next use), `slots` (streams that an engine runs at a time) and `stranded` (number of
+ * hosts that reach no server).
+ *
+ * Streams that end late in a stop: `streams=long-in-stops slots=40 work=young-hosts
+ * habits=late-chunks,late-chunks,late-piece,first-host`. Bodies of late-chunks and
+ * late-piece end up to 4 s after their heads; stream-behind-stream sends the next
+ * stream while one is under way, or as it ends. These and first-host return to their
+ * first host as soon as it takes connections. Streams that the end of the grace
+ * period cut are printed as cut, not as lost, if they were sent no later than 3 s after
+ * the SIGTERM, and do not change the exit status.
  */
 
 import {fileURLToPath} from 'node:url';
@@ -24,6 +33,7 @@
   callerHabits,
   describeFinding,
   plannedKinds,
+  streamKinds,
   workKinds,
 } from '../platform/dist/src/standins/planned-work/index.js';
 
@@ -37,6 +47,10 @@
   if (unknown.length > 0) throw new RangeError(`unknown: ${unknown}`);
   return list;
 };
+const oneOf = (value, all) => {
+  if (!all.includes(value)) throw new RangeError(`unknown: ${value}`);
+  return value;
+};
 const number = (name, fallback) => Number(values[name] ?? fallback);
 const left = listOf(values.without ?? '', ['', ...callerHabits]);
 
@@ -59,8 +73,9 @@
   folder: values.folder,
   serverWork: {
     workMilliseconds: number('server-work', 60),
-    streams: values.streams ?? 'even',
+    streams: oneOf(values.streams ?? 'even', streamKinds),
     engineDelayMilliseconds: number('engine-delay', 0),
+    slots: number('slots', 8),
   },
   idleTimeoutMilliseconds: number('idle-timeout', 15_000),
   pauseMilliseconds: number('pause', 300),
@@ -75,8 +90,14 @@
   },
   strandedHosts: number('stranded', 0),
 });
-const {requests, requestsByKind, outcomes, findings, work, unplannedEnds} =
-  await run.run();
+const {
+  requests,
+  requestsByKind,
+  outcomes,
+  findings,
+  work,
+  unplannedEnds,
+} = await run.run();
 for (const finding of findings) console.log(describeFinding(finding));
 const counts = {};
 console.log(JSON.stringify({requestsByKind}));
