Streams are begun during a stop while few other hosts serve

Cause: a stopping host refuses for the sake of others that can serve the call from the start. Where most of them stop as well, its caller meets the next one that refuses, and gives up.

Change: a stream that comes before the port closes relies on the estimate, like other calls, unless at least four fifths of the other live hosts take calls. Heartbeats tell that already: a host that stops takes no calls over.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -356,6 +356,7 @@
   SendGateParts,
   SendRefusal,
 } from './passthrough/send-gate.js';
+export {areOthersServing} from './passthrough/serving-hosts.js';
 export {ShutdownSchedule} from './passthrough/shutdown-schedule.js';
 export type {TimedCall} from './passthrough/shutdown-schedule.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -77,6 +77,8 @@
     private readonly expectationOf: (
       route: string,
     ) => CallExpectation | undefined = () => undefined,
+    /** Whether callers that are refused soon find another host. */
+    private readonly areOthersServing: () => boolean = () => true,
   ) {}
 
   /** Records that the host stops. */
@@ -143,7 +145,7 @@
   private latestSendOf(call: TimedCall, stop: StopTimes): number {
     // The deadline ends the call in time.
     if (call.deadline <= stop.endsAt) return Infinity;
-    const latestReceipt = latestReceiptOf(call, stop);
+    const latestReceipt = this.latestReceiptOf(call, stop);
     const latestExpected = this.latestExpectedSendOf(call, stop);
     if (call.receivedAt === undefined)
       return Math.min(latestReceipt, latestExpected);
@@ -151,6 +153,18 @@
     return call.receivedAt > latestReceipt ? -Infinity : latestExpected;
   }
 
+  /**
+   * Clock time until which a call with a late deadline must have been received. The
+   * length of a stream is open: it is begun only if it would hardly be served elsewhere.
+   */
+  private latestReceiptOf(
+    {route}: TimedCall,
+    {signalledAt, admitsUntil}: StopTimes,
+  ): number {
+    const isOpen = route.target.stream === true;
+    return isOpen && this.areOthersServing() ? signalledAt : admitsUntil;
+  }
+
   private latestExpectedSendOf(
     {route}: TimedCall,
     {endsAt}: StopTimes,
@@ -205,12 +219,3 @@
     return slowest.milliseconds * 2 ** (-age / slowestHalfLifeMilliseconds);
   }
 }
-
-/** Clock time until which a call with a late deadline must have been received. */
-function latestReceiptOf(
-  {route}: TimedCall,
-  {signalledAt, admitsUntil}: StopTimes,
-): number {
-  // The length of a stream is open.
-  return route.target.stream === true ? signalledAt : admitsUntil;
-}
--- a/packages/coordination/test/shutdown-schedule.test.ts
+++ b/packages/coordination/test/shutdown-schedule.test.ts
@@ -1,5 +1,9 @@
 import test from 'ava';
-import {ShutdownSchedule, VirtualClock} from '../src/index.js';
+import {
+  ShutdownSchedule,
+  VirtualClock,
+  areOthersServing,
+} from '../src/index.js';
 
 const endsAt = 8000;
 const slowestMilliseconds = 1000;
@@ -194,3 +198,13 @@
   await clock.advance(admitsUntil);
   t.deepEqual(reports, ['stream', 'plain']);
 });
+
+test('others serve if nearly all that are live take calls', t => {
+  const serving = {isLive: true, handoverAddress: '10.0.0.1:7600'};
+  const stopping = {isLive: true, handoverAddress: ''};
+  const gone = {isLive: false, handoverAddress: ''};
+  t.false(areOthersServing([]));
+  t.true(areOthersServing([serving, gone]));
+  t.true(areOthersServing([serving, serving, serving, serving, stopping]));
+  t.false(areOthersServing([serving, serving, stopping]));
+});
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -20,6 +20,7 @@
   UpstreamSpeeds,
   UpstreamTable,
   UsageLimiter,
+  areOthersServing,
   encodeSpares,
   failureDomainId,
   hostId,
@@ -111,8 +112,10 @@
   private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
-  private readonly shutdown = new ShutdownSchedule(systemClock, route =>
-    this.platform.routes?.expectationOf(route),
+  private readonly shutdown = new ShutdownSchedule(
+    systemClock,
+    route => this.platform.routes?.expectationOf(route),
+    () => areOthersServing(this.fleet.members()),
   );
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
