--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -356,7 +356,9 @@
   SendGateParts,
   SendRefusal,
 } from './passthrough/send-gate.js';
+export {areOthersServing} from './passthrough/serving-hosts.js';
 export {ShutdownSchedule} from './passthrough/shutdown-schedule.js';
+export type {TimedCall} from './passthrough/shutdown-schedule.js';
 export {StreamOrigins} from './passthrough/stream-origins.js';
 export {ReachabilityProbes} from './passthrough/reachability-probes.js';
 export type {
--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -10,13 +10,17 @@
 
 /** What decides how long a call may take. */
 export type TimedCall = Pick<RoutedCall, 'deadline'> & {
-  readonly route: Pick<RoutedCall['route'], 'name'>;
+  readonly route: {
+    readonly name: string;
+    readonly target: Pick<RoutedCall['route']['target'], 'stream'>;
+  };
   /** Clock time at which it was read to its end; undefined until then. */
   readonly receivedAt: number | undefined;
 };
 
 /** Clock times of a stop. */
-export interface Shutdown {
+export interface StopTimes {
+  readonly signalledAt: number;
   /** Until then callers may not know of the stop, and reach the host. */
   readonly admitsUntil: number;
   /** All calls end. */
@@ -29,7 +33,6 @@
   readonly group: string;
   /** Target for the whole response; undefined if its length is open. */
   readonly targetMilliseconds: number | undefined;
-  readonly isStream: boolean;
 }
 
 interface SlowestCall {
@@ -60,9 +63,7 @@
 type SlowestCalls = BoundedMap<string, SlowestCall>;
 
 export class ShutdownSchedule {
-  private beganAt = Infinity;
-  private admitsUntil = Infinity;
-  private endsAt = Infinity;
+  private stop: StopTimes | undefined;
   private readonly slowest: SlowestCalls = new BoundedMap(maximumRoutes);
   private readonly slowestOfGroups: SlowestCalls = new BoundedMap(
     maximumRoutes,
@@ -76,14 +77,14 @@
     private readonly expectationOf: (
       route: string,
     ) => CallExpectation | undefined = () => undefined,
+    /** Whether callers that are refused soon find another host. */
+    private readonly areOthersServing: () => boolean = () => true,
   ) {}
 
   /** Records that the host stops. */
-  begin({admitsUntil, endsAt}: Shutdown): void {
-    this.beganAt = this.clock.now();
-    this.admitsUntil = admitsUntil;
-    this.endsAt = endsAt;
-    for (const watch of this.watches) void this.run(watch);
+  begin(stop: StopTimes): void {
+    this.stop = stop;
+    for (const watch of this.watches) void this.run(watch, stop);
   }
 
   /** Records that a call on `route` begins, which ends when `ended` is aborted. */
@@ -100,7 +101,7 @@
     ended.addEventListener('abort', onEnd, {once: true});
   }
 
-  /** Records the time from the first send of a call to the end of its answer. */
+  /** Records the time from the last byte of a call to the end of its answer. */
   recordDuration(route: string, milliseconds: number): void {
     this.recordSlowest(this.slowest, route, milliseconds);
     const group = this.expectationOf(route)?.group;
@@ -110,8 +111,10 @@
 
   /** Returns whether `call` can be expected to end before the host does. */
   canFinish(call: TimedCall): boolean {
-    if (this.endsAt === Infinity) return true;
-    return this.clock.now() <= this.latestSendOf(call);
+    const {stop} = this;
+    return (
+      stop === undefined || this.clock.now() <= this.latestSendOf(call, stop)
+    );
   }
 
   /**
@@ -121,46 +124,55 @@
   watch(call: TimedCall, onTooLate: () => void): () => void {
     const watch = {call, onTooLate, ended: new AbortController()};
     this.watches.add(watch);
-    if (this.endsAt !== Infinity) void this.run(watch);
+    if (this.stop !== undefined) void this.run(watch, this.stop);
     return () => {
       this.watches.delete(watch);
       watch.ended.abort();
     };
   }
 
-  private async run({call, onTooLate, ended: {signal}}: Watch): Promise<void> {
-    const latest = this.latestSendOf(call);
+  private async run(
+    {call, onTooLate, ended: {signal}}: Watch,
+    stop: StopTimes,
+  ): Promise<void> {
+    const latest = this.latestSendOf(call, stop);
     if (latest === Infinity) return;
     await this.clock.sleep(Math.max(0, latest - this.clock.now()), signal);
     if (!signal.aborted) onTooLate();
   }
 
-  /** Clock time until which `call` may be sent. */
-  private latestSendOf({route, deadline, receivedAt}: TimedCall): number {
+  /** Clock time until which `call` may be sent; -Infinity if it may not. */
+  private latestSendOf(call: TimedCall, stop: StopTimes): number {
     // The deadline ends the call in time.
-    if (deadline <= this.endsAt) return Infinity;
-    const latestReceipt = this.latestReceiptOn(route.name);
-    if (receivedAt === undefined)
-      return Math.min(latestReceipt, this.latestExpectedSendOn(route.name));
+    if (call.deadline <= stop.endsAt) return Infinity;
+    const latestReceipt = this.latestReceiptOf(call, stop);
+    const latestExpected = this.latestExpectedSendOf(call, stop);
+    if (call.receivedAt === undefined)
+      return Math.min(latestReceipt, latestExpected);
     // Another host can serve it from the start, and no estimate is a bound.
-    if (receivedAt > latestReceipt) return -Infinity;
-    return this.latestExpectedSendOn(route.name);
+    return call.receivedAt > latestReceipt ? -Infinity : latestExpected;
   }
 
   /**
-   * Clock time until which a call whose deadline is too late must have been read.
-   * The length of a stream is open, so none is begun that comes during a stop.
+   * Clock time until which a call with a late deadline must have been received. The
+   * length of a stream is open: it is begun only if it would hardly be served elsewhere.
    */
-  private latestReceiptOn(route: string): number {
-    const isStream = this.expectationOf(route)?.isStream ?? false;
-    return isStream ? this.beganAt : this.admitsUntil;
+  private latestReceiptOf(
+    {route}: TimedCall,
+    {signalledAt, admitsUntil}: StopTimes,
+  ): number {
+    const isOpen = route.target.stream === true;
+    return isOpen && this.areOthersServing() ? signalledAt : admitsUntil;
   }
 
-  private latestExpectedSendOn(route: string): number {
-    const expected = this.expectedDurationOf(route);
+  private latestExpectedSendOf(
+    {route}: TimedCall,
+    {endsAt}: StopTimes,
+  ): number {
+    const expected = this.expectedDurationOf(route.name);
     // Without an estimate, the call may take until its deadline.
     if (expected === undefined) return -Infinity;
-    return this.endsAt - expected * durationFactor - answerMilliseconds;
+    return endsAt - expected * durationFactor - answerMilliseconds;
   }
 
   /**
@@ -168,15 +180,20 @@
    * take; undefined if nothing is known of them.
    */
   expectedDurationOf(route: string): number | undefined {
+    const slowest = this.slowestOf(this.slowest, route);
+    if (slowest !== undefined) return slowest;
     const expectation = this.expectationOf(route);
-    const target = expectation?.targetMilliseconds;
-    const slowest =
-      this.slowestOf(this.slowest, route) ??
-      (expectation && this.slowestOf(this.slowestOfGroups, expectation.group));
-    if (slowest === undefined && target === undefined) return undefined;
-    // The slowest call may be one of the first that have ended, and a target may be
-    // missed.
-    return Math.max(slowest ?? 0, target ?? 0, this.longestUnderWay(route));
+    if (expectation === undefined) return undefined;
+    const {group, targetMilliseconds} = expectation;
+    const slowestOfGroup = this.slowestOf(this.slowestOfGroups, group);
+    if (slowestOfGroup === undefined && targetMilliseconds === undefined)
+      return undefined;
+    // Calls on other routes may be quicker, and a target may be missed.
+    return Math.max(
+      slowestOfGroup ?? 0,
+      targetMilliseconds ?? 0,
+      this.longestUnderWay(route),
+    );
   }
 
   private longestUnderWay(route: string): number {
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -20,6 +20,7 @@
   UpstreamSpeeds,
   UpstreamTable,
   UsageLimiter,
+  areOthersServing,
   encodeSpares,
   failureDomainId,
   hostId,
@@ -111,8 +112,10 @@
   private readonly requestLimits: UpstreamRequestLimits;
   private readonly quarantine: RequestQuarantine;
   private readonly connections = new UpstreamConnections(systemClock);
-  private readonly shutdown = new ShutdownSchedule(systemClock, route =>
-    this.platform.routes?.expectationOf(route),
+  private readonly shutdown = new ShutdownSchedule(
+    systemClock,
+    route => this.platform.routes?.expectationOf(route),
+    () => areOthersServing(this.fleet.members()),
   );
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
@@ -581,11 +584,15 @@
       signalledAt +
       Math.min(readinessPropagationMilliseconds, graceMilliseconds / 2);
     this.isDraining = true;
-    this.shutdown.begin({admitsUntil: stopsListeningAt, endsAt: deadline});
+    this.shutdown.begin({
+      signalledAt,
+      admitsUntil: stopsListeningAt,
+      endsAt: deadline,
+    });
     // The heartbeat says that this host takes no calls over any more.
     this.fleet.scheduleHeartbeat();
     this.log.write('daemonStopping', {inFlight: this.server.inFlight});
-    this.server.startDraining();
+    this.server.startDraining(signalledAt);
     await systemClock.sleep(Math.max(0, stopsListeningAt - systemClock.now()));
     await this.server.stopListening();
     this.handoverListener.close();
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -16,6 +16,7 @@
   PassthroughHost,
   RequestFailure,
   ShutdownSchedule,
+  TimedCall,
 } from '@persimmonwick/coordination';
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
@@ -143,7 +144,10 @@
   /** Records that an upstream or another host may have received a call. */
   recordSend(requestId: string): void {
     const call = this.recordProgress(requestId, 'sent');
-    if (call?.sentAt === Infinity) call.sentAt = this.parts.clock.now();
+    if (call === undefined || call.sentAt !== Infinity) return;
+    const {clock, shutdown} = this.parts;
+    call.sentAt = clock.now();
+    call.expectedAtSend = shutdown.expectedDurationOf(call.route);
   }
 
   /** Records that the upstream that had received a call has answered or failed. */
@@ -152,8 +156,8 @@
   }
 
   /** Makes every response from now on close its connection. */
-  startDraining(): void {
-    this.stoppingSince = this.parts.clock.now();
+  startDraining(signalledAt = this.parts.clock.now()): void {
+    this.stoppingSince = signalledAt;
   }
 
   /**
@@ -292,8 +296,12 @@
     context.route = routing.value.route.name;
     const body = await this.readBodyInTime(
       request,
-      host.deadlineOf(call.value, routing.value),
-      context,
+      {
+        route: routing.value.route,
+        deadline: host.deadlineOf(call.value, routing.value),
+        receivedAt: undefined,
+      },
+      ended.signal,
     );
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
@@ -359,16 +367,15 @@
    */
   private readBodyInTime(
     request: IncomingMessage,
-    deadline: number,
-    {route, ended}: CallContext,
+    call: TimedCall,
+    disconnected: AbortSignal,
   ): Promise<Result<Uint8Array, RequestFailure>> {
     return new Promise(resolve => {
-      const endWatch = this.parts.shutdown.watch(
-        {route: {name: route}, deadline, receivedAt: undefined},
-        () => resolve(Result.err(hostStopping)),
+      const endWatch = this.parts.shutdown.watch(call, () =>
+        resolve(Result.err(hostStopping)),
       );
       const {bodyBytes} = this.parts.limits();
-      void readRequestBody(request, bodyBytes, ended.signal).then(body => {
+      void readRequestBody(request, bodyBytes, disconnected).then(body => {
         endWatch();
         resolve(body);
       });
@@ -491,12 +498,15 @@
     onEnd(summaryOf(context, status, failure, clock.now(), stop));
   }
 
-  private stopTimingOf({route}: CallContext): StopTiming | undefined {
+  private stopTimingOf(context: CallContext): StopTiming | undefined {
     const {clock, shutdown} = this.parts;
+    const wasSent = context.sentAt !== Infinity;
     if (this.stoppingSince === undefined) return undefined;
     return {
       sinceStop: clock.now() - this.stoppingSince,
-      expected: shutdown.expectedDurationOf(route),
+      expected: wasSent
+        ? context.expectedAtSend
+        : shutdown.expectedDurationOf(context.route),
     };
   }
 }
