--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -14,8 +14,8 @@
   route: string;
   /** Aborted with a `Cancellation` when the call is cancelled, or has ended. */
   readonly ended: AbortController;
-  /** Clock time at which the call was complete; infinite until then. */
-  forwardedAt: number;
+  /** Clock time at which it was read to its end; infinite until then. */
+  receivedAt: number;
   /** Clock time of the first send to an upstream or another host. */
   sentAt: number;
   /** Expected duration at that time, in milliseconds; undefined without an estimate. */
@@ -73,7 +73,7 @@
     account: '',
     route: '',
     arrivedAt,
-    forwardedAt: Infinity,
+    receivedAt: Infinity,
     sentAt: Infinity,
     expectedAtSend: undefined,
     isGeneration: false,
@@ -99,7 +99,7 @@
     cause: cancellationCauseOf(ended.signal),
     isGeneration,
     timing: {
-      body: finiteOrUndefined(context.forwardedAt - arrivedAt),
+      body: finiteOrUndefined(context.receivedAt - arrivedAt),
       send: finiteOrUndefined(context.sentAt - arrivedAt),
       stop,
     },
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -305,7 +305,7 @@
     );
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
-    context.forwardedAt = this.parts.clock.now();
+    context.receivedAt = this.parts.clock.now();
     context.progress = 'queued';
     context.isCancelable =
       context.isGeneration || routing.value.route.target.repeatable;
@@ -483,9 +483,9 @@
     else connection.breakOff(reason);
   }
 
-  private recordDuration({route, forwardedAt}: CallContext): void {
+  private recordDuration({route, receivedAt}: CallContext): void {
     const {clock, shutdown} = this.parts;
-    shutdown.recordDuration(route, clock.now() - forwardedAt);
+    shutdown.recordDuration(route, clock.now() - receivedAt);
   }
 
   private reportEnd(
