--- a/packages/coordination/src/passthrough/shutdown-schedule.ts
+++ b/packages/coordination/src/passthrough/shutdown-schedule.ts
@@ -23,7 +23,7 @@
   readonly signalledAt: number;
   /** Until then callers may not know of the stop, and reach the host. */
   readonly admitsUntil: number;
-  /** All calls end. */
+  /** Calls that are still open are given up. */
   readonly endsAt: number;
 }
 
@@ -143,7 +143,7 @@
 
   /** Clock time until which `call` may be sent; -Infinity if it may not. */
   private latestSendOf(call: TimedCall, stop: StopTimes): number {
-    // The deadline ends the call in time.
+    // Its caller expects no answer later, though a stream with progress may go on.
     if (call.deadline <= stop.endsAt) return Infinity;
     const latestReceipt = this.latestReceiptOf(call, stop);
     const latestExpected = this.latestExpectedSendOf(call, stop);
--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -50,7 +50,7 @@
 
 /** What decides which calls a host still sends that is stopping, in milliseconds. */
 export interface StopTiming {
-  /** From the beginning of the stop to the end of the call. */
+  /** From the signal to stop to the end of the call. */
   readonly sinceStop: number;
   /**
    * Duration that was expected of the call when it was first sent, or else at its end;
