Calls that end with their connections are logged before the process ends

Cause: the host destroys the connections of its callers and exits before their ends have been reported, one turn of the event loop later. Change: the server is closed once all its connections have ended.

--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -82,10 +82,14 @@
     } while (this.acceptedCount > accepted && clock.now() < latest);
   }
 
-  /** Closes all connections at once. */
-  close(): void {
+  /** Closes all connections at once; resolves once their ends were reported. */
+  async close(): Promise<void> {
+    const closed = [...this.bySocket.keys()].map(
+      socket => new Promise(resolve => socket.once('close', resolve)),
+    );
     for (const connection of [...this.bySocket.values()])
       connection.destroy('host-closed');
+    await Promise.all(closed);
   }
 
   private add(socket: Socket): void {
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -195,7 +195,7 @@
   }
 
   async close(): Promise<void> {
-    this.connections.close();
+    await this.connections.close();
     await this.instance.close();
   }
 
