A host reads no request behind a call that is under way

What callers saw: a request on a kept connection, behind a stream that outlived the grace period of a stop, had no answer. No server had received it, and its connection ended seconds after it was sent. Cause: the host read what stood behind a call and kept it until its turn. A call that is cut takes its connection with it, and with it all that was read. Change: CallerSocket reads one byte ahead while a call is open, which shows the end of the connection, and leaves the rest to the system. The close with unread bytes resets the connection: the request can't have run, and its caller may send it again. A request that is read later counts from the time at which its first byte arrived. Event 3133 and a counter name such connections.

--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -503,6 +503,18 @@
       'millisecondsSinceStop',
     ],
   },
+  callerInputUnread: {
+    number: 3133,
+    level: 'info',
+    text: "a caller's connection ended before what it wrote behind a call was read, and is reset",
+    fields: [
+      'request',
+      'by',
+      'reason',
+      'milliseconds',
+      'millisecondsSinceStop',
+    ],
+  },
   responseGivenUp: {
     number: 3140,
     level: 'warn',
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -8,13 +8,12 @@
 
 import {setMaxListeners} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import {untilAborted} from '@persimmonwick/coordination';
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
-import {discardInput} from '../connections/discard-input.js';
+import type {CallerSocket} from '../connections/caller-socket.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
 import type {ConnectionEnd} from './connection-end.js';
@@ -55,6 +54,17 @@
   readonly response: ServerResponse;
 }
 
+/** The end of a connection before all bytes of its caller were read. */
+export interface UnreadInput {
+  readonly reason: ConnectionEnd;
+  /** Of the last call that was read. */
+  readonly requestId: string;
+  /** Time since the first unread byte arrived. */
+  readonly durationMilliseconds: number;
+  /** Undefined unless the host is stopping. */
+  readonly millisecondsSinceStop: number | undefined;
+}
+
 /** The end of a connection before all calls on it were answered. */
 export interface ConnectionLoss {
   readonly reason: ConnectionEnd;
@@ -74,6 +84,7 @@
    */
   readonly stoppingSince: () => number | undefined;
   readonly onLoss: (loss: ConnectionLoss) => void;
+  readonly onUnread: (input: UnreadInput) => void;
 }
 
 export class CallerConnection {
@@ -81,15 +92,16 @@
   private readonly openCalls: OpenCall[] = [];
   /** Resolves once the response to the last call that was read has ended. */
   private lastResponse: Promise<void> = Promise.resolve();
-  private lastRequest: IncomingMessage | undefined;
+  /** The last call that was read. */
+  private lastCall: OpenCall | undefined;
   /** Bytes read when the last response ended; more of them begin a request. */
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
   private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
-  /** Whether bytes were read that belong to no request. */
-  private hasDiscarded = false;
+  /** Clock time at which the caller began to write the request that follows. */
+  private nextArrival: number | undefined;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
@@ -98,12 +110,16 @@
   private probe: CallerProbe | undefined;
 
   constructor(
-    private readonly socket: Socket,
+    private readonly socket: CallerSocket,
     private readonly parts: CallerConnectionParts,
   ) {
     this.openedAt = parts.clock.now();
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
+    // What is read behind a call could not be answered if the call ends the connection.
+    socket.holdWhile(
+      () => this.openCalls.length > 0 && this.lastRequest?.complete === true,
+    );
     socket.on('timeout', () => void this.onTimeout());
     socket.once('error', error => this.onError(error));
     socket.once('end', () => void this.onHalfClose());
@@ -125,6 +141,10 @@
     return this.reason ?? (this.isHalfClosed ? 'caller-closed' : 'host-closed');
   }
 
+  private get lastRequest(): IncomingMessage | undefined {
+    return this.lastCall?.response.req;
+  }
+
   private get isDraining(): boolean {
     return this.parts.stoppingSince() !== undefined;
   }
@@ -138,14 +158,21 @@
     return this.openCalls.length > 1;
   }
 
+  /** Clock time at which the request arrived that is being read. */
+  takeArrival(): number {
+    const {nextArrival} = this;
+    this.nextArrival = undefined;
+    return nextArrival ?? this.parts.clock.now();
+  }
+
   /**
    * Waits until the responses to earlier calls have ended. Resolves with whether the
    * connection can still carry a response.
    */
-  async enter(request: IncomingMessage, call: OpenCall): Promise<boolean> {
+  async enter(call: OpenCall): Promise<boolean> {
     this.pendingEnd.abort();
     const isBehind = this.openCalls.push(call) > 1;
-    this.lastRequest = request;
+    this.lastCall = call;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
       call.response.once('close', () => {
@@ -166,7 +193,7 @@
   announceEnd(response: ServerResponse): void {
     if (this.hasFurtherCall) return;
     response.setHeader('Connection', 'close');
-    this.stopParsing();
+    this.socket.discard();
   }
 
   /** Announces the end if no call may follow the one that `response` answers. */
@@ -193,11 +220,11 @@
   /** Closes the connection at once; `reason` holds unless there is an earlier one. */
   destroy(reason: ConnectionEnd): void {
     this.setReason(reason);
-    const {socket, hasDiscarded, needsReset} = this;
+    const {socket, needsReset} = this;
     // Node can't reset a connection whose direction it is about to end.
     const isShuttingDown = socket.writableEnded && !socket.writableFinished;
-    // Bytes that were discarded count like those that a close leaves unread.
-    if ((hasDiscarded || needsReset) && !isShuttingDown)
+    // The byte read ahead counts like those that a close leaves unread.
+    if ((socket.heldAt !== undefined || needsReset) && !isShuttingDown)
       socket.resetAndDestroy();
     else socket.destroy();
   }
@@ -219,14 +246,10 @@
   endMalformed(errorResponse: string): void {
     if (this.isEnding || this.errorResponse !== undefined) return;
     this.errorResponse = errorResponse;
-    this.stopParsing();
+    this.socket.discard();
     this.endIfMalformed();
   }
 
-  private stopParsing(): void {
-    discardInput(this.socket, () => (this.hasDiscarded = true));
-  }
-
   private endIfMalformed(): void {
     if (this.errorResponse === undefined || this.isEnding) return;
     // The malformed bytes are a part of it, and it gets no other response.
@@ -243,6 +266,7 @@
     this.endedAt = this.parts.clock.now();
     this.estimateReceipt();
     this.endIfMalformed();
+    if (!this.isEnding) this.nextArrival = this.socket.release();
     const isIdle = this.openCalls.length === 0;
     if (isIdle && this.isDraining && !this.isEnding)
       void this.endAfterLastRequest();
@@ -383,17 +407,27 @@
 
   private onClose(): void {
     this.closed.abort();
-    const {openCalls: calls, endReason: reason} = this;
+    const {openCalls: calls, endReason: reason, lastCall} = this;
+    const {clock, stoppingSince, onLoss, onUnread} = this.parts;
+    const now = clock.now();
+    const stoppedAt = stoppingSince();
+    const millisecondsSinceStop =
+      stoppedAt === undefined ? undefined : now - stoppedAt;
+    const {heldAt} = this.socket;
+    if (heldAt !== undefined)
+      onUnread({
+        reason,
+        requestId: lastCall?.requestId ?? '',
+        durationMilliseconds: now - heldAt,
+        millisecondsSinceStop,
+      });
     const [first] = calls;
     if (first === undefined) return;
-    const now = this.parts.clock.now();
-    const stoppingSince = this.parts.stoppingSince();
-    this.parts.onLoss({
+    onLoss({
       reason,
       calls,
       durationMilliseconds: now - first.arrivedAt,
-      millisecondsSinceStop:
-        stoppingSince === undefined ? undefined : now - stoppingSince,
+      millisecondsSinceStop,
     });
   }
 }
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -8,6 +8,7 @@
   connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
+import {CallerSocket} from '../connections/caller-socket.js';
 import {CallerConnection} from './caller-connection.js';
 import type {CallerConnectionParts} from './caller-connection.js';
 
@@ -29,7 +30,13 @@
 
   /** Has to be called before `server` accepts connections. */
   observe(server: Server): void {
-    server.on('connection', socket => this.add(socket));
+    const listeners = server.listeners('connection');
+    server.removeAllListeners('connection');
+    server.on('connection', (accepted: Socket) => {
+      const socket = this.takeOver(accepted);
+      for (const listener of listeners) listener.call(server, socket);
+      this.add(socket);
+    });
     // Without a listener, Node destroys connections that are idle for too long.
     server.on('timeout', () => undefined);
     // Node would destroy the connection, with the responses under way.
@@ -48,6 +55,12 @@
     Object.assign(server, {httpAllowHalfOpen: true});
   }
 
+  /** Returns the socket of the connection that `accepted` was made for. */
+  takeOver(accepted: Socket): CallerSocket {
+    if (accepted instanceof CallerSocket) return accepted;
+    return CallerSocket.takeOver(accepted, this.parts.clock);
+  }
+
   of(socket: Socket): CallerConnection | undefined {
     return this.bySocket.get(socket);
   }
@@ -92,9 +105,11 @@
     await Promise.all(closed);
   }
 
-  private add(socket: Socket): void {
+  private add(socket: CallerSocket): void {
     this.acceptedCount += 1;
     this.bySocket.set(socket, new CallerConnection(socket, this.parts));
+    // Node's HTTP parser reads the socket by itself unless someone else does.
+    socket.on('data', () => undefined);
     socket.once('close', () => {
       this.bySocket.delete(socket);
       this.onEnd();
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -47,6 +47,7 @@
   logCallEnd,
   logCallEvent,
   logConnectionLoss,
+  logUnreadInput,
   logQuarantineChange,
   logRequestLimitChange,
   logResponseMemory,
@@ -432,6 +433,10 @@
         this.metrics.recordConnectionLoss(loss);
         logConnectionLoss(log, loss);
       },
+      onUnreadInput: input => {
+        this.metrics.recordUnreadInput(input);
+        logUnreadInput(log, input);
+      },
       onInternalError: (request, error) =>
         log.write('internalError', {request, reason: describeError(error)}),
     });
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -12,7 +12,7 @@
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {endingPartyOf} from './connection-end.js';
-import type {ConnectionLoss} from './caller-connection.js';
+import type {ConnectionLoss, UnreadInput} from './caller-connection.js';
 import type {CallSummary} from './call-context.js';
 
 /** Logs one event of a call. `version` is the configuration in force. */
@@ -281,6 +281,20 @@
   });
 }
 
+/** Logs the end of a caller's connection before its last bytes were read. */
+export function logUnreadInput(
+  log: EventLog,
+  {reason, requestId, durationMilliseconds, millisecondsSinceStop}: UnreadInput,
+): void {
+  log.write('callerInputUnread', {
+    request: requestId,
+    by: endingPartyOf(reason),
+    reason,
+    milliseconds: Math.round(durationMilliseconds),
+    millisecondsSinceStop: Math.round(millisecondsSinceStop ?? notStopping),
+  });
+}
+
 /** Logs the upstreams that joined, are leaving or are gone. */
 export function logUpstreamChanges(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -14,7 +14,7 @@
   ResponseMemoryEvent,
   SilenceProbe,
 } from '@persimmonwick/coordination';
-import type {ConnectionLoss} from './caller-connection.js';
+import type {ConnectionLoss, UnreadInput} from './caller-connection.js';
 import {endingPartyOf} from './connection-end.js';
 import type {CallSummary} from './call-context.js';
 
@@ -52,6 +52,7 @@
   private readonly histograms = new Map<string, Histogram>();
   private readonly callCounter: Counter<'route' | 'status' | 'code'>;
   private readonly connectionLossCounter: Counter<'by' | 'reason' | 'progress'>;
+  private readonly unreadInputCounter: Counter<'by' | 'reason'>;
   private readonly decisionCounter: Counter<'decision' | 'outcome'>;
 
   private readonly domainCallCounter: Counter<'purpose' | 'reason'>;
@@ -82,6 +83,12 @@
       labelNames: ['by', 'reason', 'progress'],
       registers,
     });
+    this.unreadInputCounter = new Counter({
+      name: 'persimmonwick_caller_input_unread_total',
+      help: 'Connections of callers that ended with unread bytes behind their last call',
+      labelNames: ['by', 'reason'],
+      registers,
+    });
     this.decisionCounter = new Counter({
       name: 'persimmonwick_call_decisions_total',
       help: 'Decisions about passed-through calls',
@@ -217,6 +224,10 @@
     this.connectionLossCounter.inc({by, reason, progress});
   }
 
+  recordUnreadInput({reason}: UnreadInput): void {
+    this.unreadInputCounter.inc({by: endingPartyOf(reason), reason});
+  }
+
   recordResponseMemory(event: ResponseMemoryEvent): void {
     if (event.kind === 'shortage' && !event.isShort) return;
     this.responseMemoryCounter.inc({event: event.kind});
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -26,7 +26,11 @@
 import type {CallContext, CallSummary, StopTiming} from './call-context.js';
 import {CallerConnections} from './caller-connections.js';
 import type {ConnectionEnd} from './connection-end.js';
-import type {CallProgress, ConnectionLoss} from './caller-connection.js';
+import type {
+  CallProgress,
+  ConnectionLoss,
+  UnreadInput,
+} from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
 import {readRequestBody} from './request-body.js';
 import {
@@ -61,6 +65,7 @@
   readonly onTakenOver: (requestId: string, address: string) => void;
   readonly onEnd: (summary: CallSummary) => void;
   readonly onConnectionLoss: (loss: ConnectionLoss) => void;
+  readonly onUnreadInput: (input: UnreadInput) => void;
   /** Receives an unexpected error, which ends only the call that met it. */
   readonly onInternalError: (requestId: string, error: unknown) => void;
 }
@@ -90,6 +95,7 @@
         clock: parts.clock,
         stoppingSince: () => this.stoppingSince,
         onLoss: parts.onConnectionLoss,
+        onUnread: parts.onUnreadInput,
       },
       () => this.reportIfIdle(),
     );
@@ -125,7 +131,8 @@
   }
 
   /** Serves a connection on which another host hands calls over. */
-  servePeer(socket: Socket): void {
+  servePeer(accepted: Socket): void {
+    const socket = this.connections.takeOver(accepted);
     this.peerSockets.add(socket);
     this.instance.server.emit('connection', socket);
   }
@@ -222,9 +229,9 @@
   ): Promise<void> {
     this.inFlight += 1;
     const connection = this.connections.of(request.socket)!;
-    const context = newCallContext(response, this.parts.clock.now());
+    const context = newCallContext(response, connection.takeArrival());
     try {
-      if (await connection.enter(request, context))
+      if (await connection.enter(context))
         await this.processCall(request, target, response, context);
       else {
         context.ended.abort(connection.cancellation);
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -33,6 +33,7 @@
     onTakenOver: () => undefined,
     onEnd: () => undefined,
     onConnectionLoss: () => undefined,
+    onUnreadInput: () => undefined,
     onInternalError: (requestId, error) =>
       errors.push(`${requestId}: ${String(error)}`),
   });
