A caller that leaves behind unread bytes is noticed

What callers saw: none; engines went on with streams whose callers had left. Cause: a host that has read one byte behind a call stops reading, and the end of a connection is noticed in reads alone. Bytes that nobody reads hide the end of the caller's direction as well as a reset. Evidence: of six callers that wrote a request behind a silent stream and left, none was noticed within 450 ms, by close or by reset; all six on, which reads on. Change: while a byte is held, CallerProbe looks for a reset every 100 ms. A response in chunks that was silent for 200 ms gets a leading zero of its next size, at most eight for a chunk, which the system of a caller that has closed answers with a reset. needsReset knows these zeros. Remains: a caller that closes while its response has no head yet is noticed with the first bytes of it.

--- a/packages/daemon/src/connections/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -1,6 +1,6 @@
 /**
- * Finds out whether a caller that has ended its direction of the connection still
- * reads. One that has closed the connection looks the same until bytes are sent to it,
+ * Finds out whether a caller that has ended its direction of the connection, or whose
+ * bytes are not read to their end, still reads. One that has closed the connection looks the same until bytes are sent to it,
  * which its system answers with a reset.
  */
 
@@ -20,6 +20,12 @@
 /** Time after which a caller whose response has not begun gets an interim one. */
 const interimResponseMilliseconds = 60;
 
+/** Silence of a response after which it is probed while bytes of its caller are unread. */
+const silenceMilliseconds = 200;
+
+/** Some parsers take no sizes of chunks with more than 16 digits. */
+const maximumLeadingZeros = 8;
+
 /** The response that the caller waits for. */
 export interface AwaitedResponse {
   readonly response: ServerResponse;
@@ -29,16 +35,14 @@
 
 export class CallerProbe {
   private readonly probed = new WeakSet<ServerResponse>();
-  private bytesWritten: number;
+  private bytesWritten = 0;
   /** Bytes written up to the last probe within a response in chunks. */
   private probeEnd: number | undefined;
 
   constructor(
     private readonly socket: Socket,
     private readonly clock: Clock,
-  ) {
-    this.bytesWritten = socket.bytesWritten;
-  }
+  ) {}
 
   /** Whether the size of a chunk has begun and nothing was written behind it. */
   get isInsideSize(): boolean {
@@ -55,6 +59,7 @@
   ): Promise<boolean> {
     let wait = firstCheckMilliseconds;
     let waited = 0;
+    this.bytesWritten = this.socket.bytesWritten;
     while (!this.socket.destroyed) {
       const awaited = findAwaited();
       if (awaited === undefined) return true;
@@ -70,6 +75,36 @@
     return true;
   }
 
+  /**
+   * Looks for resets until `findResponse` returns undefined or the connection is closed.
+   * A response in chunks that is silent gets leading zeros of the size of the next one.
+   */
+  async watch(
+    findResponse: () => ServerResponse | undefined,
+    closed: AbortSignal,
+  ): Promise<void> {
+    let {bytesWritten} = this.socket;
+    let silentMilliseconds = 0;
+    let zeros = 0;
+    for (;;) {
+      await this.clock.sleep(resetMilliseconds, closed);
+      const response = findResponse();
+      if (this.socket.destroyed || response === undefined) return;
+      if (this.socket.writableLength === 0) void this.isConnected();
+      if (this.socket.bytesWritten > bytesWritten) zeros = 0;
+      const isSilent = this.socket.bytesWritten === bytesWritten;
+      silentMilliseconds = isSilent
+        ? silentMilliseconds + resetMilliseconds
+        : 0;
+      const isDue = silentMilliseconds >= silenceMilliseconds;
+      if (isDue && zeros < maximumLeadingZeros && this.sendZero(response)) {
+        zeros += 1;
+        silentMilliseconds = 0;
+      }
+      ({bytesWritten} = this.socket);
+    }
+  }
+
   /**
    * Resolves with whether the connection has not been reset. A reset of a connection
    * that was read to its end is only reported to writes.
@@ -95,13 +130,21 @@
       // Interim responses exist since HTTP/1.1.
       if (response.req.httpVersion === '1.0') return false;
       response.writeContinue();
-    } else if (response.chunkedEncoding && !response.writableEnded) {
-      response.flushHeaders();
-      // A leading zero of the size of the next chunk.
-      this.socket.write('0');
-      this.probeEnd = this.socket.bytesWritten;
-    }
+    } else this.sendZero(response);
     this.bytesWritten = this.socket.bytesWritten;
     return true;
   }
+
+  /**
+   * Sends a leading zero of the size of the next chunk. Returns false if no chunk can
+   * follow.
+   */
+  private sendZero(response: ServerResponse): boolean {
+    const {chunkedEncoding, headersSent, writableEnded} = response;
+    if (!chunkedEncoding || !headersSent || writableEnded) return false;
+    response.flushHeaders();
+    this.socket.write('0');
+    this.probeEnd = this.socket.bytesWritten;
+    return true;
+  }
 }
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -25,6 +25,8 @@
 interface Reader {
   /** Whether only one byte may be read. */
   isHolding: () => boolean;
+  /** Called once that byte was read, with which the reading ends. */
+  onHeld: () => void;
   /** Returns whether to go on reading. */
   onBytes: (bytes: Buffer) => boolean;
 }
@@ -60,6 +62,7 @@
   static takeOver(accepted: Socket, clock: Clock): CallerSocket {
     return new CallerSocket(accepted, clock, {
       isHolding: () => false,
+      onHeld: () => undefined,
       onBytes: () => true,
     });
   }
@@ -72,9 +75,14 @@
     return this.held?.at;
   }
 
-  /** Reads ahead only while `isCallOpen`, which is asked after each read. */
-  holdWhile(isCallOpen: () => boolean): void {
+  /**
+   * Reads ahead only while `isCallOpen`, which is asked after each read. `onHeld` is
+   * called with each byte read ahead: the end of the connection is not noticed from
+   * then on.
+   */
+  holdWhile(isCallOpen: () => boolean, onHeld: () => void): void {
     this.reader.isHolding = () => this.isDiscarding || isCallOpen();
+    this.reader.onHeld = onHeld;
   }
 
   /**
@@ -104,6 +112,7 @@
   private onBytes(bytes: Buffer): boolean {
     if (this.reader.isHolding()) {
       this.held = {bytes: Buffer.from(bytes), at: this.clock.now()};
+      this.reader.onHeld();
       return false;
     }
     this.emit('data', bytes);
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -106,19 +106,23 @@
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
   private pendingEnd = new AbortController();
-  /** Defined once the caller has ended its direction of the connection. */
-  private probe: CallerProbe | undefined;
+  private readonly probe: CallerProbe;
+  /** Whether the caller has ended its direction of the connection. */
+  private isHalfClosed = false;
+  private isWatchingUnread = false;
 
   constructor(
     private readonly socket: CallerSocket,
     private readonly parts: CallerConnectionParts,
   ) {
     this.openedAt = parts.clock.now();
+    this.probe = new CallerProbe(socket, parts.clock);
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
     // What is read behind a call could not be answered if the call ends the connection.
     socket.holdWhile(
       () => this.openCalls.length > 0 && this.lastRequest?.complete === true,
+      () => void this.watchUnread(),
     );
     socket.on('timeout', () => void this.onTimeout());
     socket.once('error', error => this.onError(error));
@@ -149,10 +153,6 @@
     return this.parts.stoppingSince() !== undefined;
   }
 
-  private get isHalfClosed(): boolean {
-    return this.probe !== undefined;
-  }
-
   /** Whether a call that was read waits for the response before it. */
   private get hasFurtherCall(): boolean {
     return this.openCalls.length > 1;
@@ -304,7 +304,7 @@
     const response = this.openCalls[0]?.response;
     if (response?.headersSent !== true || response.writableFinished)
       return false;
-    return !isFramed(response) || this.probe?.isInsideSize === true;
+    return !isFramed(response) || this.probe.isInsideSize;
   }
 
   /**
@@ -353,7 +353,7 @@
    */
   private async untilReading(): Promise<void> {
     const {probe, closed} = this;
-    if (probe === undefined || this.isEnding) return;
+    if (!this.isHalfClosed || this.isEnding) return;
     await this.parts.clock.sleep(resetMilliseconds, closed.signal);
     if (!closed.signal.aborted)
       await untilAborted(probe.isConnected(), closed.signal);
@@ -364,9 +364,8 @@
    * closed the connection are cancelled once it is found out.
    */
   private async onHalfClose(): Promise<void> {
-    const {socket, closed} = this;
-    const probe = new CallerProbe(socket, this.parts.clock);
-    this.probe = probe;
+    const {socket, probe, closed} = this;
+    this.isHalfClosed = true;
     // Connections between hosts are closed in both directions at once.
     if (!socket.allowHalfOpen) return;
     const canProbe = await probe.run(
@@ -376,6 +375,19 @@
     if (!canProbe) this.destroy('half-closed');
   }
 
+  /** Finds out that the caller has left behind bytes that are not read. */
+  private async watchUnread(): Promise<void> {
+    if (this.isWatchingUnread) return;
+    this.isWatchingUnread = true;
+    const {probe, closed, socket} = this;
+    await probe.watch(
+      () =>
+        socket.heldAt === undefined ? undefined : this.openCalls[0]?.response,
+      closed.signal,
+    );
+    this.isWatchingUnread = false;
+  }
+
   private findAwaitedResponse(): AwaitedResponse | undefined {
     const [call] = this.openCalls;
     if (call === undefined || this.isEnding) return undefined;
