What arrives behind a connection's last response is logged

What operators saw: a request behind a refused upload, a CONNECT or a request without a Host header was reset without a line in the log. Cause: the end of a connection paused its socket, so that the host did not know whether bytes were unread; 3133 is written for the byte that was read ahead. Change: an ending connection reads one byte ahead, as one with an open call.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -288,7 +288,7 @@
     this.isEnding = true;
     this.setReason(reason);
     const {socket, lastRequest} = this;
-    const stopReading = () => socket.pause();
+    const stopReading = () => socket.discard();
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
     // The caller of an upload may read the response only after it has sent it.
     else lastRequest.once('end', stopReading).resume();
