General product: a call behind another one waits for its turn unread

What callers saw: a call behind another one on its connection was run beside it. When the response in front was cut, its answer was lost with the connection; the log said that the caller had left. Cause: Node begins all calls of a connection at once and keeps their answers. The end of the connection takes with it what the host had promised to nobody. Evidence: with a service that cuts its response, the service had run the call behind it, in a write of its own and in one write with the first; both tests failed before and pass now. Change: CallerConnections serves this product as well. What stands behind an open call stays unread; what was read in one segment with it begins once it is answered, and is logged with connection-closed and not-run if the connection ends before. OpenResponses, discardInput and the modules for half-closed callers and refused uploads were second mechanisms for the same questions, and go. A CONNECT gets a 400 here, too.

--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -1,9 +1,12 @@
 /** Fastify hooks that run for every call. */
 
+import type {ServerResponse} from 'node:http';
+import {cancellationFailureOf} from '@persimmonwick/coordination';
 import type {RequestFailure} from '@persimmonwick/coordination';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import type {ControllerDependencies} from '../controller-dependencies.js';
-import type {OpenResponses} from './open-responses.js';
+import type {CallerConnection} from '../passthrough/caller-connection.js';
+import type {CallerConnections} from '../passthrough/caller-connections.js';
 import {requestIdOf} from './request-headers.js';
 import {CallRecord, callRecordOf} from './call-record.js';
 import {drainingFailure} from './drain-gate.js';
@@ -22,15 +25,30 @@
   ran: 'not-run',
 };
 
-/** Attaches a record to each call and rejects calls the host can't accept. */
+const records = new WeakMap<ServerResponse, CallRecord>();
+
+/** The record of the call that `response` answers. */
+export function recordOfResponse(
+  response: ServerResponse,
+): CallRecord | undefined {
+  return records.get(response);
+}
+
+/**
+ * Attaches a record to each call, begins it once the calls before it on its connection
+ * are answered, and rejects calls the host can't accept.
+ */
 export function addCallHooks(
   fastify: FastifyInstance,
   parts: ControllerDependencies,
-  responses: OpenResponses,
+  connections: CallerConnections,
 ): void {
   fastify.decorateRequest('callRecord', null);
   fastify.addHook('onRequest', async (request, reply) => {
-    const record = createCallRecord(request, reply, parts, responses);
+    const connection = connections.of(request.raw.socket)!;
+    const record = createCallRecord(request, reply, parts, connection);
+    if (!(await connection.enter(record))) return reply.hijack();
+    record.begin();
     if (lacksHostHeader(request)) return sendFailure(reply, missingHostFailure);
     if (parts.gate.isDraining) return sendFailure(reply, drainingFailure);
     if (!parts.host.isReady) return sendFailure(reply, notReadyFailure);
@@ -40,9 +58,10 @@
   fastify.addHook('preValidation', async request =>
     callRecordOf(request).recordReceipt(),
   );
-  fastify.addHook('onSend', async (_request, reply) => {
-    if (parts.gate.isDraining && responses.isLast(reply.raw))
-      reply.header('connection', 'close');
+  fastify.addHook('onSend', async (request, {raw: response}) => {
+    const connection = connections.of(request.raw.socket);
+    if (request.raw.complete) connection?.announceEndIfDue(response);
+    else if (parts.gate.isDraining) response.setHeader('Connection', 'close');
   });
 }
 
@@ -50,16 +69,18 @@
   request: FastifyRequest,
   reply: FastifyReply,
   parts: ControllerDependencies,
-  responses: OpenResponses,
+  connection: CallerConnection,
 ): CallRecord {
-  const record = new CallRecord(requestIdOf(request), reply, parts);
+  const arrivedAt = connection.takeArrival();
+  const record = new CallRecord(requestIdOf(request), reply, parts, arrivedAt);
   request.callRecord = record;
+  records.set(reply.raw, record);
   reply.header('x-request-id', record.requestId);
   const {socket} = request.raw;
   const close = () => {
     socket.removeListener('close', close);
-    const failure = responses.failureOf(reply.raw);
-    if (failure !== undefined) record.recordFailure(failure);
+    if (record.progress === 'waiting')
+      record.recordFailure(notBegunFailure(connection));
     record.close();
     parts.gate.remove(record);
   };
@@ -69,6 +90,11 @@
   return record;
 }
 
+/** Failure of a call whose connection ends before the call is begun. */
+function notBegunFailure({cancellation}: CallerConnection): RequestFailure {
+  return cancellationFailureOf(AbortSignal.abort(cancellation), 'not-run');
+}
+
 function lacksHostHeader({raw}: FastifyRequest): boolean {
   return raw.httpVersion === '1.1' && raw.headers.host === undefined;
 }
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -1,5 +1,6 @@
 /** State of one call, until its response is sent or its connection is lost. */
 
+import type {ServerResponse} from 'node:http';
 import {httpStatusOf} from '@persimmonwick/coordination';
 import type {
   AccountId,
@@ -12,6 +13,7 @@
 } from '@persimmonwick/coordination';
 import type {FastifyReply, FastifyRequest} from 'fastify';
 import type {EventLog} from '../log/logger.js';
+import type {CallProgress, OpenCall} from '../passthrough/caller-connection.js';
 import {requestAttributesOf} from '../operators/request-observer.js';
 import type {
   RequestObservation,
@@ -41,8 +43,9 @@
 const interruptedWriteTimeoutMilliseconds = 2000;
 
 /** Tracks a call, interrupts it when necessary, and reports its outcome. */
-export class CallRecord {
-  private readonly arrivedAt: number;
+export class CallRecord implements OpenCall {
+  progress: CallProgress = 'waiting';
+  readonly isCancelable = true;
   private readonly interruptedController = new AbortController();
   private readonly closedController = new AbortController();
   private interruptionReason: InterruptionReason | undefined;
@@ -52,7 +55,6 @@
   /** What interrupted the call, if it failed because of that. */
   private cause: InterruptionReason | '' = '';
   private keyHash: KeyHash | undefined;
-  private isReceived = false;
   /** Set once the account and route are known. */
   observation: RequestObservation | undefined;
 
@@ -60,8 +62,9 @@
     readonly requestId: RequestId,
     private readonly reply: FastifyReply,
     private readonly parts: CallRecordParts,
+    /** Clock time in milliseconds. */
+    readonly arrivedAt = parts.clock.now(),
   ) {
-    this.arrivedAt = parts.clock.now();
     void this.enforceTimeLimit();
   }
 
@@ -75,9 +78,18 @@
     return this.interruptedController.signal;
   }
 
+  get response(): ServerResponse {
+    return this.reply.raw;
+  }
+
+  /** Records that all calls before it on its connection are answered. */
+  begin(): void {
+    this.progress = 'receiving';
+  }
+
   /** Records that the call was read to its end. */
   recordReceipt(): void {
-    this.isReceived = true;
+    this.progress = 'queued';
   }
 
   /**
@@ -85,7 +97,7 @@
    * the clock time `endsAt`.
    */
   refuseIfLate(endsAt: number, failure: RequestFailure): void {
-    if (this.isReceived || this.deadline <= endsAt) return;
+    if (this.progress !== 'receiving' || this.deadline <= endsAt) return;
     void sendFailure(this.reply, failure);
   }
 
@@ -160,7 +172,11 @@
 
   private async enforceTimeLimit(): Promise<void> {
     const {clock, requestMilliseconds} = this.parts;
-    await clock.sleep(requestMilliseconds, this.closedController.signal);
+    const elapsed = clock.now() - this.arrivedAt;
+    await clock.sleep(
+      Math.max(0, requestMilliseconds - elapsed),
+      this.closedController.signal,
+    );
     this.interrupt('time-limit');
   }
 
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: Nest with the Fastify adapter. */
 
 import 'reflect-metadata';
+import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {Module} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
@@ -12,14 +13,16 @@
 import type {ControllerDependencies} from '../controller-dependencies.js';
 import {listenOn} from '../listen.js';
 import type {RunningServer} from '../listen.js';
-import {addCallHooks} from './call-hooks.js';
-import {respondToClientError, rejectExpectation} from './client-error.js';
+import {CallerConnections} from '../passthrough/caller-connections.js';
+import {
+  logConnectionLoss,
+  logUnreadInput,
+} from '../passthrough/passthrough-log.js';
+import {addCallHooks, recordOfResponse} from './call-hooks.js';
+import {rejectExpectation} from './client-error.js';
 import {CompletionsController} from './completions.controller.js';
 import {FailureFilter, frameworkFailure} from './failure-filter.js';
 import {sendFailure} from './failure-reply.js';
-import {serveHalfClosedCallers} from './half-closed-callers.js';
-import {OpenResponses} from './open-responses.js';
-import {awaitRefusedUploads} from './refused-uploads.js';
 import {ServicesController} from './services.controller.js';
 
 const keepAliveTimeoutMilliseconds = 72_000;
@@ -36,8 +39,8 @@
   })
   class CallerModule {}
 
-  const responses = new OpenResponses();
-  const adapter = createAdapter(settings.limits, parts, responses);
+  const connections = createConnections(parts);
+  const adapter = createAdapter(settings.limits, connections);
   const application = await NestFactory.create<NestFastifyApplication>(
     CallerModule,
     adapter,
@@ -45,10 +48,8 @@
   );
   application.useGlobalFilters(new FailureFilter());
   const fastify = adapter.getInstance();
-  responses.observe(fastify.server);
-  addCallHooks(fastify, parts, responses);
-  serveHalfClosedCallers(fastify.server, responses, parts.clock);
-  awaitRefusedUploads(fastify.server, responses, parts.clock);
+  connections.observe(fastify.server as Server);
+  addCallHooks(fastify, parts, connections);
   fastify.server.on('checkExpectation', (_request, reply) =>
     parts.observer.refused(rejectExpectation(reply)),
   );
@@ -59,10 +60,33 @@
   return listenOn(application, settings.listen.callers, '/listen/callers');
 }
 
+function createConnections({
+  clock,
+  log,
+  gate,
+  observer,
+}: ControllerDependencies): CallerConnections {
+  return new CallerConnections(
+    {
+      clock,
+      stoppingSince: () => gate.drainingSince,
+      onLoss: loss => logConnectionLoss(log, loss),
+      onUnread: input => logUnreadInput(log, input),
+    },
+    undefined,
+    (failure, incompleteResponse) => {
+      const record = incompleteResponse && recordOfResponse(incompleteResponse);
+      if (record === undefined) return observer.refused(failure);
+      record.recordFailure(failure);
+      record.close();
+      gate.remove(record);
+    },
+  );
+}
+
 function createAdapter(
   limits: CompleteSettings['limits'],
-  {observer}: ControllerDependencies,
-  responses: OpenResponses,
+  connections: CallerConnections,
 ): FastifyAdapter {
   const {slowSenderMilliseconds} = limits;
   return new FastifyAdapter({
@@ -70,10 +94,8 @@
     requestTimeout: slowSenderMilliseconds,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
     return503OnClosing: false,
-    clientErrorHandler: (error: NodeJS.ErrnoException, socket: Socket) => {
-      const failure = respondToClientError(error, socket, responses);
-      if (failure !== undefined) observer.refused(failure);
-    },
+    clientErrorHandler: (error: NodeJS.ErrnoException, socket: Socket) =>
+      connections.handleClientError(error, socket),
     frameworkErrors: (
       error: FastifyError,
       _request: FastifyRequest,
--- a/packages/daemon/src/callers/client-error.ts
+++ b/packages/daemon/src/callers/client-error.ts
@@ -2,36 +2,9 @@
 
 import {STATUS_CODES} from 'node:http';
 import type {ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import type {RequestFailure} from '@persimmonwick/coordination';
 import {httpStatusOf} from '@persimmonwick/coordination';
-import {discardInput} from '../connections/discard-input.js';
 import {failureBody, ranHeader} from './failure-reply.js';
-import type {OpenResponses} from './open-responses.js';
-
-/**
- * Writes an error response behind the `responses` under way on a socket, and closes
- * it. Returns the failure; undefined if the caller has disconnected, or if the call that
- * was being read fails with it.
- */
-export function respondToClientError(
-  error: NodeJS.ErrnoException,
-  socket: Socket,
-  responses: OpenResponses,
-): RequestFailure | undefined {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return undefined;
-  }
-  const failure = failureOfClientError(error.code);
-  const isOfCall = responses.failIncomplete(socket, failure);
-  discardInput(socket);
-  responses.afterAnswers(socket, () => {
-    if (socket.writable)
-      socket.end(clientErrorResponse(failure), () => socket.destroy());
-  });
-  return isOfCall ? undefined : failure;
-}
 
 /** The bytes of the response to a request that was not parsed. */
 export function clientErrorResponse(failure: RequestFailure): string {
--- a/packages/daemon/src/callers/drain-gate.ts
+++ b/packages/daemon/src/callers/drain-gate.ts
@@ -24,7 +24,7 @@
 export class DrainGate {
   private readonly calls = new Set<CallRecord>();
   private readonly drainedController = new AbortController();
-  private isClosed = false;
+  private closedAt: number | undefined;
 
   constructor(private readonly clock: Clock) {}
 
@@ -34,7 +34,12 @@
 
   /** True once new calls are rejected. */
   get isDraining(): boolean {
-    return this.isClosed;
+    return this.closedAt !== undefined;
+  }
+
+  /** Clock time from which new calls are rejected. */
+  get drainingSince(): number | undefined {
+    return this.closedAt;
   }
 
   add(call: CallRecord): void {
@@ -53,7 +58,7 @@
 
   /** Rejects new calls from now on. */
   startDraining(): void {
-    this.isClosed = true;
+    this.closedAt ??= this.clock.now();
     this.abortIfDrained();
   }
 
@@ -76,6 +81,7 @@
   }
 
   private abortIfDrained(): void {
-    if (this.isClosed && this.calls.size === 0) this.drainedController.abort();
+    if (this.isDraining && this.calls.size === 0)
+      this.drainedController.abort();
   }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -153,6 +153,12 @@
     return this.parts.stoppingSince() !== undefined;
   }
 
+  /** The response to the call that was not read whole, if it has not ended. */
+  get incompleteResponse(): ServerResponse | undefined {
+    const response = this.openCalls.at(-1)?.response;
+    return response?.req.complete === false ? response : undefined;
+  }
+
   /** Whether a call that was read waits for the response before it. */
   private get hasFurtherCall(): boolean {
     return this.openCalls.length > 1;
@@ -241,13 +247,15 @@
 
   /**
    * Ends the connection after bytes that are no request. `errorResponse` is sent
-   * once the responses under way have ended.
+   * once the responses under way have ended. Returns false if the connection ends
+   * already.
    */
-  endMalformed(errorResponse: string): void {
-    if (this.isEnding || this.errorResponse !== undefined) return;
+  endMalformed(errorResponse: string): boolean {
+    if (this.isEnding || this.errorResponse !== undefined) return false;
     this.errorResponse = errorResponse;
     this.socket.discard();
     this.endIfMalformed();
+    return true;
   }
 
   private endIfMalformed(): void {
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -3,6 +3,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import type {RequestFailure} from '@persimmonwick/coordination';
 import {
   clientErrorResponse,
   connectNotSupported,
@@ -21,7 +22,12 @@
 
   constructor(
     private readonly parts: CallerConnectionParts,
-    private readonly onEnd: () => void,
+    private readonly onEnd: () => void = () => undefined,
+    /** Receives the failure of bytes that are no request. */
+    private readonly onRefusal: (
+      failure: RequestFailure,
+      incompleteResponse: ServerResponse | undefined,
+    ) => void = () => undefined,
   ) {}
 
   get size(): number {
@@ -42,7 +48,7 @@
     // Node would destroy the connection, with the responses under way.
     server.on('connect', (_request, socket: Socket) => {
       socket.on('error', () => socket.destroy());
-      this.of(socket)?.endMalformed(clientErrorResponse(connectNotSupported));
+      this.refuseInput(socket, connectNotSupported);
     });
     // Node calls this when it stops listening, and would close connections whose
     // last response is still on its way.
@@ -72,11 +78,8 @@
 
   /** Ends the connection of bytes that Node reports as the error `code`. */
   handleClientError({code}: NodeJS.ErrnoException, socket: Socket): void {
-    const connection = this.of(socket);
-    if (code === 'ECONNRESET' || !socket.writable || connection === undefined)
-      socket.destroy();
-    else
-      connection.endMalformed(clientErrorResponse(failureOfClientError(code)));
+    if (code === 'ECONNRESET' || !socket.writable) socket.destroy();
+    else this.refuseInput(socket, failureOfClientError(code));
   }
 
   /**
@@ -105,6 +108,14 @@
     await Promise.all(closed);
   }
 
+  private refuseInput(socket: Socket, failure: RequestFailure): void {
+    const connection = this.of(socket);
+    // The malformed bytes are a part of the call that was not read whole.
+    const incompleteResponse = connection?.incompleteResponse;
+    if (connection?.endMalformed(clientErrorResponse(failure)) === true)
+      this.onRefusal(failure, incompleteResponse);
+  }
+
   private add(socket: CallerSocket): void {
     this.acceptedCount += 1;
     this.bySocket.set(socket, new CallerConnection(socket, this.parts));
--- a/packages/daemon/test/callers/pipelined.test.ts
+++ b/packages/daemon/test/callers/pipelined.test.ts
@@ -9,13 +9,13 @@
 
 const orderText = requestText('POST /orders/1', '{}');
 
-const completionText = (stream: boolean) =>
+const completionText = (stream: boolean, maximumTokens = 20) =>
   requestText(
     'POST /v1/chat/completions',
     JSON.stringify({
       model: sampleModel,
       messages: [{role: 'user', content: 'check the pinout'}],
-      max_tokens: 20,
+      max_tokens: maximumTokens,
       stream,
     }),
   );
@@ -57,3 +57,15 @@
   t.deepEqual(statusesIn(await response), ['200', '201']);
   await stopped;
 });
+
+// Against: a call behind a stream runs beside it when the host can't wait for its turn.
+test('a call behind a stream that a stop ends is refused', async t => {
+  const {daemon, fleet} = await runDaemon(t);
+  const {socket, response} = openRawConnection(t, daemon.addresses.callers);
+  socket.write(completionText(true, 100_000) + orderText);
+  await new Promise(done => socket.once('data', done));
+  const stopped = daemon.close();
+  t.deepEqual(statusesIn(await response), ['200', '503']);
+  t.is(fleet.service.runs.length, 0);
+  await stopped;
+});
--- a/packages/daemon/test/callers/service-responses.test.ts
+++ b/packages/daemon/test/callers/service-responses.test.ts
@@ -122,3 +122,34 @@
   t.true(sentBytes < sizeBytes, String(sentBytes));
   await waitUntil(() => fixture.log.eventsOf('requestFailed').length === 1);
 });
+
+const orderText = (id: string) =>
+  `GET /orders/${id} HTTP/1.1\r\nhost: x\r\nx-request-id: ${id}\r\n` +
+  `authorization: Bearer ${sampleKeys.batinah}\r\n\r\n`;
+
+// Against: a call behind another one runs beside it, and the end of their connection
+// takes its answer.
+for (const isOneWrite of [false, true])
+  test(`a call behind a response that is cut does not run${isOneWrite ? ': one write' : ''}`, async t => {
+    const paths: (string | undefined)[] = [];
+    const {daemon, log} = await startWithService(t, ({url}, reply) => {
+      paths.push(url);
+      reply.writeHead(200);
+      reply.write('first part');
+      setTimeout(() => reply.destroy(), 300);
+    });
+    const call = openRawConnection(t, daemon.addresses.callers);
+    call.socket.write(orderText('a') + (isOneWrite ? orderText('b') : ''));
+    await new Promise(done => call.socket.once('data', done));
+    if (!isOneWrite) call.socket.write(orderText('b'));
+    await call.response;
+    await waitUntil(() => log.eventsOf('callerConnectionEnded').length === 1);
+    t.deepEqual(paths, ['/orders/a']);
+    const failures = [{request: 'a', code: 'upstream-failed', ran: 'ran'}];
+    const dropped = {request: 'b', code: 'connection-closed', ran: 'not-run'};
+    t.like(
+      log.eventsOf('requestFailed'),
+      isOneWrite ? [...failures, dropped] : failures,
+    );
+    t.is(log.eventsOf('callerInputUnread').length, isOneWrite ? 0 : 1);
+  });
