A request behind a call that ends during a stop is answered

What callers saw: a request written behind a call before the signal had no answer if the response to the call began after it. The response announced the end of the connection, and the request behind it stayed unread. Cause: the announcement is left out if a call waits behind the one that is answered. Since such a call isn't read before its turn, so nothing seemed to wait. Change: the byte read ahead counts as a request that waits.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -153,9 +153,9 @@
     return this.probe !== undefined;
   }
 
-  /** Whether a call that was read waits for the response before it. */
-  private get hasFurtherCall(): boolean {
-    return this.openCalls.length > 1;
+  /** Whether the caller has written more behind the call under way. */
+  private get hasFurtherInput(): boolean {
+    return this.openCalls.length > 1 || this.socket.heldAt !== undefined;
   }
 
   /** Clock time at which the request arrived that is being read. */
@@ -186,12 +186,12 @@
   }
 
   /**
-   * Announces the end of the connection in the head of `response`, unless a call
-   * waits behind it. No further request is handled: one that crosses the announcement
+   * Announces the end of the connection in the head of `response`, unless a request
+   * waits behind it, read or not. No further request is handled: one that crosses the announcement
    * could not be answered, and a reset tells its caller that it can't have run.
    */
   announceEnd(response: ServerResponse): void {
-    if (this.hasFurtherCall) return;
+    if (this.hasFurtherInput) return;
     response.setHeader('Connection', 'close');
     this.socket.discard();
   }
