Requests are read in parts too small for the one behind them

What callers saw: a request that came in one piece with a stream, or whose head did, was read with it, and had no answer when the stream outlived the host. Cause: a read takes up to 64 KB, and a connection was held once its last call was complete, which is the one behind. Change: heads are read in parts of 128 bytes, bodies with a length up to their end, others by as much as was read of them. A connection is held once the call in front is complete. A head that stands half read behind a call does not time out there. The time of the byte read ahead counts only for a request that waited with it.

--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -71,7 +71,7 @@
   parts: ControllerDependencies,
   connection: CallerConnection,
 ): CallRecord {
-  const arrivedAt = connection.takeArrival();
+  const arrivedAt = connection.arrivalOfNext();
   const record = new CallRecord(requestIdOf(request), reply, parts, arrivedAt);
   request.callRecord = record;
   records.set(reply.raw, record);
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -10,12 +10,26 @@
 import type {SocketConstructorOpts} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
 
-/** Bytes read at once; as many as Node reads by itself. */
-const readBytes = 64 * 1024;
+/** Longest read, which is that of Node. */
+export const maximumReadBytes = 64 * 1024;
 
-// All sockets share these, because the HTTP parser copies what it keeps.
-const readBuffer = Buffer.allocUnsafeSlow(readBytes);
-const readAheadBuffer = Buffer.allocUnsafeSlow(1);
+/** Read at first: less than a request, so that none is read whole behind another one. */
+export const headReadBytes = 128;
+
+// All sockets share it, because the HTTP parser copies what it keeps.
+const readBuffer = Buffer.allocUnsafeSlow(maximumReadBytes);
+const readAheadBuffer = readBuffer.subarray(0, 1);
+
+/** What is read of a connection, as decided by its user. */
+export interface ReadPlan {
+  /**
+   * Returns how many bytes of a request to read next, up to `maximumReadBytes`; 0 while
+   * nothing may be read but the byte ahead. Asked after each read.
+   */
+  readonly nextBytes: () => number;
+  /** Called when the byte ahead was read: reads no longer show the end. */
+  readonly onHeld: () => void;
+}
 
 /** The part of a socket that Node does not document. */
 interface AcceptedSocket {
@@ -23,18 +37,25 @@
 }
 
 interface Reader {
-  /** Whether only one byte may be read. */
-  isHolding: () => boolean;
-  /** Called once that byte was read, with which the reading ends. */
-  onHeld: () => void;
+  plan: ReadPlan;
+  /** Receives the bytes of the next read. */
+  nextBuffer: Buffer;
   /** Returns whether to go on reading. */
   onBytes: (bytes: Buffer) => boolean;
 }
 
+/** Until there is a plan. */
+const unplanned: ReadPlan = {
+  nextBytes: () => headReadBytes,
+  onHeld: () => undefined,
+};
+
 export class CallerSocket extends Socket {
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private isDiscarding = false;
+  /** Whether bytes that were read are being handed on. */
+  private isReceiving = false;
 
   private constructor(
     accepted: Socket,
@@ -45,7 +66,12 @@
       handle: (accepted as unknown as AcceptedSocket)._handle,
       allowHalfOpen: accepted.allowHalfOpen,
       onread: {
-        buffer: () => (reader.isHolding() ? readAheadBuffer : readBuffer),
+        buffer: () => {
+          const bytes = reader.plan.nextBytes();
+          reader.nextBuffer =
+            bytes === 0 ? readAheadBuffer : readBuffer.subarray(0, bytes);
+          return reader.nextBuffer;
+        },
         callback: (count: number, buffer: Uint8Array) =>
           reader.onBytes(buffer.subarray(0, count) as Buffer),
       },
@@ -58,11 +84,20 @@
     this.once('close', () => accepted.destroy());
   }
 
+  /** Bytes read without the byte ahead. */
+  get bytesHandedOn(): number {
+    return this.bytesRead - (this.held === undefined ? 0 : 1);
+  }
+
+  private get isHolding(): boolean {
+    return this.reader.plan.nextBytes() === 0;
+  }
+
   /** Takes the connection of `accepted` over, which is not to be used any more. */
   static takeOver(accepted: Socket, clock: Clock): CallerSocket {
     return new CallerSocket(accepted, clock, {
-      isHolding: () => false,
-      onHeld: () => undefined,
+      plan: unplanned,
+      nextBuffer: readBuffer,
       onBytes: () => true,
     });
   }
@@ -75,32 +110,29 @@
     return this.held?.at;
   }
 
-  /**
-   * Reads ahead only while `isCallOpen`, which is asked after each read. `onHeld` is
-   * called with each byte read ahead: the end of the connection is not noticed from
-   * then on.
-   */
-  holdWhile(isCallOpen: () => boolean, onHeld: () => void): void {
-    this.reader.isHolding = () => this.isDiscarding || isCallOpen();
-    this.reader.onHeld = onHeld;
+  /** Reads by `plan` from the next read on. */
+  readBy(plan: ReadPlan): void {
+    this.reader.plan = {
+      ...plan,
+      nextBytes: () => (this.isDiscarding ? 0 : plan.nextBytes()),
+    };
   }
 
-  /**
-   * Reads on once no call is open any more. Returns the clock time at which the caller
-   * began to write behind the last one; undefined if it did not.
-   */
-  release(): number | undefined {
+  /** Reads on, if the plan allows it again. */
+  release(): void {
     const {held} = this;
-    if (held === undefined || this.reader.isHolding()) return undefined;
+    if (held === undefined || this.isHolding) return;
     this.held = undefined;
     this.emit('data', held.bytes);
     this.resume();
-    return held.at;
   }
 
   /** Hands nothing on from now on. */
   discard(): void {
     this.isDiscarding = true;
+    // The buffer of the next read can't be replaced.
+    if (!this.isReceiving && this.reader.nextBuffer !== readAheadBuffer)
+      this.pause();
   }
 
   /** Node resumes sockets whose requests have been read. */
@@ -110,12 +142,14 @@
 
   /** Returns whether to go on reading. */
   private onBytes(bytes: Buffer): boolean {
-    if (this.reader.isHolding()) {
+    if (this.isHolding) {
       this.held = {bytes: Buffer.from(bytes), at: this.clock.now()};
-      this.reader.onHeld();
+      this.reader.plan.onHeld();
       return false;
     }
+    this.isReceiving = true;
     this.emit('data', bytes);
+    this.isReceiving = false;
     return true;
   }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -13,6 +13,7 @@
 import type {Cancellation, Clock} from '@persimmonwick/coordination';
 import {CallerProbe, resetMilliseconds} from '../connections/caller-probe.js';
 import type {AwaitedResponse} from '../connections/caller-probe.js';
+import {headReadBytes, maximumReadBytes} from '../connections/caller-socket.js';
 import type {CallerSocket} from '../connections/caller-socket.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
@@ -94,6 +95,8 @@
   private lastResponse: Promise<void> = Promise.resolve();
   /** The last call that was read. */
   private lastCall: OpenCall | undefined;
+  /** Bytes read with the head of the last call. */
+  private bytesReadAtHead = 0;
   /** Bytes read when the last response ended; more of them begin a request. */
   private bytesReadAtEnd = 0;
   private endedAt = -Infinity;
@@ -105,6 +108,8 @@
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
   private errorResponse: string | undefined;
+  /** Refuses a head that timed out behind the responses under way. */
+  private refuseLateHead: (() => void) | undefined;
   private pendingEnd = new AbortController();
   private readonly probe: CallerProbe;
   /** Whether the caller has ended its direction of the connection. */
@@ -120,10 +125,10 @@
     // Each call that waits behind another adds one.
     setMaxListeners(0, this.closed.signal);
     // What is read behind a call could not be answered if the call ends the connection.
-    socket.holdWhile(
-      () => this.openCalls.length > 0 && this.lastRequest?.complete === true,
-      () => void this.watchUnread(),
-    );
+    socket.readBy({
+      nextBytes: () => this.chooseReadBytes(),
+      onHeld: () => void this.watchUnread(),
+    });
     socket.on('timeout', () => void this.onTimeout());
     socket.once('error', error => this.onError(error));
     socket.once('end', () => void this.onHalfClose());
@@ -164,11 +169,9 @@
     return this.openCalls.length > 1 || this.socket.heldAt !== undefined;
   }
 
-  /** Clock time at which the request arrived that is being read. */
-  takeArrival(): number {
-    const {nextArrival} = this;
-    this.nextArrival = undefined;
-    return nextArrival ?? this.parts.clock.now();
+  /** Clock time at which the request that is being read began to arrive. */
+  arrivalOfNext(): number {
+    return this.nextArrival ?? this.parts.clock.now();
   }
 
   /**
@@ -178,7 +181,9 @@
   async enter(call: OpenCall): Promise<boolean> {
     this.pendingEnd.abort();
     const isBehind = this.openCalls.push(call) > 1;
+    this.nextArrival = undefined;
     this.lastCall = call;
+    this.bytesReadAtHead = this.socket.bytesRead;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
       call.response.once('close', () => {
@@ -193,8 +198,9 @@
 
   /**
    * Announces the end of the connection in the head of `response`, unless a request
-   * waits behind it, read or not. No further request is handled: one that crosses the announcement
-   * could not be answered, and a reset tells its caller that it can't have run.
+   * waits behind it, read or not. No further request is handled: one that crosses the
+   * announcement could not be answered, and a reset tells its caller that it can't have
+   * run.
    */
   announceEnd(response: ServerResponse): void {
     if (this.hasFurtherInput) return;
@@ -245,6 +251,17 @@
     else this.destroy(reason);
   }
 
+  /**
+   * Puts off the refusal of a head that timed out behind an open call, where the host
+   * does not read it. Returns false if there is no such call.
+   */
+  deferTimeout(refuse: () => void): boolean {
+    const [call] = this.openCalls;
+    if (call?.response.req.complete !== true) return false;
+    this.refuseLateHead = refuse;
+    return true;
+  }
+
   /**
    * Ends the connection after bytes that are no request. `errorResponse` is sent
    * once the responses under way have ended. Returns false if the connection ends
@@ -270,16 +287,36 @@
   private onResponseEnd(call: OpenCall): void {
     if (this.socket.destroyed) return;
     this.openCalls.splice(this.openCalls.indexOf(call), 1);
-    this.bytesReadAtEnd = this.socket.bytesRead;
+    this.bytesReadAtEnd = this.socket.bytesHandedOn;
     this.endedAt = this.parts.clock.now();
     this.estimateReceipt();
     this.endIfMalformed();
-    if (!this.isEnding) this.nextArrival = this.socket.release();
+    if (!this.isEnding) void this.readBehind(call);
     const isIdle = this.openCalls.length === 0;
     if (isIdle && this.isDraining && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
+  /** Reads what the caller has written behind `call`, which has ended. */
+  private async readBehind(call: OpenCall): Promise<void> {
+    this.nextArrival = this.socket.heldAt;
+    this.socket.release();
+    await this.untilRead();
+    this.nextArrival = undefined;
+    const {refuseLateHead} = this;
+    this.refuseLateHead = undefined;
+    if (refuseLateHead === undefined) return;
+    // The head had timed out before it could be read.
+    await this.sleepAndRead(lastRequestMilliseconds, this.closed.signal);
+    if (this.lastCall === call) refuseLateHead();
+  }
+
+  /** Resolves once all that has arrived is read, with the end behind it. */
+  private async untilRead(): Promise<void> {
+    await setImmediate();
+    await setImmediate();
+  }
+
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
@@ -383,6 +420,22 @@
     if (!canProbe) this.destroy('half-closed');
   }
 
+  /** How far to read, which is not beyond the call in front once that is complete. */
+  private chooseReadBytes(): number {
+    if (this.openCalls[0]?.response.req.complete === true) return 0;
+    const {lastRequest: request} = this;
+    if (request === undefined || request.complete)
+      return this.isEnding ? 0 : headReadBytes;
+    const read = this.socket.bytesRead - this.bytesReadAtHead;
+    const length = request.headers['content-length'];
+    // The end of a body in chunks shows only when it is read.
+    const left =
+      length === undefined
+        ? Math.max(headReadBytes, read)
+        : Math.max(1, Number(length) - read);
+    return Math.min(maximumReadBytes, left);
+  }
+
   /** Finds out that the caller has left behind bytes that are not read. */
   private async watchUnread(): Promise<void> {
     if (this.isWatchingUnread) return;
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -39,6 +39,8 @@
     const listeners = server.listeners('connection');
     server.removeAllListeners('connection');
     server.on('connection', (accepted: Socket) => {
+      // It may have waited for the server.
+      if (accepted.destroyed) return;
       const socket = this.takeOver(accepted);
       for (const listener of listeners) listener.call(server, socket);
       this.add(socket);
@@ -78,8 +80,12 @@
 
   /** Ends the connection of bytes that Node reports as the error `code`. */
   handleClientError({code}: NodeJS.ErrnoException, socket: Socket): void {
-    if (code === 'ECONNRESET' || !socket.writable) socket.destroy();
-    else this.refuseInput(socket, failureOfClientError(code));
+    if (code === 'ECONNRESET' || !socket.writable) return void socket.destroy();
+    const refuse = () => this.refuseInput(socket, failureOfClientError(code));
+    const isDeferred =
+      code === 'ERR_HTTP_REQUEST_TIMEOUT' &&
+      this.of(socket)?.deferTimeout(refuse) === true;
+    if (!isDeferred) refuse();
   }
 
   /**
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -229,7 +229,7 @@
   ): Promise<void> {
     this.inFlight += 1;
     const connection = this.connections.of(request.socket)!;
-    const context = newCallContext(response, connection.takeArrival());
+    const context = newCallContext(response, connection.arrivalOfNext());
     try {
       if (await connection.enter(context))
         await this.processCall(request, target, response, context);
