A request that waited unread is not sent once its caller has left

What callers saw: none; requests reached upstreams 1.3 s after their callers had closed the connection, and upstreams went on with calls without a head. Cause: the end of the connection stands unread behind a request that waits, and the request is handled as soon as it is read. The watch over unread bytes probed only responses that had begun. Change: a request that has waited is handled once the end behind it can be read, and a caller that has ended its direction is asked as those that half-close. A call that may be cancelled and has no response yet gets interim responses, at most four in one silence.

--- a/packages/daemon/src/connections/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -26,6 +26,9 @@
 /** Some parsers take no sizes of chunks with more than 16 digits. */
 const maximumLeadingZeros = 8;
 
+/** Some clients take no more than five interim responses to a request. */
+const maximumInterimResponses = 4;
+
 /** The response that the caller waits for. */
 export interface AwaitedResponse {
   readonly response: ServerResponse;
@@ -76,29 +79,32 @@
   }
 
   /**
-   * Looks for resets until `findResponse` returns undefined or the connection is closed.
-   * A response in chunks that is silent gets leading zeros of the size of the next one.
+   * Looks for resets until `findAwaited` returns undefined or the connection is closed.
+   * A response that is silent gets interim responses before its head, and leading zeros
+   * of the size of its next chunk behind it.
    */
   async watch(
-    findResponse: () => ServerResponse | undefined,
+    findAwaited: () => AwaitedResponse | undefined,
     closed: AbortSignal,
   ): Promise<void> {
     let {bytesWritten} = this.socket;
     let silentMilliseconds = 0;
-    let zeros = 0;
+    let probes = 0;
     for (;;) {
       await this.clock.sleep(resetMilliseconds, closed);
-      const response = findResponse();
-      if (this.socket.destroyed || response === undefined) return;
+      const awaited = findAwaited();
+      if (this.socket.destroyed || awaited === undefined) return;
       if (this.socket.writableLength === 0) void this.isConnected();
-      if (this.socket.bytesWritten > bytesWritten) zeros = 0;
       const isSilent = this.socket.bytesWritten === bytesWritten;
+      if (!isSilent) probes = 0;
       silentMilliseconds = isSilent
         ? silentMilliseconds + resetMilliseconds
         : 0;
-      const isDue = silentMilliseconds >= silenceMilliseconds;
-      if (isDue && zeros < maximumLeadingZeros && this.sendZero(response)) {
-        zeros += 1;
+      if (
+        silentMilliseconds >= silenceMilliseconds &&
+        this.probeAgain(awaited, probes)
+      ) {
+        probes += 1;
         silentMilliseconds = 0;
       }
       ({bytesWritten} = this.socket);
@@ -135,6 +141,19 @@
     return true;
   }
 
+  /** Probes once more after `probes` in the same silence; returns whether it did. */
+  private probeAgain(
+    {response, isProbed}: AwaitedResponse,
+    probes: number,
+  ): boolean {
+    if (response.headersSent)
+      return probes < maximumLeadingZeros && this.sendZero(response);
+    const canProbe = isProbed && response.req.httpVersion !== '1.0';
+    if (!canProbe || probes >= maximumInterimResponses) return false;
+    response.writeContinue();
+    return true;
+  }
+
   /**
    * Sends a leading zero of the size of the next chunk. Returns false if no chunk can
    * follow.
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -181,6 +181,7 @@
   async enter(call: OpenCall): Promise<boolean> {
     this.pendingEnd.abort();
     const isBehind = this.openCalls.push(call) > 1;
+    const wasHeld = this.nextArrival !== undefined;
     this.nextArrival = undefined;
     this.lastCall = call;
     this.bytesReadAtHead = this.socket.bytesRead;
@@ -192,7 +193,8 @@
       });
     });
     await untilAborted(previous, this.closed.signal);
-    if (isBehind) await this.untilReading();
+    if (wasHeld) await this.untilRead();
+    if (isBehind || wasHeld) await this.untilReading();
     return !this.isEnding && !this.socket.destroyed;
   }
 
@@ -443,7 +445,7 @@
     const {probe, closed, socket} = this;
     await probe.watch(
       () =>
-        socket.heldAt === undefined ? undefined : this.openCalls[0]?.response,
+        socket.heldAt === undefined ? undefined : this.findAwaitedResponse(),
       closed.signal,
     );
     this.isWatchingUnread = false;
