A request counts from an earlier byte only if it was written with it

What callers saw: a request with 800 ms left was answered 503 at once, because its caller had written an end of line during the response before, as some do behind a body. Cause: the time at which the first unread byte arrived was kept for whatever request came next, also one that was written long after. Evidence: the new test of a lone end of line got 503 before, and gets 200 now. A whole request behind a stream still counts from its arrival (second test). Change: the time is dropped unless a request is read in the turn of the event loop that reads what had waited.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -274,12 +274,24 @@
     this.endedAt = this.parts.clock.now();
     this.estimateReceipt();
     this.endIfMalformed();
-    if (!this.isEnding) this.nextArrival = this.socket.release();
+    if (!this.isEnding) void this.readOn();
     const isIdle = this.openCalls.length === 0;
     if (isIdle && this.isDraining && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
+  /** Reads what the caller has written behind the last call. */
+  private async readOn(): Promise<void> {
+    const arrival = this.socket.release();
+    this.nextArrival = arrival;
+    if (arrival === undefined) return;
+    // All that waited is read in one turn of the event loop. A request whose head is
+    // not among it may be written much later.
+    await setImmediate();
+    await setImmediate();
+    if (this.nextArrival === arrival) this.nextArrival = undefined;
+  }
+
   private async endAfterLastRequest(): Promise<void> {
     this.pendingEnd = new AbortController();
     const {signal} = this.pendingEnd;
