--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -301,10 +301,12 @@
 
   /** Reads what the caller has written behind `call`, which has ended. */
   private async readBehind(call: OpenCall): Promise<void> {
-    this.nextArrival = this.socket.heldAt;
+    const arrival = this.socket.heldAt;
+    this.nextArrival = arrival;
     this.socket.release();
+    // A request whose head is not among what has waited may be written much later.
     await this.untilRead();
-    this.nextArrival = undefined;
+    if (this.nextArrival === arrival) this.nextArrival = undefined;
     const {refuseLateHead} = this;
     this.refuseLateHead = undefined;
     if (refuseLateHead === undefined) return;
