Planned work: requests behind calls that outlive the grace period

What callers saw: requests written behind a stream that the end of the grace period cut got no answer. No play had such streams with requests behind them, so that none showed it.

With streams=beyond-grace three streams in ten take 7 to 11 s, on routes whose timeouts are longer than that. The patience of these callers with a request begins once the ones before it are answered.

The judge tells a request that the host had read from one that it left unread, which its caller knows not to have run. It samples the table of the system's connections 10 times a second for those on which requests wait, and once more at the end, and counts the unread ones apart. A request counts as unread only if a sample after its last byte shows unread bytes before its end, and either the host's end is still open or the connection was reset. A server's receipt makes it lost as before.

--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -12,8 +12,8 @@
  * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of
  * the habits of callers) or `without` (such a list to leave out), `program` (path of
  * the bundle), `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
- * `streams` (`even`, `uneven`, `rare-long` or `long-in-stops`), `engine-delay` (of reservations and prefills),
- * `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
+ * `streams` (`even`, `uneven`, `rare-long`, `long-in-stops` or
+ * `beyond-grace`), `engine-delay` (of reservations and prefills), `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
  * (seconds), `server-requests` (requests after which servers close a connection at its
  * next use), `slots` (streams that an engine runs at a time) and `stranded` (number of
  * hosts that reach no server).
@@ -25,6 +25,11 @@
  * first host as soon as it takes connections. Streams that the end of the grace
  * period cut are printed as cut, not as lost, if they were sent no later than 3 s after
  * the SIGTERM, and do not change the exit status.
+ *
+ * Requests behind streams that outlive the grace period: `streams=beyond-grace slots=40
+ * habits=one-behind,behind-later,two-behind,behind-announcement`. They are written up to
+ * 5 s behind a stream, one or two with one write. Requests that their host had not read
+ * when it ended the connection are printed as unread, and do not change the exit status.
  */
 
 import {fileURLToPath} from 'node:url';
@@ -33,6 +38,7 @@
   callerHabits,
   describeCut,
   describeFinding,
+  describeUnread,
   plannedKinds,
   streamKinds,
   workKinds,
@@ -97,12 +103,14 @@
   outcomes,
   findings,
   cuts,
+  unread,
   late,
   work,
   unplannedEnds,
 } = await run.run();
 for (const finding of findings) console.log(describeFinding(finding));
 for (const cut of cuts) console.log(describeCut(cut));
+for (const exchange of unread) console.log(describeUnread(exchange));
 const counts = {};
 console.log(JSON.stringify({requestsByKind}));
 for (const {breach, exchange} of findings) {
@@ -112,6 +120,6 @@
 console.log(JSON.stringify({work, outcomes, unplannedEnds, late, counts}));
 const lost = findings.filter(({breach}) => breach === 'lost').length;
 console.log(
-  `${findings.length} findings, ${lost} lost, ${cuts.length} cut, ${requests} requests, seed ${values.seed ?? 1}`,
+  `${findings.length} findings, ${lost} lost, ${cuts.length} cut, ${unread.length} unread, ${requests} requests, seed ${values.seed ?? 1}`,
 );
 process.exitCode = findings.length + unplannedEnds.length > 0 ? 1 : 0;
