A crossing request doesn't cut off the response that is on its way

What callers saw: a caller that reads slowly had a part of a response that was whole at its host, and a reset. It had written a request behind its call before it had read that the connection ends. Cause: since such a request stays unread, and the process that ends closes the connection with it. The reset discards what the system has not sent yet. Change: where a response may still be on its way, what crossed the announcement of the end is read and dropped before the close. Nothing has run of it, and its caller was told of the end.

--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -35,6 +35,7 @@
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private isDiscarding = false;
+  private isDropping = false;
 
   private constructor(
     accepted: Socket,
@@ -103,13 +104,26 @@
     this.isDiscarding = true;
   }
 
+  /** Reads all that comes from now on and drops it: the close then resets nothing. */
+  dropInput(): void {
+    this.isDropping = true;
+    this.reader.isHolding = () => false;
+    this.resume();
+  }
+
+  /** Whether a close resets the connection because of bytes that nobody has received. */
+  get hasUnreadInput(): boolean {
+    return this.held !== undefined && !this.isDropping;
+  }
+
   /** Node resumes sockets whose requests have been read. */
   override resume(): this {
-    return this.held === undefined ? super.resume() : this;
+    return this.held === undefined || this.isDropping ? super.resume() : this;
   }
 
   /** Returns whether to go on reading. */
   private onBytes(bytes: Buffer): boolean {
+    if (this.isDropping) return true;
     if (this.reader.isHolding()) {
       this.held = {bytes: Buffer.from(bytes), at: this.clock.now()};
       this.reader.onHeld();
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -229,12 +229,33 @@
     const {socket, needsReset} = this;
     // Node can't reset a connection whose direction it is about to end.
     const isShuttingDown = socket.writableEnded && !socket.writableFinished;
-    // The byte read ahead counts like those that a close leaves unread.
-    if ((socket.heldAt !== undefined || needsReset) && !isShuttingDown)
+    if ((socket.hasUnreadInput || needsReset) && !isShuttingDown)
       socket.resetAndDestroy();
     else socket.destroy();
   }
 
+  /**
+   * Closes the connection behind the last bytes that were written. A caller that was
+   * told of the end may still receive its response, which a reset would cut off: what
+   * it wrote behind its call is dropped then.
+   */
+  async close(reason: ConnectionEnd): Promise<void> {
+    const {socket} = this;
+    if (this.hasWrittenLastResponse && this.isReceiving()) {
+      socket.dropInput();
+      await setImmediate();
+    }
+    this.destroy(reason);
+  }
+
+  private get hasWrittenLastResponse(): boolean {
+    return this.openCalls.length === 0 && this.socket.writableLength === 0;
+  }
+
+  private isReceiving(): boolean {
+    return this.parts.clock.now() < this.estimateReceipt();
+  }
+
   /**
    * Ends the connection in the middle of a response. The reset that a close with
    * unread bytes causes would overtake the responses before it.
@@ -334,7 +355,7 @@
       clock.now() < latest &&
       (hasReadMore || clock.now() < receivedAt)
     );
-    this.destroy(reason);
+    await this.close(reason);
   }
 
   /** Resolves after `milliseconds`, once the bytes that came until then are read. */
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -104,7 +104,7 @@
       socket => new Promise(resolve => socket.once('close', resolve)),
     );
     for (const connection of [...this.bySocket.values()])
-      connection.destroy('host-closed');
+      void connection.close('host-closed');
     await Promise.all(closed);
   }
 
