--- a/packages/daemon/src/connections/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -150,7 +150,8 @@
       return probes < maximumLeadingZeros && this.sendZero(response);
     const canProbe = isProbed && response.req.httpVersion !== '1.0';
     if (!canProbe || probes >= maximumInterimResponses) return false;
-    response.writeContinue();
+    // Some clients take a 100 that they did not ask for as an error.
+    response.writeProcessing();
     return true;
   }
 
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -36,6 +36,13 @@
   _handle: unknown;
 }
 
+type ReadMode =
+  | 'planned'
+  /** Nothing but the byte ahead is read any more. */
+  | 'stopped'
+  /** What is read is dropped. */
+  | 'dropping';
+
 interface Reader {
   plan: ReadPlan;
   /** Receives the bytes of the next read. */
@@ -53,7 +60,7 @@
 export class CallerSocket extends Socket {
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
-  private isDiscarding = false;
+  private mode: ReadMode = 'planned';
   /** Whether bytes that were read are being handed on. */
   private isReceiving = false;
 
@@ -114,7 +121,16 @@
   readBy(plan: ReadPlan): void {
     this.reader.plan = {
       ...plan,
-      nextBytes: () => (this.isDiscarding ? 0 : plan.nextBytes()),
+      nextBytes: () => {
+        switch (this.mode) {
+          case 'planned':
+            return plan.nextBytes();
+          case 'stopped':
+            return 0;
+          case 'dropping':
+            return maximumReadBytes;
+        }
+      },
     };
   }
 
@@ -127,17 +143,28 @@
     this.resume();
   }
 
-  /** Hands nothing on from now on. */
+  /** Hands nothing on from now on, and reads the byte ahead alone. */
   discard(): void {
-    this.isDiscarding = true;
+    this.mode = 'stopped';
     // The buffer of the next read can't be replaced.
     if (!this.isReceiving && this.reader.nextBuffer !== readAheadBuffer)
       this.pause();
   }
 
+  /** Reads all that comes from now on and drops it: the close then resets nothing. */
+  dropInput(): void {
+    this.mode = 'dropping';
+    this.resume();
+  }
+
+  /** Whether a close resets the connection because of bytes that nobody has received. */
+  get hasUnreadInput(): boolean {
+    return this.held !== undefined && this.mode !== 'dropping';
+  }
+
   /** Node resumes sockets whose requests have been read. */
   override resume(): this {
-    return this.held === undefined ? super.resume() : this;
+    return this.hasUnreadInput ? this : super.resume();
   }
 
   /** Returns whether to go on reading. */
@@ -147,6 +174,7 @@
       this.reader.plan.onHeld();
       return false;
     }
+    if (this.mode === 'dropping') return true;
     this.isReceiving = true;
     this.emit('data', bytes);
     this.isReceiving = false;
