A request that crosses the end of its connection stays unread as a whole

A byte was read of a request that crosses the end of a connection, so that its caller could no longer tell that it had not been read; before nothing was read of it. Change: an ending connection reads nothing, as before.

--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -18,7 +18,6 @@
 
 // All sockets share it, because the HTTP parser copies what it keeps.
 const readBuffer = Buffer.allocUnsafeSlow(maximumReadBytes);
-const readAheadBuffer = readBuffer.subarray(0, 1);
 
 /** What is read of a connection, as decided by its user. */
 export interface ReadPlan {
@@ -45,8 +44,6 @@
 
 interface Reader {
   plan: ReadPlan;
-  /** Receives the bytes of the next read. */
-  nextBuffer: Buffer;
   /** Returns whether to go on reading. */
   onBytes: (bytes: Buffer) => boolean;
 }
@@ -61,8 +58,6 @@
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private mode: ReadMode = 'planned';
-  /** Whether bytes that were read are being handed on. */
-  private isReceiving = false;
 
   private constructor(
     accepted: Socket,
@@ -75,9 +70,7 @@
       onread: {
         buffer: () => {
           const bytes = reader.plan.nextBytes();
-          reader.nextBuffer =
-            bytes === 0 ? readAheadBuffer : readBuffer.subarray(0, bytes);
-          return reader.nextBuffer;
+          return readBuffer.subarray(0, Math.max(1, bytes));
         },
         callback: (count: number, buffer: Uint8Array) =>
           reader.onBytes(buffer.subarray(0, count) as Buffer),
@@ -104,7 +97,6 @@
   static takeOver(accepted: Socket, clock: Clock): CallerSocket {
     return new CallerSocket(accepted, clock, {
       plan: unplanned,
-      nextBuffer: readBuffer,
       onBytes: () => true,
     });
   }
@@ -146,9 +138,6 @@
   /** Hands nothing on from now on, and reads the byte ahead alone. */
   discard(): void {
     this.mode = 'stopped';
-    // The buffer of the next read can't be replaced.
-    if (!this.isReceiving && this.reader.nextBuffer !== readAheadBuffer)
-      this.pause();
   }
 
   /** Reads all that comes from now on and drops it: the close then resets nothing. */
@@ -175,9 +164,7 @@
       return false;
     }
     if (this.mode === 'dropping') return true;
-    this.isReceiving = true;
     this.emit('data', bytes);
-    this.isReceiving = false;
     return true;
   }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -358,7 +358,7 @@
     this.isEnding = true;
     this.setReason(reason);
     const {socket, lastRequest} = this;
-    const stopReading = () => socket.discard();
+    const stopReading = () => socket.pause();
     if (lastRequest === undefined || lastRequest.readableEnded) stopReading();
     // The caller of an upload may read the response only after it has sent it.
     else lastRequest.once('end', stopReading).resume();
