--- a/packages/daemon/src/connections/caller-probe.ts
+++ b/packages/daemon/src/connections/caller-probe.ts
@@ -1,7 +1,7 @@
 /**
  * Finds out whether a caller that has ended its direction of the connection, or whose
- * bytes are not read to their end, still reads. One that has closed the connection looks the same until bytes are sent to it,
- * which its system answers with a reset.
+ * bytes are not read to their end, still reads. One that has closed the connection looks
+ * the same until bytes are sent to it, which its system answers with a reset.
  */
 
 import type {ServerResponse} from 'node:http';
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -36,6 +36,7 @@
 
   /** Has to be called before `server` accepts connections. */
   observe(server: Server): void {
+    // Node gives no choice of the sockets that it passes to its own listeners.
     const listeners = server.listeners('connection');
     server.removeAllListeners('connection');
     server.on('connection', (accepted: Socket) => {
