--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -506,7 +506,7 @@
   callerInputUnread: {
     number: 3133,
     level: 'info',
-    text: "a caller's connection ended before what it wrote behind a call was read, and is reset",
+    text: "a caller's connection ended before what it wrote behind a call was handled; it is reset, unless a response may still be on its way",
     fields: [
       'request',
       'by',
