What stands behind a call in the last moments of a stop stays unread

What callers saw: in a soak, a release behind a call that was given up at the end of the grace period was read, and the process ended 0.16 s later without an answer; a stream that crossed the announcement of the end was read and dropped, 0.75 s after it was sent. Cause: a call that is given up frees the connection for the next one, though the process ends in 0.2 s. And whether a caller still receives a response was asked of an estimate that moves with each question, so that the answer was always yes and what had crossed was always dropped. Change: from the end of the grace period on no connection reads a request. What crossed is dropped only if more of a response is on its way than the caller's system holds; elsewhere the close resets the connection.

--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -109,6 +109,11 @@
     return this.held?.at;
   }
 
+  /** Whether that is handed on later. */
+  get isWaiting(): boolean {
+    return this.held !== undefined && this.mode === 'planned';
+  }
+
   /** Reads by `plan` from the next read on. */
   readBy(plan: ReadPlan): void {
     this.reader.plan = {
--- a/packages/daemon/src/connections/receipt-estimate.ts
+++ b/packages/daemon/src/connections/receipt-estimate.ts
@@ -18,4 +18,9 @@
       Math.max(now, this.receivedAt) + bytes / slowestBytesPerMillisecond;
     return this.receivedAt;
   }
+
+  /** Returns how many of these bytes a slow caller has not received at `now`. */
+  outstandingBytes(now: number): number {
+    return Math.max(0, this.receivedAt - now) * slowestBytesPerMillisecond;
+  }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -31,6 +31,9 @@
  */
 const lastRequestMilliseconds = 500;
 
+/** Bytes that the system of a caller receives though the caller does not read. */
+const receiveBufferBytes = 64 * 1024;
+
 /** How far a call has come. */
 export type CallProgress =
   /** Behind an earlier call on its connection. */
@@ -164,9 +167,9 @@
     return response?.req.complete === false ? response : undefined;
   }
 
-  /** Whether the caller has written more behind the call under way. */
+  /** Whether the caller has written more behind the call under way, which is handled. */
   private get hasFurtherInput(): boolean {
-    return this.openCalls.length > 1 || this.socket.heldAt !== undefined;
+    return this.openCalls.length > 1 || this.socket.isWaiting;
   }
 
   /** Clock time at which the request that is being read began to arrive. */
@@ -210,6 +213,11 @@
     this.socket.discard();
   }
 
+  /** Reads no further request: none could be answered. */
+  stopReading(): void {
+    this.socket.discard();
+  }
+
   /** Announces the end if no call may follow the one that `response` answers. */
   announceEndIfDue(response: ServerResponse): void {
     if (this.isDraining || this.isHalfClosed) this.announceEnd(response);
@@ -260,8 +268,11 @@
     return this.openCalls.length === 0 && this.socket.writableLength === 0;
   }
 
+  /** Whether more of a response is on its way than the caller's system holds. */
   private isReceiving(): boolean {
-    return this.parts.clock.now() < this.estimateReceipt();
+    this.estimateReceipt();
+    const {clock} = this.parts;
+    return this.receipt.outstandingBytes(clock.now()) > receiveBufferBytes;
   }
 
   /**
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -105,6 +105,11 @@
     } while (this.acceptedCount > accepted && clock.now() < latest);
   }
 
+  /** Reads no further request of any connection. */
+  stopReading(): void {
+    for (const connection of this.bySocket.values()) connection.stopReading();
+  }
+
   /** Closes all connections at once; resolves once their ends were reported. */
   async close(): Promise<void> {
     const closed = [...this.bySocket.keys()].map(
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -197,6 +197,7 @@
       kind: 'grace-over',
       cause: 'grace-over',
     };
+    this.connections.stopReading();
     for (const call of this.activeCalls) call.abort(cancellation);
     await this.waitUntilIdle(timeoutMilliseconds);
   }
