--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -12,9 +12,9 @@
  * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of
  * the habits of callers) or `without` (such a list to leave out), `program` (path of
  * the bundle), `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
- * `streams` (`even`, `uneven`, `rare-long`, `long-in-stops` or
- * `beyond-grace`), `engine-delay` (of reservations and prefills), `server-work`, `idle-timeout`, `pause` and `server-idle` (milliseconds), `grace`
- * (seconds), `server-requests` (requests after which servers close a connection at its
+ * `streams` (`even`, `uneven`, `rare-long`, `long-in-stops` or `beyond-grace`),
+ * `engine-delay` (of reservations and prefills), `server-work`, `idle-timeout`, `pause`
+ * and `server-idle` (milliseconds), `grace` (seconds), `server-requests` (requests after which servers close a connection at its
  * next use), `slots` (streams that an engine runs at a time) and `stranded` (number of
  * hosts that reach no server).
  *
