Completions: tests of attempts given up before what replaces them is sure

Each test takes one completion, on virtual time, to the point at which an attempt or a part of it is given up, and lets what replaces it fail, with no further retry left in the budget. The engine that was given up would have gone on within 1.5 s.

--- /dev/null
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -0,0 +1,141 @@
+import test from 'ava';
+import type {RunningAttempt, SimulatedFleet} from '../src/index.js';
+import {
+  decodingEngine,
+  isCompleteStream,
+  makeFleet,
+  prefillingEngine,
+  startRequest,
+  totalHeldTokens,
+} from './tools/placement-fleet.js';
+
+/** Long enough for a fault to occur during prefill, too short to be cached. */
+const longPrompt = {prompt: 'word '.repeat(1_900), promptTokens: 1_900};
+
+/** Completed requests that earn one retry, and less than two. */
+const requestsPerRetry = 6;
+
+/** A fleet whose host has as many retries as its completions have earned. */
+async function makeFleetWithRetries(retries: number) {
+  const {fleet, runner} = makeFleet({retryStartMilliseconds: 1e9});
+  for (let index = 0; index < retries * requestsPerRetry; index += 1) {
+    const {events, done} = startRequest(fleet, runner);
+    await fleet.clock.runUntil(done);
+    if (!isCompleteStream(events)) throw new Error('a request failed');
+  }
+  return {fleet, runner};
+}
+
+/** Advances until an engine other than `first` has an attempt in `state`. */
+async function advanceUntilReplacement(
+  fleet: SimulatedFleet,
+  first: string,
+  state: RunningAttempt['state'],
+) {
+  for (let milliseconds = 0; milliseconds < 1500; milliseconds += 1) {
+    for (const [name, engine] of fleet.engines)
+      if (name !== first && engine.running().some(each => each.state === state))
+        return engine;
+    await fleet.clock.advance(1);
+  }
+  throw new Error(`no replacement was ${state}`);
+}
+
+for (const state of ['prefilling', 'imported', 'decoding'] as const)
+  test(`a stream outlives a replacement that is lost while ${state}`, async t => {
+    const {fleet, runner} = await makeFleetWithRetries(1);
+    const {events, done} = startRequest(fleet, runner, longPrompt);
+    await fleet.clock.advance(300);
+    const first = decodingEngine(fleet);
+    const delivered = events.length;
+    t.true(delivered > 0 && delivered < 20);
+    fleet.engine(first).fail({kind: 'stalled'});
+    const replacement = await advanceUntilReplacement(fleet, first, state);
+    replacement.fail({kind: 'dead'});
+    await fleet.clock.advance(300);
+    fleet.engine(first).fail({kind: 'none'});
+    await fleet.clock.runUntil(done);
+    t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+    await fleet.clock.advance(10_000);
+    t.is(totalHeldTokens(fleet), 0);
+  });
+
+test('a stream outlives a replacement that is refused', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(1);
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  await fleet.clock.advance(300);
+  const first = decodingEngine(fleet);
+  fleet.engine(first).fail({kind: 'stalled'});
+  const replacement = await advanceUntilReplacement(fleet, first, 'imported');
+  replacement.attempts.clear();
+  await fleet.clock.advance(300);
+  fleet.engine(first).fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
+
+test('a stream whose engine is lost goes on at the replacement under way', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(1);
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  await fleet.clock.advance(300);
+  const first = decodingEngine(fleet);
+  fleet.engine(first).fail({kind: 'stalled'});
+  await advanceUntilReplacement(fleet, first, 'prefilling');
+  fleet.engine(first).fail({kind: 'dead'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+  await fleet.clock.advance(10_000);
+  t.is(totalHeldTokens(fleet), 0);
+});
+
+test('a prefill that stalls without a retry is kept', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(0);
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  await fleet.clock.advance(30);
+  const prefill = fleet.engine(prefillingEngine(fleet));
+  prefill.fail({kind: 'stalled'});
+  await fleet.clock.advance(1200);
+  prefill.fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
+
+test('prefills of engines that stall for a while are kept', async t => {
+  const {fleet, runner} = makeFleet();
+  const requests = Array.from({length: 40}, () =>
+    startRequest(fleet, runner, {service: 'deferrable', ...longPrompt}),
+  );
+  await fleet.clock.advance(30);
+  for (const name of ['p1', 'p2']) fleet.engine(name).fail({kind: 'stalled'});
+  await fleet.clock.advance(2500);
+  for (const name of ['p1', 'p2']) fleet.engine(name).fail({kind: 'none'});
+  await fleet.clock.runUntil(Promise.all(requests.map(({done}) => done)));
+  const failures = requests.filter(({events}) => !isCompleteStream(events));
+  t.is(failures.length, 0, JSON.stringify(failures[0]?.events.at(-1)));
+  await fleet.clock.advance(10_000);
+  t.is(totalHeldTokens(fleet), 0);
+});
+
+test('a transfer outlives the engine that was to take it over', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(0);
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  const first = await advanceUntilReplacement(fleet, '', 'imported');
+  first.fail({kind: 'stalled'});
+  await fleet.clock.advance(700);
+  first.fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
+
+test('a stream outlives a link that refuses new connections for a while', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(0);
+  fleet.publishLeaving('d1');
+  const {events, done} = startRequest(fleet, runner);
+  await fleet.clock.advance(200);
+  t.is(decodingEngine(fleet), 'd2');
+  fleet.cutDomains.add('b');
+  await fleet.clock.advance(900);
+  fleet.cutDomains.delete('b');
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
