Completions: an attempt is kept until the next one has its first token

What callers saw: a stream whose decode engine made no progress for 0.8 s ended with `upstream-failed` though the engine went on later. So did a transfer whose cache had expired.

Cause: the attempt without progress was cancelled as soon as engines and a retry were reserved for the next one. Its prefill, transfer, decode and the regeneration of the tokens came after that; if one of them failed, and no further retry was left, nothing was there to go on. A resource is released before its replacement is acquired.

Change: the search for a replacement now runs the next attempt up to its first token (`next-attempt`). The present one goes on beside it and is cancelled for that token. If it makes progress first, the next one is cancelled. If it fails, the search under way goes on for it (`replacement-search`), in place of a new one that would need another retry. An attempt that has no token yet and stalls is itself replaced for a reservation, as before, so that a completion has two attempts at a time at most. Each that is sent to an engine spends its retry, as before. Tokens count as delivered when the caller gets them, and a takeover asks again whether the version is certain.

--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -5,7 +5,6 @@
 import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
-import type {CompletionEvent} from '../requests/completion.js';
 import type {
   DecodedToken,
   EngineAttempt,
@@ -18,14 +17,20 @@
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import {CacheTransfer} from './cache-transfer.js';
 import type {TransferResult} from './cache-transfer.js';
-import type {AttemptAdmission} from './attempt-admission.js';
 import {describeOrigin} from './completion-origin.js';
 import type {CompletionOrigin} from './completion-origin.js';
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import type {
+  AttemptResult,
+  AttemptTokens,
+  FindNextAttempt,
+  NextAttempt,
+} from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
+import {ReplacementSearch} from './replacement-search.js';
 import {readTokens} from './token-stream.js';
 import type {StreamResult} from './token-stream.js';
 
@@ -39,19 +44,6 @@
   origin: CompletionOrigin | undefined;
 }
 
-/** Outcome of an attempt. */
-export type AttemptResult =
-  | {readonly kind: 'complete'}
-  | {readonly kind: 'failed'; readonly error: UpstreamError}
-  /** Stalled, and given up for `placement`, which the next attempt uses. */
-  | {
-      readonly kind: 'replaced';
-      readonly error: UpstreamError;
-      readonly placement: Placement;
-    };
-
-type TokenEvent = Extract<CompletionEvent, {kind: 'token'}>;
-
 /** Dependencies of an attempt. */
 export interface AttemptRunnerParts {
   readonly clock: Clock;
@@ -60,7 +52,6 @@
   readonly cleaner: AttemptCleaner;
   /** Time without a token after which a connection counts as silent. */
   readonly silenceMilliseconds: number;
-  readonly admission: AttemptAdmission;
   readonly configuration: () => Configuration;
 }
 
@@ -80,6 +71,7 @@
   private readonly contactedEngines = new Set<EngineState>();
   private decodeStartedAt = 0;
   private isDecodeStalled = false;
+  private hasDecodedToken = false;
   /** Prefilled tokens that no decode engine has imported yet. */
   private untransferredTokens = 0;
 
@@ -89,10 +81,28 @@
     private readonly attempt: EngineAttempt,
     private readonly placement: Placement,
     private readonly progress: CompletionProgress,
+    private readonly findNext: FindNextAttempt,
   ) {}
 
   /** Yields the tokens that the caller has not received yet. */
-  async *run(signal: AbortSignal): AsyncGenerator<TokenEvent, AttemptResult> {
+  async *run(signal: AbortSignal): AttemptTokens {
+    const search = new ReplacementSearch<NextAttempt>({
+      signal,
+      seek: this.findNext,
+      release: next => next.close(),
+    });
+    const result = yield* this.runStages(search, signal);
+    if (result.kind !== 'failed') return result;
+    const next = await search.kept();
+    return next === undefined
+      ? result
+      : {kind: 'replaced', error: result.error, next};
+  }
+
+  private async *runStages(
+    search: ReplacementSearch<NextAttempt>,
+    signal: AbortSignal,
+  ): AttemptTokens {
     this.parts.cleaner.register(this.attempt);
     let isComplete = false;
     try {
@@ -105,7 +115,7 @@
       );
       if (transferResult.kind !== 'complete') return transferResult;
       this.untransferredTokens = 0;
-      const result = yield* this.decode(signal);
+      const result = yield* this.decode(search, signal);
       isComplete = result.kind === 'complete';
       return result;
     } finally {
@@ -176,6 +186,7 @@
       this.request,
       this.attempt,
       this.placement,
+      this.findNext,
       state => this.contactedEngines.add(state),
       (state, error) => this.recordError(state, error),
     );
@@ -183,14 +194,20 @@
   }
 
   private async *decode(
+    search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
-  ): AsyncGenerator<TokenEvent, AttemptResult> {
+  ): AttemptTokens {
     const {decode} = this.placement;
     this.progress.isDecodeStarted = true;
     const origin = describeOrigin(this.parts.configuration(), decode.upstream);
     const scope = new AbortScope(signal);
     const tokensExpectedAt = this.startDecodeTime(decode);
-    const monitor = this.monitorDecode(decode, tokensExpectedAt, scope.signal);
+    const monitor = this.monitorDecode(
+      decode,
+      tokensExpectedAt,
+      search,
+      scope.signal,
+    );
     const tokens = this.readDecodedTokens(
       decode,
       tokensExpectedAt,
@@ -201,14 +218,16 @@
       for (;;) {
         const item = await monitor.wait(tokens.next());
         if (item.kind !== 'ready') return this.abandonDecode(decode, item);
-        if (item.value.done === true)
-          return this.recordDecodeResult(decode, item.value.value);
+        if (item.value.done === true) {
+          const result = item.value.value;
+          if (result.kind === 'failed') search.keep();
+          return this.recordDecodeResult(decode, result);
+        }
         const {offset, text} = item.value.value;
         monitor.suspend();
+        this.hasDecodedToken = true;
         this.recordDecodeContinued(decode);
-        this.progress.origin ??= origin;
-        this.progress.deliveredTokens += 1;
-        yield {kind: 'token', offset, text};
+        yield {offset, text, origin};
         monitor.resume();
       }
     } finally {
@@ -235,7 +254,7 @@
   private readDecodedTokens(
     decode: EngineState,
     tokensExpectedAt: number,
-    monitor: StallMonitor<Placement>,
+    monitor: StallMonitor<NextAttempt>,
     signal: AbortSignal,
   ): AsyncGenerator<DecodedToken, StreamResult> {
     const {clock, silenceMilliseconds} = this.parts;
@@ -265,39 +284,39 @@
   private monitorDecode(
     decode: EngineState,
     tokensExpectedAt: number,
+    search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
-  ): StallMonitor<Placement> {
-    const {clock, silenceMilliseconds, admission} = this.parts;
-    const monitor = new StallMonitor<Placement>({
+  ): StallMonitor<NextAttempt> {
+    const {clock, silenceMilliseconds} = this.parts;
+    const monitor = new StallMonitor<NextAttempt>({
       clock,
       stallMilliseconds: silentConnectionsOfStall * silenceMilliseconds,
       // The deadline of the request aborts the attempt.
       deadline: Infinity,
       findReplacement: searchSignal => {
         this.recordDecodeStalled(decode);
-        return admission.findReplacement(searchSignal);
+        return search.find(searchSignal);
       },
-      releaseReplacement: placement => admission.releaseReplacement(placement),
+      releaseReplacement: next => search.release(next),
     });
     const watchAt = tokensExpectedAt - silenceMilliseconds;
     if (watchAt <= clock.now()) return monitor;
-    const deliveredTokens = this.progress.deliveredTokens;
     monitor.suspend();
     void clock.sleep(watchAt - clock.now(), signal).then(() => {
-      if (this.progress.deliveredTokens === deliveredTokens) monitor.resume();
+      if (!this.hasDecodedToken) monitor.resume();
     });
     return monitor;
   }
 
   private abandonDecode(
     decode: EngineState,
-    abandonment: Abandonment<Placement>,
+    abandonment: Abandonment<NextAttempt>,
   ): AttemptResult {
     const {id} = decode.engine;
     const error: UpstreamError = {kind: 'silent', upstream: id};
     switch (abandonment.kind) {
       case 'replaced':
-        return {kind: 'replaced', error, placement: abandonment.replacement};
+        return {kind: 'replaced', error, next: abandonment.replacement};
       case 'overdue':
         return {kind: 'failed', error};
     }
--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -14,13 +14,18 @@
 } from '../upstreams/engine.js';
 import {StallMonitor} from '../stall-monitor.js';
 import {AbortScope} from './abort-scope.js';
-import type {AttemptAdmission} from './attempt-admission.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import type {
+  AttemptResult,
+  FindNextAttempt,
+  NextAttempt,
+} from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
+import {ReplacementSearch} from './replacement-search.js';
 
 /** Dependencies of a transfer. */
 export interface CacheTransferParts {
@@ -28,26 +33,22 @@
   readonly placer: Placer;
   readonly links: LinkView;
   readonly cleaner: AttemptCleaner;
-  readonly admission: AttemptAdmission;
 }
 
 /** Outcome of a transfer. */
-export type TransferResult =
-  | {readonly kind: 'complete'}
-  | {readonly kind: 'failed'; readonly error: UpstreamError}
-  /** Silent, and given up for `placement`, which the next attempt uses. */
-  | {
-      readonly kind: 'replaced';
-      readonly error: UpstreamError;
-      readonly placement: Placement;
-    };
+export type TransferResult = AttemptResult;
+
+/** A transfer that another decode engine takes over. */
+interface MovedTransfer {
+  readonly kind: 'moved';
+  readonly decode: EngineState;
+}
 
 /** What a silent transfer is given up for. */
 type Replacement =
   /** Another decode engine, which can still fetch the cache. */
   | {readonly kind: 'decode'; readonly decode: EngineState}
-  /** Engines for a further attempt. */
-  | {readonly kind: 'attempt'; readonly placement: Placement};
+  | {readonly kind: 'attempt'; readonly next: NextAttempt};
 
 const timeoutBaseMilliseconds = 150;
 /** A transfer counts as silent after this multiple of its estimated duration. */
@@ -71,6 +72,7 @@
     private readonly request: PlacedRequest,
     private readonly attempt: EngineAttempt,
     private readonly placement: Placement,
+    private readonly findNext: FindNextAttempt,
     private readonly onContact: (state: EngineState) => void,
     private readonly onError: (
       state: EngineState,
@@ -134,13 +136,13 @@
     failure: TransferResult & {kind: 'failed'},
     signal: AbortSignal,
   ): Promise<TransferResult> {
-    const {clock, admission} = this.parts;
+    const {clock} = this.parts;
     if (!this.hasBeenSilent) return failure;
     this.placement.releaseDecode();
     while (!signal.aborted) {
-      const placement = await admission.findReplacement(signal);
-      if (placement !== undefined)
-        return {kind: 'replaced', error: failure.error, placement};
+      const next = await this.findNext(signal);
+      if (next !== undefined)
+        return {kind: 'replaced', error: failure.error, next};
       await clock.sleep(retrySearchIntervalMilliseconds, signal);
     }
     return failure;
@@ -151,16 +153,15 @@
     result: PrefillResult,
     expiresAt: number,
     signal: AbortSignal,
-  ): Promise<
-    TransferResult | {readonly kind: 'moved'; readonly decode: EngineState}
-  > {
+  ): Promise<TransferResult | MovedTransfer> {
     const {clock, links} = this.parts;
     const {prefill} = this.placement;
     const startedAt = clock.now();
     const scope = new AbortScope(signal);
     this.onContact(decode);
     this.placement.startTransfer();
-    const monitor = this.monitorTransfer(decode, expiresAt);
+    const search = this.searchReplacement(decode, expiresAt, signal);
+    const monitor = this.monitorTransfer(decode, search);
     const request = {
       ...this.attempt,
       sourceAddress: prefill.engine.address,
@@ -169,6 +170,7 @@
     const transferred = await monitor.wait(
       decode.engine.importCache(request, scope.signal),
     );
+    if (transferred.kind === 'ready' && transferred.value.isErr) search.keep();
     monitor.close();
     scope.close();
     const {id: upstream} = decode.engine;
@@ -176,16 +178,17 @@
     switch (transferred.kind) {
       case 'overdue':
         return {kind: 'failed', error: silence};
-      case 'replaced': {
-        const {replacement} = transferred;
-        return replacement.kind === 'decode'
-          ? {kind: 'moved', decode: replacement.decode}
-          : {...replacement, kind: 'replaced', error: silence};
-      }
+      case 'replaced':
+        return replacedBy(transferred.replacement, silence);
       case 'ready':
     }
-    if (transferred.value.isErr)
-      return {kind: 'failed', error: transferred.value.error};
+    if (transferred.value.isErr) {
+      const {error} = transferred.value;
+      const replacement = await search.kept();
+      return replacement === undefined
+        ? {kind: 'failed', error}
+        : replacedBy(replacement, error);
+    }
     // A silent engine that has the cache after all takes its slot again.
     this.placement.reserveDecode();
     this.placement.startTransfer();
@@ -198,12 +201,27 @@
     return {kind: 'complete'};
   }
 
+  private searchReplacement(
+    decode: EngineState,
+    expiresAt: number,
+    signal: AbortSignal,
+  ): ReplacementSearch<Replacement> {
+    return new ReplacementSearch<Replacement>({
+      signal,
+      seek: searchSignal =>
+        this.findReplacement(decode, expiresAt, searchSignal),
+      release: replacement => {
+        if (replacement.kind === 'attempt') replacement.next.close();
+      },
+    });
+  }
+
   /** Seeks a replacement once the transfer to `decode` is silent. */
   private monitorTransfer(
     decode: EngineState,
-    expiresAt: number,
+    search: ReplacementSearch<Replacement>,
   ): StallMonitor<Replacement> {
-    const {clock, admission} = this.parts;
+    const {clock} = this.parts;
     const {transferMilliseconds} = this.placement.estimate;
     let isSilent = false;
     return new StallMonitor<Replacement>({
@@ -215,12 +233,9 @@
       findReplacement: signal => {
         if (!isSilent) this.recordSilence(decode);
         isSilent = true;
-        return this.findReplacement(decode, expiresAt, signal);
-      },
-      releaseReplacement: replacement => {
-        if (replacement.kind === 'attempt')
-          admission.releaseReplacement(replacement.placement);
+        return search.find(signal);
       },
+      releaseReplacement: replacement => search.release(replacement),
     });
   }
 
@@ -236,7 +251,7 @@
     expiresAt: number,
     signal: AbortSignal,
   ): Promise<Replacement | undefined> {
-    const {clock, placer, admission} = this.parts;
+    const {clock, placer} = this.parts;
     const {prefill, estimate} = this.placement;
     if (clock.now() + estimate.transferMilliseconds < expiresAt) {
       const excluded = new Set([
@@ -247,8 +262,8 @@
       const next = placer.chooseDecode(this.request, prefill, excluded);
       return next && {kind: 'decode', decode: next};
     }
-    const placement = await admission.findReplacement(signal);
-    return placement && {kind: 'attempt', placement};
+    const next = await this.findNext(signal);
+    return next && {kind: 'attempt', next};
   }
 
   /**
@@ -316,3 +331,15 @@
     }
   }
 }
+
+function replacedBy(
+  replacement: Replacement,
+  error: UpstreamError,
+): TransferResult | MovedTransfer {
+  switch (replacement.kind) {
+    case 'decode':
+      return {kind: 'moved', decode: replacement.decode};
+    case 'attempt':
+      return {kind: 'replaced', error, next: replacement.next};
+  }
+}
--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {FailureDomainId} from '../ids.js';
-import {attemptId, failureDomainId} from '../ids.js';
+import {attemptId, failureDomainId, upstreamId} from '../ids.js';
 import type {RandomSource} from '../random.js';
 import type {
   CompletionEvent,
@@ -25,24 +25,31 @@
 import type {AttemptRegistry} from './attempt-cleaner.js';
 import {AttemptAdmission} from './attempt-admission.js';
 import {AttemptRunner} from './attempt-runner.js';
-import type {CompletionProgress} from './attempt-runner.js';
+import type {AttemptRunnerParts, CompletionProgress} from './attempt-runner.js';
 import {createWordBlockHasher} from './cache-view.js';
 import type {PromptBlockHasher} from './cache-view.js';
+import {isVersionCertain} from './completion-origin.js';
+import type {CompletionOrigin} from './completion-origin.js';
 import {CompletionRetries} from './completion-retries.js';
 import {Dispatcher} from './dispatcher.js';
 import {EngineView} from './engine-view.js';
 import type {EngineDirectory} from './engine-view.js';
+import type {PlacedRequest} from './engine-candidates.js';
 import {LinkView} from './link-view.js';
+import {NextAttempts} from './next-attempt.js';
+import type {
+  AttemptResult,
+  AttemptTokens,
+  NextAttempt,
+} from './next-attempt.js';
 import {
   callerGoneFailure,
   deadlineExceededFailure,
   upstreamFailure,
 } from './placement-failures.js';
-import type {Placement} from './placement.js';
 import {defaultPolicy} from './placement-policy.js';
 import type {PlacementPolicy} from './placement-policy.js';
 import {Placer} from './placer.js';
-import type {Admission} from './waiting-request.js';
 
 export type {EngineDirectory} from './engine-view.js';
 
@@ -174,13 +181,16 @@
       progress,
       this.parts.clock.now(),
     );
+    const attempts = this.createAttempts(request, attemptAdmission, progress);
     let lastError: UpstreamError | undefined;
-    let nextPlacement: Placement | undefined;
+    let next: NextAttempt | undefined;
     for (;;) {
-      const admission: Admission =
-        nextPlacement === undefined
-          ? await attemptAdmission.admit(lastError !== undefined, signal)
-          : Result.ok(nextPlacement);
+      const admission: Result<NextAttempt, RequestFailure> =
+        next === undefined
+          ? (await attemptAdmission.admit(lastError !== undefined, signal)).map(
+              placement => attempts.onPlacement(placement, signal),
+            )
+          : Result.ok(next);
       const stopReason = stopReasonOf(callerSignal, signal);
       if (admission.isErr || stopReason !== undefined) {
         if (admission.isOk) admission.value.close();
@@ -188,14 +198,7 @@
         yield {kind: 'failed', failure};
         return;
       }
-      request.observer?.dequeued();
-      const attemptRunner = this.createAttemptRunner(
-        request,
-        attemptAdmission,
-        admission.value,
-        progress,
-      );
-      const result = yield* attemptRunner.run(signal);
+      const result = yield* deliver(admission.value.run(), progress);
       if (result.kind === 'complete') {
         this.retries.recordCompletion();
         const {promptTokens, deliveredTokens} = progress;
@@ -207,11 +210,8 @@
         return;
       }
       lastError = result.error;
-      nextPlacement = result.kind === 'replaced' ? result.placement : undefined;
-      if (nextPlacement !== undefined) {
-        attemptAdmission.useReplacement(nextPlacement);
-        continue;
-      }
+      next = this.takeOver(result, progress);
+      if (next !== undefined) continue;
       const attemptStopReason = stopReasonOf(callerSignal, signal);
       const retry =
         attemptStopReason === undefined ? this.retries.tryAcquire() : undefined;
@@ -229,33 +229,53 @@
     }
   }
 
-  private createAttemptRunner(
+  /** The attempt that replaces another one, if it may still go on with the text. */
+  private takeOver(
+    result: AttemptResult,
+    {origin}: CompletionProgress,
+  ): NextAttempt | undefined {
+    if (result.kind !== 'replaced') return undefined;
+    const configuration = this.parts.configuration();
+    if (origin === undefined || isVersionCertain(configuration, origin))
+      return result.next;
+    result.next.close();
+    return undefined;
+  }
+
+  private createAttempts(
     request: CompletionRequest,
     admission: AttemptAdmission,
-    placement: Placement,
     progress: CompletionProgress,
-  ): AttemptRunner {
-    return new AttemptRunner(
-      {
-        clock: this.parts.clock,
-        placer: this.placer,
-        links: this.links,
-        cleaner: this.cleaner,
-        silenceMilliseconds:
-          this.parts.silenceMilliseconds ?? defaultSilenceMilliseconds,
-        admission,
-        configuration: this.parts.configuration,
-      },
-      {
-        ...request,
-        ...(progress.origin !== undefined && {
-          requiredVersion: progress.origin.softwareVersion,
-        }),
+  ): NextAttempts {
+    const parts: AttemptRunnerParts = {
+      clock: this.parts.clock,
+      placer: this.placer,
+      links: this.links,
+      cleaner: this.cleaner,
+      silenceMilliseconds:
+        this.parts.silenceMilliseconds ?? defaultSilenceMilliseconds,
+      configuration: this.parts.configuration,
+    };
+    return new NextAttempts({
+      admission,
+      run: (placement, findNext, signal) => {
+        request.observer?.dequeued();
+        const placedRequest: PlacedRequest = {
+          ...request,
+          ...(progress.origin !== undefined && {
+            requiredVersion: progress.origin.softwareVersion,
+          }),
+        };
+        return new AttemptRunner(
+          parts,
+          placedRequest,
+          this.createAttempt(request),
+          placement,
+          progress,
+          findNext,
+        ).run(signal);
       },
-      this.createAttempt(request),
-      placement,
-      progress,
-    );
+    });
   }
 
   private createAttempt({request}: CompletionRequest): EngineAttempt {
@@ -276,6 +296,33 @@
   }
 }
 
+/** Yields the tokens of an attempt that the caller has not received yet. */
+async function* deliver(
+  tokens: AttemptTokens,
+  progress: CompletionProgress,
+): AsyncGenerator<CompletionEvent, AttemptResult> {
+  try {
+    for (;;) {
+      const item = await tokens.next();
+      if (item.done === true) return item.value;
+      const {offset, text, origin} = item.value;
+      if (offset < progress.deliveredTokens) continue;
+      progress.origin ??= origin;
+      if (origin.softwareVersion !== progress.origin.softwareVersion)
+        return {kind: 'failed', error: malformedError(origin)};
+      progress.deliveredTokens += 1;
+      yield {kind: 'token', offset, text};
+    }
+  } finally {
+    await tokens.return({kind: 'complete'});
+  }
+}
+
+/** The error of tokens that another software version has written. */
+function malformedError({upstream}: CompletionOrigin): UpstreamError {
+  return {kind: 'malformed', upstream: upstreamId(upstream)};
+}
+
 function stopReasonOf(
   callerSignal: AbortSignal,
   signal: AbortSignal,
@@ -291,7 +338,7 @@
 function failureOf(
   stopReason: StopReason,
   progress: CompletionProgress,
-  admission: Result<Placement, RequestFailure>,
+  admission: Result<NextAttempt, RequestFailure>,
   error: UpstreamError | undefined,
 ): RequestFailure {
   const ran = executionStateOf(progress);
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -88,6 +88,25 @@
   t.is(totalHeldTokens(fleet), 0);
 });
 
+test('a transfer outlives a replacement that is lost', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(1);
+  fleet.publishLeaving('d2');
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  const first = await advanceUntilReplacement(fleet, '', 'imported');
+  first.fail({kind: 'stalled'});
+  await fleet.clock.advance(100);
+  const replacement = await advanceUntilReplacement(
+    fleet,
+    first.id,
+    'prefilling',
+  );
+  replacement.fail({kind: 'dead'});
+  await fleet.clock.advance(300);
+  first.fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
+
 test('a prefill that stalls without a retry is kept', async t => {
   const {fleet, runner} = await makeFleetWithRetries(0);
   const {events, done} = startRequest(fleet, runner, longPrompt);
--- a/packages/coordination/test/placement-versions.test.ts
+++ b/packages/coordination/test/placement-versions.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 import {SimulatedFleet} from '../src/index.js';
-import type {SimulatedEngineFault, SimulatedEngineSpec} from '../src/index.js';
+import type {
+  RunningAttempt,
+  SimulatedEngineFault,
+  SimulatedEngineSpec,
+} from '../src/index.js';
 import {
   decodingEngine,
   isCompleteStream,
@@ -45,6 +49,8 @@
       .map(([name]) => versionOf(name)),
   );
 
+const isDecoding = ({state}: RunningAttempt) => state === 'decoding';
+
 const faults: SimulatedEngineFault[] = [
   {kind: 'dead'},
   {kind: 'stalled'},
@@ -90,6 +96,29 @@
   });
 });
 
+// Guards against a replacement that was sought while the version was certain.
+test('a completion found to be of another process ends in spite of a replacement', async t => {
+  const {fleet, runner} = makeFleet(['d1', 'd2', 'd3', 'd4']);
+  const {events, done} = startRequest(fleet, runner);
+  await fleet.clock.advance(200);
+  const name = decodingEngine(fleet);
+  fleet.engine(name).fail({kind: 'stalled'});
+  const isReplaced = () =>
+    [...fleet.engines].some(
+      ([other, engine]) => other !== name && engine.running().some(isDecoding),
+    );
+  for (let step = 0; step < 1500 && !isReplaced(); step += 1)
+    await fleet.clock.advance(1);
+  t.true(isReplaced());
+  fleet.publish(name, {softwareVersion: 'v3', startedAt: 2000});
+  fleet.engine(name).fail({kind: 'dead'});
+  await fleet.clock.runUntil(done);
+  t.like(events.at(-1), {
+    kind: 'failed',
+    failure: {code: 'stream-not-resumable', ran: 'ran'},
+  });
+});
+
 test('a completion whose version is no longer published names the reason', async t => {
   const {fleet, runner} = makeFleet(['d1', 'd2']);
   const {events, done} = startRequest(fleet, runner);
