Completions: a silent prefill goes on until the next attempt has a token

What callers saw: `upstream-timeout`, not run, 0.5 s to 1 s after the call, when its prefill engine made a pause and the retries of the host were used up.

Cause: the call to the prefill engine had a timeout. It was cancelled at it, and only then a retry was asked for.

Change: the prefill is watched like a decode. At the end of that time its engine is avoided for others, and a further attempt is sought and run beside it; it is given up for the first token of that attempt. Its reservation ends with the time, because the engine may have lost the prefill and would else count as busy. A pause of the host counts as before: the time starts anew.

`a prefill is not replaced because its host stood still` passes before and after; without the new count it fails. A call whose prefill is lost and that gets no retry now waits for one until its deadline, as a transfer does already.

--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -2,7 +2,7 @@
  * Runs one attempt on its reserved engines: prefill, KV cache transfer, decode.
  */
 
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
 import type {
@@ -13,7 +13,7 @@
 } from '../upstreams/engine.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {Abandonment} from '../stall-monitor.js';
-import {AbortScope, callWithTimeout} from './abort-scope.js';
+import {AbortScope, lateTimerMilliseconds} from './abort-scope.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import {CacheTransfer} from './cache-transfer.js';
 import type {TransferResult} from './cache-transfer.js';
@@ -56,6 +56,7 @@
 }
 
 const prefillTimeoutBaseMilliseconds = 500;
+const pauseCheckIntervalMilliseconds = 100;
 /** Timeouts allow this multiple of the estimated duration. */
 const timeoutFactor = 3;
 /**
@@ -69,8 +70,9 @@
 
 export class AttemptRunner {
   private readonly contactedEngines = new Set<EngineState>();
+  private startedAt = 0;
   private decodeStartedAt = 0;
-  private isDecodeStalled = false;
+  private isStalled = false;
   private hasDecodedToken = false;
   /** Prefilled tokens that no decode engine has imported yet. */
   private untransferredTokens = 0;
@@ -103,12 +105,12 @@
     search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
   ): AttemptTokens {
+    this.startedAt = this.parts.clock.now();
     this.parts.cleaner.register(this.attempt);
     let isComplete = false;
     try {
-      const prefillResult = await this.prefill(signal);
-      if (prefillResult.isErr)
-        return {kind: 'failed', error: prefillResult.error};
+      const prefillResult = await this.prefill(search, signal);
+      if (prefillResult.isErr) return prefillResult.error;
       const transferResult = await this.transferCache(
         prefillResult.value,
         signal,
@@ -130,51 +132,86 @@
     }
   }
 
+  /** Resolves with an error that ends the attempt. */
   private async prefill(
+    search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
-  ): Promise<Result<PrefillResult, UpstreamError>> {
-    const {clock, links} = this.parts;
-    const {prefill, estimate} = this.placement;
-    const startedAt = clock.now();
+  ): Promise<Result<PrefillResult, AttemptResult>> {
+    const {prefill} = this.placement;
     this.contactedEngines.add(prefill);
-    const prefillResult = await callWithTimeout(
-      clock,
-      prefillTimeoutBaseMilliseconds +
-        timeoutFactor * estimate.prefillMilliseconds,
-      signal,
-      prefill.engine.id,
-      callSignal =>
-        prefill.engine.prefill(
-          {
-            ...this.attempt,
-            model: this.request.model,
-            account: this.request.account,
-            cacheScope: this.request.account,
-            prompt: this.request.prompt,
-            priority: priorityOf(this.request),
-          },
-          callSignal,
-        ),
+    const scope = new AbortScope(signal);
+    const monitor = this.monitorPrefill(prefill, search);
+    void this.resumeAfterPauses(monitor, scope.signal);
+    const item = await monitor.wait(
+      prefill.engine.prefill(
+        {
+          ...this.attempt,
+          model: this.request.model,
+          account: this.request.account,
+          cacheScope: this.request.account,
+          prompt: this.request.prompt,
+          priority: priorityOf(this.request),
+        },
+        scope.signal,
+      ),
     );
+    if (item.kind === 'ready' && item.value.isErr) search.keep();
+    monitor.close();
+    scope.close();
     this.placement.releasePrefill();
-    if (prefillResult.isErr) {
-      this.recordError(prefill, prefillResult.error);
-      return prefillResult;
+    if (item.kind !== 'ready') return Result.err(this.abandon(prefill, item));
+    if (item.value.isErr) {
+      const {error} = item.value;
+      this.recordError(prefill, error);
+      return Result.err({kind: 'failed', error});
     }
+    this.recordPrefill(prefill, item.value.value);
+    return Result.ok(item.value.value);
+  }
+
+  private monitorPrefill(
+    prefill: EngineState,
+    search: ReplacementSearch<NextAttempt>,
+  ): StallMonitor<NextAttempt> {
+    const {prefillMilliseconds} = this.placement.estimate;
+    return this.monitorEngine(
+      prefill,
+      prefillTimeoutBaseMilliseconds + timeoutFactor * prefillMilliseconds,
+      search,
+      // An engine that lost the prefill may be used for others.
+      () => this.placement.releasePrefill(),
+    );
+  }
+
+  /** Counts the time without an answer anew after the process stood still. */
+  private async resumeAfterPauses(
+    monitor: StallMonitor<NextAttempt>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      const wakesAt = clock.now() + pauseCheckIntervalMilliseconds;
+      await clock.sleep(pauseCheckIntervalMilliseconds, signal);
+      if (clock.now() - wakesAt > lateTimerMilliseconds) monitor.resume();
+    }
+  }
+
+  private recordPrefill(prefill: EngineState, result: PrefillResult): void {
+    const {clock, links} = this.parts;
+    const {promptTokens, cachedTokens, bytes} = result;
+    this.isStalled = false;
     prefill.health.recordSuccess();
     prefill.health.recordDuration(
       clock.now(),
-      clock.now() - startedAt,
+      clock.now() - this.startedAt,
       Math.max(
         minimumExpectedPrefillMilliseconds,
-        estimate.prefillMilliseconds,
+        this.placement.estimate.prefillMilliseconds,
       ),
     );
-    const {promptTokens, cachedTokens, bytes} = prefillResult.value;
     this.untransferredTokens = promptTokens - cachedTokens;
     this.progress.promptTokens = promptTokens;
     links.recordSize(promptTokens, bytes);
-    return prefillResult;
   }
 
   private async transferCache(
@@ -217,7 +254,7 @@
     try {
       for (;;) {
         const item = await monitor.wait(tokens.next());
-        if (item.kind !== 'ready') return this.abandonDecode(decode, item);
+        if (item.kind !== 'ready') return this.abandon(decode, item);
         if (item.value.done === true) {
           const result = item.value.value;
           if (result.kind === 'failed') search.keep();
@@ -288,17 +325,11 @@
     signal: AbortSignal,
   ): StallMonitor<NextAttempt> {
     const {clock, silenceMilliseconds} = this.parts;
-    const monitor = new StallMonitor<NextAttempt>({
-      clock,
-      stallMilliseconds: silentConnectionsOfStall * silenceMilliseconds,
-      // The deadline of the request aborts the attempt.
-      deadline: Infinity,
-      findReplacement: searchSignal => {
-        this.recordDecodeStalled(decode);
-        return search.find(searchSignal);
-      },
-      releaseReplacement: next => search.release(next),
-    });
+    const monitor = this.monitorEngine(
+      decode,
+      silentConnectionsOfStall * silenceMilliseconds,
+      search,
+    );
     const watchAt = tokensExpectedAt - silenceMilliseconds;
     if (watchAt <= clock.now()) return monitor;
     monitor.suspend();
@@ -308,12 +339,32 @@
     return monitor;
   }
 
-  private abandonDecode(
-    decode: EngineState,
+  /** Seeks a further attempt while the engine makes no progress. */
+  private monitorEngine(
+    state: EngineState,
+    stallMilliseconds: number,
+    search: ReplacementSearch<NextAttempt>,
+    onStall = () => {},
+  ): StallMonitor<NextAttempt> {
+    return new StallMonitor<NextAttempt>({
+      clock: this.parts.clock,
+      stallMilliseconds,
+      // The deadline of the request aborts the attempt.
+      deadline: Infinity,
+      findReplacement: signal => {
+        this.recordStalled(state);
+        onStall();
+        return search.find(signal);
+      },
+      releaseReplacement: next => search.release(next),
+    });
+  }
+
+  private abandon(
+    state: EngineState,
     abandonment: Abandonment<NextAttempt>,
   ): AttemptResult {
-    const {id} = decode.engine;
-    const error: UpstreamError = {kind: 'silent', upstream: id};
+    const error: UpstreamError = {kind: 'silent', upstream: state.engine.id};
     switch (abandonment.kind) {
       case 'replaced':
         return {kind: 'replaced', error, next: abandonment.replacement};
@@ -323,15 +374,15 @@
   }
 
   /** Ejects the engine once for each stall, so that others are chosen. */
-  private recordDecodeStalled(decode: EngineState): void {
-    if (this.isDecodeStalled) return;
-    this.isDecodeStalled = true;
-    this.recordError(decode, {kind: 'silent', upstream: decode.engine.id});
+  private recordStalled(state: EngineState): void {
+    if (this.isStalled) return;
+    this.isStalled = true;
+    this.recordError(state, {kind: 'silent', upstream: state.engine.id});
   }
 
   private recordDecodeContinued(decode: EngineState): void {
-    if (!this.isDecodeStalled) return;
-    this.isDecodeStalled = false;
+    if (!this.isStalled) return;
+    this.isStalled = false;
     decode.health.recordSuccess();
   }
 
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -6,8 +6,10 @@
   makeFleet,
   prefillingEngine,
   startRequest,
+  testHost,
   totalHeldTokens,
 } from './tools/placement-fleet.js';
+import {PausableClock} from './tools/pausable-clock.js';
 
 /** Long enough for a fault to occur during prefill, too short to be cached. */
 const longPrompt = {prompt: 'word '.repeat(1_900), promptTokens: 1_900};
@@ -88,6 +90,19 @@
   t.is(totalHeldTokens(fleet), 0);
 });
 
+test('a stream whose replacement stalls goes on at a further one', async t => {
+  const {fleet, runner} = makeFleet();
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  await fleet.clock.advance(300);
+  const first = decodingEngine(fleet);
+  fleet.engine(first).fail({kind: 'stalled'});
+  const replacement = await advanceUntilReplacement(fleet, first, 'prefilling');
+  replacement.fail({kind: 'stalled'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+  t.true(fleet.clock.now() < 4000, `${fleet.clock.now()} ms`);
+});
+
 test('a transfer outlives a replacement that is lost', async t => {
   const {fleet, runner} = await makeFleetWithRetries(1);
   fleet.publishLeaving('d2');
@@ -135,6 +150,24 @@
   t.is(totalHeldTokens(fleet), 0);
 });
 
+test('a prefill is not replaced because its host stood still', async t => {
+  const {fleet} = makeFleet();
+  const clock = new PausableClock(fleet.clock);
+  const runner = fleet.makeRunner(testHost, {clock});
+  const {events, done} = startRequest(fleet, runner, longPrompt);
+  await fleet.clock.advance(30);
+  const prefill = fleet.engine(prefillingEngine(fleet));
+  prefill.fail({kind: 'stalled'});
+  clock.pause();
+  await fleet.clock.advance(1200);
+  clock.resume();
+  await fleet.clock.advance(300);
+  prefill.fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+  t.is(prefill.prefilledTokens, longPrompt.promptTokens);
+});
+
 test('a transfer outlives the engine that was to take it over', async t => {
   const {fleet, runner} = await makeFleetWithRetries(0);
   const {events, done} = startRequest(fleet, runner, longPrompt);
