Completions: a silent transfer goes on until another engine has the cache

What callers saw: a call whose decode engine stood still for 0.7 s while it fetched the KV cache ended at its deadline with `upstream-timeout`, not run, when the retries of the host were used up.

Cause: the transfer was cancelled as soon as another decode engine had a free slot. That engine was asked for the cache only then. It refused, or the first engine had fetched the cache already and the prefill engine no longer had it.

Change: the transfers to all engines that were asked stay open, and the first engine that has the cache goes on. The others are cancelled then. Engines that are silent are avoided for other calls once each, and a slot is held for one engine at a time, as before.

--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -1,11 +1,12 @@
 /**
  * Transfers a KV cache to a decode engine. When that engine fails or is full,
  * another one is chosen, until the cache expires on the prefill engine. A silent
- * transfer goes on, because its engine may only be slow, until another decode
- * engine or, once the cache has expired, engines and a retry for a further attempt
- * are secured. The deadline of the request bounds the wait.
+ * transfer goes on, because its engine may only be slow or have the cache already,
+ * until another decode engine has the cache or a further attempt its first token.
+ * The deadline of the request bounds the wait.
  */
 
+import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {
   EngineAttempt,
@@ -13,6 +14,7 @@
   UpstreamError,
 } from '../upstreams/engine.js';
 import {StallMonitor} from '../stall-monitor.js';
+import type {Abandonment} from '../stall-monitor.js';
 import {AbortScope} from './abort-scope.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import type {PlacedRequest} from './engine-candidates.js';
@@ -38,18 +40,31 @@
 /** Outcome of a transfer. */
 export type TransferResult = AttemptResult;
 
-/** A transfer that another decode engine takes over. */
-interface MovedTransfer {
-  readonly kind: 'moved';
+/** The transfer is to be tried at `decode` too. */
+interface WidenedTransfer {
+  readonly kind: 'widened';
   readonly decode: EngineState;
 }
 
-/** What a silent transfer is given up for. */
+/** What a silent transfer is not the only hope of. */
 type Replacement =
-  /** Another decode engine, which can still fetch the cache. */
+  /** Another decode engine, which may still fetch the cache. */
   | {readonly kind: 'decode'; readonly decode: EngineState}
   | {readonly kind: 'attempt'; readonly next: NextAttempt};
 
+/** A decode engine that was asked to fetch the cache. */
+interface OpenImport {
+  readonly decode: EngineState;
+  readonly startedAt: number;
+  readonly scope: AbortScope;
+  readonly outcome: Promise<ImportOutcome>;
+}
+
+interface ImportOutcome {
+  readonly decode: EngineState;
+  readonly result: Result<void, UpstreamError>;
+}
+
 const timeoutBaseMilliseconds = 150;
 /** A transfer counts as silent after this multiple of its estimated duration. */
 const timeoutFactor = 3;
@@ -62,10 +77,13 @@
 const sourceUnavailableCodes = ['expired', 'source-unreachable'];
 
 export class CacheTransfer {
+  private readonly openImports = new Map<EngineState, OpenImport>();
   private readonly failedEngines = new Set<EngineState>();
   private readonly fullEngines = new Set<EngineState>();
-  /** Whether a decode engine was silent, which may have fetched the cache. */
-  private hasBeenSilent = false;
+  /** Engines that were silent, one of which may have fetched the cache. */
+  private readonly silentEngines = new Set<EngineState>();
+  /** Whether no further decode engine can fetch the cache. */
+  private isSourceLost = false;
 
   constructor(
     private readonly parts: CacheTransferParts,
@@ -84,50 +102,38 @@
     result: PrefillResult,
     signal: AbortSignal,
   ): Promise<TransferResult> {
-    const {clock} = this.parts;
-    const expiresAt = clock.now() + result.expiresInMilliseconds;
+    try {
+      return await this.transfer(result, signal);
+    } finally {
+      for (const {scope} of this.openImports.values()) scope.close();
+    }
+  }
+
+  private async transfer(
+    result: PrefillResult,
+    signal: AbortSignal,
+  ): Promise<TransferResult> {
+    const expiresAt = this.parts.clock.now() + result.expiresInMilliseconds;
     for (;;) {
       const {decode} = this.placement;
-      const transferred = await this.transferTo(
-        decode,
-        result,
-        expiresAt,
-        signal,
-      );
+      this.startImport(decode, result, signal);
+      const transferred = await this.waitForImports(result, expiresAt, signal);
       switch (transferred.kind) {
         case 'complete':
         case 'replaced':
           return transferred;
-        case 'moved':
-          this.failedEngines.add(decode);
-          this.parts.cleaner.cancelAt(this.attempt, decode);
+        case 'widened':
           this.placement.replaceDecode(transferred.decode);
           continue;
         case 'failed':
       }
       if (signal.aborted) return transferred;
-      const isLost =
-        this.recordSourceError(transferred.error) ||
-        !(await this.recordAndChooseNext(
-          decode,
-          transferred.error,
-          expiresAt,
-          signal,
-        ));
-      if (isLost) return this.failOrReplace(transferred, signal);
+      const canGoOn =
+        !this.isSourceLost && (await this.chooseNextDecode(expiresAt, signal));
+      if (!canGoOn) return this.failOrReplace(transferred, signal);
     }
   }
 
-  private recordAndChooseNext(
-    decode: EngineState,
-    error: UpstreamError,
-    expiresAt: number,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    this.recordDecodeError(decode, error);
-    return this.chooseNextDecode(expiresAt, signal);
-  }
-
   /**
    * Ends a transfer that failed. One that was silent waits for engines and a retry
    * for a further attempt.
@@ -137,7 +143,7 @@
     signal: AbortSignal,
   ): Promise<TransferResult> {
     const {clock} = this.parts;
-    if (!this.hasBeenSilent) return failure;
+    if (this.silentEngines.size === 0) return failure;
     this.placement.releaseDecode();
     while (!signal.aborted) {
       const next = await this.findNext(signal);
@@ -148,82 +154,118 @@
     return failure;
   }
 
-  private async transferTo(
+  private startImport(
     decode: EngineState,
-    result: PrefillResult,
-    expiresAt: number,
+    {handle}: PrefillResult,
     signal: AbortSignal,
-  ): Promise<TransferResult | MovedTransfer> {
-    const {clock, links} = this.parts;
-    const {prefill} = this.placement;
-    const startedAt = clock.now();
+  ): void {
     const scope = new AbortScope(signal);
     this.onContact(decode);
     this.placement.startTransfer();
-    const search = this.searchReplacement(decode, expiresAt, signal);
-    const monitor = this.monitorTransfer(decode, search);
     const request = {
       ...this.attempt,
-      sourceAddress: prefill.engine.address,
-      handle: result.handle,
+      sourceAddress: this.placement.prefill.engine.address,
+      handle,
     };
-    const transferred = await monitor.wait(
-      decode.engine.importCache(request, scope.signal),
-    );
-    if (transferred.kind === 'ready' && transferred.value.isErr) search.keep();
-    monitor.close();
-    scope.close();
-    const {id: upstream} = decode.engine;
-    const silence: UpstreamError = {kind: 'silent', upstream};
-    switch (transferred.kind) {
-      case 'overdue':
-        return {kind: 'failed', error: silence};
-      case 'replaced':
-        return replacedBy(transferred.replacement, silence);
-      case 'ready':
+    this.openImports.set(decode, {
+      decode,
+      scope,
+      startedAt: this.parts.clock.now(),
+      outcome: decode.engine
+        .importCache(request, scope.signal)
+        .then(result => ({decode, result})),
+    });
+  }
+
+  /** Waits for the first decode engine that has the cache. */
+  private async waitForImports(
+    result: PrefillResult,
+    expiresAt: number,
+    signal: AbortSignal,
+  ): Promise<TransferResult | WidenedTransfer> {
+    const search = this.searchReplacement(expiresAt, signal);
+    const monitor = this.monitorImports(search);
+    try {
+      for (;;) {
+        const outcomes = [...this.openImports.values()].map(
+          ({outcome}) => outcome,
+        );
+        const item = await monitor.wait(Promise.race(outcomes));
+        if (item.kind !== 'ready')
+          return abandonedFor(item, this.placement.decode);
+        const {decode} = item.value;
+        const ended = this.endImport(decode);
+        if (item.value.result.isOk) {
+          this.complete(ended, result);
+          return {kind: 'complete'};
+        }
+        const {error} = item.value.result;
+        if (signal.aborted) return {kind: 'failed', error};
+        this.recordImportError(decode, error);
+        if (this.openImports.size > 0) {
+          this.placement.releaseDecode();
+          continue;
+        }
+        search.keep();
+        monitor.close();
+        const replacement = await search.kept();
+        return replacement === undefined
+          ? {kind: 'failed', error}
+          : replacedBy(replacement, error);
+      }
+    } finally {
+      monitor.close();
     }
-    if (transferred.value.isErr) {
-      const {error} = transferred.value;
-      const replacement = await search.kept();
-      return replacement === undefined
-        ? {kind: 'failed', error}
-        : replacedBy(replacement, error);
+  }
+
+  private endImport(decode: EngineState): OpenImport {
+    const ended = this.openImports.get(decode)!;
+    this.openImports.delete(decode);
+    ended.scope.close();
+    return ended;
+  }
+
+  /** Cancels the transfers to other engines than the one that has the cache. */
+  private complete(
+    {decode, startedAt}: OpenImport,
+    {promptTokens}: PrefillResult,
+  ): void {
+    const {clock, links, cleaner} = this.parts;
+    for (const other of [...this.openImports.keys()]) {
+      this.endImport(other);
+      cleaner.cancelAt(this.attempt, other);
     }
-    // A silent engine that has the cache after all takes its slot again.
-    this.placement.reserveDecode();
+    // An engine that was silent has its slot again.
+    if (decode === this.placement.decode) this.placement.reserveDecode();
+    else this.placement.replaceDecode(decode);
     this.placement.startTransfer();
     links.recordTransfer(
-      prefill,
+      this.placement.prefill,
       decode,
-      result.promptTokens,
+      promptTokens,
       clock.now() - startedAt,
     );
-    return {kind: 'complete'};
   }
 
   private searchReplacement(
-    decode: EngineState,
     expiresAt: number,
     signal: AbortSignal,
   ): ReplacementSearch<Replacement> {
     return new ReplacementSearch<Replacement>({
       signal,
-      seek: searchSignal =>
-        this.findReplacement(decode, expiresAt, searchSignal),
+      seek: searchSignal => this.findReplacement(expiresAt, searchSignal),
       release: replacement => {
         if (replacement.kind === 'attempt') replacement.next.close();
       },
     });
   }
 
-  /** Seeks a replacement once the transfer to `decode` is silent. */
-  private monitorTransfer(
-    decode: EngineState,
+  /** Seeks a replacement once the transfers are silent. */
+  private monitorImports(
     search: ReplacementSearch<Replacement>,
   ): StallMonitor<Replacement> {
     const {clock} = this.parts;
     const {transferMilliseconds} = this.placement.estimate;
-    let isSilent = false;
     return new StallMonitor<Replacement>({
       clock,
       stallMilliseconds:
@@ -231,33 +273,34 @@
       // The deadline of the request aborts the attempt.
       deadline: Infinity,
       findReplacement: signal => {
-        if (!isSilent) this.recordSilence(decode);
-        isSilent = true;
+        this.recordSilence();
         return search.find(signal);
       },
       releaseReplacement: replacement => search.release(replacement),
     });
   }
 
-  /** Ejects a silent engine and frees the slot there, so that others are chosen. */
-  private recordSilence(decode: EngineState): void {
-    this.hasBeenSilent = true;
-    this.onError(decode, {kind: 'silent', upstream: decode.engine.id});
+  /** Ejects silent engines and frees the slot there, so that others are chosen. */
+  private recordSilence(): void {
+    for (const decode of this.openImports.keys()) {
+      if (this.silentEngines.has(decode)) continue;
+      this.silentEngines.add(decode);
+      this.onError(decode, {kind: 'silent', upstream: decode.engine.id});
+    }
     this.placement.releaseDecode();
   }
 
   private async findReplacement(
-    decode: EngineState,
     expiresAt: number,
     signal: AbortSignal,
   ): Promise<Replacement | undefined> {
     const {clock, placer} = this.parts;
     const {prefill, estimate} = this.placement;
-    if (clock.now() + estimate.transferMilliseconds < expiresAt) {
+    const isExpiring = clock.now() + estimate.transferMilliseconds >= expiresAt;
+    if (!this.isSourceLost && !isExpiring) {
       const excluded = new Set([
-        decode,
+        ...this.openImports.keys(),
         ...this.failedEngines,
-        ...this.fullEngines,
       ]);
       const next = placer.chooseDecode(this.request, prefill, excluded);
       return next && {kind: 'decode', decode: next};
@@ -266,18 +309,18 @@
     return next && {kind: 'attempt', next};
   }
 
-  /**
-   * Records a failed prefill engine. Returns true when the prefill result can
-   * no longer be transferred.
-   */
-  private recordSourceError(error: UpstreamError): boolean {
-    if (error.kind !== 'refused') return false;
+  private recordImportError(decode: EngineState, error: UpstreamError): void {
+    this.recordSourceError(error);
+    if (!this.isSourceLost) this.recordDecodeError(decode, error);
+  }
+
+  /** Records whether the prefill engine has failed or has lost the cache. */
+  private recordSourceError(error: UpstreamError): void {
+    if (error.kind !== 'refused') return;
+    const {prefill} = this.placement;
     if (error.code === 'source-unreachable')
-      this.onError(this.placement.prefill, {
-        kind: 'unreachable',
-        upstream: this.placement.prefill.engine.id,
-      });
-    return sourceUnavailableCodes.includes(error.code);
+      this.onError(prefill, {kind: 'unreachable', upstream: prefill.engine.id});
+    this.isSourceLost ||= sourceUnavailableCodes.includes(error.code);
   }
 
   private recordDecodeError(decode: EngineState, error: UpstreamError): void {
@@ -332,13 +375,26 @@
   }
 }
 
+function abandonedFor(
+  abandonment: Abandonment<Replacement>,
+  {engine}: EngineState,
+): TransferResult | WidenedTransfer {
+  const error: UpstreamError = {kind: 'silent', upstream: engine.id};
+  switch (abandonment.kind) {
+    case 'replaced':
+      return replacedBy(abandonment.replacement, error);
+    case 'overdue':
+      return {kind: 'failed', error};
+  }
+}
+
 function replacedBy(
   replacement: Replacement,
   error: UpstreamError,
-): TransferResult | MovedTransfer {
+): TransferResult | WidenedTransfer {
   switch (replacement.kind) {
     case 'decode':
-      return {kind: 'moved', decode: replacement.decode};
+      return {kind: 'widened', decode: replacement.decode};
     case 'attempt':
       return {kind: 'replaced', error, next: replacement.next};
   }
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -177,6 +177,8 @@
   first.fail({kind: 'none'});
   await fleet.clock.runUntil(done);
   t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+  await fleet.clock.advance(10_000);
+  t.is(totalHeldTokens(fleet), 0);
 });
 
 test('a stream outlives a link that refuses new connections for a while', async t => {
