Completions: an engine that can't be reached for a while keeps its stream

What callers saw: a stream ended with `upstream-failed` (unreachable) when the link to its engine was cut for 0.9 s and the retries of the host were used up.

Cause: a silent connection is closed before the next one to its engine is known to be accepted. While the link refused new connections, the first refusal ended the stream, and the attempt at the engine was cancelled, though the engine kept it.

Change: after silence, an engine that can't be reached is connected to again, once in each silence time, like one that stays silent. The search for a replacement and the deadline bound the wait as for silence. A connection that breaks without silence before it ends the stream as before, because the engine closed it.

Price: a stream whose engine is first silent and then refuses connections is replaced by the search at two silence times (0.8 s), where it failed at the refusal before.

--- a/packages/coordination/src/placement/token-stream.ts
+++ b/packages/coordination/src/placement/token-stream.ts
@@ -1,7 +1,8 @@
 /**
  * Reads the tokens of one attempt from a decode engine, in order and each once.
  * Reconnects when a connection goes silent or breaks. Silence alone never ends
- * the stream; its consumer aborts it.
+ * the stream, also not if its engine can't be reached then, because the engine keeps
+ * the attempt; its consumer aborts it.
  */
 
 import type {Clock} from '../clock.js';
@@ -65,6 +66,7 @@
 ): AsyncGenerator<DecodedToken, StreamResult> {
   let nextOffset = request.offset;
   let failedConnections = 0;
+  let hasBeenSilent = false;
   for (;;) {
     const connection = new Connection(
       {
@@ -79,12 +81,16 @@
     const result = yield* connection.read();
     nextOffset = connection.nextOffset;
     if (result.kind === 'complete') return result;
-    failedConnections = nextOffset > previousOffset ? 1 : failedConnections + 1;
+    const hasProgress = nextOffset > previousOffset;
+    const {error} = result;
+    failedConnections = hasProgress ? 1 : failedConnections + 1;
+    hasBeenSilent = error.kind === 'silent' || (hasBeenSilent && !hasProgress);
+    const isLinkLost = hasBeenSilent && error.kind === 'unreachable';
     const canReconnect =
-      result.error.kind === 'silent' ||
-      failedConnections < maximumFailedConnections;
-    const hasFailed = !canResume(result.error) || !canReconnect;
+      error.kind === 'silent' || failedConnections < maximumFailedConnections;
+    const hasFailed = !isLinkLost && (!canResume(error) || !canReconnect);
     if (signal.aborted || hasFailed) return result;
+    if (isLinkLost) await parts.clock.sleep(parts.silenceMilliseconds, signal);
   }
 }
 
