Completions: a silent prefill holds no decode slot

What callers would have seen: calls that wait until their deadline though all engines are sound again.

Cause: since a silent prefill goes on, it held the decode slot that was reserved with it. An engine that has failed admits one request at a time at first. Prefills whose answers were lost held that one place at each decode engine, so that nothing could replace them.

Change: the slot is released with the place at the prefill engine, and reserved again if the prefill is answered after all, as for silent transfers.

Result: `prefills whose answers are lost are replaced` failed before (both calls ended at their deadline of 20 s) and passes now.

--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -178,8 +178,11 @@
       prefill,
       prefillTimeoutBaseMilliseconds + timeoutFactor * prefillMilliseconds,
       search,
-      // An engine that lost the prefill may be used for others.
-      () => this.placement.releasePrefill(),
+      // The prefill may be lost, so that others may use its engines.
+      () => {
+        this.placement.releasePrefill();
+        this.placement.releaseDecode();
+      },
     );
   }
 
@@ -200,6 +203,7 @@
     const {clock, links} = this.parts;
     const {promptTokens, cachedTokens, bytes} = result;
     this.isStalled = false;
+    this.placement.reserveDecode();
     prefill.health.recordSuccess();
     prefill.health.recordDuration(
       clock.now(),
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -150,6 +150,29 @@
   t.is(totalHeldTokens(fleet), 0);
 });
 
+// Guards against silent prefills that hold all decode engines that could replace them.
+test('prefills whose answers are lost are replaced', async t => {
+  const {fleet, runner} = makeFleet();
+  await fleet.clock.runUntil(startRequest(fleet, runner).done);
+  // Engines that come back admit one request at a time.
+  for (const name of ['d1', 'd2']) fleet.engine(name).fail({kind: 'dead'});
+  await fleet.clock.advance(500);
+  for (const name of ['d1', 'd2']) fleet.engine(name).fail({kind: 'none'});
+  await fleet.clock.advance(2000);
+  const requests = ['first', 'second'].map(() =>
+    startRequest(fleet, runner, longPrompt),
+  );
+  await fleet.clock.advance(20);
+  for (const name of ['p1', 'p2']) fleet.engine(name).fail({kind: 'silent'});
+  await fleet.clock.advance(100);
+  for (const name of ['p1', 'p2']) fleet.engine(name).fail({kind: 'none'});
+  const startedAt = fleet.clock.now();
+  await fleet.clock.runUntil(Promise.all(requests.map(({done}) => done)));
+  for (const {events} of requests)
+    t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+  t.true(fleet.clock.now() - startedAt < 5000, `${fleet.clock.now()} ms`);
+});
+
 test('a prefill is not replaced because its host stood still', async t => {
   const {fleet} = makeFleet();
   const clock = new PausableClock(fleet.clock);
