Completions: a begun stream waits for an engine until its deadline

What callers saw: a stream ended with `upstream-failed` 2 s after its engine was lost, though its deadline was 15 s away and the other engines came back a second later.

Cause: a retry gives its place in the queue up after 2 s without an available engine. A call that has no token yet can be sent to another host then. A caller that has tokens of this API can't take its stream up elsewhere, so that giving up loses it.

Change: a completion that has begun waits until its deadline; before the first token the limit of 2 s stays. A version that is no longer published ends it at once, as before.

Result, virtual time: `a stream outlives a time in which no engine is available` failed before and passes now.

--- a/packages/coordination/src/placement/dispatcher.ts
+++ b/packages/coordination/src/placement/dispatcher.ts
@@ -61,7 +61,7 @@
 const minimumRetryAfterMilliseconds = 250;
 /** Number of queues, empty or not, above which empty ones are removed. */
 const queueCleanupThreshold = 64;
-/** How long a retry waits for an available engine. */
+/** How long a retry waits for an available engine before its first token. */
 const retryEngineWaitMilliseconds = 2_000;
 
 export class Dispatcher {
@@ -74,8 +74,8 @@
   /**
    * Waits until engines are reserved. Fails early if the queue is full, the
    * first-token target would be missed, or no engine is available. Retries wait
-   * a limited time for an available engine, deferrable requests until their
-   * deadline.
+   * a limited time for an available engine, deferrable requests and completions
+   * that have begun until their deadline.
    */
   async admit(
     request: PlacedRequest,
@@ -238,6 +238,8 @@
       case 'available':
         return deadline;
       case 'unavailable':
+        // A caller with tokens would lose them elsewhere.
+        if (request.requiredVersion !== undefined) return deadline;
         if (waitingRequest.isRetry)
           return Math.min(deadline, now + retryEngineWaitMilliseconds);
         return waitingRequest.serviceClass === 'targeted' ? now : deadline;
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -216,3 +216,14 @@
   await fleet.clock.runUntil(done);
   t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
 });
+
+test('a stream outlives a time in which no engine is available', async t => {
+  const {fleet, runner} = makeFleet();
+  const {events, done} = startRequest(fleet, runner);
+  await fleet.clock.advance(200);
+  for (const name of ['d1', 'd2']) fleet.engine(name).fail({kind: 'dead'});
+  await fleet.clock.advance(3000);
+  for (const name of ['d1', 'd2']) fleet.engine(name).fail({kind: 'none'});
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+});
