Test of streams whose engine stalls as their host is stopped

A completion that was begun before the signal gets its replacement after it: only new calls ask the drain gate. The test holds that for a replacement that is sought after the signal, and for one that is under way at it, and that nothing is cut by the drain.

--- a/packages/daemon/test/callers/draining.test.ts
+++ b/packages/daemon/test/callers/draining.test.ts
@@ -62,6 +62,34 @@
   );
 });
 
+for (const {when, delayMilliseconds} of [
+  {when: 'before its replacement is sought', delayMilliseconds: 0},
+  {when: 'while its replacement is under way', delayMilliseconds: 700},
+])
+  test(`a stream whose host is stopped ${when} is whole`, async t => {
+    const fixture = await runDaemon(
+      t,
+      {decodeStepMilliseconds: 20},
+      {
+        limits: {drainMilliseconds: 30_000},
+        upstreamSilenceMilliseconds: 300,
+      },
+    );
+    const {decodeEngines} = fixture.fleet;
+    const stream = await startStream(fixture, 100);
+    await waitUntil(() =>
+      decodeEngines.some(({heldTokens}) => heldTokens > 20),
+    );
+    const first = decodeEngines.find(({heldTokens}) => heldTokens > 0)!;
+    first.faults.isStalled = true;
+    await sleep(delayMilliseconds);
+    const closing = fixture.daemon.close();
+    const text = await stream.body.text();
+    t.true(text.endsWith('data: [DONE]\n\n'), text.slice(-300));
+    await closing;
+    t.is(fixture.log.eventsOf('daemonStopped')[0]!['cutRequests'], 0);
+  });
+
 test('calls are rejected before the first configuration', async t => {
   const fixture = await runDaemon(t, {}, {isPlatformDown: true});
   const response = await fixture.call('/orders/1', {key: sampleKeys.batinah});
--- a/packages/daemon/test/tools/run-daemon.ts
+++ b/packages/daemon/test/tools/run-daemon.ts
@@ -42,12 +42,17 @@
 export interface RunDaemonOptions {
   readonly limits?: Partial<CompleteSettings['limits']>;
   readonly isPlatformDown?: boolean;
+  readonly upstreamSilenceMilliseconds?: number;
 }
 
 export async function runDaemon(
   t: ExecutionContext,
   options: Partial<FakeEngineOptions> = {},
-  {limits = {}, isPlatformDown = false}: RunDaemonOptions = {},
+  {
+    limits = {},
+    isPlatformDown = false,
+    upstreamSilenceMilliseconds = 60_000,
+  }: RunDaemonOptions = {},
 ): Promise<DaemonWithFleet> {
   const [peers] = await findFreeAddresses(1);
   const fleet = new SampleFleet({...longLivedPrefillResults, ...options}, [
@@ -69,7 +74,7 @@
       watchTimeoutMilliseconds: 1000,
     },
     peerSecurity: {kind: 'plain'},
-    upstreamSilenceMilliseconds: 60_000,
+    upstreamSilenceMilliseconds,
     limits: {drainMilliseconds: 500, retryStartMilliseconds: 0, ...limits},
   }).unwrapOrElse(faults => {
     throw new TypeError(JSON.stringify(faults));
