--- a/packages/coordination/src/placement/attempt-admission.ts
+++ b/packages/coordination/src/placement/attempt-admission.ts
@@ -1,7 +1,6 @@
 /**
  * Reserves engines for the attempts of one completion. Those for a further
- * attempt can be secured while the present one is stalled, so that it is given
- * up only for them.
+ * attempt, and its retry, can be set aside while the present one is stalled.
  */
 
 import type {CompletionRequest} from '../requests/completion.js';
--- a/packages/coordination/src/placement/replacement-search.ts
+++ b/packages/coordination/src/placement/replacement-search.ts
@@ -17,7 +17,8 @@
   readonly release: (replacement: Replacement) => void;
 }
 
-export class ReplacementSearch<Replacement> {
+export class ReplacementSearch<Replacement extends object> {
+  private readonly released = new WeakSet<Replacement>();
   private found: Promise<Replacement | undefined> | undefined;
   private isKept = false;
 
@@ -42,7 +43,9 @@
 
   /** Frees a replacement, unless its search is kept. */
   release(replacement: Replacement): void {
-    if (!this.isKept) this.parts.release(replacement);
+    if (this.isKept) return;
+    this.released.add(replacement);
+    this.parts.release(replacement);
   }
 
   /** Makes the search under way, if there is one, go on without its signal. */
@@ -55,6 +58,7 @@
    * none is kept.
    */
   async kept(): Promise<Replacement | undefined> {
-    return this.isKept ? this.found : undefined;
+    const found = this.isKept ? await this.found : undefined;
+    return found && !this.released.has(found) ? found : undefined;
   }
 }
