Event 3134: the step at which a stream failed to go on elsewhere

Callers saw streams end in the middle; the log said 3106 with `capacity` whatever had ended the replacement. A stop, a refused run, a used-up budget and a missing reservation could not be told apart. 3134 and a counter name the step and its reason.

--- a/packages/coordination/src/passthrough/call-events.ts
+++ b/packages/coordination/src/passthrough/call-events.ts
@@ -22,6 +22,19 @@
   /** No engine has the version that began the stream. */
   | 'version';
 
+/** The step at which an attempt to start or resume a generation failed. */
+export type StartStep =
+  /** No engine granted a reservation, or the call may not be sent. */
+  | 'reserve'
+  /** Nothing would tell which version answers. */
+  | 'version'
+  /** The call may not be sent any more. */
+  | 'gate'
+  /** The retry budget does not cover the run. */
+  | 'budget'
+  /** The engine failed or rejected the run. */
+  | 'run';
+
 /** How far a stream had come when it was interrupted. */
 export interface StreamProgress {
   /** Events passed on from this engine. */
@@ -112,6 +125,13 @@
       readonly afterEvent: number;
       readonly softwareVersion: string;
     }
+  /** An interrupted or silent stream does not go on at another engine. */
+  | {
+      readonly kind: 'not-resumed';
+      readonly step: StartStep;
+      /** Code of the failure, or kind of the error of the run. */
+      readonly reason: string;
+    }
   | {
       readonly kind: 'taken-up';
       /** Id of the call that began the stream, as the caller names it. */
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -48,6 +48,7 @@
 import {isServed} from './stream-continuation.js';
 import {sendRefusalOf} from './send-refusal.js';
 import {StallMonitor} from '../stall-monitor.js';
+import type {StartStep} from './call-events.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
@@ -85,6 +86,14 @@
   readonly attempt: AbortScope;
 }
 
+/** Why no engine has begun the response of a generation. */
+export interface StartFailure {
+  readonly step: StartStep;
+  /** What the step failed for, for logs. */
+  readonly reason: string;
+  readonly failure: RequestFailure;
+}
+
 interface FailedAttempt {
   readonly error: PassthroughError;
   /** Engine that takes over from a silent one. */
@@ -139,7 +148,7 @@
   async start(
     state: GenerationState,
     replacement?: EngineReservation,
-  ): Promise<Result<StartedGeneration, RequestFailure>> {
+  ): Promise<Result<StartedGeneration, StartFailure>> {
     try {
       return await this.startCovered(state, replacement);
     } finally {
@@ -151,8 +160,14 @@
   private async startCovered(
     state: GenerationState,
     replacement: EngineReservation | undefined,
-  ): Promise<Result<StartedGeneration, RequestFailure>> {
+  ): Promise<Result<StartedGeneration, StartFailure>> {
     const {signal} = state;
+    const failed = (step: StartStep, failure: RequestFailure) =>
+      Result.err<StartedGeneration, StartFailure>({
+        step,
+        reason: this.failureReasonOf(state, step, failure),
+        failure,
+      });
     const {clock, releases, upstreams} = this.parts;
     let granted = replacement;
     let queuedAt = this.queuedAtOf(state);
@@ -161,13 +176,13 @@
         granted === undefined
           ? await this.reserve(state, signal, queuedAt)
           : Result.ok(granted);
-      if (reserved.isErr) return Result.err(reserved.error);
+      if (reserved.isErr) return failed('reserve', reserved.error);
       const reservation = reserved.value;
       if (!this.isVerifiable(state, reservation)) {
         const {upstream, statedStart} = reservation;
         this.reportOtherProcess(state, upstream.document, statedStart);
         releases.releaseReservation(reservation);
-        return Result.err(versionFailureOf(state, 'version-unverified'));
+        return failed('version', versionFailureOf(state, 'version-unverified'));
       }
       if (!this.isUsable(state, reservation)) {
         releases.releaseReservation(reservation);
@@ -182,14 +197,14 @@
       if (stopped !== undefined) {
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
-        return Result.err(stopped);
+        return failed('gate', stopped);
       }
       if (
         !(await this.retryGate.acquireRun(retryRequestOf(state, 'prefill')))
       ) {
         releases.releaseReservation(reservation);
         state.reusableCache = cache;
-        return Result.err(queueFailureOf(state, true));
+        return failed('budget', queueFailureOf(state, true));
       }
       if (
         !this.isUsable(state, reservation) ||
@@ -210,16 +225,34 @@
       granted = next;
       if (signal.aborted) {
         if (granted !== undefined) releases.releaseReservation(granted);
-        return Result.err(disconnectFailureOf(state));
+        return failed('run', disconnectFailureOf(state));
       }
       if (granted !== undefined) continue;
       if (!(await this.acquireRetry(state, error.kind)))
-        return Result.err(attemptFailureOf(state));
+        return failed('run', attemptFailureOf(state));
       queuedAt =
         error.kind === 'withheld' ? clock.now() : this.queuedAtOf(state);
     }
   }
 
+  /** A refusal of a call that may have run does not name its reason. */
+  private failureReasonOf(
+    {call, lastError}: GenerationState,
+    step: StartStep,
+    {code}: RequestFailure,
+  ): string {
+    switch (step) {
+      case 'reserve':
+      case 'gate':
+        return this.parts.sendGate.failureOf(call)?.code ?? code;
+      case 'run':
+        return lastError?.kind ?? code;
+      case 'version':
+      case 'budget':
+        return code;
+    }
+  }
+
   /** Acquires permission for another attempt. */
   async acquireRetry(state: GenerationState, reason: string): Promise<boolean> {
     const request = retryRequestOf(state, reason);
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -94,7 +94,7 @@
     };
     const started = await this.attempts.start(state);
     this.attempts.releaseReusableCache(state);
-    if (started.isErr) return Result.err(started.error);
+    if (started.isErr) return Result.err(started.error.failure);
     const {response} = started.value;
     const body =
       response.status === eventStreamStatus
@@ -262,6 +262,8 @@
     const started = await this.attempts.start(state, replacement);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) {
+      const {step, reason: stepReason} = started.error;
+      observer(call.id, {kind: 'not-resumed', step, reason: stepReason});
       const limit = this.attempts.isVersionServed(state)
         ? 'capacity'
         : 'version';
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -515,6 +515,12 @@
       'millisecondsSinceStop',
     ],
   },
+  streamNotResumed: {
+    number: 3134,
+    level: 'info',
+    text: 'a stream did not go on at another upstream: step says where that failed',
+    fields: ['request', 'step', 'reason'],
+  },
   responseGivenUp: {
     number: 3140,
     level: 'warn',
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -80,6 +80,10 @@
       const {kind: _, ...fields} = event;
       return log.write('streamResumed', {request: requestId, ...fields});
     }
+    case 'not-resumed': {
+      const {kind: _, ...fields} = event;
+      return log.write('streamNotResumed', {request: requestId, ...fields});
+    }
     case 'taken-up': {
       const {kind: _, ...fields} = event;
       return log.write('streamTakenUp', {
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -310,6 +310,9 @@
       case 'version-uncertain':
         this.decisionCounter.inc({decision: event.kind, outcome: event.reason});
         break;
+      case 'not-resumed':
+        this.decisionCounter.inc({decision: event.kind, outcome: event.step});
+        break;
       case 'retry-withheld':
         this.decisionCounter.inc({decision: event.kind, outcome: event.limit});
         break;
