--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -348,7 +348,8 @@
   } as unknown as GenerationState;
   const started = await clock.runUntil(attempts.start(state));
   attempts.close();
-  return {sent, released, failure: started.isErr ? started.error : undefined};
+  const failure = started.isErr ? started.error.failure : undefined;
+  return {sent, released, failure};
 }
 
 // Guards against a continuation whose engine is replaced while the prompt is read.
