A silent engine is kept until another one streams

Cause: the attempt at a silent engine ended as soon as memory was reserved at another one. The prefill, the question whether a stopping host still sends, the retry budget, the run and the check of its version came after it, and each of them may say no. The same for a generation without a head. Class: a resource is released before what replaces it is sure.

Change: `Takeover` starts the generation at another engine beside the silent one, through all these steps. The one before is given up when the other one sends its first bytes, or 300 ms after it has accepted the run, so that two engines run a stream for less than 400 ms. Until an engine has accepted, a stream that goes on drops the takeover and frees the cache that was read for it. A stream that breaks while a takeover is under way goes on with it instead of asking for a further try, which its route might not allow. A run that is under way counts as a possible one, so that takeovers of several silent engines stay within the tries of the route.

--- a/packages/coordination/src/passthrough/event-relay.ts
+++ b/packages/coordination/src/passthrough/event-relay.ts
@@ -15,13 +15,14 @@
 import type {EngineReservation} from './reservation-queue.js';
 import type {BaselineDuration} from './reference-time.js';
 import type {StallMonitor} from '../stall-monitor.js';
+import type {Takeover} from './takeover.js';
 
 /** An interrupted stream and its progress until then. */
 export interface StreamInterruption {
   readonly error: InterruptedResponseError;
   readonly progress: StreamProgress;
-  /** Engine that takes over a silent stream. */
-  readonly replacement: EngineReservation | undefined;
+  /** Resolves with the generation at another engine that goes on, if there is one. */
+  readonly takeover: Promise<Takeover | undefined>;
 }
 
 export interface EventRelayParts {
@@ -29,7 +30,7 @@
   readonly state: GenerationState;
   readonly response: PassthroughResponse;
   readonly reservation: EngineReservation;
-  readonly monitor: StallMonitor<EngineReservation>;
+  readonly monitor: StallMonitor<Takeover>;
   readonly baselineInterval: BaselineDuration;
   readonly speeds?: UpstreamSpeeds | undefined;
   /** Called before the first event of the engine is passed on. */
@@ -55,13 +56,13 @@
   const isContinuation = state.lastEventId !== undefined;
   const interruptedBy = (
     error: InterruptedResponseError,
-    replacement?: EngineReservation,
+    takeover = monitor.adopt(),
   ): StreamInterruption => {
     const now = clock.now();
     const millisecondsSinceByte = now - byteAt;
     const millisecondsSinceEvent = now - monitor.lastProgressAt;
     const progress = {events, millisecondsSinceByte, millisecondsSinceEvent};
-    return {error, progress, replacement};
+    return {error, progress, takeover};
   };
   const errorOf = (reason: InterruptedResponseError['reason']) =>
     new InterruptedResponseError(
@@ -73,7 +74,10 @@
     for (;;) {
       const next = await monitor.wait(chunks.next());
       if (next.kind === 'replaced')
-        return interruptedBy(errorOf('silent'), next.replacement);
+        return interruptedBy(
+          errorOf('silent'),
+          Promise.resolve(next.replacement),
+        );
       if (next.kind === 'overdue') return interruptedBy(errorOf('silent'));
       if (next.value.done === true) break;
       byteAt = clock.now();
--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -49,6 +49,7 @@
 import {sendRefusalOf} from './send-refusal.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {StartStep} from './call-events.js';
+import {Takeover} from './takeover.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
@@ -94,25 +95,42 @@
   readonly failure: RequestFailure;
 }
 
+/** How a generation is started beside attempts that still go on. */
+export interface StartOptions {
+  /** Ends the start, or the attempt that came of it. */
+  readonly signal: AbortSignal;
+  /** Engines of the attempts that still go on. */
+  readonly silentEngines: ReadonlySet<string>;
+  /** Reservation for the first attempt, if there is one. */
+  readonly reservation?: EngineReservation;
+  /** Called when an engine has begun a response. */
+  readonly onAccepted?: () => void;
+}
+
 interface FailedAttempt {
   readonly error: PassthroughError;
-  /** Engine that takes over from a silent one. */
-  readonly replacement: EngineReservation | undefined;
+  /** The start at another engine that goes on, if there is one. */
+  readonly takeover: Takeover | undefined;
 }
 
 interface AwaitedHead {
   readonly result: Result<PassthroughResponse, PassthroughError>;
-  readonly replacement: EngineReservation | undefined;
+  readonly takeover: Promise<Takeover | undefined>;
 }
 
-export interface MonitorOptions {
+export interface MonitorOptions extends Pick<
+  StartOptions,
+  'signal' | 'onAccepted'
+> {
   readonly stallMilliseconds: number;
-  /** Attempts that may have run the call, with the one that is watched. */
-  readonly possibleRuns: number;
   /** Whether the call may go on at another engine. */
   readonly isReplaceable: boolean;
+  /** Engines of other attempts that still go on. */
+  readonly silentEngines?: ReadonlySet<string>;
 }
 
+const noEngines: ReadonlySet<string> = new Set();
+
 export class GenerationAttempts {
   private readonly queues = new Map<string, ReservationQueue>();
   private readonly latestPools = new Map<string, PoolDocument>();
@@ -141,16 +159,13 @@
     this.latestPools.set(pool.name, pool);
   }
 
-  /**
-   * Finds an engine that answers, with retries where they are allowed. The first
-   * attempt uses `replacement`, if there is one.
-   */
+  /** Finds an engine that answers, with retries where they are allowed. */
   async start(
     state: GenerationState,
-    replacement?: EngineReservation,
+    options: StartOptions = {signal: state.signal, silentEngines: noEngines},
   ): Promise<Result<StartedGeneration, StartFailure>> {
     try {
-      return await this.startCovered(state, replacement);
+      return await this.startCovered(state, options);
     } finally {
       state.sends.settle();
     }
@@ -159,9 +174,9 @@
   /** Like `start`, and leaves retries that were not needed to its caller. */
   private async startCovered(
     state: GenerationState,
-    replacement: EngineReservation | undefined,
+    options: StartOptions,
   ): Promise<Result<StartedGeneration, StartFailure>> {
-    const {signal} = state;
+    const {signal, silentEngines} = options;
     const failed = (step: StartStep, failure: RequestFailure) =>
       Result.err<StartedGeneration, StartFailure>({
         step,
@@ -169,12 +184,12 @@
         failure,
       });
     const {clock, releases, upstreams} = this.parts;
-    let granted = replacement;
-    let queuedAt = this.queuedAtOf(state);
+    let granted = options.reservation;
+    let queuedAt = this.queuedAtOf(state, options);
     for (;;) {
       const reserved: Result<EngineReservation, RequestFailure> =
         granted === undefined
-          ? await this.reserve(state, signal, queuedAt)
+          ? await this.reserve(state, signal, queuedAt, silentEngines)
           : Result.ok(granted);
       if (reserved.isErr) return failed('reserve', reserved.error);
       const reservation = reserved.value;
@@ -190,7 +205,7 @@
         queuedAt = clock.now();
         continue;
       }
-      const cache = await this.prefillStage.prefill(state, reservation);
+      const cache = await this.prefillStage.prefill(state, reservation, signal);
       const stopped = signal.aborted
         ? disconnectFailureOf(state)
         : sendRefusalOf(this.parts, this.upstreamLosses, state);
@@ -219,19 +234,24 @@
         queuedAt = clock.now();
         continue;
       }
-      const started = await this.sendAttempt(state, reservation, cache);
+      granted = undefined;
+      const started = await this.sendAttempt(
+        state,
+        reservation,
+        cache,
+        options,
+      );
       if (started.isOk) return Result.ok(started.value);
-      const {error, replacement: next} = started.error;
-      granted = next;
-      if (signal.aborted) {
-        if (granted !== undefined) releases.releaseReservation(granted);
-        return failed('run', disconnectFailureOf(state));
-      }
-      if (granted !== undefined) continue;
+      const {error, takeover} = started.error;
+      const takenOver = await takeover?.started;
+      if (takenOver !== undefined) return Result.ok(takenOver);
+      if (signal.aborted) return failed('run', disconnectFailureOf(state));
       if (!(await this.acquireRetry(state, error.kind)))
         return failed('run', attemptFailureOf(state));
       queuedAt =
-        error.kind === 'withheld' ? clock.now() : this.queuedAtOf(state);
+        error.kind === 'withheld'
+          ? clock.now()
+          : this.queuedAtOf(state, options);
     }
   }
 
@@ -261,24 +281,30 @@
     return false;
   }
 
-  /** Reserves memory. The queue timeout counts from the clock time `queuedAt`. */
+  /**
+   * Reserves memory at none of `silentEngines`. The queue timeout counts from the clock
+   * time `queuedAt`.
+   */
   private async reserve(
     state: GenerationState,
     signal: AbortSignal,
     queuedAt: number,
-    searchAvoids?: ReadonlySet<string>,
+    silentEngines: ReadonlySet<string>,
   ): Promise<Result<EngineReservation, RequestFailure>> {
     const {call, generation, pool, softwareVersion} = state;
     const refusal = sendRefusalOf(this.parts, this.upstreamLosses, state);
     if (refusal !== undefined) return Result.err(refusal);
     if (
-      searchAvoids === undefined &&
+      silentEngines.size === 0 &&
       this.usableDecodeEngines(state).length === 0
     )
       state.avoidedUpstreams.clear();
     if (state.isVersionUncertain || !this.isVersionServed(state))
       return Result.err(versionFailureOf(state));
-    const avoidedUpstreams = searchAvoids ?? state.avoidedUpstreams;
+    const avoidedUpstreams =
+      silentEngines.size === 0
+        ? state.avoidedUpstreams
+        : new Set([...state.avoidedUpstreams, ...silentEngines]);
     const queueDeadline = Math.min(
       call.deadline,
       queuedAt + queueTimeoutOf(call),
@@ -416,9 +442,14 @@
     });
   }
 
-  /** The queue timeout starts again when an interrupted stream is resumed. */
-  private queuedAtOf({call, isInterrupted}: GenerationState): number {
-    return isInterrupted ? this.parts.clock.now() : call.receivedAt;
+  /** The queue timeout starts again when a generation goes on elsewhere. */
+  private queuedAtOf(
+    {call, isInterrupted}: GenerationState,
+    {silentEngines}: StartOptions,
+  ): number {
+    return isInterrupted || silentEngines.size > 0
+      ? this.parts.clock.now()
+      : call.receivedAt;
   }
 
   private usableDecodeEngines(state: GenerationState): TrackedUpstream[] {
@@ -444,6 +475,7 @@
     state: GenerationState,
     reservation: EngineReservation,
     cache: PrefilledCache | undefined,
+    options: StartOptions,
   ): Promise<Result<StartedGeneration, FailedAttempt>> {
     const {clock, transport, requestLimits, observer} = this.parts;
     const {call} = state;
@@ -452,8 +484,8 @@
     const startedAt = clock.now();
     const remainingMilliseconds = call.deadline - startedAt;
     state.attempts += 1;
-    state.attemptEvents = 0;
-    const attempt = new AbortScope(state.signal);
+    state.possibleRuns += 1;
+    const attempt = new AbortScope(options.signal);
     requestLimits.sendAcquired(document.name);
     const send = state.sends.begin(state.pool.name, 'run');
     const sent = transport.send(
@@ -474,12 +506,12 @@
     );
     const watched = {call, upstream: engine, needsNewConnection: true};
     void watchSilence(clock, {...watched, head: sent});
-    const head = await this.awaitHead(state, engine, sent);
-    const {replacement} = head;
+    const head = await this.awaitHead(state, engine, sent, options);
+    const isStream =
+      head.result.isOk && head.result.value.status === eventStreamStatus;
+    if (isStream) options.onAccepted?.();
     const isVerified =
-      head.result.isErr ||
-      head.result.value.status !== eventStreamStatus ||
-      (await this.isVersionVerified(state, document, reservation));
+      !isStream || (await this.isVersionVerified(state, document, reservation));
     if (!isVerified)
       this.reportOtherProcess(state, document, reservation.statedStart);
     const result = isVerified ? head.result : unverifiedResult(document);
@@ -496,90 +528,155 @@
       took: now - startedAt,
     });
     if (result.isOk) {
-      state.possibleRuns += 1;
       const response = result.value;
       return Result.ok({response, reservation, document, attempt});
     }
     attempt.close();
-    state.lastError = result.error;
-    if (!provesCallNotRun(result.error)) state.possibleRuns += 1;
+    const {error} = result;
+    if (provesCallNotRun(error)) state.possibleRuns -= 1;
     this.parts.releases.releaseUsedReservation(reservation);
-    this.handleFailedAttempt(state, engine, cache, result.error, now);
-    if (result.error.kind === 'broken')
-      await this.upstreamLosses.record(state, engine);
-    return Result.err({error: result.error, replacement});
+    this.releaseUnusedCache(state, cache, error);
+    if (!options.signal.aborted) {
+      state.lastError = error;
+      this.handleFailedAttempt(state, engine, cache, error, now);
+      if (error.kind === 'broken') await this.recordLoss(state, engine);
+    }
+    return Result.err({error, takeover: await head.takeover});
+  }
+
+  /** Records an engine that broke before its first event. */
+  private async recordLoss(
+    state: GenerationState,
+    engine: TrackedUpstream,
+  ): Promise<void> {
+    // An attempt that still goes on may have events.
+    const lost = {...state, attemptEvents: 0};
+    await this.upstreamLosses.record(lost, engine);
+    state.isSuspect ||= lost.isSuspect;
   }
 
-  /** Waits for the head of the response, or for another engine. */
+  /** Waits for the head of the response, or until another engine streams. */
   private async awaitHead(
     state: GenerationState,
     engine: TrackedUpstream,
     sent: TransportResult<PassthroughResponse>,
+    options: StartOptions,
   ): Promise<AwaitedHead> {
-    if (this.isLastAttempt(state))
-      return {result: await sent, replacement: undefined};
+    const none = Promise.resolve(undefined);
+    if (this.isLastAttempt(state)) return {result: await sent, takeover: none};
     const monitor = this.monitorAttempt(state, engine, {
       stallMilliseconds: headStallMilliseconds,
-      possibleRuns: state.possibleRuns + 1,
       isReplaceable: state.call.route.target.repeatable,
+      ...options,
     });
     const head = await monitor.wait(sent);
+    if (head.kind === 'ready') {
+      const result = head.value;
+      const takeover = result.isErr ? monitor.adopt() : none;
+      monitor.close();
+      return {result, takeover};
+    }
     monitor.close();
-    if (head.kind === 'ready')
-      return {result: head.value, replacement: undefined};
     const upstream = upstreamId(engine.document.name);
     return {
       result: Result.err({kind: 'silent', upstream}),
-      replacement: head.kind === 'replaced' ? head.replacement : undefined,
+      takeover:
+        head.kind === 'replaced' ? Promise.resolve(head.replacement) : none,
     };
   }
 
-  /** Watches an attempt that may be replaced by one at another engine. */
+  /** Watches an attempt at `engine` that another engine may take over. */
   monitorAttempt(
     state: GenerationState,
     engine: TrackedUpstream,
-    {stallMilliseconds, possibleRuns, isReplaceable}: MonitorOptions,
-  ): StallMonitor<EngineReservation> {
+    options: MonitorOptions,
+  ): StallMonitor<Takeover> {
     const {clock, releases} = this.parts;
-    const releaseReservation = (reservation: EngineReservation) =>
-      releases.releaseReservation(reservation);
+    const {stallMilliseconds, isReplaceable} = options;
+    const silentEngines = new Set([
+      ...(options.silentEngines ?? noEngines),
+      engine.document.name,
+    ]);
     const replacement = new EngineReplacement(
       {
         retryGate: this.retryGate,
-        reserve: (signal, avoided) =>
-          this.reserve(state, signal, clock.now(), avoided),
-        releaseReservation,
+        reserve: signal =>
+          this.reserve(state, signal, clock.now(), silentEngines),
+        releaseReservation: reservation =>
+          releases.releaseReservation(reservation),
       },
       state,
-      engine,
-      possibleRuns,
     );
+    const takeOver = async (search: AbortSignal, commit: () => void) => {
+      await state.versionCheck;
+      if (state.isVersionUncertain) return replacement.withhold('version');
+      const reservation = await replacement.find(search);
+      if (reservation === undefined) return undefined;
+      const takeover = this.beginTakeover(
+        state,
+        {signal: options.signal, silentEngines, reservation},
+        () => {
+          commit();
+          options.onAccepted?.();
+        },
+      );
+      if (search.aborted) takeover.close();
+      search.addEventListener('abort', () => takeover.close(), {once: true});
+      return (await takeover.isSafe()) ? takeover : undefined;
+    };
     return new StallMonitor({
       clock,
       stallMilliseconds,
       deadline: state.call.deadline,
-      findReplacement: signal =>
-        isReplaceable ? replacement.find(signal) : Promise.resolve(undefined),
-      releaseReplacement: reservation => {
-        state.sends.settle();
-        releaseReservation(reservation);
+      findReplacement: (search, commit) =>
+        isReplaceable ? takeOver(search, commit) : Promise.resolve(undefined),
+      releaseReplacement: takeover => takeover.close(),
+    });
+  }
+
+  /** Starts a generation beside the attempts at `silentEngines`. */
+  private beginTakeover(
+    state: GenerationState,
+    options: StartOptions,
+    onAccepted: () => void,
+  ): Takeover {
+    const {clock, observer} = this.parts;
+    return new Takeover({
+      clock,
+      signal: options.signal,
+      start: async (signal, accept) => {
+        const onEach = {...options, signal, onAccepted: accept};
+        const started = await this.start(state, onEach);
+        // The engine before goes on.
+        if (started.isErr && signal.aborted) this.releaseReusableCache(state);
+        return started;
       },
+      onAccepted,
+      onFailure: failure =>
+        observer(state.call.id, {kind: 'not-resumed', ...failure}),
     });
   }
 
-  private handleFailedAttempt(
+  /** A call that was not sent, or misdirected, cannot have fetched the KV cache. */
+  private releaseUnusedCache(
     state: GenerationState,
-    engine: TrackedUpstream,
     cache: PrefilledCache | undefined,
     error: PassthroughError,
-    now: number,
   ): void {
-    // A call that was not sent, or misdirected, cannot have fetched the KV cache.
     const canReuseCache =
       error.kind === 'misdirected' || !mayHaveBeenSent(error);
     if (canReuseCache) state.reusableCache = cache;
     else if (cache !== undefined)
       this.parts.releases.releaseCache(cache.source);
+  }
+
+  private handleFailedAttempt(
+    state: GenerationState,
+    engine: TrackedUpstream,
+    cache: PrefilledCache | undefined,
+    error: PassthroughError,
+    now: number,
+  ): void {
     // The engine held a reservation, so a refusal is attributed to the KV
     // cache, which is mostly no longer available.
     if (cache !== undefined && error.kind === 'refused') {
@@ -587,7 +684,6 @@
       state.shouldSkipPrefillStage = true;
       return;
     }
-    if (state.signal.aborted) return;
     state.avoidedUpstreams.add(engine.document.name);
     recordAttemptFailure(engine, error, now);
   }
@@ -598,9 +694,10 @@
     state.reusableCache = undefined;
   }
 
+  /** Whether the attempt that was sent last is the last one that is allowed. */
   private isLastAttempt({call, possibleRuns}: GenerationState): boolean {
     const {repeatable, maximumTries} = call.route.target;
-    return !repeatable || possibleRuns + 1 >= maximumTries;
+    return !repeatable || possibleRuns >= maximumTries;
   }
 
   private queueFor(name: string): ReservationQueue {
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -26,6 +26,7 @@
 import {choosePoolByWeight} from './passthrough-parts.js';
 import {BaselineDuration} from './reference-time.js';
 import type {EngineReservation} from './reservation-queue.js';
+import {endAttempt} from './takeover.js';
 import {StreamContinuations, isContinuation} from './stream-continuations.js';
 import type {GenerationTarget} from './stream-continuations.js';
 
@@ -191,10 +192,11 @@
   ): AsyncGenerator<Uint8Array, StreamInterruption | undefined> {
     const {clock, speeds} = this.parts;
     const {baselineEventInterval: baselineInterval} = this;
+    state.attemptEvents = 0;
     const monitor = this.attempts.monitorAttempt(state, reservation.upstream, {
       stallMilliseconds: streamStallMilliseconds,
-      possibleRuns: state.possibleRuns,
       isReplaceable: state.call.route.target.resumable ?? false,
+      signal: state.signal,
     });
     try {
       return yield* relayEvents({
@@ -236,30 +238,49 @@
     health.recordFailure(this.parts.clock.now());
   }
 
+  /** Resolves with undefined if the stream does not go on. */
   private async resume(
     state: GenerationState,
-    {error: {reason}, replacement}: StreamInterruption,
+    {error: {reason}, takeover: pendingTakeover}: StreamInterruption,
   ): Promise<StartedGeneration | undefined> {
     const {observer} = this.parts;
     const {call, signal} = state;
+    const takeover = await pendingTakeover;
     if (!(call.route.target.resumable ?? false) || signal.aborted) {
-      this.releaseReplacement(state, replacement);
+      takeover?.close();
       return undefined;
     }
     await state.versionCheck;
     if (state.isVersionUncertain) {
-      this.releaseReplacement(state, replacement);
+      takeover?.close();
       observer(call.id, {kind: 'retry-withheld', reason, limit: 'version'});
       return undefined;
     }
-    if (
-      replacement === undefined &&
-      !(await this.attempts.acquireRetry(state, reason))
-    )
-      return undefined;
+    const started =
+      (await takeover?.started) ?? (await this.startAgain(state, reason));
+    if (started === undefined) return undefined;
+    const {reservation, document} = started;
+    state.shouldSkipPrefillStage = false;
+    observer(call.id, {
+      kind: 'resumed',
+      upstream: reservation.upstream.document.name,
+      afterEvent: state.lastEventId ?? 0,
+      softwareVersion: document.spec.softwareVersion ?? '',
+    });
+    return started;
+  }
+
+  /** Starts a stream again that no engine goes on with. */
+  private async startAgain(
+    state: GenerationState,
+    reason: string,
+  ): Promise<StartedGeneration | undefined> {
+    const {observer} = this.parts;
+    const {call} = state;
+    if (!(await this.attempts.acquireRetry(state, reason))) return undefined;
     state.shouldSkipPrefillStage = false;
     state.isInterrupted = true;
-    const started = await this.attempts.start(state, replacement);
+    const started = await this.attempts.start(state);
     this.attempts.releaseReusableCache(state);
     if (started.isErr) {
       const {step, reason: stepReason} = started.error;
@@ -270,27 +291,9 @@
       observer(call.id, {kind: 'retry-withheld', reason, limit});
       return undefined;
     }
-    const {response, reservation, document, attempt} = started.value;
-    if (response.status !== eventStreamStatus) {
-      attempt.close();
-      reservation.load.release();
-      return undefined;
-    }
-    observer(call.id, {
-      kind: 'resumed',
-      upstream: reservation.upstream.document.name,
-      afterEvent: state.lastEventId ?? 0,
-      softwareVersion: document.spec.softwareVersion ?? '',
-    });
-    return started.value;
-  }
-
-  private releaseReplacement(
-    {sends}: GenerationState,
-    replacement: EngineReservation | undefined,
-  ): void {
-    if (replacement === undefined) return;
-    sends.settle();
-    this.parts.releases.releaseReservation(replacement);
+    if (started.value.response.status === eventStreamStatus)
+      return started.value;
+    endAttempt(started.value);
+    return undefined;
   }
 }
--- a/packages/coordination/src/passthrough/prefill-stage.ts
+++ b/packages/coordination/src/passthrough/prefill-stage.ts
@@ -74,11 +74,12 @@
 
   /**
    * Computes the KV cache of the prompt; undefined if the decode engine must
-   * compute it.
+   * compute it. `signal` ends the attempt that the cache is for.
    */
   async prefill(
     state: GenerationState,
     reservation: EngineReservation,
+    signal = state.signal,
   ): Promise<PrefilledCache | undefined> {
     const {quarantine} = this.parts;
     const traits = crashTraitsOf(state.call);
@@ -88,7 +89,7 @@
     const triedEngines = new Set<string>();
     const sendsUntil = Math.min(reservation.reservedUntil, state.call.deadline);
     const canSend = () =>
-      !state.signal.aborted && this.parts.clock.now() < sendsUntil;
+      !signal.aborted && this.parts.clock.now() < sendsUntil;
     for (let index = 0; index < maximumPrefillAttempts; index += 1) {
       const engine = this.choosePrefillEngine(
         state,
@@ -109,7 +110,7 @@
       );
       if (!isAllowed || !canSend()) return undefined;
       triedEngines.add(engine.document.name);
-      const cache = await this.prefillAt(state, engine, reservation);
+      const cache = await this.prefillAt(state, engine, reservation, signal);
       if (cache !== undefined) return cache;
     }
     return undefined;
@@ -203,9 +204,10 @@
     state: GenerationState,
     engine: TrackedUpstream,
     reservation: EngineReservation,
+    signal: AbortSignal,
   ): Promise<PrefilledCache | undefined> {
     const {clock, transport, upstreams, observer} = this.parts;
-    const {call, generation, signal} = state;
+    const {call, generation} = state;
     const {promptTokens} = generation;
     const startedAt = clock.now();
     const queuedTokens = engine.localLoad.promptTokens + promptTokens;
--- a/packages/coordination/src/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -17,10 +17,12 @@
   readonly deadline: number;
   /**
    * Resolves with undefined if no replacement is available now. `signal` is
-   * aborted when none is needed any more.
+   * aborted when none is needed any more. After `commit`, progress of the attempt
+   * does not end the search: the replacement already does the same work.
    */
   readonly findReplacement: (
     signal: AbortSignal,
+    commit: () => void,
   ) => Promise<Replacement | undefined>;
   /** Frees a replacement that was found too late. */
   readonly releaseReplacement: (replacement: Replacement) => void;
@@ -50,6 +52,10 @@
   private activityAt: number;
   private nextSearchAt = -Infinity;
   private search: AbortController | undefined;
+  private finding: Promise<Replacement | undefined> | undefined;
+  private isCommitted = false;
+  /** Whether the search goes on for an attempt that has failed. */
+  private isAdopted = false;
   private isSuspended = false;
   private abandonment: Abandonment<Replacement> | undefined;
   /** Whether `wait` has resolved with the abandonment. */
@@ -81,7 +87,7 @@
   /** Stops the time while progress is passed on to a caller that may be slow. */
   suspend(): void {
     this.isSuspended = true;
-    this.search?.abort();
+    if (!this.isCommitted) this.search?.abort();
   }
 
   /** Records the progress that was passed on. */
@@ -106,9 +112,24 @@
     return result;
   }
 
+  /**
+   * Ends the watch of an attempt that has failed. Resolves with the replacement that
+   * was found or is being sought; undefined if there is none.
+   */
+  adopt(): Promise<Replacement | undefined> {
+    this.closing.abort();
+    this.isAdopted = true;
+    const {abandonment, finding} = this;
+    if (abandonment?.kind !== 'replaced' || this.isAbandonmentTaken)
+      return finding ?? Promise.resolve(undefined);
+    this.isAbandonmentTaken = true;
+    return Promise.resolve(abandonment.replacement);
+  }
+
   /** Ends the search, and frees a replacement that no `wait` resolved with. */
   close(): void {
     this.closing.abort();
+    if (this.isAdopted) return;
     this.search?.abort();
     const {abandonment} = this;
     if (abandonment?.kind !== 'replaced' || this.isAbandonmentTaken) return;
@@ -145,7 +166,10 @@
     const {clock, findReplacement, releaseReplacement} = this.parts;
     const search = new AbortController();
     this.search = search;
-    const finding = findReplacement(search.signal);
+    const finding = findReplacement(search.signal, () => {
+      this.isCommitted = true;
+    });
+    this.finding = finding;
     const timer = new AbortController();
     const timeout = clock.sleep(overdueAt - clock.now(), timer.signal);
     const isFound = await Promise.race([
@@ -155,9 +179,13 @@
     timer.abort();
     if (!isFound) search.abort();
     // An event that arrived during the search is read first.
-    else await clock.sleep(graceMilliseconds, search.signal);
+    else if (!this.isCommitted)
+      await clock.sleep(graceMilliseconds, search.signal);
     this.search = undefined;
+    this.finding = undefined;
+    this.isCommitted = false;
     this.nextSearchAt = clock.now() + searchIntervalMilliseconds;
+    if (this.isAdopted) return true;
     if (search.signal.aborted) {
       void finding.then(found => found && releaseReplacement(found));
       return false;
--- a/packages/coordination/test/replacement-search.test.ts
+++ b/packages/coordination/test/replacement-search.test.ts
@@ -396,10 +396,17 @@
 });
 
 test('an aborted search does not end the avoidance of an engine that failed meanwhile', async t => {
-  const {clock, parts, tracked} = createParts({});
+  const {clock, parts} = createParts({});
   const avoidedUpstreams = new Set<string>();
   const sends = new CallSends(parts.retryBudget, () => undefined);
-  const state = {call: callAt(0), pool, attempts: 1, sends, avoidedUpstreams};
+  const state = {
+    call: callAt(0),
+    pool,
+    attempts: 1,
+    possibleRuns: 1,
+    sends,
+    avoidedUpstreams,
+  };
   const search = new AbortController();
   const replacement = new EngineReplacement(
     {
@@ -411,8 +418,6 @@
       releaseReservation: () => undefined,
     },
     state as unknown as GenerationState,
-    tracked('d-1'),
-    1,
   );
   const finding = replacement.find(search.signal);
   await clock.advance(50);
@@ -444,6 +449,7 @@
     call: callAt(0),
     pool,
     attempts: 1,
+    possibleRuns: 1,
     sends,
     avoidedUpstreams: new Set<string>(),
   };
@@ -457,8 +463,6 @@
       releaseReservation: () => undefined,
     },
     state as unknown as GenerationState,
-    tracked('d-1'),
-    1,
   );
   const {signal} = new AbortController();
   t.is(await replacement.find(signal), undefined);
@@ -474,8 +478,12 @@
 });
 
 test('a search for another engine never reserves at the silent one', async t => {
+  const reserved: string[] = [];
   const {clock, parts, tracked} = createParts({
-    reserve: async () => Result.ok({id: 'hold-1', startedAt: undefined}),
+    reserve: async ({name}) => {
+      reserved.push(name);
+      return Result.ok({id: 'hold-1', startedAt: undefined});
+    },
   });
   for (const name of ['d-2', 'd-3']) tracked(name).health.suspendUntil(9000);
   const {GenerationAttempts} =
@@ -497,20 +505,18 @@
   } as unknown as GenerationState;
   const monitor = attempts.monitorAttempt(state, tracked('d-1'), {
     stallMilliseconds: 1000,
-    possibleRuns: 1,
     isReplaceable: true,
+    signal: state.signal,
   });
   let found: string | undefined;
-  void monitor.wait(new Promise<never>(() => undefined)).then(result => {
-    found =
-      result.kind === 'replaced'
-        ? result.replacement.upstream.document.name
-        : result.kind;
-  });
+  void monitor
+    .wait(new Promise<never>(() => undefined))
+    .then(({kind}) => (found = kind));
   await clock.advance(3000);
   monitor.close();
   attempts.close();
   t.is(found, undefined);
+  t.deepEqual(reserved, []);
 });
 
 test('a search that takes long does not postpone the end at the deadline', async t => {
