A stopping host resumes the streams that it has begun

What callers saw: a stream that a host had taken long before its SIGTERM, and whose engine broke off after it, ended in the middle instead of going on at another engine.

Cause: the question whether a call would end before the host does was asked of a resumption as of a new call. A new call is refused so that another host serves it from the start; a refused resumption only cuts the stream, which the host has promised.

Change: the send gate remembers the calls whose response has begun. A stop no longer refuses to send them; the end of the grace period still bounds them.

Evidence: `a stream that breaks after a stop has begun goes on elsewhere` fails before and passes now; `a stopping host begins no stream that would outlive it` passes on both.

--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -20,7 +20,7 @@
 
 /** Why a call may be sent nowhere any more. */
 export type CallRefusal =
-  /** The call would not end before this host does. */
+  /** The call has no response yet and would not end before this host does. */
   | 'host-stopping'
   /** The configuration in force has no route for the call. */
   | 'route-withdrawn'
@@ -53,6 +53,8 @@
 export class SendGate {
   /** Of calls that were routed by an older configuration. */
   private readonly withdrawals = new WeakMap<RoutedCall, Withdrawal>();
+  /** Calls whose callers have a part of the response. */
+  private readonly answered = new WeakSet<RoutedCall>();
 
   constructor(private readonly parts: SendGateParts) {}
 
@@ -61,6 +63,14 @@
     this.parts.shutdown.recordStart(route.name, ended);
   }
 
+  /**
+   * Records that the response to `call` has begun. A stopping host lets it go on at
+   * another upstream, because a refusal would cut it off.
+   */
+  recordResponse(call: RoutedCall): void {
+    this.answered.add(call);
+  }
+
   /**
    * Returns why `call` may not be sent to the process that `upstream` names, and
    * reports it.
@@ -101,7 +111,9 @@
   }
 
   private callRefusalOf(call: RoutedCall): CallRefusal | undefined {
-    if (!this.parts.shutdown.canFinish(call)) return 'host-stopping';
+    const isBegun = this.answered.has(call);
+    if (!isBegun && !this.parts.shutdown.canFinish(call))
+      return 'host-stopping';
     return this.withdrawalOf(call);
   }
 
--- a/packages/coordination/test/takeover.test.ts
+++ b/packages/coordination/test/takeover.test.ts
@@ -331,3 +331,20 @@
     scene.stop();
     t.deepEqual(await scene.clock.runUntil(relayed), whole);
   });
+
+// Guards against streams that a stopping host cuts instead of resuming them.
+test('a stream that breaks after a stop has begun goes on elsewhere', async t => {
+  const scene = new Scene([{breaksAt: 550}, {}]);
+  const relayed = scene.relay();
+  await scene.clock.advance(400);
+  scene.stop();
+  t.deepEqual(await scene.clock.runUntil(relayed), whole);
+});
+
+test('a stopping host begins no stream that would outlive it', async t => {
+  const scene = new Scene([{}]);
+  scene.stop();
+  await scene.clock.advance(1);
+  t.deepEqual(await scene.relayed(), {ids: [], isWhole: false});
+  t.is(scene.sentRuns, 0);
+});
