Completions: the stall monitor's own adoption, in place of a second one

The monitor of attempts now hands a search under way to an attempt that has failed (`adopt`), which `replacement-search` did for completions. One mechanism stays; a search for the next attempt ends with the search or the completion (`findBeside`).

--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -22,6 +22,7 @@
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import {findBeside} from './next-attempt.js';
 import type {
   AttemptResult,
   AttemptTokens,
@@ -30,7 +31,6 @@
 } from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
-import {ReplacementSearch} from './replacement-search.js';
 import {readTokens} from './token-stream.js';
 import type {StreamResult} from './token-stream.js';
 
@@ -76,6 +76,8 @@
   private hasDecodedToken = false;
   /** Prefilled tokens that no decode engine has imported yet. */
   private untransferredTokens = 0;
+  /** What was sought beside the attempt when it failed. */
+  private adopted: Promise<NextAttempt | undefined> | undefined;
 
   constructor(
     private readonly parts: AttemptRunnerParts,
@@ -88,28 +90,20 @@
 
   /** Yields the tokens that the caller has not received yet. */
   async *run(signal: AbortSignal): AttemptTokens {
-    const search = new ReplacementSearch<NextAttempt>({
-      signal,
-      seek: this.findNext,
-      release: next => next.close(),
-    });
-    const result = yield* this.runStages(search, signal);
+    const result = yield* this.runStages(signal);
     if (result.kind !== 'failed') return result;
-    const next = await search.kept();
+    const next = await this.adopted;
     return next === undefined
       ? result
       : {kind: 'replaced', error: result.error, next};
   }
 
-  private async *runStages(
-    search: ReplacementSearch<NextAttempt>,
-    signal: AbortSignal,
-  ): AttemptTokens {
+  private async *runStages(signal: AbortSignal): AttemptTokens {
     this.startedAt = this.parts.clock.now();
     this.parts.cleaner.register(this.attempt);
     let isComplete = false;
     try {
-      const prefillResult = await this.prefill(search, signal);
+      const prefillResult = await this.prefill(signal);
       if (prefillResult.isErr) return prefillResult.error;
       const transferResult = await this.transferCache(
         prefillResult.value,
@@ -117,7 +111,7 @@
       );
       if (transferResult.kind !== 'complete') return transferResult;
       this.untransferredTokens = 0;
-      const result = yield* this.decode(search, signal);
+      const result = yield* this.decode(signal);
       isComplete = result.kind === 'complete';
       return result;
     } finally {
@@ -134,13 +128,12 @@
 
   /** Resolves with an error that ends the attempt. */
   private async prefill(
-    search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
   ): Promise<Result<PrefillResult, AttemptResult>> {
     const {prefill} = this.placement;
     this.contactedEngines.add(prefill);
     const scope = new AbortScope(signal);
-    const monitor = this.monitorPrefill(prefill, search);
+    const monitor = this.monitorPrefill(prefill, signal);
     void this.resumeAfterPauses(monitor, scope.signal);
     const item = await monitor.wait(
       prefill.engine.prefill(
@@ -155,7 +148,8 @@
         scope.signal,
       ),
     );
-    if (item.kind === 'ready' && item.value.isErr) search.keep();
+    if (item.kind === 'ready' && item.value.isErr)
+      this.adopted = monitor.adopt();
     monitor.close();
     scope.close();
     this.placement.releasePrefill();
@@ -171,13 +165,13 @@
 
   private monitorPrefill(
     prefill: EngineState,
-    search: ReplacementSearch<NextAttempt>,
+    signal: AbortSignal,
   ): StallMonitor<NextAttempt> {
     const {prefillMilliseconds} = this.placement.estimate;
     return this.monitorEngine(
       prefill,
       prefillTimeoutBaseMilliseconds + timeoutFactor * prefillMilliseconds,
-      search,
+      signal,
       // The prefill may be lost, so that others may use its engines.
       () => {
         this.placement.releasePrefill();
@@ -234,10 +228,7 @@
     return transfer.run(result, signal);
   }
 
-  private async *decode(
-    search: ReplacementSearch<NextAttempt>,
-    signal: AbortSignal,
-  ): AttemptTokens {
+  private async *decode(signal: AbortSignal): AttemptTokens {
     const {decode} = this.placement;
     this.progress.isDecodeStarted = true;
     const origin = describeOrigin(this.parts.configuration(), decode.upstream);
@@ -246,7 +237,7 @@
     const monitor = this.monitorDecode(
       decode,
       tokensExpectedAt,
-      search,
+      signal,
       scope.signal,
     );
     const tokens = this.readDecodedTokens(
@@ -261,7 +252,7 @@
         if (item.kind !== 'ready') return this.abandon(decode, item);
         if (item.value.done === true) {
           const result = item.value.value;
-          if (result.kind === 'failed') search.keep();
+          if (result.kind === 'failed') this.adopted = monitor.adopt();
           return this.recordDecodeResult(decode, result);
         }
         const {offset, text} = item.value.value;
@@ -325,19 +316,19 @@
   private monitorDecode(
     decode: EngineState,
     tokensExpectedAt: number,
-    search: ReplacementSearch<NextAttempt>,
     signal: AbortSignal,
+    decodeSignal: AbortSignal,
   ): StallMonitor<NextAttempt> {
     const {clock, silenceMilliseconds} = this.parts;
     const monitor = this.monitorEngine(
       decode,
       silentConnectionsOfStall * silenceMilliseconds,
-      search,
+      signal,
     );
     const watchAt = tokensExpectedAt - silenceMilliseconds;
     if (watchAt <= clock.now()) return monitor;
     monitor.suspend();
-    void clock.sleep(watchAt - clock.now(), signal).then(() => {
+    void clock.sleep(watchAt - clock.now(), decodeSignal).then(() => {
       if (!this.hasDecodedToken) monitor.resume();
     });
     return monitor;
@@ -347,7 +338,7 @@
   private monitorEngine(
     state: EngineState,
     stallMilliseconds: number,
-    search: ReplacementSearch<NextAttempt>,
+    signal: AbortSignal,
     onStall = () => {},
   ): StallMonitor<NextAttempt> {
     return new StallMonitor<NextAttempt>({
@@ -355,12 +346,12 @@
       stallMilliseconds,
       // The deadline of the request aborts the attempt.
       deadline: Infinity,
-      findReplacement: signal => {
+      findReplacement: searchSignal => {
         this.recordStalled(state);
         onStall();
-        return search.find(signal);
+        return findBeside(this.findNext, searchSignal, signal);
       },
-      releaseReplacement: next => search.release(next),
+      releaseReplacement: next => next.close(),
     });
   }
 
--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -20,6 +20,7 @@
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import {findBeside} from './next-attempt.js';
 import type {
   AttemptResult,
   FindNextAttempt,
@@ -27,7 +28,6 @@
 } from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
-import {ReplacementSearch} from './replacement-search.js';
 
 /** Dependencies of a transfer. */
 export interface CacheTransferParts {
@@ -183,8 +183,7 @@
     expiresAt: number,
     signal: AbortSignal,
   ): Promise<TransferResult | WidenedTransfer> {
-    const search = this.searchReplacement(expiresAt, signal);
-    const monitor = this.monitorImports(search);
+    const monitor = this.monitorImports(expiresAt, signal);
     try {
       for (;;) {
         const outcomes = [...this.openImports.values()].map(
@@ -206,9 +205,7 @@
           this.placement.releaseDecode();
           continue;
         }
-        search.keep();
-        monitor.close();
-        const replacement = await search.kept();
+        const replacement = await monitor.adopt();
         return replacement === undefined
           ? {kind: 'failed', error}
           : replacedBy(replacement, error);
@@ -247,22 +244,10 @@
     );
   }
 
-  private searchReplacement(
-    expiresAt: number,
-    signal: AbortSignal,
-  ): ReplacementSearch<Replacement> {
-    return new ReplacementSearch<Replacement>({
-      signal,
-      seek: searchSignal => this.findReplacement(expiresAt, searchSignal),
-      release: replacement => {
-        if (replacement.kind === 'attempt') replacement.next.close();
-      },
-    });
-  }
-
   /** Seeks a replacement once the transfers are silent. */
   private monitorImports(
-    search: ReplacementSearch<Replacement>,
+    expiresAt: number,
+    signal: AbortSignal,
   ): StallMonitor<Replacement> {
     const {clock} = this.parts;
     const {transferMilliseconds} = this.placement.estimate;
@@ -272,11 +257,13 @@
         timeoutBaseMilliseconds + timeoutFactor * transferMilliseconds,
       // The deadline of the request aborts the attempt.
       deadline: Infinity,
-      findReplacement: signal => {
+      findReplacement: searchSignal => {
         this.recordSilence();
-        return search.find(signal);
+        return this.findReplacement(expiresAt, searchSignal, signal);
+      },
+      releaseReplacement: replacement => {
+        if (replacement.kind === 'attempt') replacement.next.close();
       },
-      releaseReplacement: replacement => search.release(replacement),
     });
   }
 
@@ -292,6 +279,7 @@
 
   private async findReplacement(
     expiresAt: number,
+    searchSignal: AbortSignal,
     signal: AbortSignal,
   ): Promise<Replacement | undefined> {
     const {clock, placer} = this.parts;
@@ -305,7 +293,7 @@
       const next = placer.chooseDecode(this.request, prefill, excluded);
       return next && {kind: 'decode', decode: next};
     }
-    const next = await this.findNext(signal);
+    const next = await findBeside(this.findNext, searchSignal, signal);
     return next && {kind: 'attempt', next};
   }
 
--- a/packages/coordination/src/placement/next-attempt.ts
+++ b/packages/coordination/src/placement/next-attempt.ts
@@ -5,6 +5,7 @@
  */
 
 import type {UpstreamError} from '../upstreams/engine.js';
+import {AbortScope} from './abort-scope.js';
 import type {AttemptAdmission} from './attempt-admission.js';
 import type {CompletionOrigin} from './completion-origin.js';
 import type {Placement} from './placement.js';
@@ -45,6 +46,24 @@
   signal: AbortSignal,
 ) => Promise<NextAttempt | undefined>;
 
+/**
+ * Finds what goes on in place of an attempt. It is ended with the search and, once it
+ * is found, when `signal` is aborted.
+ */
+export async function findBeside(
+  findNext: FindNextAttempt,
+  searchSignal: AbortSignal,
+  signal: AbortSignal,
+): Promise<NextAttempt | undefined> {
+  const scope = new AbortScope(signal);
+  searchSignal.addEventListener('abort', () => scope.close(), {once: true});
+  const next = await findNext(scope.signal);
+  if (next !== undefined && !scope.signal.aborted) return next;
+  next?.close();
+  scope.close();
+  return undefined;
+}
+
 export interface NextAttemptsParts {
   readonly admission: AttemptAdmission;
   /**
