Planned work: streams that are silent and go on, slow prefills, refused resumptions

Streams of kind `silent` pause in the middle for long enough that another engine is sought, and go on. Prefills get a time of their own, and a share of the runs that resume a stream is refused although the reservation was granted. `work=none` plays without any work.

--- a/bench/planned-work.mjs
+++ b/bench/planned-work.mjs
@@ -7,12 +7,12 @@
  *     node bench/planned-work.mjs seed=1 seconds=25 callers=60 hosts=3 work=stops
  *
  * `work` is a list of stops, pairs, early-stops, young-hosts, repeated-stops,
- * early-settings, settings, configurations, freezes and engine-failures, or `all`, which leaves out
- * early-settings, freezes and engine-failures. While engines fail, only resumable
+ * early-settings, settings, configurations, freezes and engine-failures, or `none`, or `all`, which
+ * leaves out early-settings, freezes and engine-failures. While engines fail, only resumable
  * streams are whole: `habits=resumable,take-up`. Other arguments: `habits` (a list of
  * the habits of callers) or `without` (such a list to leave out), `program` (path of
  * the bundle), `output` (`discarded`, `unread` or `file`) and `folder` (for the files),
- * `streams` (`even`, `uneven`, `rare-long`, `long-in-stops` or `beyond-grace`),
+ * `streams` (`even`, `uneven`, `rare-long`, `long-in-stops`, `beyond-grace` or `silent`),
  * `engine-delay` (of reservations and prefills), `server-work`, `idle-timeout`, `pause`
  * and `server-idle` (milliseconds), `grace` (seconds), `server-requests` (requests after which servers close a connection at its
  * next use), `slots` (streams that an engine runs at a time) and `stranded` (number of
@@ -30,6 +30,13 @@
  * habits=one-behind,behind-later,two-behind,behind-announcement`. They are written up to
  * 5 s behind a stream, one or two with one write. Requests that their host had not read
  * when it ended the connection are printed as unread, and do not change the exit status.
+ *
+ * Streams that are silent until another engine is sought, and go on: `streams=silent
+ * habits=resumable slots=40 prefill=700`. `silence` is the length of the silence
+ * (milliseconds, 1800) and `silent-part` the part of the streams that have one (1). A
+ * prefill takes `prefill` milliseconds, and the part `refused-resumptions` (0) of the
+ * runs that resume a stream is refused although the reservation was granted. A stream
+ * that its host cuts is printed as lost, also without any work: `work=none`.
  */
 
 import {fileURLToPath} from 'node:url';
@@ -58,6 +65,10 @@
   if (!all.includes(value)) throw new RangeError(`unknown: ${value}`);
   return value;
 };
+const workOf = value => {
+  if (value === 'none') return [];
+  return value === 'all' ? plannedKinds : listOf(value, workKinds);
+};
 const number = (name, fallback) => Number(values[name] ?? fallback);
 const left = listOf(values.without ?? '', ['', ...callerHabits]);
 
@@ -66,10 +77,7 @@
   seconds: number('seconds', 25),
   callers: number('callers', 60),
   hosts: number('hosts', 3),
-  work:
-    values.work === 'all'
-      ? plannedKinds
-      : listOf(values.work ?? 'stops', workKinds),
+  work: workOf(values.work ?? 'stops'),
   habits: listOf(values.habits, callerHabits).filter(
     habit => !left.includes(habit),
   ),
@@ -83,6 +91,14 @@
     streams: oneOf(values.streams ?? 'even', streamKinds),
     engineDelayMilliseconds: number('engine-delay', 0),
     slots: number('slots', 8),
+    silences: {
+      milliseconds: number('silence', 1800),
+      part: number('silent-part', 1),
+    },
+    ...(values.prefill !== undefined && {
+      prefillMilliseconds: number('prefill'),
+    }),
+    refusedResumptionPart: number('refused-resumptions', 0),
   },
   idleTimeoutMilliseconds: number('idle-timeout', 15_000),
   pauseMilliseconds: number('pause', 300),
