Two engines run a stream for 300 ms at most, counted from the send

What callers saw: nothing yet; a test of the stand-ins found it. The engine that takes over a stream may begin to run it long before the head of its response: with heads of 900 ms two engines ran a stream for 991 ms, which uses up slots and breaks the rule that a stream goes on at another engine for 400 ms at most. A replacement that answered with bytes that complete no event took the stream with it.

Change: the 300 ms count from the send of the run, and anew for each further one. The first complete event shows that the other engine streams (`StreamOpening`), not its first bytes.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -50,6 +50,7 @@
 import {StallMonitor} from '../stall-monitor.js';
 import type {StartStep} from './call-events.js';
 import {Takeover} from './takeover.js';
+import type {RunObserver} from './takeover.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
@@ -103,8 +104,8 @@
   readonly silentEngines: ReadonlySet<string>;
   /** Reservation for the first attempt, if there is one. */
   readonly reservation?: EngineReservation;
-  /** Called when an engine has begun a response. */
-  readonly onAccepted?: () => void;
+  /** Receives how far each run has come. */
+  readonly run?: RunObserver;
 }
 
 interface FailedAttempt {
@@ -118,10 +119,7 @@
   readonly takeover: Promise<Takeover | undefined>;
 }
 
-export interface MonitorOptions extends Pick<
-  StartOptions,
-  'signal' | 'onAccepted'
-> {
+export interface MonitorOptions extends Pick<StartOptions, 'signal' | 'run'> {
   readonly stallMilliseconds: number;
   /** Whether the call may go on at another engine. */
   readonly isReplaceable: boolean;
@@ -488,6 +486,7 @@
     const attempt = new AbortScope(options.signal);
     requestLimits.sendAcquired(document.name);
     const send = state.sends.begin(state.pool.name, 'run');
+    options.run?.sent();
     const sent = transport.send(
       document,
       call,
@@ -509,7 +508,7 @@
     const head = await this.awaitHead(state, engine, sent, options);
     const isStream =
       head.result.isOk && head.result.value.status === eventStreamStatus;
-    if (isStream) options.onAccepted?.();
+    if (isStream) options.run?.accepted();
     const isVerified =
       !isStream || (await this.isVersionVerified(state, document, reservation));
     if (!isVerified)
@@ -532,6 +531,7 @@
       return Result.ok({response, reservation, document, attempt});
     }
     attempt.close();
+    options.run?.failed();
     const {error} = result;
     if (provesCallNotRun(error)) state.possibleRuns -= 1;
     this.parts.releases.releaseUsedReservation(reservation);
@@ -617,7 +617,7 @@
         {signal: options.signal, silentEngines, reservation},
         () => {
           commit();
-          options.onAccepted?.();
+          options.run?.accepted();
         },
       );
       if (search.aborted) takeover.close();
@@ -644,9 +644,8 @@
     return new Takeover({
       clock,
       signal: options.signal,
-      start: async (signal, accept) => {
-        const onEach = {...options, signal, onAccepted: accept};
-        const started = await this.start(state, onEach);
+      start: async (signal, run) => {
+        const started = await this.start(state, {...options, signal, run});
         // The engine before goes on.
         if (started.isErr && signal.aborted) this.releaseReusableCache(state);
         return started;
--- a/packages/coordination/src/passthrough/takeover.ts
+++ b/packages/coordination/src/passthrough/takeover.ts
@@ -8,44 +8,56 @@
 import {AbortScope} from '../placement/abort-scope.js';
 import {eventStreamStatus} from './generation-run.js';
 import type {StartFailure, StartedGeneration} from './generation-attempts.js';
+import {StreamOpening} from './stream-opening.js';
 
 /**
- * Time for which two engines may run a generation. An engine that has accepted the run
- * then takes over, whether it has streamed or not.
+ * Time for which two engines may run a generation. The other engine then takes over,
+ * whether it has streamed or not.
  */
 const maximumOverlapMilliseconds = 300;
 
+/** Receives how far the run at the other engine has come. */
+export interface RunObserver {
+  /** The engine may run the generation from now on. */
+  sent(): void;
+  /** The engine has begun a response. */
+  accepted(): void;
+  /** The run has ended without one. */
+  failed(): void;
+}
+
 export interface TakeoverParts {
   readonly clock: Clock;
   /** Aborted when the call is cancelled. */
   readonly signal: AbortSignal;
-  /** Calls `onAccepted` when an engine has begun a response. */
+  /** Finds another engine, and reports each run there. */
   readonly start: (
     signal: AbortSignal,
-    onAccepted: () => void,
+    run: RunObserver,
   ) => Promise<Result<StartedGeneration, StartFailure>>;
-  /** Called as soon as the engine before will not be kept, unless the start fails. */
+  /** Called when an engine has accepted a run. */
   readonly onAccepted: () => void;
   readonly onFailure: (failure: Pick<StartFailure, 'step' | 'reason'>) => void;
 }
 
 export class Takeover {
   private readonly scope: AbortScope;
-  private readonly accepted: Promise<void>;
-  private accept = () => {};
+  /** Resolves when two engines have run the generation for long enough. */
+  private readonly overlapped: Promise<true>;
+  private endOverlap: (value: true) => void = () => {};
   /** Resolves with undefined if no other engine takes the generation. */
   readonly started: Promise<StartedGeneration | undefined>;
 
   constructor(private readonly parts: TakeoverParts) {
     this.scope = new AbortScope(parts.signal);
-    this.accepted = new Promise(resolve => (this.accept = resolve));
+    this.overlapped = new Promise(resolve => (this.endOverlap = resolve));
     this.started = this.start();
   }
 
-  /** Resolves with whether the engine before can be given up. */
+  /** Resolves with whether the engine before is to be given up. */
   async isSafe(): Promise<boolean> {
     const isStarted = this.started.then(each => each !== undefined);
-    return Promise.race([isStarted, this.overlapEnd()]);
+    return Promise.race([isStarted, this.overlapped]);
   }
 
   /** Ends the generation at the other engine. */
@@ -56,12 +68,10 @@
 
   private async start(): Promise<StartedGeneration | undefined> {
     const {signal} = this.scope;
-    const started = await this.parts.start(signal, () => {
-      this.parts.onAccepted();
-      this.accept();
-    });
+    const {start, onFailure} = this.parts;
+    const started = await start(signal, this.observeRuns());
     if (started.isErr) {
-      if (!signal.aborted) this.parts.onFailure(started.error);
+      if (!signal.aborted) onFailure(started.error);
       return undefined;
     }
     const {status} = started.value.response;
@@ -73,6 +83,21 @@
     return streaming;
   }
 
+  private observeRuns(): RunObserver {
+    const {clock, onAccepted} = this.parts;
+    let run = new AbortController();
+    return {
+      sent: () => {
+        const {signal} = (run = new AbortController());
+        void clock.sleep(maximumOverlapMilliseconds, signal).then(() => {
+          if (!signal.aborted) this.endOverlap(true);
+        });
+      },
+      accepted: onAccepted,
+      failed: () => run.abort(),
+    };
+  }
+
   /** Ends an attempt that has brought no stream. */
   private recordFailure(started: StartedGeneration): void {
     endAttempt(started);
@@ -84,33 +109,20 @@
   }
 
   /**
-   * Waits for the first bytes, or until the overlap ends. Resolves with undefined if the
+   * Waits for the first event, or until the overlap ends. Resolves with undefined if the
    * response ends without any.
    */
   private async untilStreaming(
     started: StartedGeneration,
   ): Promise<StartedGeneration | undefined> {
-    const chunks = started.response.body[Symbol.asyncIterator]();
-    const first = chunks.next();
-    const hasBytes = await Promise.race([
-      first.then(
-        ({done}) => done !== true,
-        () => false,
-      ),
-      this.overlapEnd(),
+    const {response} = started;
+    const opening = new StreamOpening(response.body);
+    const isStreaming = await Promise.race([
+      opening.hasEvent(),
+      this.overlapped,
     ]);
-    if (!hasBytes) return undefined;
-    const body = prepend(first, chunks);
-    return {...started, response: {...started.response, body}};
-  }
-
-  /** Resolves with true when two engines have run the generation for long enough. */
-  private async overlapEnd(): Promise<true> {
-    const {accepted, scope} = this;
-    const {clock} = this.parts;
-    await accepted;
-    await clock.sleep(maximumOverlapMilliseconds, scope.signal);
-    return true;
+    if (!isStreaming) return undefined;
+    return {...started, response: {...response, body: opening.relay()}};
   }
 }
 
@@ -119,11 +131,3 @@
   attempt.close();
   reservation.load.release();
 }
-
-async function* prepend(
-  first: Promise<IteratorResult<Uint8Array>>,
-  rest: AsyncIterator<Uint8Array>,
-): AsyncGenerator<Uint8Array> {
-  for (let next = await first; next.done !== true; next = await rest.next())
-    yield next.value;
-}
