A stop does not end the search for another engine of a call without a head

Cause: the send gate took the search beside the silent engine for a new call, which a stopping host refuses. The refusal could not reach the caller while the first engine was awaited.

Change: such a call is exempt from the question whether it would end before its host.

Evidence: `a call without a head goes on elsewhere after a stop has begun` fails before and passes now.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -591,7 +591,7 @@
     engine: TrackedUpstream,
     options: MonitorOptions,
   ): StallMonitor<Takeover> {
-    const {clock, releases} = this.parts;
+    const {clock, releases, sendGate} = this.parts;
     const {stallMilliseconds, isReplaceable} = options;
     const silentEngines = new Set([
       ...(options.silentEngines ?? noEngines),
@@ -608,6 +608,7 @@
       state,
     );
     const takeOver = async (search: AbortSignal, commit: () => void) => {
+      sendGate.exemptFromStop(state.call);
       await state.versionCheck;
       if (state.isVersionUncertain) return replacement.withhold('version');
       const reservation = await replacement.find(search);
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -97,7 +97,7 @@
     this.attempts.releaseReusableCache(state);
     if (started.isErr) return Result.err(started.error.failure);
     const {response} = started.value;
-    this.parts.sendGate.recordResponse(call);
+    this.parts.sendGate.exemptFromStop(call);
     const body =
       response.status === eventStreamStatus
         ? this.relay(state, started.value)
--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -20,7 +20,7 @@
 
 /** Why a call may be sent nowhere any more. */
 export type CallRefusal =
-  /** The call has no response yet and would not end before this host does. */
+  /** The call would not end before this host does, and is not exempt. */
   | 'host-stopping'
   /** The configuration in force has no route for the call. */
   | 'route-withdrawn'
@@ -53,8 +53,8 @@
 export class SendGate {
   /** Of calls that were routed by an older configuration. */
   private readonly withdrawals = new WeakMap<RoutedCall, Withdrawal>();
-  /** Calls whose callers have a part of the response. */
-  private readonly answered = new WeakSet<RoutedCall>();
+  /** Calls that a stop does not refuse to send. */
+  private readonly exempt = new WeakSet<RoutedCall>();
 
   constructor(private readonly parts: SendGateParts) {}
 
@@ -64,11 +64,11 @@
   }
 
   /**
-   * Records that the response to `call` has begun. A stopping host lets it go on at
-   * another upstream, because a refusal would cut it off.
+   * Lets a stopping host send `call` once more: its response has begun, or an upstream
+   * may still answer it. A refusal would cut it off, or reach its caller no sooner.
    */
-  recordResponse(call: RoutedCall): void {
-    this.answered.add(call);
+  exemptFromStop(call: RoutedCall): void {
+    this.exempt.add(call);
   }
 
   /**
@@ -111,8 +111,8 @@
   }
 
   private callRefusalOf(call: RoutedCall): CallRefusal | undefined {
-    const isBegun = this.answered.has(call);
-    if (!isBegun && !this.parts.shutdown.canFinish(call))
+    const isExempt = this.exempt.has(call);
+    if (!isExempt && !this.parts.shutdown.canFinish(call))
       return 'host-stopping';
     return this.withdrawalOf(call);
   }
--- a/packages/coordination/test/takeover.test.ts
+++ b/packages/coordination/test/takeover.test.ts
@@ -341,6 +341,16 @@
   t.deepEqual(await scene.clock.runUntil(relayed), whole);
 });
 
+// Guards against calls that wait for a silent engine until their callers leave.
+test('a call without a head goes on elsewhere after a stop has begun', async t => {
+  const scene = new Scene([{headDelay: 60_000}, {}]);
+  scene.prefillMilliseconds = 700;
+  const relayed = scene.relay();
+  await scene.clock.advance(3000);
+  scene.stop();
+  t.deepEqual(await scene.clock.runUntil(relayed), whole);
+});
+
 test('a stopping host begins no stream that would outlive it', async t => {
   const scene = new Scene([{}]);
   scene.stop();
