A takeover needs one retry, as any further send

Cause: a search set a second retry aside for the case that the run is rejected, because the silent engine had been given up by then. It is kept now, and the search, which takes as long as a prefill, held both retries all the while.

Change: one retry for the run; a prefill asks for its own, as before.

--- a/packages/coordination/src/passthrough/engine-replacement.ts
+++ b/packages/coordination/src/passthrough/engine-replacement.ts
@@ -1,8 +1,4 @@
-/**
- * Reserves memory at another engine for a generation whose engine is silent. The other
- * one may reject the run although it has granted the reservation, so that a retry is
- * acquired for this as well.
- */
+/** Reserves memory at another engine for a generation whose engine is silent. */
 
 import type {Result} from 'true-myth';
 import type {RequestFailure} from '../requests/failure.js';
@@ -31,16 +27,13 @@
   /** Resolves with undefined if no engine may or can take over now. */
   async find(signal: AbortSignal): Promise<EngineReservation | undefined> {
     const {retryGate, reserve, releaseReservation} = this.parts;
-    const limit = retryGate.limitOfReplacement(this.retryRequest());
+    const limit = retryGate.limitOf(this.retryRequest());
     if (limit !== undefined) return this.withhold(limit);
     const reserved = await reserve(signal);
     if (reserved.isErr)
       return signal.aborted ? undefined : this.withhold('capacity');
     const reservation = reserved.value;
-    if (
-      !signal.aborted &&
-      (await retryGate.acquireReplacement(this.retryRequest()))
-    )
+    if (!signal.aborted && (await retryGate.acquire(this.retryRequest())))
       return reservation;
     releaseReservation(reservation);
     return undefined;
--- a/packages/coordination/src/passthrough/retry-gate.ts
+++ b/packages/coordination/src/passthrough/retry-gate.ts
@@ -18,11 +18,8 @@
   readonly reason: string;
 }
 
-/**
- * Sends that are covered before a silent engine is given up, or the prompt is read
- * again: the next one, and a run in case that the engine rejects it or after it.
- */
-const sendsWithReserve = 2;
+/** Sends that are covered before a prompt is read again: the prefill, and the run. */
+const sendsOfPrefill = 2;
 
 export class RetryGate {
   constructor(
@@ -51,7 +48,7 @@
 
   /** Acquires permission; resolves with false if the attempt is forbidden. */
   acquire(request: RetryRequest): Promise<boolean> {
-    return this.acquireSends(request, 1, this.limitOf(request));
+    return this.acquireSend(request, this.limitOf(request));
   }
 
   /**
@@ -73,47 +70,24 @@
   async acquirePrefill(request: RetryRequest): Promise<boolean> {
     const {sends, pool} = request;
     if (sends.isPrefillFree) return true;
-    const acquired = await sends.cover(pool.name, sendsWithReserve);
+    const acquired = await sends.cover(pool.name, sendsOfPrefill);
     if (acquired !== undefined && acquired > 0)
       this.reportRetried(request, acquired);
     return acquired !== undefined;
   }
 
-  /**
-   * What forbids a replacement of an attempt that still goes on, if anything does.
-   * The replacement may be rejected, so a further attempt has to be left.
-   */
-  limitOfReplacement(request: RetryRequest): RetryLimit | undefined {
-    const {call, pool, counts, sends} = request;
-    const afterwards = {...counts, attempts: counts.attempts + 1};
-    return (
-      retryLimitOf(call, afterwards, this.parts.clock.now()) ??
-      (sends.canCover(pool.name, sendsWithReserve) ? undefined : 'budget')
-    );
-  }
-
-  /**
-   * Acquires permission for a replacement, and for a further attempt in case that
-   * it is rejected; resolves with false if either is forbidden.
-   */
-  acquireReplacement(request: RetryRequest): Promise<boolean> {
-    const limit = this.limitOfReplacement(request);
-    return this.acquireSends(request, sendsWithReserve, limit);
-  }
-
   reportWithheld({call, reason}: RetryRequest, limit: RetryLimit): void {
     this.parts.observer(call.id, {kind: 'retry-withheld', reason, limit});
   }
 
-  /** Covers further sends unless `limit` forbids them, and reports the decision. */
-  private async acquireSends(
+  /** Covers a further send unless `limit` forbids it, and reports the decision. */
+  private async acquireSend(
     request: RetryRequest,
-    count: number,
-    limit?: RetryLimit,
+    limit: RetryLimit | undefined,
   ): Promise<boolean> {
     const {sends, pool} = request;
     const acquired =
-      limit === undefined ? await sends.cover(pool.name, count) : undefined;
+      limit === undefined ? await sends.cover(pool.name, 1) : undefined;
     if (acquired === undefined) this.reportWithheld(request, limit ?? 'budget');
     else this.reportRetried(request, acquired);
     return acquired !== undefined;
