A stream that begins at one version is not joined to another one

What callers would see: events of two versions of a model in one stream (ORDER, MIXED).

Cause: once another engine has accepted a stream, its first engine may still send events until the overlap ends, and progress no longer ends the takeover. A stream without an event is not bound to a version, so the other engine may have another one than the engine whose first event arrives in that time.

Change: only a stream that has begun is committed to its takeover. One that begins at its first engine meanwhile ends the takeover, as before the acceptance.

Evidence: `a stream that begins as another version accepts it has events of one version` fails before (versions v1 and v2) and passes now. `ScriptedEngines` is the scene of this and further races.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -617,7 +617,8 @@
         state,
         {signal: options.signal, silentEngines, reservation},
         () => {
-          commit();
+          // Until its first event, a stream may go on at another version.
+          if (state.softwareVersion !== undefined) commit();
           options.run?.accepted();
         },
       );
--- /dev/null
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -0,0 +1,16 @@
+/** Streams that go on at two engines at the same time, on virtual time. */
+
+import test from 'ava';
+import {ScriptedEngines} from './tools/scripted-engines.js';
+
+const allIds = Array.from({length: 10}, (_, index) => index + 1);
+
+// Guards against streams that two versions of a model have written.
+test('a stream that begins as another version accepts it has events of one version', async t => {
+  const scene = new ScriptedEngines(
+    [{firstEventDelay: 910}, {firstEventDelay: 200}],
+    {events: 10, versions: ['v1', 'v2', 'v2']},
+  );
+  const {ids, versions, isWhole} = await scene.clock.runUntil(scene.relay());
+  t.deepEqual([ids, isWhole, versions.size], [allIds, true, 1]);
+});
