A slow caller does not keep two engines at one stream

Found in review.

Cause: an attempt is ended when the relay learns that it is given up. While an event of the first engine is passed on to a caller that reads slowly, the relay waits for the caller.

Change: the monitor ends the attempt when it gives it up.

Evidence: `two engines run a stream briefly although its caller is slow` fails before (1208 ms, as long as the caller takes for an event) and passes now (bound 400 ms).

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -125,6 +125,8 @@
   readonly isReplaceable: boolean;
   /** Engines of other attempts that still go on. */
   readonly silentEngines?: ReadonlySet<string>;
+  /** Called when the attempt is given up. */
+  readonly onAbandoned?: () => void;
 }
 
 const noEngines: ReadonlySet<string> = new Set();
@@ -633,6 +635,7 @@
       findReplacement: (search, commit) =>
         isReplaceable ? takeOver(search, commit) : Promise.resolve(undefined),
       releaseReplacement: takeover => takeover.close(),
+      onAbandoned: options.onAbandoned,
     });
   }
 
--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -198,6 +198,8 @@
       stallMilliseconds: streamStallMilliseconds,
       isReplaceable: state.call.route.target.resumable ?? false,
       signal: state.signal,
+      // A caller that reads slowly holds up the relay.
+      onAbandoned: () => attempt.close(),
     });
     try {
       return yield* relayEvents({
--- a/packages/coordination/src/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -26,6 +26,8 @@
   ) => Promise<Replacement | undefined>;
   /** Frees a replacement that was found too late. */
   readonly releaseReplacement: (replacement: Replacement) => void;
+  /** Called when the attempt is given up, which `wait` may tell much later. */
+  readonly onAbandoned?: (() => void) | undefined;
 }
 
 /** Why an attempt is to be given up. */
@@ -199,6 +201,7 @@
   private abandon(reason: Abandonment<Replacement>): void {
     this.abandonment = reason;
     this.endWait?.(reason);
+    this.parts.onAbandoned?.();
   }
 
   private async sleepUntil(time: number): Promise<void> {
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -14,3 +14,14 @@
   const {ids, versions, isWhole} = await scene.clock.runUntil(scene.relay());
   t.deepEqual([ids, isWhole, versions.size], [allIds, true, 1]);
 });
+
+// Guards against two engines that run a stream for as long as its caller reads nothing.
+test('two engines run a stream briefly although its caller is slow', async t => {
+  const scene = new ScriptedEngines(
+    [{pausesAt: 5, pause: 910}, {firstEventDelay: 200}],
+    {events: 10, callerDelay: 1200},
+  );
+  const {ids, isWhole} = await scene.clock.runUntil(scene.relay());
+  t.deepEqual([ids, isWhole], [allIds, true]);
+  t.true(scene.longestOverlap() < 400, `${scene.longestOverlap()} ms`);
+});
