A KV cache that a failed takeover left is released with its stream

What callers saw: nothing; prefill engines hold a cache until it expires, and refuse prefills meanwhile if they are full. Found in review.

Cause: a takeover whose run did not reach its engine keeps the cache for the next attempt. Since the stream goes on at its first engine, there may be none.

Change: the end of the stream releases what is left.

Evidence: `a stream that goes on after a failed takeover leaves no cache` fails before and passes now.

--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -164,6 +164,7 @@
         current = resumed;
       }
     } finally {
+      this.attempts.releaseReusableCache(state);
       this.parts.onLoadChanged?.();
     }
   }
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -25,3 +25,15 @@
   t.deepEqual([ids, isWhole], [allIds, true]);
   t.true(scene.longestOverlap() < 400, `${scene.longestOverlap()} ms`);
 });
+
+// Guards against KV caches that are kept for runs that are not made any more.
+test('a stream that goes on after a failed takeover leaves no cache', async t => {
+  const scene = new ScriptedEngines(
+    [{pausesAt: 5, pause: 1800}, {fails: 'unreachable'}],
+    {events: 10, versions: ['v1', 'v1', 'v1', 'v1']},
+  );
+  const {ids} = await scene.clock.runUntil(scene.relay());
+  t.deepEqual(ids, allIds);
+  await scene.clock.advance(3000);
+  t.deepEqual(scene.remains(), []);
+});
