The search for a stream that broke ends when its caller leaves

What callers saw: nothing; a call whose caller had left kept its place in the queue of engines for up to 2.5 s, and reserved memory there.

Cause: a search that goes on for an attempt that has failed was ended by its own signal alone, which nothing aborts any more then.

Change: it is ended by the cancellation of the call as well.

Evidence: `a caller that leaves ends the search of a stream that broke` fails before (3,952 ms, for a caller that left at 2,200) and passes now (bound 2,300).

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -613,7 +613,9 @@
       sendGate.exemptFromStop(state.call);
       await state.versionCheck;
       if (state.isVersionUncertain) return replacement.withhold('version');
-      const reservation = await replacement.find(search);
+      const reservation = await replacement.find(
+        AbortSignal.any([search, options.signal]),
+      );
       if (reservation === undefined) return undefined;
       const takeover = this.beginTakeover(
         state,
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -37,3 +37,19 @@
   await scene.clock.advance(3000);
   t.deepEqual(scene.remains(), []);
 });
+
+// Guards against calls that wait for an engine after their callers have left.
+test('a caller that leaves ends the search of a stream that broke', async t => {
+  const scene = new ScriptedEngines(
+    [{pausesAt: 5, pause: 60_000, breaksAfter: 1900}],
+    {events: 10},
+  );
+  const relayed = scene.relay();
+  await scene.clock.advance(100);
+  for (const engine of scene.upstreams.inFailureDomain('zone-a'))
+    engine.reservationBackoffUntil = Infinity;
+  await scene.clock.advance(2100);
+  scene.caller.abort();
+  const {endedAt} = await scene.clock.runUntil(relayed);
+  t.true(endedAt <= 2300, `${endedAt} ms`);
+});
