The bytes of a takeover that has no event yet count as held

What callers saw: nothing; a server that streams comments without an event fills the memory of the host beside its budget, as fast as the connection carries them, until it has taken over the stream. Found in review.

Cause: what is read of a response before it is relayed leaves its body, where it is counted, and is kept without being counted.

Change: it counts as incomplete, as the beginning of an event does in the relay, which sets the count anew.

Evidence: `the bytes of a takeover that has no event yet are counted` fails before (0 bytes stated) and passes now (bound 100,000 of 1,000 bytes a millisecond).

--- a/packages/coordination/src/passthrough/stream-opening.ts
+++ b/packages/coordination/src/passthrough/stream-opening.ts
@@ -1,16 +1,20 @@
 /** Reads the beginning of a stream of events before the stream is relayed. */
 
+import type {PassthroughResponse} from './call.js';
 import {EventStreamSplitter} from './event-stream-splitter.js';
 
 export class StreamOpening {
   private readonly chunks: AsyncIterator<Uint8Array>;
   /** Bytes that were read and complete no event. */
   private readonly read: Uint8Array[] = [];
+  private readBytes = 0;
   private next: Promise<IteratorResult<Uint8Array>>;
   private isRelayed = false;
 
-  constructor(body: AsyncIterable<Uint8Array>) {
-    this.chunks = body[Symbol.asyncIterator]();
+  constructor(
+    private readonly response: Pick<PassthroughResponse, 'body' | 'held'>,
+  ) {
+    this.chunks = response.body[Symbol.asyncIterator]();
     this.next = this.chunks.next();
   }
 
@@ -26,6 +30,8 @@
         if (events.some(({id, hasData}) => id !== undefined || hasData))
           return true;
         this.read.push(value);
+        this.readBytes += value.byteLength;
+        this.response.held?.setIncomplete(this.readBytes);
         this.next = this.chunks.next();
       }
     } catch {
--- a/packages/coordination/src/passthrough/takeover.ts
+++ b/packages/coordination/src/passthrough/takeover.ts
@@ -116,7 +116,7 @@
     started: StartedGeneration,
   ): Promise<StartedGeneration | undefined> {
     const {response} = started;
-    const opening = new StreamOpening(response.body);
+    const opening = new StreamOpening(response);
     const isStreaming = await Promise.race([
       opening.hasEvent(),
       this.overlapped,
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -53,3 +53,21 @@
   const {endedAt} = await scene.clock.runUntil(relayed);
   t.true(endedAt <= 2300, `${endedAt} ms`);
 });
+
+// Guards against responses that fill the memory before they are relayed.
+test('the bytes of a takeover that has no event yet are counted', async t => {
+  const commentBytes = 1000;
+  const scene = new ScriptedEngines(
+    [{pausesAt: 5, pause: 60_000}, {commentBytes}],
+    {events: 10},
+  );
+  const relayed = scene.relay();
+  await scene.clock.advance(1700);
+  t.is(scene.runs.length, 2);
+  t.true(
+    scene.incompleteBytes >= 100 * commentBytes,
+    `${scene.incompleteBytes}`,
+  );
+  scene.caller.abort();
+  await scene.clock.runUntil(relayed);
+});
