A stopping host sends a call again that it can't refuse truthfully

What callers would see: 502 for a call that was read before the SIGTERM and whose engine breaks off after it, before the head of its response, though its route allows another try.

Cause: a stop refuses to send the call again, as a new call, so that another host serves it. But since it may have run, the refusal is a failure that promises nothing, and a call whose response had begun, or whose engine is silent, goes on.

Change: a call that an upstream may have run is exempt as well.

Evidence: `a call whose engine breaks before its head in a stop goes on elsewhere` fails before and passes now.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -477,7 +477,7 @@
     cache: PrefilledCache | undefined,
     options: StartOptions,
   ): Promise<Result<StartedGeneration, FailedAttempt>> {
-    const {clock, transport, requestLimits, observer} = this.parts;
+    const {clock, transport, requestLimits, observer, sendGate} = this.parts;
     const {call} = state;
     const engine = reservation.upstream;
     const {document} = engine;
@@ -536,6 +536,7 @@
     options.run?.failed();
     const {error} = result;
     if (provesCallNotRun(error)) state.possibleRuns -= 1;
+    else sendGate.exemptFromStop(call);
     this.parts.releases.releaseUsedReservation(reservation);
     this.releaseUnusedCache(state, cache, error);
     if (!options.signal.aborted) {
--- a/packages/coordination/src/passthrough/send-gate.ts
+++ b/packages/coordination/src/passthrough/send-gate.ts
@@ -64,8 +64,9 @@
   }
 
   /**
-   * Lets a stopping host send `call` once more: its response has begun, or an upstream
-   * may still answer it. A refusal would cut it off, or reach its caller no sooner.
+   * Lets a stopping host send `call` once more: an upstream may have run it, or may
+   * still answer it. A refusal would cut off its response, could not promise that it has
+   * not run, or would reach its caller no sooner.
    */
   exemptFromStop(call: RoutedCall): void {
     this.exempt.add(call);
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -71,3 +71,14 @@
   scene.caller.abort();
   await scene.clock.runUntil(relayed);
 });
+
+// Guards against calls that fail on a stopping host although another engine is free.
+test('a call whose engine breaks before its head in a stop goes on elsewhere', async t => {
+  const scene = new ScriptedEngines([{headDelay: 800, fails: 'broken'}, {}], {
+    events: 10,
+  });
+  const relayed = scene.relay();
+  await scene.clock.advance(400);
+  scene.stop();
+  t.deepEqual((await scene.clock.runUntil(relayed)).ids, allIds);
+});
