Of two starts that keep a KV cache, the earlier one's is released

What callers saw: nothing; a prefill engine holds the cache until it expires.

Cause: a takeover and the start before it may both have a cache that was not fetched, and there is one place to keep it for the next attempt. The later one took the place of the earlier one.

Change: the earlier one is released.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -211,14 +211,14 @@
         : sendRefusalOf(this.parts, this.upstreamLosses, state);
       if (stopped !== undefined) {
         releases.releaseReservation(reservation);
-        state.reusableCache = cache;
+        this.keepCache(state, cache);
         return failed('gate', stopped);
       }
       if (
         !(await this.retryGate.acquireRun(retryRequestOf(state, 'prefill')))
       ) {
         releases.releaseReservation(reservation);
-        state.reusableCache = cache;
+        this.keepCache(state, cache);
         return failed('budget', queueFailureOf(state, true));
       }
       if (
@@ -229,7 +229,7 @@
         // evacuation of its failure domain began, or the list named another process.
         // The call did not wait in the queue meanwhile.
         releases.releaseReservation(reservation);
-        state.reusableCache = cache;
+        this.keepCache(state, cache);
         granted = undefined;
         queuedAt = clock.now();
         continue;
@@ -672,7 +672,7 @@
   ): void {
     const canReuseCache =
       error.kind === 'misdirected' || !mayHaveBeenSent(error);
-    if (canReuseCache) state.reusableCache = cache;
+    if (canReuseCache) this.keepCache(state, cache);
     else if (cache !== undefined)
       this.parts.releases.releaseCache(cache.source);
   }
@@ -695,6 +695,16 @@
     recordAttemptFailure(engine, error, now);
   }
 
+  /** Keeps a cache for the next attempt; another start may have kept one as well. */
+  private keepCache(
+    state: GenerationState,
+    cache: PrefilledCache | undefined,
+  ): void {
+    if (cache === undefined) return;
+    this.releaseReusableCache(state);
+    state.reusableCache = cache;
+  }
+
   releaseReusableCache(state: GenerationState): void {
     if (state.reusableCache === undefined) return;
     this.parts.releases.releaseCache(state.reusableCache.source);
