Random scripts of engines around takeovers, on virtual time

Engines pause, break, refuse, answer late, with a status, with comments or with nothing; callers leave or read slowly; hosts stop; retries and time run out. Checked are the events and their versions, the time for which two engines run a stream, the runs that a route allows, streams that are cut while their engine goes on, and what is not released.

--- a/packages/coordination/test/tools/scripted-engines.ts
+++ b/packages/coordination/test/tools/scripted-engines.ts
@@ -50,8 +50,10 @@
   readonly commentBytes?: number;
 }
 
-/** A run that an engine has executed. */
+/** A run that was sent to an engine. */
 export interface Run {
+  /** Whether the engine executed it. */
+  readonly isExecuted: boolean;
   readonly script: RunScript;
   readonly sentAt: number;
   events: number;
@@ -82,7 +84,8 @@
 
 export class ScriptedEngines {
   readonly clock = new VirtualClock();
-  readonly runs: Run[] = [];
+  /** All runs in the order in which they were sent. */
+  readonly sent: Run[] = [];
   readonly events: CallEvent[] = [];
   readonly reservations = new Set<string>();
   readonly caches = new Set<string>();
@@ -90,7 +93,6 @@
   readonly upstreams = new UpstreamTable(this.clock);
   /** Bytes that the host states to hold beside the body of a response. */
   incompleteBytes = 0;
-  sentRuns = 0;
   private readonly shutdown = new ShutdownSchedule(this.clock);
   private readonly forwarder: GenerationForwarder;
   private readonly sends: CallSends;
@@ -219,6 +221,11 @@
     }
   }
 
+  /** The runs that engines executed. */
+  get runs(): readonly Run[] {
+    return this.sent.filter(({isExecuted}) => isExecuted);
+  }
+
   /** Begins a stop of 8 s. */
   stop(): void {
     const now = this.clock.now();
@@ -283,35 +290,33 @@
         return Result.ok(handle);
       },
       send: async ({name, spec}, _call, options, signal) => {
-        const {scripts, sentRuns} = this;
-        const script = scripts[Math.min(sentRuns, scripts.length - 1)]!;
+        const {scripts, sent} = this;
+        const script = scripts[Math.min(sent.length, scripts.length - 1)]!;
         const {headDelay = 1, fails, status = 200} = script;
-        this.sentRuns += 1;
         const upstream = upstreamId(name);
-        if (fails === 'refused' || fails === 'unreachable') {
-          await clock.sleep(headDelay, signal);
-          if (signal.aborted) return Result.err({kind: 'cancelled', upstream});
-          return Result.err({kind: fails, upstream} as never);
-        }
-        this.reservations.delete(options.reservationId ?? '');
-        this.caches.delete(options.cache?.handle ?? '');
+        const isExecuted = fails !== 'refused' && fails !== 'unreachable';
         const run: Run = {
+          isExecuted,
           script,
           sentAt: clock.now(),
           events: 0,
           endedAt: undefined,
           isCancelled: false,
         };
-        this.runs.push(run);
+        sent.push(run);
         signal.addEventListener('abort', () => {
           run.isCancelled ||= run.endedAt === undefined;
           run.endedAt ??= clock.now();
         });
+        if (isExecuted) {
+          this.reservations.delete(options.reservationId ?? '');
+          this.caches.delete(options.cache?.handle ?? '');
+        }
         await clock.sleep(headDelay, signal);
         if (signal.aborted) return Result.err({kind: 'cancelled', upstream});
-        if (fails === 'broken') {
+        if (fails !== undefined) {
           run.endedAt ??= clock.now();
-          return Result.err({kind: 'broken', upstream} as never);
+          return Result.err({kind: fails, upstream} as never);
         }
         const after = options.lastEventId ?? 0;
         const version = spec.softwareVersion ?? '';
