A takeover tries engines again that failed once, if there are no others

What callers would see: a stream whose engine is silent for good stays there until its deadline, although the other engines accept runs again. Found in review; since a silent engine is kept until another one streams.

Cause: engines that failed a run are avoided until no other is usable. Beside a silent engine this end of the avoidance was left out; the runs of a takeover were not beside one before.

Change: the avoidance ends as well when only silent engines are left, which stay avoided.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -294,11 +294,10 @@
     const {call, generation, pool, softwareVersion} = state;
     const refusal = sendRefusalOf(this.parts, this.upstreamLosses, state);
     if (refusal !== undefined) return Result.err(refusal);
-    if (
-      silentEngines.size === 0 &&
-      this.usableDecodeEngines(state).length === 0
-    )
-      state.avoidedUpstreams.clear();
+    const isAnyUsable = this.usableDecodeEngines(state).some(
+      ({document}) => !silentEngines.has(document.name),
+    );
+    if (!isAnyUsable) state.avoidedUpstreams.clear();
     if (state.isVersionUncertain || !this.isVersionServed(state))
       return Result.err(versionFailureOf(state));
     const avoidedUpstreams =
--- a/packages/coordination/test/takeover-races.test.ts
+++ b/packages/coordination/test/takeover-races.test.ts
@@ -82,3 +82,13 @@
   scene.stop();
   t.deepEqual((await scene.clock.runUntil(relayed)).ids, allIds);
 });
+
+// Guards against streams that stay at a silent engine because all others failed once.
+test('a silent stream goes on at an engine that was unreachable once', async t => {
+  const fails = 'unreachable';
+  const scene = new ScriptedEngines(
+    [{pausesAt: 5, pause: 60_000}, {fails}, {fails}, {}],
+    {events: 10},
+  );
+  t.deepEqual((await scene.clock.runUntil(scene.relay())).ids, allIds);
+});
