--- a/packages/coordination/src/passthrough/generations.ts
+++ b/packages/coordination/src/passthrough/generations.ts
@@ -164,6 +164,7 @@
         current = resumed;
       }
     } finally {
+      this.attempts.releaseReusableCache(state);
       this.parts.onLoadChanged?.();
     }
   }
@@ -198,6 +199,8 @@
       stallMilliseconds: streamStallMilliseconds,
       isReplaceable: state.call.route.target.resumable ?? false,
       signal: state.signal,
+      // A caller that reads slowly holds up the relay.
+      onAbandoned: () => attempt.close(),
     });
     try {
       return yield* relayEvents({
