--- a/packages/coordination/src/placement/attempt-runner.ts
+++ b/packages/coordination/src/placement/attempt-runner.ts
@@ -2,10 +2,9 @@
  * Runs one attempt on its reserved engines: prefill, KV cache transfer, decode.
  */
 
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {Configuration} from '../configuration/configuration.js';
-import type {CompletionEvent} from '../requests/completion.js';
 import type {
   DecodedToken,
   EngineAttempt,
@@ -14,16 +13,22 @@
 } from '../upstreams/engine.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {Abandonment} from '../stall-monitor.js';
-import {AbortScope, callWithTimeout} from './abort-scope.js';
+import {AbortScope, lateTimerMilliseconds} from './abort-scope.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import {CacheTransfer} from './cache-transfer.js';
 import type {TransferResult} from './cache-transfer.js';
-import type {AttemptAdmission} from './attempt-admission.js';
 import {describeOrigin} from './completion-origin.js';
 import type {CompletionOrigin} from './completion-origin.js';
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import {findBeside} from './next-attempt.js';
+import type {
+  AttemptResult,
+  AttemptTokens,
+  FindNextAttempt,
+  NextAttempt,
+} from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
 import {readTokens} from './token-stream.js';
@@ -39,19 +44,6 @@
   origin: CompletionOrigin | undefined;
 }
 
-/** Outcome of an attempt. */
-export type AttemptResult =
-  | {readonly kind: 'complete'}
-  | {readonly kind: 'failed'; readonly error: UpstreamError}
-  /** Stalled, and given up for `placement`, which the next attempt uses. */
-  | {
-      readonly kind: 'replaced';
-      readonly error: UpstreamError;
-      readonly placement: Placement;
-    };
-
-type TokenEvent = Extract<CompletionEvent, {kind: 'token'}>;
-
 /** Dependencies of an attempt. */
 export interface AttemptRunnerParts {
   readonly clock: Clock;
@@ -60,11 +52,11 @@
   readonly cleaner: AttemptCleaner;
   /** Time without a token after which a connection counts as silent. */
   readonly silenceMilliseconds: number;
-  readonly admission: AttemptAdmission;
   readonly configuration: () => Configuration;
 }
 
 const prefillTimeoutBaseMilliseconds = 500;
+const pauseCheckIntervalMilliseconds = 100;
 /** Timeouts allow this multiple of the estimated duration. */
 const timeoutFactor = 3;
 /**
@@ -78,10 +70,14 @@
 
 export class AttemptRunner {
   private readonly contactedEngines = new Set<EngineState>();
+  private startedAt = 0;
   private decodeStartedAt = 0;
-  private isDecodeStalled = false;
+  private isStalled = false;
+  private hasDecodedToken = false;
   /** Prefilled tokens that no decode engine has imported yet. */
   private untransferredTokens = 0;
+  /** What was sought beside the attempt when it failed. */
+  private adopted: Promise<NextAttempt | undefined> | undefined;
 
   constructor(
     private readonly parts: AttemptRunnerParts,
@@ -89,16 +85,26 @@
     private readonly attempt: EngineAttempt,
     private readonly placement: Placement,
     private readonly progress: CompletionProgress,
+    private readonly findNext: FindNextAttempt,
   ) {}
 
   /** Yields the tokens that the caller has not received yet. */
-  async *run(signal: AbortSignal): AsyncGenerator<TokenEvent, AttemptResult> {
+  async *run(signal: AbortSignal): AttemptTokens {
+    const result = yield* this.runStages(signal);
+    if (result.kind !== 'failed') return result;
+    const next = await this.adopted;
+    return next === undefined
+      ? result
+      : {kind: 'replaced', error: result.error, next};
+  }
+
+  private async *runStages(signal: AbortSignal): AttemptTokens {
+    this.startedAt = this.parts.clock.now();
     this.parts.cleaner.register(this.attempt);
     let isComplete = false;
     try {
       const prefillResult = await this.prefill(signal);
-      if (prefillResult.isErr)
-        return {kind: 'failed', error: prefillResult.error};
+      if (prefillResult.isErr) return prefillResult.error;
       const transferResult = await this.transferCache(
         prefillResult.value,
         signal,
@@ -120,51 +126,90 @@
     }
   }
 
+  /** Resolves with an error that ends the attempt. */
   private async prefill(
     signal: AbortSignal,
-  ): Promise<Result<PrefillResult, UpstreamError>> {
-    const {clock, links} = this.parts;
-    const {prefill, estimate} = this.placement;
-    const startedAt = clock.now();
+  ): Promise<Result<PrefillResult, AttemptResult>> {
+    const {prefill} = this.placement;
     this.contactedEngines.add(prefill);
-    const prefillResult = await callWithTimeout(
-      clock,
-      prefillTimeoutBaseMilliseconds +
-        timeoutFactor * estimate.prefillMilliseconds,
-      signal,
-      prefill.engine.id,
-      callSignal =>
-        prefill.engine.prefill(
-          {
-            ...this.attempt,
-            model: this.request.model,
-            account: this.request.account,
-            cacheScope: this.request.account,
-            prompt: this.request.prompt,
-            priority: priorityOf(this.request),
-          },
-          callSignal,
-        ),
+    const scope = new AbortScope(signal);
+    const monitor = this.monitorPrefill(prefill, signal);
+    void this.resumeAfterPauses(monitor, scope.signal);
+    const item = await monitor.wait(
+      prefill.engine.prefill(
+        {
+          ...this.attempt,
+          model: this.request.model,
+          account: this.request.account,
+          cacheScope: this.request.account,
+          prompt: this.request.prompt,
+          priority: priorityOf(this.request),
+        },
+        scope.signal,
+      ),
     );
+    if (item.kind === 'ready' && item.value.isErr)
+      this.adopted = monitor.adopt();
+    monitor.close();
+    scope.close();
     this.placement.releasePrefill();
-    if (prefillResult.isErr) {
-      this.recordError(prefill, prefillResult.error);
-      return prefillResult;
+    if (item.kind !== 'ready') return Result.err(this.abandon(prefill, item));
+    if (item.value.isErr) {
+      const {error} = item.value;
+      this.recordError(prefill, error);
+      return Result.err({kind: 'failed', error});
+    }
+    this.recordPrefill(prefill, item.value.value);
+    return Result.ok(item.value.value);
+  }
+
+  private monitorPrefill(
+    prefill: EngineState,
+    signal: AbortSignal,
+  ): StallMonitor<NextAttempt> {
+    const {prefillMilliseconds} = this.placement.estimate;
+    return this.monitorEngine(
+      prefill,
+      prefillTimeoutBaseMilliseconds + timeoutFactor * prefillMilliseconds,
+      signal,
+      // The prefill may be lost, so that others may use its engines.
+      () => {
+        this.placement.releasePrefill();
+        this.placement.releaseDecode();
+      },
+    );
+  }
+
+  /** Counts the time without an answer anew after the process stood still. */
+  private async resumeAfterPauses(
+    monitor: StallMonitor<NextAttempt>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.parts;
+    while (!signal.aborted) {
+      const wakesAt = clock.now() + pauseCheckIntervalMilliseconds;
+      await clock.sleep(pauseCheckIntervalMilliseconds, signal);
+      if (clock.now() - wakesAt > lateTimerMilliseconds) monitor.resume();
     }
+  }
+
+  private recordPrefill(prefill: EngineState, result: PrefillResult): void {
+    const {clock, links} = this.parts;
+    const {promptTokens, cachedTokens, bytes} = result;
+    this.isStalled = false;
+    this.placement.reserveDecode();
     prefill.health.recordSuccess();
     prefill.health.recordDuration(
       clock.now(),
-      clock.now() - startedAt,
+      clock.now() - this.startedAt,
       Math.max(
         minimumExpectedPrefillMilliseconds,
-        estimate.prefillMilliseconds,
+        this.placement.estimate.prefillMilliseconds,
       ),
     );
-    const {promptTokens, cachedTokens, bytes} = prefillResult.value;
     this.untransferredTokens = promptTokens - cachedTokens;
     this.progress.promptTokens = promptTokens;
     links.recordSize(promptTokens, bytes);
-    return prefillResult;
   }
 
   private async transferCache(
@@ -176,21 +221,25 @@
       this.request,
       this.attempt,
       this.placement,
+      this.findNext,
       state => this.contactedEngines.add(state),
       (state, error) => this.recordError(state, error),
     );
     return transfer.run(result, signal);
   }
 
-  private async *decode(
-    signal: AbortSignal,
-  ): AsyncGenerator<TokenEvent, AttemptResult> {
+  private async *decode(signal: AbortSignal): AttemptTokens {
     const {decode} = this.placement;
     this.progress.isDecodeStarted = true;
     const origin = describeOrigin(this.parts.configuration(), decode.upstream);
     const scope = new AbortScope(signal);
     const tokensExpectedAt = this.startDecodeTime(decode);
-    const monitor = this.monitorDecode(decode, tokensExpectedAt, scope.signal);
+    const monitor = this.monitorDecode(
+      decode,
+      tokensExpectedAt,
+      signal,
+      scope.signal,
+    );
     const tokens = this.readDecodedTokens(
       decode,
       tokensExpectedAt,
@@ -200,15 +249,17 @@
     try {
       for (;;) {
         const item = await monitor.wait(tokens.next());
-        if (item.kind !== 'ready') return this.abandonDecode(decode, item);
-        if (item.value.done === true)
-          return this.recordDecodeResult(decode, item.value.value);
+        if (item.kind !== 'ready') return this.abandon(decode, item);
+        if (item.value.done === true) {
+          const result = item.value.value;
+          if (result.kind === 'failed') this.adopted = monitor.adopt();
+          return this.recordDecodeResult(decode, result);
+        }
         const {offset, text} = item.value.value;
         monitor.suspend();
+        this.hasDecodedToken = true;
         this.recordDecodeContinued(decode);
-        this.progress.origin ??= origin;
-        this.progress.deliveredTokens += 1;
-        yield {kind: 'token', offset, text};
+        yield {offset, text, origin};
         monitor.resume();
       }
     } finally {
@@ -235,7 +286,7 @@
   private readDecodedTokens(
     decode: EngineState,
     tokensExpectedAt: number,
-    monitor: StallMonitor<Placement>,
+    monitor: StallMonitor<NextAttempt>,
     signal: AbortSignal,
   ): AsyncGenerator<DecodedToken, StreamResult> {
     const {clock, silenceMilliseconds} = this.parts;
@@ -266,53 +317,67 @@
     decode: EngineState,
     tokensExpectedAt: number,
     signal: AbortSignal,
-  ): StallMonitor<Placement> {
-    const {clock, silenceMilliseconds, admission} = this.parts;
-    const monitor = new StallMonitor<Placement>({
-      clock,
-      stallMilliseconds: silentConnectionsOfStall * silenceMilliseconds,
-      // The deadline of the request aborts the attempt.
-      deadline: Infinity,
-      findReplacement: searchSignal => {
-        this.recordDecodeStalled(decode);
-        return admission.findReplacement(searchSignal);
-      },
-      releaseReplacement: placement => admission.releaseReplacement(placement),
-    });
+    decodeSignal: AbortSignal,
+  ): StallMonitor<NextAttempt> {
+    const {clock, silenceMilliseconds} = this.parts;
+    const monitor = this.monitorEngine(
+      decode,
+      silentConnectionsOfStall * silenceMilliseconds,
+      signal,
+    );
     const watchAt = tokensExpectedAt - silenceMilliseconds;
     if (watchAt <= clock.now()) return monitor;
-    const deliveredTokens = this.progress.deliveredTokens;
     monitor.suspend();
-    void clock.sleep(watchAt - clock.now(), signal).then(() => {
-      if (this.progress.deliveredTokens === deliveredTokens) monitor.resume();
+    void clock.sleep(watchAt - clock.now(), decodeSignal).then(() => {
+      if (!this.hasDecodedToken) monitor.resume();
     });
     return monitor;
   }
 
-  private abandonDecode(
-    decode: EngineState,
-    abandonment: Abandonment<Placement>,
+  /** Seeks a further attempt while the engine makes no progress. */
+  private monitorEngine(
+    state: EngineState,
+    stallMilliseconds: number,
+    signal: AbortSignal,
+    onStall = () => {},
+  ): StallMonitor<NextAttempt> {
+    return new StallMonitor<NextAttempt>({
+      clock: this.parts.clock,
+      stallMilliseconds,
+      // The deadline of the request aborts the attempt.
+      deadline: Infinity,
+      findReplacement: searchSignal => {
+        this.recordStalled(state);
+        onStall();
+        return findBeside(this.findNext, searchSignal, signal);
+      },
+      releaseReplacement: next => next.close(),
+    });
+  }
+
+  private abandon(
+    state: EngineState,
+    abandonment: Abandonment<NextAttempt>,
   ): AttemptResult {
-    const {id} = decode.engine;
-    const error: UpstreamError = {kind: 'silent', upstream: id};
+    const error: UpstreamError = {kind: 'silent', upstream: state.engine.id};
     switch (abandonment.kind) {
       case 'replaced':
-        return {kind: 'replaced', error, placement: abandonment.replacement};
+        return {kind: 'replaced', error, next: abandonment.replacement};
       case 'overdue':
         return {kind: 'failed', error};
     }
   }
 
   /** Ejects the engine once for each stall, so that others are chosen. */
-  private recordDecodeStalled(decode: EngineState): void {
-    if (this.isDecodeStalled) return;
-    this.isDecodeStalled = true;
-    this.recordError(decode, {kind: 'silent', upstream: decode.engine.id});
+  private recordStalled(state: EngineState): void {
+    if (this.isStalled) return;
+    this.isStalled = true;
+    this.recordError(state, {kind: 'silent', upstream: state.engine.id});
   }
 
   private recordDecodeContinued(decode: EngineState): void {
-    if (!this.isDecodeStalled) return;
-    this.isDecodeStalled = false;
+    if (!this.isStalled) return;
+    this.isStalled = false;
     decode.health.recordSuccess();
   }
 
--- a/packages/coordination/src/placement/cache-transfer.ts
+++ b/packages/coordination/src/placement/cache-transfer.ts
@@ -1,11 +1,12 @@
 /**
  * Transfers a KV cache to a decode engine. When that engine fails or is full,
  * another one is chosen, until the cache expires on the prefill engine. A silent
- * transfer goes on, because its engine may only be slow, until another decode
- * engine or, once the cache has expired, engines and a retry for a further attempt
- * are secured. The deadline of the request bounds the wait.
+ * transfer goes on, because its engine may only be slow or have the cache already,
+ * until another decode engine has the cache or a further attempt its first token.
+ * The deadline of the request bounds the wait.
  */
 
+import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
 import type {
   EngineAttempt,
@@ -13,12 +14,18 @@
   UpstreamError,
 } from '../upstreams/engine.js';
 import {StallMonitor} from '../stall-monitor.js';
+import type {Abandonment} from '../stall-monitor.js';
 import {AbortScope} from './abort-scope.js';
-import type {AttemptAdmission} from './attempt-admission.js';
 import type {AttemptCleaner} from './attempt-cleaner.js';
 import type {PlacedRequest} from './engine-candidates.js';
 import type {EngineState} from './engine-state.js';
 import type {LinkView} from './link-view.js';
+import {findBeside} from './next-attempt.js';
+import type {
+  AttemptResult,
+  FindNextAttempt,
+  NextAttempt,
+} from './next-attempt.js';
 import type {Placement} from './placement.js';
 import type {Placer} from './placer.js';
 
@@ -28,26 +35,35 @@
   readonly placer: Placer;
   readonly links: LinkView;
   readonly cleaner: AttemptCleaner;
-  readonly admission: AttemptAdmission;
 }
 
 /** Outcome of a transfer. */
-export type TransferResult =
-  | {readonly kind: 'complete'}
-  | {readonly kind: 'failed'; readonly error: UpstreamError}
-  /** Silent, and given up for `placement`, which the next attempt uses. */
-  | {
-      readonly kind: 'replaced';
-      readonly error: UpstreamError;
-      readonly placement: Placement;
-    };
+export type TransferResult = AttemptResult;
+
+/** The transfer is to be tried at `decode` too. */
+interface WidenedTransfer {
+  readonly kind: 'widened';
+  readonly decode: EngineState;
+}
 
-/** What a silent transfer is given up for. */
+/** What a silent transfer is not the only hope of. */
 type Replacement =
-  /** Another decode engine, which can still fetch the cache. */
+  /** Another decode engine, which may still fetch the cache. */
   | {readonly kind: 'decode'; readonly decode: EngineState}
-  /** Engines for a further attempt. */
-  | {readonly kind: 'attempt'; readonly placement: Placement};
+  | {readonly kind: 'attempt'; readonly next: NextAttempt};
+
+/** A decode engine that was asked to fetch the cache. */
+interface OpenImport {
+  readonly decode: EngineState;
+  readonly startedAt: number;
+  readonly scope: AbortScope;
+  readonly outcome: Promise<ImportOutcome>;
+}
+
+interface ImportOutcome {
+  readonly decode: EngineState;
+  readonly result: Result<void, UpstreamError>;
+}
 
 const timeoutBaseMilliseconds = 150;
 /** A transfer counts as silent after this multiple of its estimated duration. */
@@ -61,16 +77,20 @@
 const sourceUnavailableCodes = ['expired', 'source-unreachable'];
 
 export class CacheTransfer {
+  private readonly openImports = new Map<EngineState, OpenImport>();
   private readonly failedEngines = new Set<EngineState>();
   private readonly fullEngines = new Set<EngineState>();
-  /** Whether a decode engine was silent, which may have fetched the cache. */
-  private hasBeenSilent = false;
+  /** Engines that were silent, one of which may have fetched the cache. */
+  private readonly silentEngines = new Set<EngineState>();
+  /** Whether no further decode engine can fetch the cache. */
+  private isSourceLost = false;
 
   constructor(
     private readonly parts: CacheTransferParts,
     private readonly request: PlacedRequest,
     private readonly attempt: EngineAttempt,
     private readonly placement: Placement,
+    private readonly findNext: FindNextAttempt,
     private readonly onContact: (state: EngineState) => void,
     private readonly onError: (
       state: EngineState,
@@ -82,50 +102,38 @@
     result: PrefillResult,
     signal: AbortSignal,
   ): Promise<TransferResult> {
-    const {clock} = this.parts;
-    const expiresAt = clock.now() + result.expiresInMilliseconds;
+    try {
+      return await this.transfer(result, signal);
+    } finally {
+      for (const {scope} of this.openImports.values()) scope.close();
+    }
+  }
+
+  private async transfer(
+    result: PrefillResult,
+    signal: AbortSignal,
+  ): Promise<TransferResult> {
+    const expiresAt = this.parts.clock.now() + result.expiresInMilliseconds;
     for (;;) {
       const {decode} = this.placement;
-      const transferred = await this.transferTo(
-        decode,
-        result,
-        expiresAt,
-        signal,
-      );
+      this.startImport(decode, result, signal);
+      const transferred = await this.waitForImports(result, expiresAt, signal);
       switch (transferred.kind) {
         case 'complete':
         case 'replaced':
           return transferred;
-        case 'moved':
-          this.failedEngines.add(decode);
-          this.parts.cleaner.cancelAt(this.attempt, decode);
+        case 'widened':
           this.placement.replaceDecode(transferred.decode);
           continue;
         case 'failed':
       }
       if (signal.aborted) return transferred;
-      const isLost =
-        this.recordSourceError(transferred.error) ||
-        !(await this.recordAndChooseNext(
-          decode,
-          transferred.error,
-          expiresAt,
-          signal,
-        ));
-      if (isLost) return this.failOrReplace(transferred, signal);
+      const canGoOn =
+        !this.isSourceLost && (await this.chooseNextDecode(expiresAt, signal));
+      if (!canGoOn) return this.failOrReplace(transferred, signal);
     }
   }
 
-  private recordAndChooseNext(
-    decode: EngineState,
-    error: UpstreamError,
-    expiresAt: number,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    this.recordDecodeError(decode, error);
-    return this.chooseNextDecode(expiresAt, signal);
-  }
-
   /**
    * Ends a transfer that failed. One that was silent waits for engines and a retry
    * for a further attempt.
@@ -134,135 +142,173 @@
     failure: TransferResult & {kind: 'failed'},
     signal: AbortSignal,
   ): Promise<TransferResult> {
-    const {clock, admission} = this.parts;
-    if (!this.hasBeenSilent) return failure;
+    const {clock} = this.parts;
+    if (this.silentEngines.size === 0) return failure;
     this.placement.releaseDecode();
     while (!signal.aborted) {
-      const placement = await admission.findReplacement(signal);
-      if (placement !== undefined)
-        return {kind: 'replaced', error: failure.error, placement};
+      const next = await this.findNext(signal);
+      if (next !== undefined)
+        return {kind: 'replaced', error: failure.error, next};
       await clock.sleep(retrySearchIntervalMilliseconds, signal);
     }
     return failure;
   }
 
-  private async transferTo(
+  private startImport(
     decode: EngineState,
-    result: PrefillResult,
-    expiresAt: number,
+    {handle}: PrefillResult,
     signal: AbortSignal,
-  ): Promise<
-    TransferResult | {readonly kind: 'moved'; readonly decode: EngineState}
-  > {
-    const {clock, links} = this.parts;
-    const {prefill} = this.placement;
-    const startedAt = clock.now();
+  ): void {
     const scope = new AbortScope(signal);
     this.onContact(decode);
     this.placement.startTransfer();
-    const monitor = this.monitorTransfer(decode, expiresAt);
     const request = {
       ...this.attempt,
-      sourceAddress: prefill.engine.address,
-      handle: result.handle,
+      sourceAddress: this.placement.prefill.engine.address,
+      handle,
     };
-    const transferred = await monitor.wait(
-      decode.engine.importCache(request, scope.signal),
-    );
-    monitor.close();
-    scope.close();
-    const {id: upstream} = decode.engine;
-    const silence: UpstreamError = {kind: 'silent', upstream};
-    switch (transferred.kind) {
-      case 'overdue':
-        return {kind: 'failed', error: silence};
-      case 'replaced': {
-        const {replacement} = transferred;
-        return replacement.kind === 'decode'
-          ? {kind: 'moved', decode: replacement.decode}
-          : {...replacement, kind: 'replaced', error: silence};
+    this.openImports.set(decode, {
+      decode,
+      scope,
+      startedAt: this.parts.clock.now(),
+      outcome: decode.engine
+        .importCache(request, scope.signal)
+        .then(result => ({decode, result})),
+    });
+  }
+
+  /** Waits for the first decode engine that has the cache. */
+  private async waitForImports(
+    result: PrefillResult,
+    expiresAt: number,
+    signal: AbortSignal,
+  ): Promise<TransferResult | WidenedTransfer> {
+    const monitor = this.monitorImports(expiresAt, signal);
+    try {
+      for (;;) {
+        const outcomes = [...this.openImports.values()].map(
+          ({outcome}) => outcome,
+        );
+        const item = await monitor.wait(Promise.race(outcomes));
+        if (item.kind !== 'ready')
+          return abandonedFor(item, this.placement.decode);
+        const {decode} = item.value;
+        const ended = this.endImport(decode);
+        if (item.value.result.isOk) {
+          this.complete(ended, result);
+          return {kind: 'complete'};
+        }
+        const {error} = item.value.result;
+        if (signal.aborted) return {kind: 'failed', error};
+        this.recordImportError(decode, error);
+        if (this.openImports.size > 0) {
+          this.placement.releaseDecode();
+          continue;
+        }
+        const replacement = await monitor.adopt();
+        return replacement === undefined
+          ? {kind: 'failed', error}
+          : replacedBy(replacement, error);
       }
-      case 'ready':
+    } finally {
+      monitor.close();
+    }
+  }
+
+  private endImport(decode: EngineState): OpenImport {
+    const ended = this.openImports.get(decode)!;
+    this.openImports.delete(decode);
+    ended.scope.close();
+    return ended;
+  }
+
+  /** Cancels the transfers to other engines than the one that has the cache. */
+  private complete(
+    {decode, startedAt}: OpenImport,
+    {promptTokens}: PrefillResult,
+  ): void {
+    const {clock, links, cleaner} = this.parts;
+    for (const other of [...this.openImports.keys()]) {
+      this.endImport(other);
+      cleaner.cancelAt(this.attempt, other);
     }
-    if (transferred.value.isErr)
-      return {kind: 'failed', error: transferred.value.error};
-    // A silent engine that has the cache after all takes its slot again.
-    this.placement.reserveDecode();
+    // An engine that was silent has its slot again.
+    if (decode === this.placement.decode) this.placement.reserveDecode();
+    else this.placement.replaceDecode(decode);
     this.placement.startTransfer();
     links.recordTransfer(
-      prefill,
+      this.placement.prefill,
       decode,
-      result.promptTokens,
+      promptTokens,
       clock.now() - startedAt,
     );
-    return {kind: 'complete'};
   }
 
-  /** Seeks a replacement once the transfer to `decode` is silent. */
-  private monitorTransfer(
-    decode: EngineState,
+  /** Seeks a replacement once the transfers are silent. */
+  private monitorImports(
     expiresAt: number,
+    signal: AbortSignal,
   ): StallMonitor<Replacement> {
-    const {clock, admission} = this.parts;
+    const {clock} = this.parts;
     const {transferMilliseconds} = this.placement.estimate;
-    let isSilent = false;
     return new StallMonitor<Replacement>({
       clock,
       stallMilliseconds:
         timeoutBaseMilliseconds + timeoutFactor * transferMilliseconds,
       // The deadline of the request aborts the attempt.
       deadline: Infinity,
-      findReplacement: signal => {
-        if (!isSilent) this.recordSilence(decode);
-        isSilent = true;
-        return this.findReplacement(decode, expiresAt, signal);
+      findReplacement: searchSignal => {
+        this.recordSilence();
+        return this.findReplacement(expiresAt, searchSignal, signal);
       },
       releaseReplacement: replacement => {
-        if (replacement.kind === 'attempt')
-          admission.releaseReplacement(replacement.placement);
+        if (replacement.kind === 'attempt') replacement.next.close();
       },
     });
   }
 
-  /** Ejects a silent engine and frees the slot there, so that others are chosen. */
-  private recordSilence(decode: EngineState): void {
-    this.hasBeenSilent = true;
-    this.onError(decode, {kind: 'silent', upstream: decode.engine.id});
+  /** Ejects silent engines and frees the slot there, so that others are chosen. */
+  private recordSilence(): void {
+    for (const decode of this.openImports.keys()) {
+      if (this.silentEngines.has(decode)) continue;
+      this.silentEngines.add(decode);
+      this.onError(decode, {kind: 'silent', upstream: decode.engine.id});
+    }
     this.placement.releaseDecode();
   }
 
   private async findReplacement(
-    decode: EngineState,
     expiresAt: number,
+    searchSignal: AbortSignal,
     signal: AbortSignal,
   ): Promise<Replacement | undefined> {
-    const {clock, placer, admission} = this.parts;
+    const {clock, placer} = this.parts;
     const {prefill, estimate} = this.placement;
-    if (clock.now() + estimate.transferMilliseconds < expiresAt) {
+    const isExpiring = clock.now() + estimate.transferMilliseconds >= expiresAt;
+    if (!this.isSourceLost && !isExpiring) {
       const excluded = new Set([
-        decode,
+        ...this.openImports.keys(),
         ...this.failedEngines,
-        ...this.fullEngines,
       ]);
       const next = placer.chooseDecode(this.request, prefill, excluded);
       return next && {kind: 'decode', decode: next};
     }
-    const placement = await admission.findReplacement(signal);
-    return placement && {kind: 'attempt', placement};
+    const next = await findBeside(this.findNext, searchSignal, signal);
+    return next && {kind: 'attempt', next};
   }
 
-  /**
-   * Records a failed prefill engine. Returns true when the prefill result can
-   * no longer be transferred.
-   */
-  private recordSourceError(error: UpstreamError): boolean {
-    if (error.kind !== 'refused') return false;
+  private recordImportError(decode: EngineState, error: UpstreamError): void {
+    this.recordSourceError(error);
+    if (!this.isSourceLost) this.recordDecodeError(decode, error);
+  }
+
+  /** Records whether the prefill engine has failed or has lost the cache. */
+  private recordSourceError(error: UpstreamError): void {
+    if (error.kind !== 'refused') return;
+    const {prefill} = this.placement;
     if (error.code === 'source-unreachable')
-      this.onError(this.placement.prefill, {
-        kind: 'unreachable',
-        upstream: this.placement.prefill.engine.id,
-      });
-    return sourceUnavailableCodes.includes(error.code);
+      this.onError(prefill, {kind: 'unreachable', upstream: prefill.engine.id});
+    this.isSourceLost ||= sourceUnavailableCodes.includes(error.code);
   }
 
   private recordDecodeError(decode: EngineState, error: UpstreamError): void {
@@ -316,3 +362,28 @@
     }
   }
 }
+
+function abandonedFor(
+  abandonment: Abandonment<Replacement>,
+  {engine}: EngineState,
+): TransferResult | WidenedTransfer {
+  const error: UpstreamError = {kind: 'silent', upstream: engine.id};
+  switch (abandonment.kind) {
+    case 'replaced':
+      return replacedBy(abandonment.replacement, error);
+    case 'overdue':
+      return {kind: 'failed', error};
+  }
+}
+
+function replacedBy(
+  replacement: Replacement,
+  error: UpstreamError,
+): TransferResult | WidenedTransfer {
+  switch (replacement.kind) {
+    case 'decode':
+      return {kind: 'widened', decode: replacement.decode};
+    case 'attempt':
+      return {kind: 'replaced', error, next: replacement.next};
+  }
+}
