--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -28,6 +28,12 @@
   return {fleet, runner};
 }
 
+function totalPrefilledTokens(fleet: SimulatedFleet): number {
+  return (
+    fleet.engine('p1').prefilledTokens + fleet.engine('p2').prefilledTokens
+  );
+}
+
 /** Advances until an engine other than `first` has an attempt in `state`. */
 async function advanceUntilReplacement(
   fleet: SimulatedFleet,
@@ -46,6 +52,7 @@
 for (const state of ['prefilling', 'imported', 'decoding'] as const)
   test(`a stream outlives a replacement that is lost while ${state}`, async t => {
     const {fleet, runner} = await makeFleetWithRetries(1);
+    const prefilledBefore = totalPrefilledTokens(fleet);
     const {events, done} = startRequest(fleet, runner, longPrompt);
     await fleet.clock.advance(300);
     const first = decodingEngine(fleet);
@@ -58,6 +65,8 @@
     fleet.engine(first).fail({kind: 'none'});
     await fleet.clock.runUntil(done);
     t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
+    const prefilled = totalPrefilledTokens(fleet) - prefilledBefore;
+    t.true(prefilled <= 2 * longPrompt.promptTokens, 'one retry, not more');
     await fleet.clock.advance(10_000);
     t.is(totalHeldTokens(fleet), 0);
   });
