Completions: a begun stream waits for a retry until its deadline

What callers saw: a stream ended with `upstream-failed` as soon as its engine was lost, when the retries of the host were used up, though retries come back within seconds and its deadline was 8 s away.

Cause: the attempt was over and the retry was asked for once. A transfer and a silent stream wait for it; a stream of a lost engine did not.

Change: a completion that has begun asks for a retry every 250 ms until its deadline, as long as its version is certain and engines of it are published. Before the first token it fails at once, as before, so that its caller can go elsewhere. The number of retries is the same.

Result, virtual time: `a stream whose engine is lost waits for a retry` failed before and passes now.

--- a/packages/coordination/src/placement/completion-runner.ts
+++ b/packages/coordination/src/placement/completion-runner.ts
@@ -20,6 +20,7 @@
   RequestOwner,
   UpstreamError,
 } from '../upstreams/engine.js';
+import type {HeldRetry} from '../passthrough/pool-retry-budget.js';
 import {AbortScope} from './abort-scope.js';
 import {AttemptCleaner} from './attempt-cleaner.js';
 import type {AttemptRegistry} from './attempt-cleaner.js';
@@ -81,6 +82,8 @@
 
 const defaultBlockTokens = 2_000;
 const defaultSilenceMilliseconds = 400;
+/** Interval at which a completion that waits for a retry asks for one. */
+const retryCheckIntervalMilliseconds = 250;
 
 /** Why a completion stops before its attempt is complete. */
 type StopReason = 'caller-gone' | 'deadline' | undefined;
@@ -212,13 +215,11 @@
       lastError = result.error;
       next = this.takeOver(result, progress);
       if (next !== undefined) continue;
-      const attemptStopReason = stopReasonOf(callerSignal, signal);
-      const retry =
-        attemptStopReason === undefined ? this.retries.tryAcquire() : undefined;
+      const retry = await this.acquireRetry(request, progress, signal);
       retry?.use();
       if (retry === undefined) {
         const failure = failureOf(
-          attemptStopReason,
+          stopReasonOf(callerSignal, signal),
           progress,
           admission,
           lastError,
@@ -229,6 +230,36 @@
     }
   }
 
+  /**
+   * Sets a retry aside. A completion that has begun waits for one as long as engines
+   * of its version are published, because its caller would lose the tokens elsewhere.
+   */
+  private async acquireRetry(
+    request: CompletionRequest,
+    progress: CompletionProgress,
+    signal: AbortSignal,
+  ): Promise<HeldRetry | undefined> {
+    while (!signal.aborted) {
+      const retry = this.retries.tryAcquire();
+      if (retry !== undefined || !this.canWait(request, progress)) return retry;
+      await this.parts.clock.sleep(retryCheckIntervalMilliseconds, signal);
+    }
+    return undefined;
+  }
+
+  private canWait(
+    request: CompletionRequest,
+    progress: CompletionProgress,
+  ): boolean {
+    const {origin} = progress;
+    if (origin === undefined) return false;
+    const placed = placedRequestOf(request, progress);
+    return (
+      isVersionCertain(this.parts.configuration(), origin) &&
+      this.placer.candidates.availability(placed) !== 'absent'
+    );
+  }
+
   /** The attempt that replaces another one, if it may still go on with the text. */
   private takeOver(
     result: AttemptResult,
@@ -260,15 +291,9 @@
       admission,
       run: (placement, findNext, signal) => {
         request.observer?.dequeued();
-        const placedRequest: PlacedRequest = {
-          ...request,
-          ...(progress.origin !== undefined && {
-            requiredVersion: progress.origin.softwareVersion,
-          }),
-        };
         return new AttemptRunner(
           parts,
-          placedRequest,
+          placedRequestOf(request, progress),
           this.createAttempt(request),
           placement,
           progress,
@@ -296,6 +321,15 @@
   }
 }
 
+function placedRequestOf(
+  request: CompletionRequest,
+  {origin}: CompletionProgress,
+): PlacedRequest {
+  return origin === undefined
+    ? request
+    : {...request, requiredVersion: origin.softwareVersion};
+}
+
 /** Yields the tokens of an attempt that the caller has not received yet. */
 async function* deliver(
   tokens: AttemptTokens,
--- a/packages/coordination/test/placement-replacement.test.ts
+++ b/packages/coordination/test/placement-replacement.test.ts
@@ -236,3 +236,14 @@
   await fleet.clock.runUntil(done);
   t.true(isCompleteStream(events), JSON.stringify(events.at(-1)));
 });
+
+test('a stream whose engine is lost waits for a retry', async t => {
+  const {fleet, runner} = await makeFleetWithRetries(0);
+  const {events, done} = startRequest(fleet, runner, {maximumTokens: 40});
+  await fleet.clock.advance(200);
+  fleet.engine(decodingEngine(fleet)).fail({kind: 'dead'});
+  for (let index = 0; index < requestsPerRetry; index += 1)
+    await fleet.clock.runUntil(startRequest(fleet, runner).done);
+  await fleet.clock.runUntil(done);
+  t.true(isCompleteStream(events, 40), JSON.stringify(events.at(-1)));
+});
