The engine before is kept until another one has accepted the run

Until the head of its response an engine runs nothing: a request starts to run with its first token. The refusal and the check of the version come later.

Change: the time counts from the head of the response, without pauses of the process. A stream that goes on until the version of the other engine is verified stays where it is.

Remains: an engine that has accepted a run takes over after 300 ms also while only a list can tell its version; if that says no, the stream is lost.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -488,7 +488,6 @@
     const attempt = new AbortScope(options.signal);
     requestLimits.sendAcquired(document.name);
     const send = state.sends.begin(state.pool.name, 'run');
-    options.run?.sent();
     const sent = transport.send(
       document,
       call,
@@ -513,6 +512,7 @@
     if (isStream) options.run?.accepted();
     const isVerified =
       !isStream || (await this.isVersionVerified(state, document, reservation));
+    if (isStream && isVerified) options.run?.verified();
     if (!isVerified)
       this.reportOtherProcess(state, document, reservation.statedStart);
     const result = isVerified ? head.result : unverifiedResult(document);
@@ -624,7 +624,7 @@
         () => {
           // Until its first event, a stream may go on at another version.
           if (state.softwareVersion !== undefined) commit();
-          options.run?.accepted();
+          options.run?.verified();
         },
       );
       if (search.aborted) takeover.close();
@@ -646,7 +646,7 @@
   private beginTakeover(
     state: GenerationState,
     options: StartOptions,
-    onAccepted: () => void,
+    onVerified: () => void,
   ): Takeover {
     const {clock, observer} = this.parts;
     return new Takeover({
@@ -658,7 +658,7 @@
         if (started.isErr && signal.aborted) this.releaseReusableCache(state);
         return started;
       },
-      onAccepted,
+      onVerified,
       onFailure: failure =>
         observer(state.call.id, {kind: 'not-resumed', ...failure}),
     });
--- a/packages/coordination/src/passthrough/takeover.ts
+++ b/packages/coordination/src/passthrough/takeover.ts
@@ -5,6 +5,7 @@
 
 import type {Result} from 'true-myth';
 import type {Clock} from '../clock.js';
+import {sleepUntilRead} from '../pause-aware-sleep.js';
 import {AbortScope} from '../placement/abort-scope.js';
 import {eventStreamStatus} from './generation-run.js';
 import type {StartFailure, StartedGeneration} from './generation-attempts.js';
@@ -18,10 +19,10 @@
 
 /** Receives how far the run at the other engine has come. */
 export interface RunObserver {
-  /** The engine may run the generation from now on. */
-  sent(): void;
-  /** The engine has begun a response. */
+  /** The engine has begun a response, and runs the generation from now on. */
   accepted(): void;
+  /** The generation may go on with this response. */
+  verified(): void;
   /** The run has ended without one. */
   failed(): void;
 }
@@ -35,8 +36,8 @@
     signal: AbortSignal,
     run: RunObserver,
   ) => Promise<Result<StartedGeneration, StartFailure>>;
-  /** Called when an engine has accepted a run. */
-  readonly onAccepted: () => void;
+  /** Called when a run may take the place of the one before. */
+  readonly onVerified: () => void;
   readonly onFailure: (failure: Pick<StartFailure, 'step' | 'reason'>) => void;
 }
 
@@ -84,16 +85,18 @@
   }
 
   private observeRuns(): RunObserver {
-    const {clock, onAccepted} = this.parts;
+    const {clock, onVerified} = this.parts;
     let run = new AbortController();
     return {
-      sent: () => {
+      accepted: () => {
         const {signal} = (run = new AbortController());
-        void clock.sleep(maximumOverlapMilliseconds, signal).then(() => {
-          if (!signal.aborted) this.endOverlap(true);
-        });
+        void sleepUntilRead(clock, maximumOverlapMilliseconds, signal).then(
+          () => {
+            if (!signal.aborted) this.endOverlap(true);
+          },
+        );
       },
-      accepted: onAccepted,
+      verified: onVerified,
       failed: () => run.abort(),
     };
   }
