--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -125,6 +125,8 @@
   readonly isReplaceable: boolean;
   /** Engines of other attempts that still go on. */
   readonly silentEngines?: ReadonlySet<string>;
+  /** Called when the attempt is given up. */
+  readonly onAbandoned?: () => void;
 }
 
 const noEngines: ReadonlySet<string> = new Set();
@@ -475,7 +477,7 @@
     cache: PrefilledCache | undefined,
     options: StartOptions,
   ): Promise<Result<StartedGeneration, FailedAttempt>> {
-    const {clock, transport, requestLimits, observer} = this.parts;
+    const {clock, transport, requestLimits, observer, sendGate} = this.parts;
     const {call} = state;
     const engine = reservation.upstream;
     const {document} = engine;
@@ -534,6 +536,7 @@
     options.run?.failed();
     const {error} = result;
     if (provesCallNotRun(error)) state.possibleRuns -= 1;
+    else sendGate.exemptFromStop(call);
     this.parts.releases.releaseUsedReservation(reservation);
     this.releaseUnusedCache(state, cache, error);
     if (!options.signal.aborted) {
@@ -611,13 +614,16 @@
       sendGate.exemptFromStop(state.call);
       await state.versionCheck;
       if (state.isVersionUncertain) return replacement.withhold('version');
-      const reservation = await replacement.find(search);
+      const reservation = await replacement.find(
+        AbortSignal.any([search, options.signal]),
+      );
       if (reservation === undefined) return undefined;
       const takeover = this.beginTakeover(
         state,
         {signal: options.signal, silentEngines, reservation},
         () => {
-          commit();
+          // Until its first event, a stream may go on at another version.
+          if (state.softwareVersion !== undefined) commit();
           options.run?.accepted();
         },
       );
@@ -632,6 +638,7 @@
       findReplacement: (search, commit) =>
         isReplaceable ? takeOver(search, commit) : Promise.resolve(undefined),
       releaseReplacement: takeover => takeover.close(),
+      onAbandoned: options.onAbandoned,
     });
   }
 
