A replacement that is found as its attempt fails is not lost

Found by reading; no run has shown it. Between the end of a search and the moment at which the attempt is given up, `adopt` returned nothing, and the replacement that was found was neither used nor freed. The search stays adoptable until then.

--- a/packages/coordination/src/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -184,15 +184,17 @@
     else if (!this.isCommitted)
       await clock.sleep(graceMilliseconds, search.signal);
     this.search = undefined;
-    this.finding = undefined;
     this.isCommitted = false;
     this.nextSearchAt = clock.now() + searchIntervalMilliseconds;
     if (this.isAdopted) return true;
     if (search.signal.aborted) {
+      this.finding = undefined;
       void finding.then(found => found && releaseReplacement(found));
       return false;
     }
     const replacement = await finding;
+    if (this.isAdopted) return true;
+    this.finding = undefined;
     if (replacement === undefined) return false;
     this.abandon({kind: 'replaced', replacement});
     return true;
