The search for a takeover stands apart from the attempts

A search ends with its call by a scope of its own instead of a signal that is joined of two. Nothing else changes.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -22,7 +22,6 @@
 } from './call.js';
 import {mayHaveBeenSent, provesCallNotRun, sendOutcomeOf} from './call.js';
 import type {UpstreamLosses} from './upstream-losses.js';
-import {EngineReplacement} from './engine-replacement.js';
 import {
   attemptFailureOf,
   queueFailureOf,
@@ -49,8 +48,9 @@
 import {sendRefusalOf} from './send-refusal.js';
 import {StallMonitor} from '../stall-monitor.js';
 import type {StartStep} from './call-events.js';
-import {Takeover} from './takeover.js';
-import type {RunObserver} from './takeover.js';
+import type {RunObserver, Takeover} from './takeover.js';
+import {TakeoverSearch} from './takeover-search.js';
+import type {GenerationStarter} from './takeover-search.js';
 import type {TrackedUpstream} from './upstream-table.js';
 
 /**
@@ -131,7 +131,7 @@
 
 const noEngines: ReadonlySet<string> = new Set();
 
-export class GenerationAttempts {
+export class GenerationAttempts implements GenerationStarter {
   private readonly queues = new Map<string, ReservationQueue>();
   private readonly latestPools = new Map<string, PoolDocument>();
   private readonly prefillStage: PrefillStage;
@@ -285,7 +285,7 @@
    * Reserves memory at none of `silentEngines`. The queue timeout counts from the clock
    * time `queuedAt`.
    */
-  private async reserve(
+  async reserve(
     state: GenerationState,
     signal: AbortSignal,
     queuedAt: number,
@@ -570,7 +570,9 @@
     const monitor = this.monitorAttempt(state, engine, {
       stallMilliseconds: headStallMilliseconds,
       isReplaceable: state.call.route.target.repeatable,
-      ...options,
+      signal: options.signal,
+      silentEngines: options.silentEngines,
+      run: options.run,
     });
     const head = await monitor.wait(sent);
     if (head.kind === 'ready') {
@@ -594,73 +596,24 @@
     engine: TrackedUpstream,
     options: MonitorOptions,
   ): StallMonitor<Takeover> {
-    const {clock, releases, sendGate} = this.parts;
-    const {stallMilliseconds, isReplaceable} = options;
-    const silentEngines = new Set([
-      ...(options.silentEngines ?? noEngines),
-      engine.document.name,
-    ]);
-    const replacement = new EngineReplacement(
-      {
-        retryGate: this.retryGate,
-        reserve: signal =>
-          this.reserve(state, signal, clock.now(), silentEngines),
-        releaseReservation: reservation =>
-          releases.releaseReservation(reservation),
-      },
-      state,
-    );
-    const takeOver = async (search: AbortSignal, commit: () => void) => {
-      sendGate.exemptFromStop(state.call);
-      await state.versionCheck;
-      if (state.isVersionUncertain) return replacement.withhold('version');
-      const reservation = await replacement.find(
-        AbortSignal.any([search, options.signal]),
-      );
-      if (reservation === undefined) return undefined;
-      const takeover = this.beginTakeover(
-        state,
-        {signal: options.signal, silentEngines, reservation},
-        () => {
-          // Until its first event, a stream may go on at another version.
-          if (state.softwareVersion !== undefined) commit();
-          options.run?.verified();
-        },
-      );
-      if (search.aborted) takeover.close();
-      search.addEventListener('abort', () => takeover.close(), {once: true});
-      return (await takeover.isSafe()) ? takeover : undefined;
-    };
+    const {stallMilliseconds, isReplaceable, onAbandoned} = options;
+    const search = new TakeoverSearch(this.parts, this.retryGate, this, state, {
+      ...options,
+      silentEngines: new Set([
+        ...(options.silentEngines ?? noEngines),
+        engine.document.name,
+      ]),
+    });
     return new StallMonitor({
-      clock,
+      clock: this.parts.clock,
       stallMilliseconds,
       deadline: state.call.deadline,
-      findReplacement: (search, commit) =>
-        isReplaceable ? takeOver(search, commit) : Promise.resolve(undefined),
+      findReplacement: (signal, commit) =>
+        isReplaceable
+          ? search.find(signal, commit)
+          : Promise.resolve(undefined),
       releaseReplacement: takeover => takeover.close(),
-      onAbandoned: options.onAbandoned,
-    });
-  }
-
-  /** Starts a generation beside the attempts at `silentEngines`. */
-  private beginTakeover(
-    state: GenerationState,
-    options: StartOptions,
-    onVerified: () => void,
-  ): Takeover {
-    const {clock, observer} = this.parts;
-    return new Takeover({
-      clock,
-      signal: options.signal,
-      start: async (signal, run) => {
-        const started = await this.start(state, {...options, signal, run});
-        // The engine before goes on.
-        if (started.isErr && signal.aborted) this.releaseReusableCache(state);
-        return started;
-      },
-      onVerified,
-      onFailure: failure =>
-        observer(state.call.id, {kind: 'not-resumed', ...failure}),
+      onAbandoned,
     });
   }
 
