Tests of callers that exhaust a host

What callers saw: with many large bodies at once, most of them short of their end, a process of a deployment ran out of memory and ended.

The tests start the program (platform) and the daemon (general product) with the node options of the deployment, let 40 or 60 callers send bodies of the largest legal size, 4 MiB, and check that the process lives, that its peak of resident memory stays under the 200 MB of the settings and its descriptors under 512, that an ordinary call is served beside the crowd and after it, and that nothing has run that was refused with a promise. Guards: one body of the largest size is served in calm, as a whole and in chunks of one byte, and bodies without an end don't hold up a stop.

--- a/packages/standins/src/daemon-process.ts
+++ b/packages/standins/src/daemon-process.ts
@@ -21,6 +21,8 @@
   readonly seeds: readonly string[];
   /** Silence after which a stream is suspect; the default if undefined. */
   readonly upstreamSilenceMilliseconds?: number | undefined;
+  /** Options of Node before the program. */
+  readonly nodeOptions?: readonly string[];
 }
 
 const daemonPath = fileURLToPath(
@@ -44,14 +46,22 @@
     return `${this.plan.host}/${this.startCount}`;
   }
 
+  /** Throws if the process was never started. */
+  get processId(): number {
+    return this.child!.pid!;
+  }
+
   /** Starts the process. A stopped daemon can be started again. */
   start(): void {
     this.startCount += 1;
     const file = join(this.directory, 'settings.yaml');
     writeFileSync(file, stringify(settingsOf(this.plan)));
-    const child = spawn(process.execPath, [daemonPath, '--settings', file], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const {nodeOptions = []} = this.plan;
+    const child = spawn(
+      process.execPath,
+      [...nodeOptions, daemonPath, '--settings', file],
+      {stdio: ['ignore', 'pipe', 'pipe']},
+    );
     for (const stream of [child.stdout, child.stderr])
       stream.on('data', chunk => {
         this.output += String(chunk);
--- a/packages/standins/src/fake-service.ts
+++ b/packages/standins/src/fake-service.ts
@@ -15,6 +15,8 @@
   readonly runs: ExecutedCall[] = [];
   /** Time between the execution of a call and its answer. */
   delayMilliseconds = 0;
+  /** Whether the bodies of calls are received and not kept. */
+  dropsBodies = false;
   /** Whether calls are executed without ever being answered. */
   losesAnswers = false;
   /** Invoked for each call when it is executed. */
@@ -34,7 +36,7 @@
         idempotencyKey: request.headers['idempotency-key'] as string,
         path: request.url,
         headers: request.headers,
-        body: String(request.body ?? ''),
+        body: this.dropsBodies ? '' : String(request.body ?? ''),
       };
       this.runs.push(call);
       this.onExecution(call);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,7 +9,17 @@
 export {FakeService} from './fake-service.js';
 export {SampleFleet, sampleKeys, sampleModel} from './sample-fleet.js';
 export {Caller} from './caller.js';
+export {
+  CallerCrowd,
+  chunkOf,
+  chunksOf,
+  framingHeader,
+  usageOf,
+} from './caller-crowd.js';
+export type {BodyFraming, ProcessUsage, WrittenParts} from './caller-crowd.js';
 export type {CallOptions, CallerResult, StreamOptions} from './caller.js';
+export {exhaustingBodies} from './exhausting-bodies.js';
+export type {ExhaustingBody} from './exhausting-bodies.js';
 export {DaemonGroup} from './daemon-group.js';
 export type {DaemonGroupOptions} from './daemon-group.js';
 export {DaemonProcess} from './daemon-process.js';
