Bodies of requests: one budget of memory for all callers of a host

Cause: each body has its limit, and their sum had none. A body was collected as fast as it came, for any number of callers, each part as a buffer of its own, and one that stood still was waited for without a limit. Class: resources that are held for callers have no owner whose sum is bounded; the budget of responses covers upstreams alone.

Change: RequestMemory counts all bodies, half read or whole, until their calls have ended, in a budget of an eighth of the memory in the settings. Memory is granted before bytes are read: 16 KB first, then to the end of a body with a length, in steps for one without. Without room the connection is not read. While a body waits, the one without progress for longest is ended (408) after half a second, and after a second the one that waits is refused (503 `memory-short`, Retry-After). A body without a byte for `idle_timeout_ms`, or at the deadline of its call, ends with 408. Nothing of these calls was sent. Parts are copied into one buffer that grows with the grants. Events 1011 and 3134, two metrics.

Chunks of one byte still keep ordinary callers from being served (listed).

Why it works: what is granted is never above the budget, but for one body of a legal size; a body with its grant can be completed, so that bodies don't wait for each other, and those in chunks, which may, are refused one after the other.

--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -32,6 +32,8 @@
       return explainRate(lastFieldsOf(lines, 'callOverRate'));
     case 'queue-full':
       return explainQueueFull(lines);
+    case 'memory-short':
+      return 'Refused: the host had no memory for its body; see event 3134 for what others held.';
     case 'stream-not-resumable':
       return explainTakeUp(lastFieldsOf(lines, 'streamTakenUp'));
     case 'prompt-quarantined':
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -280,6 +280,13 @@
   ResponseMemoryParts,
 } from './passthrough/response-memory.js';
 export type {HeldTotal} from './decisions/response-memory.js';
+export {RequestMemory} from './requests/request-memory.js';
+export type {
+  BodyEnd,
+  HeldBody,
+  RequestMemoryEvent,
+  RequestTotal,
+} from './requests/request-memory.js';
 export {ChunkQueue} from './passthrough/chunk-queue.js';
 export {InterruptedResponseError} from './passthrough/call.js';
 export type {
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -22,6 +22,7 @@
   | 'request-timeout'
   | 'rate-exceeded'
   | 'queue-full'
+  | 'memory-short'
   | 'target-unreachable'
   | 'no-upstream'
   | 'prompt-quarantined'
@@ -85,6 +86,7 @@
     case 'upstream-failed':
       return 502;
     case 'queue-full':
+    case 'memory-short':
     case 'target-unreachable':
     case 'no-upstream':
     case 'prompt-quarantined':
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -26,6 +26,10 @@
    * nothing may be read but the byte ahead. Asked after each read.
    */
   readonly nextBytes: () => number;
+  /** Whether the body of a request is read next, or dropped. */
+  readonly isInBody: () => boolean;
+  /** Whether nothing may be read before `readOn` is called. */
+  readonly mustWait: () => boolean;
   /** Called when the byte ahead was read: reads no longer show the end. */
   readonly onHeld: () => void;
 }
@@ -51,6 +55,8 @@
 /** Until there is a plan. */
 const unplanned: ReadPlan = {
   nextBytes: () => headReadBytes,
+  isInBody: () => false,
+  mustWait: () => false,
   onHeld: () => undefined,
 };
 
@@ -58,6 +64,10 @@
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private mode: ReadMode = 'planned';
+  /** Whether nothing is read until its plan allows it. */
+  private isSuspended = false;
+  /** Whether its user has paused it, whatever is read. */
+  private isPausedByUser = false;
 
   private constructor(
     accepted: Socket,
@@ -148,6 +158,7 @@
   /** Reads all that comes from now on and drops it: the close then resets nothing. */
   dropInput(): void {
     this.mode = 'dropping';
+    this.isSuspended = false;
     this.resume();
   }
 
@@ -158,7 +169,25 @@
 
   /** Node resumes sockets whose requests have been read. */
   override resume(): this {
-    return this.hasUnreadInput ? this : super.resume();
+    this.isPausedByUser = false;
+    return this.hasUnreadInput || this.isSuspended ? this : super.resume();
+  }
+
+  override pause(): this {
+    this.isPausedByUser = true;
+    return super.pause();
+  }
+
+  /** Reads on after a wait, if the plan allows it. */
+  readOn(): void {
+    if (!this.isSuspended || this.destroyed || !this.mayReadOn()) return;
+    if (!this.isPausedByUser) this.resume();
+  }
+
+  private mayReadOn(): boolean {
+    const {plan} = this.reader;
+    this.isSuspended = plan.isInBody() && plan.mustWait();
+    return !this.isSuspended;
   }
 
   /** Returns whether to go on reading. */
@@ -170,6 +199,6 @@
     }
     if (this.mode === 'dropping') return true;
     this.emit('data', bytes);
-    return true;
+    return this.mayReadOn();
   }
 }
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -72,6 +72,12 @@
     text: 'responses hold more than half of their budget of memory, and are read no faster than their callers read (short), or less again (enough)',
     fields: ['memory', 'heldBytes', 'budgetBytes', 'responses'],
   },
+  requestMemoryChanged: {
+    number: 1011,
+    level: 'warn',
+    text: 'bodies of requests wait for memory, because others hold their budget of it (short), or no longer (enough)',
+    fields: ['memory', 'heldBytes', 'budgetBytes', 'bodies', 'waiting'],
+  },
   configurationApplied: {
     number: 2001,
     level: 'info',
@@ -515,6 +521,20 @@
       'millisecondsSinceStop',
     ],
   },
+  requestBodyRefused: {
+    number: 3134,
+    level: 'warn',
+    text: 'the body of a request was not received to its end, and the request has not run: reason says why',
+    fields: [
+      'request',
+      'reason',
+      'receivedBytes',
+      'heldBytes',
+      'budgetBytes',
+      'bodies',
+      'waiting',
+    ],
+  },
   responseGivenUp: {
     number: 3140,
     level: 'warn',
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -133,6 +133,7 @@
 function countsAsRefusedInsideRate(code: FailureCode): boolean {
   switch (code) {
     case 'queue-full':
+    case 'memory-short':
     case 'target-unreachable':
     case 'no-upstream':
     case 'claim-unavailable':
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -58,6 +58,13 @@
   readonly response: ServerResponse;
 }
 
+/** How far the body of a call may be received. */
+export interface BodyFlow {
+  /** Bytes that may be received next; 0 to receive none until `continueBody`. */
+  readonly allowedBytes: number;
+  readonly isWaiting: boolean;
+}
+
 /** The end of a connection before all bytes of its caller were read. */
 export interface UnreadInput {
   readonly reason: ConnectionEnd;
@@ -118,6 +125,8 @@
   /** Whether the caller has ended its direction of the connection. */
   private isHalfClosed = false;
   private isWatchingUnread = false;
+  /** Of the last call that was read, while its body is received. */
+  private bodyFlow: BodyFlow | undefined;
 
   constructor(
     private readonly socket: CallerSocket,
@@ -130,6 +139,8 @@
     // What is read behind a call could not be answered if the call ends the connection.
     socket.readBy({
       nextBytes: () => this.chooseReadBytes(),
+      isInBody: () => this.lastRequest?.complete === false,
+      mustWait: () => this.bodyFlow?.isWaiting === true,
       onHeld: () => void this.watchUnread(),
     });
     socket.on('timeout', () => void this.onTimeout());
@@ -187,6 +198,7 @@
     const wasHeld = this.nextArrival !== undefined;
     this.nextArrival = undefined;
     this.lastCall = call;
+    this.bodyFlow = undefined;
     this.bytesReadAtHead = this.socket.bytesRead;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
@@ -218,6 +230,23 @@
     this.socket.discard();
   }
 
+  /** Reads the body of the last call as `flow` allows. */
+  startBody(flow: BodyFlow): void {
+    this.bodyFlow = flow;
+  }
+
+  /** Reads on if the flow of the body has changed. */
+  continueBody(): void {
+    this.socket.readOn();
+  }
+
+  /** Reads what is left of the body without a bound. */
+  endBody(flow: BodyFlow): void {
+    if (this.bodyFlow !== flow) return;
+    this.bodyFlow = undefined;
+    this.socket.readOn();
+  }
+
   /** Announces the end if no call may follow the one that `response` answers. */
   announceEndIfDue(response: ServerResponse): void {
     if (this.isDraining || this.isHalfClosed) this.announceEnd(response);
@@ -469,7 +498,14 @@
       length === undefined
         ? Math.max(headReadBytes, read)
         : Math.max(1, Number(length) - read);
-    return Math.min(maximumReadBytes, left);
+    return Math.min(maximumReadBytes, left, this.allowedBytes);
+  }
+
+  /** How much may be read of a body; its last chunk follows what is granted for it. */
+  private get allowedBytes(): number {
+    if (this.bodyFlow !== undefined)
+      return Math.max(headReadBytes, this.bodyFlow.allowedBytes);
+    return this.lastCall?.progress === 'waiting' ? headReadBytes : Infinity;
   }
 
   /** Finds out that the caller has left behind bytes that are not read. */
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -7,6 +7,7 @@
   EngineReleases,
   FleetContact,
   PassthroughHost,
+  RequestMemory,
   RequestQuarantine,
   ResponseMemory,
   RetryLoans,
@@ -50,6 +51,7 @@
   logUnreadInput,
   logQuarantineChange,
   logRequestLimitChange,
+  logRequestMemory,
   logResponseMemory,
   logShareChange,
   logSilenceProbe,
@@ -83,6 +85,9 @@
  */
 const readyProofAgeFraction = 0.55;
 
+/** Part of the memory of the process that bodies of requests may hold. */
+const requestMemoryFraction = 1 / 8;
+
 /** Part of the memory of the process that responses may hold for all callers. */
 const responseMemoryFraction = 1 / 8;
 
@@ -121,6 +126,7 @@
   /** Undefined unless traffic between failure domains is limited. */
   private readonly speeds: UpstreamSpeeds | undefined;
   private readonly domains: DomainRouter | undefined;
+  private readonly requestMemory: RequestMemory;
   private readonly responseMemory: ResponseMemory;
   private readonly limiter: UsageLimiter;
   private readonly fleet: DiscoveredFleet;
@@ -334,6 +340,14 @@
       const version = String(this.platform.versionInForce ?? '');
       logCallEvent(log, requestId, event, version);
     };
+    this.requestMemory = new RequestMemory({
+      clock,
+      budgetBytes: settings.memoryBytes * requestMemoryFraction,
+      onEvent: (event, total) => {
+        this.metrics.recordRequestMemory(event);
+        logRequestMemory(log, event, total);
+      },
+    });
     this.responseMemory = new ResponseMemory({
       budgetBytes: settings.memoryBytes * responseMemoryFraction,
       onEvent: (event, total) => {
@@ -420,6 +434,7 @@
       clock,
       host: this.host,
       shutdown: this.shutdown,
+      requestMemory: this.requestMemory,
       wireFormat: adapter.callerWire,
       limits: () => this.platform.limits,
       isPeer: ipAddress =>
@@ -572,6 +587,7 @@
       platformEpoch: this.platform.epochs.current ?? 0,
       proofAgeSeconds: this.platform.freshness.age() / 1000,
       seedContactSeconds: this.fleetContact.ageMilliseconds / 1000,
+      requestBytesHeld: this.requestMemory.heldBytes,
       responseBytesHeld: this.responseMemory.heldBytes,
       connectionsOpened: this.connections.openedCount,
     };
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -5,6 +5,8 @@
   HeldTotal,
   QuarantineChange,
   RequestLimitChange,
+  RequestMemoryEvent,
+  RequestTotal,
   ResponseMemoryEvent,
   ShareChange,
   SilenceProbe,
@@ -230,6 +232,30 @@
   }
 }
 
+/** Logs an event of the memory for the bodies of requests. */
+export function logRequestMemory(
+  log: EventLog,
+  event: RequestMemoryEvent,
+  {budgetBytes, smallBytes, largeBytes, bodies, waiting}: RequestTotal,
+): void {
+  const total = {
+    ...{heldBytes: smallBytes + largeBytes, budgetBytes, bodies, waiting},
+  };
+  switch (event.kind) {
+    case 'shortage':
+      return log.write('requestMemoryChanged', {
+        memory: event.isShort ? 'short' : 'enough',
+        ...total,
+      });
+    case 'ended': {
+      const {requestId: request, end: reason, receivedBytes} = event;
+      return log.write('requestBodyRefused', {
+        ...{request, reason, receivedBytes, ...total},
+      });
+    }
+  }
+}
+
 /** Logs the outcome of a call. */
 export function logCallEnd(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -11,6 +11,7 @@
 import type {
   CallEvent,
   QuarantineChange,
+  RequestMemoryEvent,
   ResponseMemoryEvent,
   SilenceProbe,
 } from '@persimmonwick/coordination';
@@ -36,6 +37,7 @@
   /** Time since contact with most seeds. */
   readonly seedContactSeconds: number;
   /** Bytes of responses that are held for callers. */
+  readonly requestBytesHeld: number;
   readonly responseBytesHeld: number;
   readonly connectionsOpened: number;
 }
@@ -57,6 +59,7 @@
 
   private readonly domainCallCounter: Counter<'purpose' | 'reason'>;
   private readonly domainByteCounter: Counter<'purpose' | 'reason'>;
+  private readonly requestMemoryCounter: Counter<'event'>;
   private readonly responseMemoryCounter: Counter<'event'>;
   private readonly noticeCounter: Counter<'notice'>;
   private readonly quarantineCounter: Counter<'change' | 'detail'>;
@@ -107,6 +110,12 @@
       labelNames: ['purpose', 'reason'],
       registers,
     });
+    this.requestMemoryCounter = new Counter({
+      name: 'persimmonwick_request_memory_events_total',
+      help: 'Shortages of memory for bodies of requests, and bodies not received to their end',
+      labelNames: ['event'],
+      registers,
+    });
     this.responseMemoryCounter = new Counter({
       name: 'persimmonwick_response_memory_events_total',
       help: 'Shortages of memory for responses, and responses given up in them',
@@ -187,6 +196,7 @@
       'platformEpoch',
       'proofAgeSeconds',
       'seedContactSeconds',
+      'requestBytesHeld',
       'responseBytesHeld',
       'connectionsOpened',
     ];
@@ -228,6 +238,16 @@
     this.unreadInputCounter.inc({by: endingPartyOf(reason), reason});
   }
 
+  recordRequestMemory(event: RequestMemoryEvent): void {
+    switch (event.kind) {
+      case 'shortage':
+        if (event.isShort) this.requestMemoryCounter.inc({event: 'shortage'});
+        break;
+      case 'ended':
+        this.requestMemoryCounter.inc({event: event.end});
+    }
+  }
+
   recordResponseMemory(event: ResponseMemoryEvent): void {
     if (event.kind === 'shortage' && !event.isShort) return;
     this.responseMemoryCounter.inc({event: event.kind});
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -15,6 +15,7 @@
   PassthroughResponse,
   PassthroughHost,
   RequestFailure,
+  RequestMemory,
   ShutdownSchedule,
   TimedCall,
 } from '@persimmonwick/coordination';
@@ -32,7 +33,7 @@
   UnreadInput,
 } from './caller-connection.js';
 import {handoverDeclinedHeader} from './http-handover-transport.js';
-import {readRequestBody} from './request-body.js';
+import {BodyReader} from './request-body.js';
 import {
   endOfBrokenResponse,
   failureOfCutResponse,
@@ -57,6 +58,7 @@
   readonly clock: Clock;
   readonly host: PassthroughHost;
   readonly shutdown: ShutdownSchedule;
+  readonly requestMemory: RequestMemory;
   readonly wireFormat: CallerWireFormat;
   readonly limits: () => CallerLimits;
   /** Returns whether a known host has this IP address. */
@@ -309,7 +311,7 @@
         deadline: host.deadlineOf(call.value, routing.value),
         receivedAt: undefined,
       },
-      ended.signal,
+      context,
     );
     if (body.isErr)
       return this.sendFailure(response, request, body.error, context);
@@ -373,21 +375,26 @@
    * Reads the body. Fails once the host would stop before the call could end, which
    * leaves its caller time to reach another host.
    */
-  private readBodyInTime(
+  private async readBodyInTime(
     request: IncomingMessage,
     call: TimedCall,
-    disconnected: AbortSignal,
+    {requestId, response, ended}: CallContext,
   ): Promise<Result<Uint8Array, RequestFailure>> {
-    return new Promise(resolve => {
-      const endWatch = this.parts.shutdown.watch(call, () =>
-        resolve(Result.err(hostStopping)),
-      );
-      const {bodyBytes} = this.parts.limits();
-      void readRequestBody(request, bodyBytes, disconnected).then(body => {
-        endWatch();
-        resolve(body);
-      });
+    const {shutdown, requestMemory, limits} = this.parts;
+    const {bodyBytes, keepAliveTimeoutMilliseconds} = limits();
+    const reader = new BodyReader(request, {
+      memory: requestMemory,
+      connection: this.connections.carrying(response)!,
+      requestId,
+      maximumBytes: bodyBytes,
+      deadline: call.deadline,
+      silenceMilliseconds: keepAliveTimeoutMilliseconds,
+      ended: ended.signal,
     });
+    const endWatch = shutdown.watch(call, () => reader.refuse(hostStopping));
+    const body = await reader.body;
+    endWatch();
+    return body;
   }
 
   /**
--- a/packages/daemon/src/passthrough/server-failures.ts
+++ b/packages/daemon/src/passthrough/server-failures.ts
@@ -24,7 +24,10 @@
   return (
     ran === 'not-run' &&
     !wasSent &&
-    (code === 'no-upstream' || code === 'not-ready' || code === 'draining')
+    (code === 'no-upstream' ||
+      code === 'not-ready' ||
+      code === 'draining' ||
+      code === 'memory-short')
   );
 }
 
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -2,7 +2,11 @@
 
 import type {ExecutionContext} from 'ava';
 import {Result} from 'true-myth';
-import {ShutdownSchedule, systemClock} from '@persimmonwick/coordination';
+import {
+  RequestMemory,
+  ShutdownSchedule,
+  systemClock,
+} from '@persimmonwick/coordination';
 import type {IncomingCall, PassthroughHost} from '@persimmonwick/coordination';
 import {EarlyListener} from '../../src/passthrough/early-listener.js';
 import {PassthroughServer} from '../../src/passthrough/passthrough-server.js';
@@ -18,6 +22,7 @@
     clock: systemClock,
     host: {deadlineOf: () => Infinity, ...host} as PassthroughHost,
     shutdown: new ShutdownSchedule(systemClock),
+    requestMemory: new RequestMemory({clock: systemClock, budgetBytes: 1e6}),
     wireFormat: {
       parseCall: () => Result.ok({id: 'call-1'} as IncomingCall),
       failureHeaders: () => [],
