Bodies of requests: reads shared out by the time that they take

What callers saw: beside callers that send bodies in chunks of one byte, no ordinary call is answered, and none for seconds after they have gone.

Cause: a connection was read until it was empty, up to 32 times 64 KB in each turn of the event loop. 64 KB in chunks of one byte take 25 ms, so a turn takes a second with 40 such callers, and an ordinary call needs ten turns.

Change: BodyReadTurns. Reads of bodies are counted in time. The first 2 ms of each body are read at once; beyond, connections wait in a queue, from which four are read in a turn, each in a part that is adapted to 0.5 ms (1 to 64 KB). What is left of a refused body waits in the same queue.

Why it works: a turn holds about 2 ms of bodies, whatever their framing and number, beyond 2 ms for each new one, so that an ordinary call waits some milliseconds in each.

--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -9,6 +9,7 @@
 import {Socket} from 'node:net';
 import type {SocketConstructorOpts} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
+import type {BodyReadShare, BodyReadTurns} from './body-read-turns.js';
 
 /** Longest read, which is that of Node. */
 export const maximumReadBytes = 64 * 1024;
@@ -48,6 +49,8 @@
 
 interface Reader {
   plan: ReadPlan;
+  /** Bytes of a read that leave time for other connections. */
+  turnBytes: () => number;
   /** Returns whether to go on reading. */
   onBytes: (bytes: Buffer) => boolean;
 }
@@ -64,7 +67,8 @@
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private mode: ReadMode = 'planned';
-  /** Whether nothing is read until its plan allows it. */
+  private readonly share: BodyReadShare;
+  /** Whether nothing is read until its turn comes, or its plan allows it. */
   private isSuspended = false;
   /** Whether its user has paused it, whatever is read. */
   private isPausedByUser = false;
@@ -72,6 +76,7 @@
   private constructor(
     accepted: Socket,
     private readonly clock: Clock,
+    turns: BodyReadTurns,
     private readonly reader: Reader,
   ) {
     const options = {
@@ -79,7 +84,8 @@
       allowHalfOpen: accepted.allowHalfOpen,
       onread: {
         buffer: () => {
-          const bytes = reader.plan.nextBytes();
+          // Node asks after a read for the buffer of the next one.
+          const bytes = Math.min(reader.plan.nextBytes(), reader.turnBytes());
           return readBuffer.subarray(0, Math.max(1, bytes));
         },
         callback: (count: number, buffer: Uint8Array) =>
@@ -89,6 +95,9 @@
     // The types of Node omit the option `handle`.
     super(options as unknown as SocketConstructorOpts);
     reader.onBytes = bytes => this.onBytes(bytes);
+    this.share = turns.open(() => this.readOn());
+    reader.turnBytes = () => this.share.readBytes;
+    this.once('close', () => this.share.close());
     (accepted as unknown as AcceptedSocket)._handle = null;
     // The server that has accepted it counts its open sockets.
     this.once('close', () => accepted.destroy());
@@ -104,9 +113,14 @@
   }
 
   /** Takes the connection of `accepted` over, which is not to be used any more. */
-  static takeOver(accepted: Socket, clock: Clock): CallerSocket {
-    return new CallerSocket(accepted, clock, {
+  static takeOver(
+    accepted: Socket,
+    clock: Clock,
+    turns: BodyReadTurns,
+  ): CallerSocket {
+    return new CallerSocket(accepted, clock, turns, {
       plan: unplanned,
+      turnBytes: () => maximumReadBytes,
       onBytes: () => true,
     });
   }
@@ -178,7 +192,12 @@
     return super.pause();
   }
 
-  /** Reads on after a wait, if the plan allows it. */
+  /** Records that another body follows on the connection. */
+  beginBody(): void {
+    this.share.restart();
+  }
+
+  /** Reads on after a wait, if the plan and the turns of the event loop allow it. */
   readOn(): void {
     if (!this.isSuspended || this.destroyed || !this.mayReadOn()) return;
     if (!this.isPausedByUser) this.resume();
@@ -186,7 +205,8 @@
 
   private mayReadOn(): boolean {
     const {plan} = this.reader;
-    this.isSuspended = plan.isInBody() && plan.mustWait();
+    this.isSuspended =
+      plan.isInBody() && (plan.mustWait() || !this.share.take());
     return !this.isSuspended;
   }
 
@@ -198,7 +218,10 @@
       return false;
     }
     if (this.mode === 'dropping') return true;
+    const startedAt = performance.now();
     this.emit('data', bytes);
+    if (!this.reader.plan.isInBody()) return true;
+    this.share.record(performance.now() - startedAt);
     return this.mayReadOn();
   }
 }
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -199,6 +199,7 @@
     this.nextArrival = undefined;
     this.lastCall = call;
     this.bodyFlow = undefined;
+    this.socket.beginBody();
     this.bytesReadAtHead = this.socket.bytesRead;
     const previous = this.lastResponse;
     this.lastResponse = new Promise(resolve => {
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -9,6 +9,7 @@
   connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
+import {BodyReadTurns} from '../connections/body-read-turns.js';
 import {CallerSocket} from '../connections/caller-socket.js';
 import {CallerConnection} from './caller-connection.js';
 import type {CallerConnectionParts} from './caller-connection.js';
@@ -18,6 +19,7 @@
 
 export class CallerConnections {
   private readonly bySocket = new Map<Socket, CallerConnection>();
+  private readonly turns = new BodyReadTurns();
   private acceptedCount = 0;
 
   constructor(
@@ -67,7 +69,7 @@
   /** Returns the socket of the connection that `accepted` was made for. */
   takeOver(accepted: Socket): CallerSocket {
     if (accepted instanceof CallerSocket) return accepted;
-    return CallerSocket.takeOver(accepted, this.parts.clock);
+    return CallerSocket.takeOver(accepted, this.parts.clock, this.turns);
   }
 
   of(socket: Socket): CallerConnection | undefined {
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -16,13 +16,14 @@
   t: ExecutionContext,
   host: Partial<PassthroughHost>,
   listener?: EarlyListener,
+  bodyBytes = 1024,
 ): Promise<{address: string; errors: string[]; server: PassthroughServer}> {
   const errors: string[] = [];
   const server = new PassthroughServer({
     clock: systemClock,
     host: {deadlineOf: () => Infinity, ...host} as PassthroughHost,
     shutdown: new ShutdownSchedule(systemClock),
-    requestMemory: new RequestMemory({clock: systemClock, budgetBytes: 1e6}),
+    requestMemory: new RequestMemory({clock: systemClock, budgetBytes: 100e6}),
     wireFormat: {
       parseCall: () => Result.ok({id: 'call-1'} as IncomingCall),
       failureHeaders: () => [],
@@ -30,7 +31,7 @@
     },
     limits: () => ({
       headerBytes: 16_384,
-      bodyBytes: 1024,
+      bodyBytes,
       headersTimeoutMilliseconds: 1000,
       keepAliveTimeoutMilliseconds: 1000,
     }),
