Idle connections hold nothing of their last call

What callers saw: a host of the general product that had served 25 bodies of 4 MiB on connections that stayed open took 266 MB (bound 200).

Cause: a connection that waits for its next request refers to its last call in two ways: `lastCall`, and the error of an abort without a reason, whose stack refers to the functions that handled the call. In the general product the call has its request, and that its body. Class: resources that are held for callers have no owner whose sum is bounded; the sum of idle connections has no bound but `bodyBytes` for each.

Change: a connection forgets a call that was received and answered, and aborts a wait only if there is one.

--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -103,8 +103,10 @@
   private readonly openCalls: OpenCall[] = [];
   /** Resolves once the response to the last call that was read has ended. */
   private lastResponse: Promise<void> = Promise.resolve();
-  /** The last call that was read. */
+  /** The last call that was read, until it and its response have ended. */
   private lastCall: OpenCall | undefined;
+  private lastRequestId = '';
+  private callCount = 0;
   /** Bytes read with the head of the last call. */
   private bytesReadAtHead = 0;
   /** Bytes read when the last response ended; more of them begin a request. */
@@ -120,7 +122,7 @@
   private errorResponse: string | undefined;
   /** Refuses a head that timed out behind the responses under way. */
   private refuseLateHead: (() => void) | undefined;
-  private pendingEnd = new AbortController();
+  private pendingEnd: AbortController | undefined;
   private readonly probe: CallerProbe;
   /** Whether the caller has ended its direction of the connection. */
   private isHalfClosed = false;
@@ -193,11 +195,14 @@
    * connection can still carry a response.
    */
   async enter(call: OpenCall): Promise<boolean> {
-    this.pendingEnd.abort();
+    // The error of an abort would refer to the call, by its stack.
+    this.pendingEnd?.abort();
+    this.pendingEnd = undefined;
     const isBehind = this.openCalls.push(call) > 1;
     const wasHeld = this.nextArrival !== undefined;
     this.nextArrival = undefined;
     this.lastCall = call;
+    this.callCount += 1;
     this.bodyFlow = undefined;
     this.socket.beginBody();
     this.bytesReadAtHead = this.socket.bytesRead;
@@ -351,18 +356,29 @@
   private onResponseEnd(call: OpenCall): void {
     if (this.socket.destroyed) return;
     this.openCalls.splice(this.openCalls.indexOf(call), 1);
+    this.forgetIfReceived(call);
     this.bytesReadAtEnd = this.socket.bytesHandedOn;
     this.endedAt = this.parts.clock.now();
     this.estimateReceipt();
     this.endIfMalformed();
-    if (!this.isEnding) void this.readBehind(call);
+    if (!this.isEnding) void this.readBehind();
     const isIdle = this.openCalls.length === 0;
     if (isIdle && this.isDraining && !this.isEnding)
       void this.endAfterLastRequest();
   }
 
-  /** Reads what the caller has written behind `call`, which has ended. */
-  private async readBehind(call: OpenCall): Promise<void> {
+  /** An idle connection holds nothing of its last call, which may be large. */
+  private forgetIfReceived(call: OpenCall): void {
+    const {complete, readableEnded} = call.response.req;
+    if (this.lastCall !== call || !complete || !readableEnded) return;
+    this.lastRequestId = call.requestId;
+    this.lastCall = undefined;
+  }
+
+  /** Reads what the caller has written behind a call that has ended. */
+  private async readBehind(): Promise<void> {
+    const {callCount} = this;
+    const wasLast = this.openCalls.length === 0;
     const arrival = this.socket.heldAt;
     this.nextArrival = arrival;
     this.socket.release();
@@ -374,7 +390,7 @@
     if (refuseLateHead === undefined) return;
     // The head had timed out before it could be read.
     await this.sleepAndRead(lastRequestMilliseconds, this.closed.signal);
-    if (this.lastCall === call) refuseLateHead();
+    if (wasLast && this.callCount === callCount) refuseLateHead();
   }
 
   /** Resolves once all that has arrived is read, with the end behind it. */
@@ -553,7 +569,8 @@
 
   private onClose(): void {
     this.closed.abort();
-    const {openCalls: calls, endReason: reason, lastCall} = this;
+    const {openCalls: calls, endReason: reason} = this;
+    const {lastCall, lastRequestId} = this;
     const {clock, stoppingSince, onLoss, onUnread} = this.parts;
     const now = clock.now();
     const stoppedAt = stoppingSince();
@@ -563,7 +580,7 @@
     if (heldAt !== undefined)
       onUnread({
         reason,
-        requestId: lastCall?.requestId ?? '',
+        requestId: lastCall?.requestId ?? lastRequestId,
         durationMilliseconds: now - heldAt,
         millisecondsSinceStop,
       });
