--- a/packages/daemon/test/passthrough/body-read-turns.test.ts
+++ b/packages/daemon/test/passthrough/body-read-turns.test.ts
@@ -6,8 +6,8 @@
 import {openRawConnection} from '../tools/raw-connection.js';
 import {openRoute, startServer} from '../tools/run-passthrough-server.js';
 
-const callers = 20;
-const bodyBytes = 500_000;
+const callers = 12;
+const bodyBytes = 4_000_000;
 const longMilliseconds = 100;
 
 test('a body that took long waits until others were read', async t => {
