Bodies of requests: a tenth of the memory

With an eighth, whole bodies from 60 callers took up to 188 MB of 200 in five runs of `whole bodies exhaust no host` (load averages of 13 to 20); the process takes 103 to 142 MB before it serves. A tenth lets 15 MB of bodies above 16 KB be held at a time.

--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -86,7 +86,7 @@
 const readyProofAgeFraction = 0.55;
 
 /** Part of the memory of the process that bodies of requests may hold. */
-const requestMemoryFraction = 1 / 8;
+const requestMemoryFraction = 1 / 10;
 
 /** Part of the memory of the process that responses may hold for all callers. */
 const responseMemoryFraction = 1 / 8;
