Bodies of requests in the general product: the same budget and turns

Cause: Fastify's parser collects each body in parts of its own, for any number of callers.

Change: BodyReader receives the bodies here as well, out of one RequestMemory with a sixteenth of the new setting `/limits/memoryBytes` (200 MB by default). A refused call is answered by its record, with the end of its connection. The body of a call is counted until its response has ended.

--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -78,6 +78,11 @@
     return this.interruptedController.signal;
   }
 
+  /** Aborted when the response was sent or the connection is lost. */
+  get closed(): AbortSignal {
+    return this.closedController.signal;
+  }
+
   get response(): ServerResponse {
     return this.reply.raw;
   }
@@ -101,6 +106,12 @@
     void sendFailure(this.reply, failure);
   }
 
+  /** Refuses the call while its body is received, and ends its connection. */
+  refuse(failure: RequestFailure): void {
+    if (this.reply.sent || this.closed.aborted) return;
+    void sendFailure(this.reply.header('connection', 'close'), failure);
+  }
+
   /** Sets the account and route; metrics count the call from here on. */
   assign(account: AccountId, route: Route): void {
     this.account = account;
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -7,7 +7,11 @@
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter} from '@nestjs/platform-fastify';
 import type {NestFastifyApplication} from '@nestjs/platform-fastify';
-import type {CompleteSettings} from '@persimmonwick/coordination';
+import type {
+  CompleteSettings,
+  RequestFailure,
+} from '@persimmonwick/coordination';
+import type {Result} from 'true-myth';
 import type {FastifyError, FastifyReply, FastifyRequest} from 'fastify';
 import {controllerDependenciesToken} from '../controller-dependencies.js';
 import type {ControllerDependencies} from '../controller-dependencies.js';
@@ -18,7 +22,9 @@
   logConnectionLoss,
   logUnreadInput,
 } from '../passthrough/passthrough-log.js';
+import {BodyReader} from '../passthrough/request-body.js';
 import {addCallHooks, recordOfResponse} from './call-hooks.js';
+import {callRecordOf} from './call-record.js';
 import {rejectExpectation} from './client-error.js';
 import {CompletionsController} from './completions.controller.js';
 import {FailureFilter, frameworkFailure} from './failure-filter.js';
@@ -54,12 +60,36 @@
     parts.observer.refused(rejectExpectation(reply)),
   );
   fastify.removeAllContentTypeParsers();
-  fastify.addContentTypeParser('*', {parseAs: 'buffer'}, (_r, body, done) =>
-    done(null, body),
-  );
+  fastify.addContentTypeParser('*', (request, _payload, done) => {
+    void receiveBody(request, parts, connections, settings).then(body =>
+      body.match({
+        Ok: bytes => done(null, bytes),
+        Err: failure => callRecordOf(request).refuse(failure),
+      }),
+    );
+  });
   return listenOn(application, settings.listen.callers, '/listen/callers');
 }
 
+/** The count of the body ends with the response. */
+function receiveBody(
+  request: FastifyRequest,
+  {requestMemory}: ControllerDependencies,
+  connections: CallerConnections,
+  {limits}: CompleteSettings,
+): Promise<Result<Uint8Array, RequestFailure>> {
+  const record = callRecordOf(request);
+  return new BodyReader(request.raw, {
+    memory: requestMemory,
+    connection: connections.of(request.raw.socket)!,
+    requestId: record.requestId,
+    maximumBytes: limits.bodyBytes,
+    deadline: record.deadline,
+    silenceMilliseconds: limits.slowSenderMilliseconds,
+    ended: record.closed,
+  }).body;
+}
+
 function createConnections({
   clock,
   log,
--- a/packages/daemon/src/controller-dependencies.ts
+++ b/packages/daemon/src/controller-dependencies.ts
@@ -1,6 +1,11 @@
 /** Dependencies of the controllers that serve callers. */
 
-import type {Clock, Configuration, Host} from '@persimmonwick/coordination';
+import type {
+  Clock,
+  Configuration,
+  Host,
+  RequestMemory,
+} from '@persimmonwick/coordination';
 import type {DrainGate} from './callers/drain-gate.js';
 import type {EventLog} from './log/logger.js';
 import type {RequestObserver} from './operators/request-observer.js';
@@ -13,6 +18,7 @@
   readonly gate: DrainGate;
   readonly observer: RequestObserver;
   readonly requestMilliseconds: number;
+  readonly requestMemory: RequestMemory;
 }
 
 /** Token under which Nest injects the dependencies. */
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -2,6 +2,7 @@
 
 import {randomInt} from 'node:crypto';
 import {
+  RequestMemory,
   hostId,
   incarnation,
   seededRandom,
@@ -18,6 +19,7 @@
 import type {Closables} from './closables.js';
 import type {EventLog} from './log/logger.js';
 import {RequestMetrics} from './operators/request-metrics.js';
+import {logRequestMemory} from './passthrough/passthrough-log.js';
 import {HttpEngineDirectory} from './upstreams/http-engine.js';
 import {HttpServiceSender} from './upstreams/http-service-sender.js';
 
@@ -31,8 +33,15 @@
   readonly sender: HttpServiceSender;
   readonly gate: DrainGate;
   readonly metrics: RequestMetrics;
+  readonly requestMemory: RequestMemory;
 }
 
+/**
+ * Part of the memory of the process that bodies of requests may hold. A completion holds
+ * its body in several forms.
+ */
+const requestMemoryFraction = 1 / 16;
+
 export function createCore(
   settings: CompleteSettings,
   log: EventLog,
@@ -61,5 +70,10 @@
     sender,
     gate,
     metrics: new RequestMetrics(clock),
+    requestMemory: new RequestMemory({
+      clock,
+      budgetBytes: limits.memoryBytes * requestMemoryFraction,
+      onEvent: (event, total) => logRequestMemory(log, event, total),
+    }),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -129,11 +129,12 @@
 }
 
 function startOperators(core: DaemonCore, host: Host): Promise<RunningServer> {
-  const {settings, self, gate, metrics} = core;
+  const {settings, self, gate, metrics, requestMemory} = core;
   const configuration = () => host.configuration;
   const metricsPage = new MetricsPage(
     createRegistry(metrics, () => ({
       inFlight: gate.inFlight,
+      requestBytesHeld: requestMemory.heldBytes,
       configurationVersion: configuration().version,
       isReady: isReady({host, gate}),
       isDraining: gate.isDraining,
@@ -169,7 +170,7 @@
 }
 
 function startCallers(core: DaemonCore, host: Host): Promise<RunningServer> {
-  const {clock, log, gate, metrics, settings} = core;
+  const {clock, log, gate, metrics, settings, requestMemory} = core;
   return startCallerServer(
     {
       clock,
@@ -179,6 +180,7 @@
       gate,
       observer: metrics,
       requestMilliseconds: settings.limits.requestMilliseconds,
+      requestMemory,
     },
     settings,
   );
--- a/packages/daemon/src/operators/prometheus.ts
+++ b/packages/daemon/src/operators/prometheus.ts
@@ -10,6 +10,8 @@
 /** Values of the gauges of the host. */
 export interface HostGauges {
   readonly inFlight: number;
+  /** Memory that is set aside for bodies of requests. */
+  readonly requestBytesHeld: number;
   readonly configurationVersion: bigint;
   readonly isReady: boolean;
   readonly isDraining: boolean;
@@ -64,6 +66,11 @@
   addGauge('requests_in_flight', 'Requests that are answered', () => {
     return readGauges().inFlight;
   });
+  addGauge(
+    'request_bytes_held',
+    'Memory that is set aside for bodies of requests',
+    () => readGauges().requestBytesHeld,
+  );
   addGauge('configuration_version', 'Configuration version in force', () =>
     Number(readGauges().configurationVersion),
   );
--- a/packages/daemon/test/operators/request-metrics.test.ts
+++ b/packages/daemon/test/operators/request-metrics.test.ts
@@ -122,6 +122,7 @@
   metrics.refused(createFailure('unknown-key'));
   const registry = createRegistry(metrics, () => ({
     inFlight: 3,
+    requestBytesHeld: 0,
     configurationVersion: 7n,
     isReady: true,
     isDraining: false,
