--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -9,6 +9,7 @@
 import {Socket} from 'node:net';
 import type {SocketConstructorOpts} from 'node:net';
 import type {Clock} from '@persimmonwick/coordination';
+import type {BodyReadShare, BodyReadTurns} from './body-read-turns.js';
 
 /** Longest read, which is that of Node. */
 export const maximumReadBytes = 64 * 1024;
@@ -26,6 +27,10 @@
    * nothing may be read but the byte ahead. Asked after each read.
    */
   readonly nextBytes: () => number;
+  /** Whether the body of a request is read next, or dropped. */
+  readonly isInBody: () => boolean;
+  /** Whether nothing may be read before `readOn` is called. */
+  readonly mustWait: () => boolean;
   /** Called when the byte ahead was read: reads no longer show the end. */
   readonly onHeld: () => void;
 }
@@ -44,6 +49,8 @@
 
 interface Reader {
   plan: ReadPlan;
+  /** Bytes of a read that leave time for other connections. */
+  turnBytes: () => number;
   /** Returns whether to go on reading. */
   onBytes: (bytes: Buffer) => boolean;
 }
@@ -51,6 +58,8 @@
 /** Until there is a plan. */
 const unplanned: ReadPlan = {
   nextBytes: () => headReadBytes,
+  isInBody: () => false,
+  mustWait: () => false,
   onHeld: () => undefined,
 };
 
@@ -58,10 +67,16 @@
   /** The byte read ahead, which nobody has received, and the clock time of the read. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private mode: ReadMode = 'planned';
+  private readonly share: BodyReadShare;
+  /** Whether nothing is read until its turn comes, or its plan allows it. */
+  private isSuspended = false;
+  /** Whether its user has paused it, whatever is read. */
+  private isPausedByUser = false;
 
   private constructor(
     accepted: Socket,
     private readonly clock: Clock,
+    turns: BodyReadTurns,
     private readonly reader: Reader,
   ) {
     const options = {
@@ -69,7 +84,8 @@
       allowHalfOpen: accepted.allowHalfOpen,
       onread: {
         buffer: () => {
-          const bytes = reader.plan.nextBytes();
+          // Node asks after a read for the buffer of the next one.
+          const bytes = Math.min(reader.plan.nextBytes(), reader.turnBytes());
           return readBuffer.subarray(0, Math.max(1, bytes));
         },
         callback: (count: number, buffer: Uint8Array) =>
@@ -79,6 +95,9 @@
     // The types of Node omit the option `handle`.
     super(options as unknown as SocketConstructorOpts);
     reader.onBytes = bytes => this.onBytes(bytes);
+    this.share = turns.open(() => this.readOn());
+    reader.turnBytes = () => this.share.readBytes;
+    this.once('close', () => this.share.close());
     (accepted as unknown as AcceptedSocket)._handle = null;
     // The server that has accepted it counts its open sockets.
     this.once('close', () => accepted.destroy());
@@ -94,9 +113,14 @@
   }
 
   /** Takes the connection of `accepted` over, which is not to be used any more. */
-  static takeOver(accepted: Socket, clock: Clock): CallerSocket {
-    return new CallerSocket(accepted, clock, {
+  static takeOver(
+    accepted: Socket,
+    clock: Clock,
+    turns: BodyReadTurns,
+  ): CallerSocket {
+    return new CallerSocket(accepted, clock, turns, {
       plan: unplanned,
+      turnBytes: () => maximumReadBytes,
       onBytes: () => true,
     });
   }
@@ -148,6 +172,7 @@
   /** Reads all that comes from now on and drops it: the close then resets nothing. */
   dropInput(): void {
     this.mode = 'dropping';
+    this.isSuspended = false;
     this.resume();
   }
 
@@ -158,7 +183,31 @@
 
   /** Node resumes sockets whose requests have been read. */
   override resume(): this {
-    return this.hasUnreadInput ? this : super.resume();
+    this.isPausedByUser = false;
+    return this.hasUnreadInput || this.isSuspended ? this : super.resume();
+  }
+
+  override pause(): this {
+    this.isPausedByUser = true;
+    return super.pause();
+  }
+
+  /** Records that another body follows on the connection. */
+  beginBody(): void {
+    this.share.restart();
+  }
+
+  /** Reads on after a wait, if the plan and the turns of the event loop allow it. */
+  readOn(): void {
+    if (!this.isSuspended || this.destroyed || !this.mayReadOn()) return;
+    if (!this.isPausedByUser) this.resume();
+  }
+
+  private mayReadOn(): boolean {
+    const {plan} = this.reader;
+    this.isSuspended =
+      plan.isInBody() && (plan.mustWait() || !this.share.take());
+    return !this.isSuspended;
   }
 
   /** Returns whether to go on reading. */
@@ -169,7 +218,10 @@
       return false;
     }
     if (this.mode === 'dropping') return true;
+    const startedAt = performance.now();
     this.emit('data', bytes);
-    return true;
+    if (!this.reader.plan.isInBody()) return true;
+    this.share.record(performance.now() - startedAt);
+    return this.mayReadOn();
   }
 }
