--- a/packages/coordination/test/tools/scripted-engines.ts
+++ b/packages/coordination/test/tools/scripted-engines.ts
@@ -228,6 +228,11 @@
     return this.sent.filter(({isExecuted}) => isExecuted);
   }
 
+  /** Number of runs that were sent. */
+  get sentRuns(): number {
+    return this.sent.length;
+  }
+
   /** Begins a stop of 8 s. */
   stop(): void {
     const now = this.clock.now();
