A takeover that was taken over in its turn opens its stream once

What callers would see: nothing but a stream that stays at its silent engine, while another engine runs it as well until the deadline (TWICE).

Cause: where the second engine gives no head and a third one takes over, the third run has waited for its first event, or for the end of the overlap, in the inner takeover. The outer one waited once more, and the time of its own overlap never began.

Change: the outer one takes such a run as it is.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -86,6 +86,8 @@
   readonly document: UpstreamDocument;
   /** Owns the attempt, which ends when the scope is closed. */
   readonly attempt: AbortScope;
+  /** Whether a takeover has waited for its first event. */
+  readonly isOpened?: boolean;
 }
 
 /** Why no engine has begun the response of a generation. */
--- a/packages/coordination/src/passthrough/takeover.ts
+++ b/packages/coordination/src/passthrough/takeover.ts
@@ -118,6 +118,8 @@
   private async untilStreaming(
     started: StartedGeneration,
   ): Promise<StartedGeneration | undefined> {
+    // The start was taken over in its turn.
+    if (started.isOpened === true) return started;
     const {response} = started;
     const opening = new StreamOpening(response);
     const isStreaming = await Promise.race([
@@ -125,7 +127,8 @@
       this.overlapped,
     ]);
     if (!isStreaming) return undefined;
-    return {...started, response: {...response, body: opening.relay()}};
+    const body = opening.relay();
+    return {...started, isOpened: true, response: {...response, body}};
   }
 }
 
