Takeovers of takeovers keep two engines for less than 400 ms

Found in review.

Cause: a search that has found something waits 50 ms for what arrived meanwhile. A takeover that is taken over in its turn waits twice, after the 300 ms for which two engines may run a stream.

Change: takeovers don't wait. The other engine has begun the generation, and sends again what the one before may send in that time.

--- a/packages/coordination/src/passthrough/generation-attempts.ts
+++ b/packages/coordination/src/passthrough/generation-attempts.ts
@@ -613,6 +613,8 @@
         isReplaceable
           ? search.find(signal, commit)
           : Promise.resolve(undefined),
+      // The other engine runs the generation already, and sends what arrives now again.
+      graceMilliseconds: 0,
       releaseReplacement: takeover => takeover.close(),
       onAbandoned,
     });
--- a/packages/coordination/src/stall-monitor.ts
+++ b/packages/coordination/src/stall-monitor.ts
@@ -24,6 +24,8 @@
     signal: AbortSignal,
     commit: () => void,
   ) => Promise<Replacement | undefined>;
+  /** Time to read what arrived during a search; 50 ms if absent. */
+  readonly graceMilliseconds?: number;
   /** Frees a replacement that was found too late. */
   readonly releaseReplacement: (replacement: Replacement) => void;
   /** Called when the attempt is given up, which `wait` may tell much later. */
@@ -44,7 +46,7 @@
 const searchIntervalMilliseconds = 250;
 
 /** Time to read what arrived while the process stood still. */
-const graceMilliseconds = 50;
+const defaultGraceMilliseconds = 50;
 
 export class StallMonitor<Replacement> {
   private readonly closing = new AbortController();
@@ -182,7 +184,10 @@
     if (!isFound) search.abort();
     // An event that arrived during the search is read first.
     else if (!this.isCommitted)
-      await clock.sleep(graceMilliseconds, search.signal);
+      await clock.sleep(
+        this.parts.graceMilliseconds ?? defaultGraceMilliseconds,
+        search.signal,
+      );
     this.search = undefined;
     this.isCommitted = false;
     this.nextSearchAt = clock.now() + searchIntervalMilliseconds;
@@ -212,6 +217,6 @@
     await clock.sleep(time - clock.now(), signal);
     // What arrived while the process stood still has not been read yet.
     if (clock.now() - time > lateTimerMilliseconds)
-      await clock.sleep(graceMilliseconds, signal);
+      await clock.sleep(defaultGraceMilliseconds, signal);
   }
 }
