Random scripts: a run has taken over from its head on, not from its send

The check for streams that are cut while their engine goes on excused a cut 295 ms after another run was sent, as the code before gave the engine up then. A run that was refused after that time went unseen. It counts from the head now, as the code does.

The file is named after what it has, since `takeover-search` is also a module that it does not test.

--- a/packages/coordination/test/takeover-search.test.ts
+++ b/packages/coordination/test/takeover-scripts.test.ts
@@ -7,7 +7,7 @@
 
 const maximumOverlapMilliseconds = 400;
 
-/** Time from which a run has taken over the stream, whether it has events or not. */
+/** Time after its head from which a run has taken over the stream without an event. */
 const overlapMilliseconds = 295;
 
 /** `SEEDS` is a first and a last seed, as in 1-5000. */
@@ -82,8 +82,8 @@
   const isTakenOver = sent
     .slice(index + 1)
     .some(
-      ({events, sentAt}) =>
-        events > 0 || run.endedAt! - sentAt >= overlapMilliseconds,
+      ({events, beganAt}) =>
+        events > 0 || run.endedAt! - beganAt >= overlapMilliseconds,
     );
   const isTakeover = sent
     .slice(0, index)
