How long calls lie unread: estimate, metrics and event 1012

What callers saw: answers seconds after the timeout of their route, and upstreams that got requests of callers who had left; the log began with the read of a request and said nothing of the time before it.

A process learns only that input is there. All that has arrived is read once in each turn of the event loop, so input arrived since the last poll, less the time in which the loop waited; a connection waits at the port as long as each turn accepts one; an overdue timer shows a pause within a wait. Both products record the estimate for each call in a histogram, count late calls, and log the begin and the end of a shortage.

No decision uses it yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -280,6 +280,10 @@
   ResponseMemoryParts,
 } from './passthrough/response-memory.js';
 export type {HeldTotal} from './decisions/response-memory.js';
+export {ProcessorTime} from './decisions/processor-time.js';
+export type {ProcessorTimeChange} from './decisions/processor-time.js';
+export {UnreadTime} from './decisions/unread-time.js';
+export type {LoopTime} from './decisions/unread-time.js';
 export {RequestMemory} from './requests/request-memory.js';
 export type {
   BodyEnd,
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -95,10 +95,19 @@
   log,
   gate,
   observer,
+  monitor,
+  processorTime,
+  reads,
 }: ControllerDependencies): CallerConnections {
   return new CallerConnections(
     {
       clock,
+      monitor,
+      onCallRead: unread => {
+        reads.recordUnread(unread);
+        if (processorTime.recordBegin(unread, clock.now()))
+          reads.recordLateCall();
+      },
       stoppingSince: () => gate.drainingSince,
       onLoss: loss => logConnectionLoss(log, loss),
       onUnread: input => logUnreadInput(log, input),
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -8,8 +8,8 @@
 
 import {Socket} from 'node:net';
 import type {SocketConstructorOpts} from 'node:net';
-import type {Clock} from '@persimmonwick/coordination';
 import type {BodyReadShare, BodyReadTurns} from './body-read-turns.js';
+import type {EventLoopMonitor} from './event-loop-monitor.js';
 
 /** Longest read, which is that of Node. */
 export const maximumReadBytes = 64 * 1024;
@@ -75,7 +75,7 @@
 
   private constructor(
     accepted: Socket,
-    private readonly clock: Clock,
+    private readonly monitor: EventLoopMonitor,
     turns: BodyReadTurns,
     private readonly reader: Reader,
   ) {
@@ -115,10 +115,10 @@
   /** Takes the connection of `accepted` over, which is not to be used any more. */
   static takeOver(
     accepted: Socket,
-    clock: Clock,
+    monitor: EventLoopMonitor,
     turns: BodyReadTurns,
   ): CallerSocket {
-    return new CallerSocket(accepted, clock, turns, {
+    return new CallerSocket(accepted, monitor, turns, {
       plan: unplanned,
       turnBytes: () => maximumReadBytes,
       onBytes: () => true,
@@ -212,8 +212,9 @@
 
   /** Returns whether to go on reading. */
   private onBytes(bytes: Buffer): boolean {
+    this.monitor.recordRead();
     if (this.isHolding) {
-      this.held = {bytes: Buffer.from(bytes), at: this.clock.now()};
+      this.held = {bytes: Buffer.from(bytes), at: performance.now()};
       this.reader.plan.onHeld();
       return false;
     }
--- a/packages/daemon/src/controller-dependencies.ts
+++ b/packages/daemon/src/controller-dependencies.ts
@@ -4,9 +4,12 @@
   Clock,
   Configuration,
   Host,
+  ProcessorTime,
   RequestMemory,
 } from '@persimmonwick/coordination';
 import type {DrainGate} from './callers/drain-gate.js';
+import type {CallReadMetrics} from './connections/call-read-metrics.js';
+import type {EventLoopMonitor} from './connections/event-loop-monitor.js';
 import type {EventLog} from './log/logger.js';
 import type {RequestObserver} from './operators/request-observer.js';
 
@@ -19,6 +22,9 @@
   readonly observer: RequestObserver;
   readonly requestMilliseconds: number;
   readonly requestMemory: RequestMemory;
+  readonly monitor: EventLoopMonitor;
+  readonly processorTime: ProcessorTime;
+  readonly reads: CallReadMetrics;
 }
 
 /** Token under which Nest injects the dependencies. */
--- a/packages/daemon/src/daemon-core.ts
+++ b/packages/daemon/src/daemon-core.ts
@@ -2,6 +2,7 @@
 
 import {randomInt} from 'node:crypto';
 import {
+  ProcessorTime,
   RequestMemory,
   hostId,
   incarnation,
@@ -17,9 +18,14 @@
 import {v7 as createTimeOrderedUuid} from 'uuid';
 import {DrainGate} from './callers/drain-gate.js';
 import type {Closables} from './closables.js';
+import {CallReadMetrics} from './connections/call-read-metrics.js';
+import {EventLoopMonitor} from './connections/event-loop-monitor.js';
 import type {EventLog} from './log/logger.js';
 import {RequestMetrics} from './operators/request-metrics.js';
-import {logRequestMemory} from './passthrough/passthrough-log.js';
+import {
+  logProcessorTime,
+  logRequestMemory,
+} from './passthrough/passthrough-log.js';
 import {HttpEngineDirectory} from './upstreams/http-engine.js';
 import {HttpServiceSender} from './upstreams/http-service-sender.js';
 
@@ -34,6 +40,9 @@
   readonly gate: DrainGate;
   readonly metrics: RequestMetrics;
   readonly requestMemory: RequestMemory;
+  readonly monitor: EventLoopMonitor;
+  readonly processorTime: ProcessorTime;
+  readonly reads: CallReadMetrics;
 }
 
 /**
@@ -57,6 +66,15 @@
   const sender = closables.add(
     new HttpServiceSender(limits.requestMilliseconds),
   );
+  const processorTime = new ProcessorTime(change =>
+    logProcessorTime(log, change),
+  );
+  const monitor = new EventLoopMonitor({
+    onStall: milliseconds =>
+      log.write('processStalled', {milliseconds: Math.round(milliseconds)}),
+    onTick: () => processorTime.check(clock.now()),
+  });
+  closables.add({close: async () => monitor.close()});
   return {
     settings,
     log,
@@ -75,5 +93,8 @@
       budgetBytes: limits.memoryBytes * requestMemoryFraction,
       onEvent: (event, total) => logRequestMemory(log, event, total),
     }),
+    monitor,
+    processorTime,
+    reads: new CallReadMetrics(),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -131,15 +131,15 @@
 function startOperators(core: DaemonCore, host: Host): Promise<RunningServer> {
   const {settings, self, gate, metrics, requestMemory} = core;
   const configuration = () => host.configuration;
-  const metricsPage = new MetricsPage(
-    createRegistry(metrics, () => ({
-      inFlight: gate.inFlight,
-      requestBytesHeld: requestMemory.heldBytes,
-      configurationVersion: configuration().version,
-      isReady: isReady({host, gate}),
-      isDraining: gate.isDraining,
-    })),
-  );
+  const registry = createRegistry(metrics, () => ({
+    inFlight: gate.inFlight,
+    requestBytesHeld: requestMemory.heldBytes,
+    configurationVersion: configuration().version,
+    isReady: isReady({host, gate}),
+    isDraining: gate.isDraining,
+  }));
+  core.reads.registerAt(registry);
+  const metricsPage = new MetricsPage(registry);
   return startOperatorServer(
     {
       self,
@@ -170,17 +170,14 @@
 }
 
 function startCallers(core: DaemonCore, host: Host): Promise<RunningServer> {
-  const {clock, log, gate, metrics, settings, requestMemory} = core;
+  const {settings, metrics} = core;
   return startCallerServer(
     {
-      clock,
-      log,
+      ...core,
       host,
       configuration: () => host.configuration,
-      gate,
       observer: metrics,
       requestMilliseconds: settings.limits.requestMilliseconds,
-      requestMemory,
     },
     settings,
   );
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -78,6 +78,12 @@
     text: 'bodies of requests wait for memory, because others hold their budget of it (short), or no longer (enough)',
     fields: ['memory', 'heldBytes', 'budgetBytes', 'bodies', 'waiting'],
   },
+  processorTimeChanged: {
+    number: 1012,
+    level: 'warn',
+    text: 'calls begin over 100 ms after they may have arrived, because the process has too little processor time or stood still (short), or none has for a second (enough)',
+    fields: ['processorTime', 'waitMilliseconds', 'lateCalls', 'milliseconds'],
+  },
   configurationApplied: {
     number: 2001,
     level: 'info',
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -15,6 +15,7 @@
 import type {AwaitedResponse} from '../connections/caller-probe.js';
 import {headReadBytes, maximumReadBytes} from '../connections/caller-socket.js';
 import type {CallerSocket} from '../connections/caller-socket.js';
+import type {EventLoopMonitor} from '../connections/event-loop-monitor.js';
 import {ReceiptEstimate} from '../connections/receipt-estimate.js';
 import {cancellationBy, endOfSocketError} from './connection-end.js';
 import type {ConnectionEnd} from './connection-end.js';
@@ -89,11 +90,14 @@
 
 export interface CallerConnectionParts {
   readonly clock: Clock;
+  readonly monitor: EventLoopMonitor;
   /**
    * Clock time at which the host began to stop: no request may follow one whose
    * response ends later.
    */
   readonly stoppingSince: () => number | undefined;
+  /** Receives for how long a call may have lain unread when it was read. */
+  readonly onCallRead: (unreadMilliseconds: number) => void;
   readonly onLoss: (loss: ConnectionLoss) => void;
   readonly onUnread: (input: UnreadInput) => void;
 }
@@ -133,6 +137,8 @@
   constructor(
     private readonly socket: CallerSocket,
     private readonly parts: CallerConnectionParts,
+    /** Earliest clock time at which the caller can have opened it, if known. */
+    private readonly earliestOpening?: number,
   ) {
     this.openedAt = parts.clock.now();
     this.probe = new CallerProbe(socket, parts.clock);
@@ -185,6 +191,17 @@
     return this.openCalls.length > 1 || this.socket.isWaiting;
   }
 
+  /** Earliest clock time at which the request that is read now can have arrived. */
+  private get earliestArrival(): number {
+    const {monitor} = this.parts;
+    // What came with the connection waited as long as the connection itself.
+    const isNew = monitor.polledAt <= this.openedAt;
+    return Math.min(
+      monitor.earliestArrival(),
+      (isNew ? this.earliestOpening : undefined) ?? Infinity,
+    );
+  }
+
   /** Clock time at which the request that is being read began to arrive. */
   arrivalOfNext(): number {
     return this.nextArrival ?? this.parts.clock.now();
@@ -200,6 +217,8 @@
     this.pendingEnd = undefined;
     const isBehind = this.openCalls.push(call) > 1;
     const wasHeld = this.nextArrival !== undefined;
+    const {clock, onCallRead} = this.parts;
+    if (!wasHeld) onCallRead(clock.now() - this.earliestArrival);
     this.nextArrival = undefined;
     this.lastCall = call;
     this.callCount += 1;
--- a/packages/daemon/src/passthrough/caller-connections.ts
+++ b/packages/daemon/src/passthrough/caller-connections.ts
@@ -9,6 +9,7 @@
   connectNotSupported,
   failureOfClientError,
 } from '../callers/client-error.js';
+import {AcceptTimes, earliestOpeningOf} from '../connections/accept-times.js';
 import {BodyReadTurns} from '../connections/body-read-turns.js';
 import {CallerSocket} from '../connections/caller-socket.js';
 import {CallerConnection} from './caller-connection.js';
@@ -20,6 +21,7 @@
 export class CallerConnections {
   private readonly bySocket = new Map<Socket, CallerConnection>();
   private readonly turns = new BodyReadTurns();
+  private readonly acceptTimes: AcceptTimes;
   private acceptedCount = 0;
 
   constructor(
@@ -30,7 +32,10 @@
       failure: RequestFailure,
       incompleteResponse: ServerResponse | undefined,
     ) => void = () => undefined,
-  ) {}
+  ) {
+    const {monitor} = parts;
+    this.acceptTimes = new AcceptTimes(() => monitor.earliestArrival());
+  }
 
   get size(): number {
     return this.bySocket.size;
@@ -44,9 +49,13 @@
     server.on('connection', (accepted: Socket) => {
       // It may have waited for the server.
       if (accepted.destroyed) return;
+      this.parts.monitor.recordRead();
+      // One of an early listener was recorded there.
+      if (earliestOpeningOf(accepted) === undefined)
+        this.acceptTimes.record(accepted);
       const socket = this.takeOver(accepted);
       for (const listener of listeners) listener.call(server, socket);
-      this.add(socket);
+      this.add(socket, earliestOpeningOf(accepted));
     });
     // Without a listener, Node destroys connections that are idle for too long.
     server.on('timeout', () => undefined);
@@ -69,7 +78,7 @@
   /** Returns the socket of the connection that `accepted` was made for. */
   takeOver(accepted: Socket): CallerSocket {
     if (accepted instanceof CallerSocket) return accepted;
-    return CallerSocket.takeOver(accepted, this.parts.clock, this.turns);
+    return CallerSocket.takeOver(accepted, this.parts.monitor, this.turns);
   }
 
   of(socket: Socket): CallerConnection | undefined {
@@ -130,9 +139,12 @@
       this.onRefusal(failure, incompleteResponse);
   }
 
-  private add(socket: CallerSocket): void {
+  private add(socket: CallerSocket, earliestOpening: number | undefined): void {
     this.acceptedCount += 1;
-    this.bySocket.set(socket, new CallerConnection(socket, this.parts));
+    this.bySocket.set(
+      socket,
+      new CallerConnection(socket, this.parts, earliestOpening),
+    );
     // Node's HTTP parser reads the socket by itself unless someone else does.
     socket.on('data', () => undefined);
     socket.once('close', () => {
--- a/packages/daemon/src/passthrough/early-listener.ts
+++ b/packages/daemon/src/passthrough/early-listener.ts
@@ -8,16 +8,30 @@
 import type {Server as HttpServer} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
+import {AcceptTimes} from '../connections/accept-times.js';
 
 /** As of the HTTP server. */
 const options = {pauseOnConnect: true, allowHalfOpen: true};
 
+/** Interval of the timer that shows when the event loop last looked for connections. */
+const tickMilliseconds = 25;
+
 export class EarlyListener {
   private readonly pendingSockets: Socket[] = [];
   private readonly server: Server;
+  private readonly timer: NodeJS.Timeout;
+  private lastTickAt = performance.now();
+  private previousTickAt = this.lastTickAt;
 
   private constructor() {
+    this.timer = setInterval(() => {
+      this.previousTickAt = this.lastTickAt;
+      this.lastTickAt = performance.now();
+    }, tickMilliseconds);
+    this.timer.unref();
+    const acceptTimes = new AcceptTimes(() => this.previousTickAt);
     this.server = createServer(options, socket => {
+      acceptTimes.record(socket);
       // Until the HTTP server takes over the socket, errors are handled here.
       socket.on('error', () => socket.destroy());
       this.pendingSockets.push(socket);
@@ -47,6 +61,7 @@
     const {address} = this;
     server.listen(this.server);
     await once(server, 'listening');
+    clearInterval(this.timer);
     for (const socket of this.pendingSockets.splice(0)) {
       server.emit('connection', socket);
       socket.resume();
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -15,6 +15,7 @@
   ShutdownSchedule,
   ReachabilityProbes,
   PoolRetryBudget,
+  ProcessorTime,
   SoftwareVersionHistory,
   StreamOrigins,
   UpstreamRequestLimits,
@@ -36,7 +37,7 @@
 } from '@persimmonwick/coordination';
 import type {EventLog} from '../log/logger.js';
 import {FleetChangeLog} from './fleet-change-log.js';
-import {EventLoopMonitor} from './event-loop-monitor.js';
+import {EventLoopMonitor} from '../connections/event-loop-monitor.js';
 import {HeartbeatSocket} from './heartbeat-socket.js';
 import {PassthroughServer} from './passthrough-server.js';
 import type {CallSummary} from './call-context.js';
@@ -49,6 +50,7 @@
   logCallEvent,
   logConnectionLoss,
   logUnreadInput,
+  logProcessorTime,
   logQuarantineChange,
   logRequestLimitChange,
   logRequestMemory,
@@ -143,6 +145,7 @@
   private readonly handoverListener: HandoverListener;
   private readonly metrics: PassthroughMetrics;
   private readonly eventLoopMonitor: EventLoopMonitor;
+  private readonly processorTime: ProcessorTime;
   private readonly statusServers: StatusServer[] = [];
   addresses = {callers: '', readiness: '', beats: ''};
   /** Current settings; some change while the host runs. */
@@ -330,9 +333,14 @@
       hostCount,
     });
     this.metrics = new PassthroughMetrics(() => this.readGauges());
-    this.eventLoopMonitor = new EventLoopMonitor(milliseconds =>
-      log.write('processStalled', {milliseconds: Math.round(milliseconds)}),
+    this.processorTime = new ProcessorTime(change =>
+      logProcessorTime(log, change),
     );
+    this.eventLoopMonitor = new EventLoopMonitor({
+      onStall: milliseconds =>
+        log.write('processStalled', {milliseconds: Math.round(milliseconds)}),
+      onTick: () => this.processorTime.check(clock.now()),
+    });
     const observer: CallObserver = (requestId, event) => {
       this.metrics.recordEvent(event);
       if (event.kind === 'stage-done' || event.kind === 'handed-over')
@@ -443,6 +451,12 @@
           .some(({address}) => address.startsWith(`${ipAddress}:`)),
       onTakenOver: (request, peer) =>
         log.write('callTakenOver', {request, peer}),
+      monitor: this.eventLoopMonitor,
+      onCallRead: unread => {
+        this.metrics.reads.recordUnread(unread);
+        if (this.processorTime.recordBegin(unread, clock.now()))
+          this.metrics.reads.recordLateCall();
+      },
       onEnd: summary => this.recordCallEnd(summary),
       onConnectionLoss: loss => {
         this.metrics.recordConnectionLoss(loss);
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -3,6 +3,7 @@
 import type {
   CallEvent,
   HeldTotal,
+  ProcessorTimeChange,
   QuarantineChange,
   RequestLimitChange,
   RequestMemoryEvent,
@@ -236,6 +237,29 @@
   }
 }
 
+/** Logs the begin and the end of a shortage of processor time. */
+export function logProcessorTime(
+  log: EventLog,
+  change: ProcessorTimeChange,
+): void {
+  const processorTime = change.kind;
+  const waitMilliseconds = Math.round(change.waitMilliseconds);
+  switch (change.kind) {
+    case 'short':
+      return log.write('processorTimeChanged', {
+        ...{processorTime, waitMilliseconds},
+        lateCalls: 1,
+        milliseconds: 0,
+      });
+    case 'enough':
+      return log.write('processorTimeChanged', {
+        ...{processorTime, waitMilliseconds},
+        lateCalls: change.lateCalls,
+        milliseconds: Math.round(change.milliseconds),
+      });
+  }
+}
+
 /** Logs an event of the memory for the bodies of requests. */
 export function logRequestMemory(
   log: EventLog,
--- a/packages/daemon/src/passthrough/passthrough-metrics.ts
+++ b/packages/daemon/src/passthrough/passthrough-metrics.ts
@@ -15,6 +15,7 @@
   ResponseMemoryEvent,
   SilenceProbe,
 } from '@persimmonwick/coordination';
+import {CallReadMetrics} from '../connections/call-read-metrics.js';
 import type {ConnectionLoss, UnreadInput} from './caller-connection.js';
 import {endingPartyOf} from './connection-end.js';
 import type {CallSummary} from './call-context.js';
@@ -65,6 +66,7 @@
   private readonly quarantineCounter: Counter<'change' | 'detail'>;
   private readonly silenceProbeCounter: Counter<'outcome'>;
   private readonly forecastErrors: MetricsHistogram;
+  readonly reads = new CallReadMetrics();
   private readonly repeatCounter: Counter<'pool' | 'purpose' | 'reason'>;
   private readonly retryCounter: Counter<'pool' | 'reason'>;
   private readonly poolCallCounter: Counter<'pool'>;
@@ -182,6 +184,7 @@
       buckets: forecastErrorBucketsSeconds,
       registers,
     });
+    this.reads.registerAt(this.registry);
     this.registerLatencyGauge();
     const names: readonly (keyof PassthroughGauges)[] = [
       'inFlight',
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -22,6 +22,7 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
+import type {EventLoopMonitor} from '../connections/event-loop-monitor.js';
 import {failureBody} from '../callers/failure-reply.js';
 import {summaryOf, newCallContext} from './call-context.js';
 import type {CallContext, CallSummary, StopTiming} from './call-context.js';
@@ -65,6 +66,9 @@
   readonly isPeer: (ipAddress: string) => boolean;
   /** Receives the id of each call that the host at `address` has handed over. */
   readonly onTakenOver: (requestId: string, address: string) => void;
+  readonly monitor: EventLoopMonitor;
+  /** Receives for how long a call may have lain unread when it was read. */
+  readonly onCallRead: (unreadMilliseconds: number) => void;
   readonly onEnd: (summary: CallSummary) => void;
   readonly onConnectionLoss: (loss: ConnectionLoss) => void;
   readonly onUnreadInput: (input: UnreadInput) => void;
@@ -95,6 +99,8 @@
     this.connections = new CallerConnections(
       {
         clock: parts.clock,
+        monitor: parts.monitor,
+        onCallRead: parts.onCallRead,
         stoppingSince: () => this.stoppingSince,
         onLoss: parts.onConnectionLoss,
         onUnread: parts.onUnreadInput,
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -8,6 +8,7 @@
   systemClock,
 } from '@persimmonwick/coordination';
 import type {IncomingCall, PassthroughHost} from '@persimmonwick/coordination';
+import {EventLoopMonitor} from '../../src/connections/event-loop-monitor.js';
 import {EarlyListener} from '../../src/passthrough/early-listener.js';
 import {PassthroughServer} from '../../src/passthrough/passthrough-server.js';
 
@@ -19,6 +20,8 @@
   bodyBytes = 1024,
 ): Promise<{address: string; errors: string[]; server: PassthroughServer}> {
   const errors: string[] = [];
+  const monitor = new EventLoopMonitor();
+  t.teardown(() => monitor.close());
   const server = new PassthroughServer({
     clock: systemClock,
     host: {deadlineOf: () => Infinity, ...host} as PassthroughHost,
@@ -37,6 +40,8 @@
     }),
     isPeer: () => false,
     onTakenOver: () => undefined,
+    monitor,
+    onCallRead: () => undefined,
     onEnd: () => undefined,
     onConnectionLoss: () => undefined,
     onUnreadInput: () => undefined,
