The time of a call begins when it can have arrived, not when it is read

What callers saw: an answer 2.6 s after the timeout of the route.

Cause: deadlines counted from the read of a request. A host that is late with its reads gave the whole timeout to requests that had waited longer than that; its upstreams worked on for them, and each made the next ones later. The class of fault: a deadline that is counted from the moment at which a process notices the work.

The arrival of a call is now the earliest that the event loop, the port and the timers allow. Deadlines, time limits of the general product (which counted anew from the parsed request) and the time given to upstreams follow from it. Input that ends a wait of the loop is new as before.

--- a/packages/coordination/src/passthrough/call.ts
+++ b/packages/coordination/src/passthrough/call.ts
@@ -55,7 +55,10 @@
   readonly lastEventId: number | undefined;
   /** Id of the call that brought the first event of the stream taken up. */
   readonly originCallId: string | undefined;
-  /** Clock time at which the head of the request was read. */
+  /**
+   * Earliest clock time at which the head of the request can have arrived, from which its
+   * caller waits.
+   */
   readonly arrivedAt: number;
   /** Whether another host has handed the call over to this one. */
   readonly isHandedOver: boolean;
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -62,7 +62,7 @@
     readonly requestId: RequestId,
     private readonly reply: FastifyReply,
     private readonly parts: CallRecordParts,
-    /** Clock time in milliseconds. */
+    /** Earliest clock time at which the call can have arrived, in milliseconds. */
     readonly arrivedAt = parts.clock.now(),
   ) {
     void this.enforceTimeLimit();
--- a/packages/daemon/src/callers/completions.controller.ts
+++ b/packages/daemon/src/callers/completions.controller.ts
@@ -103,6 +103,7 @@
       ),
       keyHash: caller.value?.keyHash,
       observer: record.observation,
+      deadline: record.deadline,
     };
     const events = observeTokens(
       this.parts.host.complete(completionRequest, record.signal),
@@ -118,7 +119,7 @@
     account: AccountId,
     route: Route,
     chat: ChatRequest,
-  ): CompletionRequest {
+  ): Omit<CompletionRequest, 'deadline'> {
     const prompt = promptOf(chat);
     return {
       request: requestId,
@@ -128,7 +129,6 @@
       prompt,
       promptTokens: estimateTokens(prompt),
       maximumTokens: maximumTokensOf(chat),
-      deadline: this.parts.clock.now() + this.parts.requestMilliseconds,
     };
   }
 }
--- a/packages/daemon/src/callers/services.controller.ts
+++ b/packages/daemon/src/callers/services.controller.ts
@@ -32,7 +32,7 @@
   @All('*')
   async forward(@Req() request: FastifyRequest, @Res() reply: FastifyReply) {
     const record = callRecordOf(request);
-    const {clock, host, requestMilliseconds} = this.parts;
+    const {host} = this.parts;
     const configuration = await host.freshConfiguration();
     const caller = authenticate(
       configuration,
@@ -52,7 +52,7 @@
         typeof idempotencyKey === 'string' && idempotencyKey !== ''
           ? idempotencyKey
           : undefined,
-      deadline: clock.now() + requestMilliseconds,
+      deadline: record.deadline,
       method: request.method,
       path: request.url,
       headers: forwardedHeaders(request.headers, record.requestId, account),
--- a/packages/daemon/src/connections/caller-socket.ts
+++ b/packages/daemon/src/connections/caller-socket.ts
@@ -64,7 +64,7 @@
 };
 
 export class CallerSocket extends Socket {
-  /** The byte read ahead, which nobody has received, and the clock time of the read. */
+  /** The byte read ahead, which nobody has received, and when it can have arrived. */
   private held: {readonly bytes: Buffer; readonly at: number} | undefined;
   private mode: ReadMode = 'planned';
   private readonly share: BodyReadShare;
@@ -126,8 +126,8 @@
   }
 
   /**
-   * Clock time at which the caller began to write what nobody has received; undefined
-   * if there is nothing.
+   * Earliest clock time at which the caller can have begun to write what nobody has
+   * received; undefined if there is nothing.
    */
   get heldAt(): number | undefined {
     return this.held?.at;
@@ -214,7 +214,8 @@
   private onBytes(bytes: Buffer): boolean {
     this.monitor.recordRead();
     if (this.isHolding) {
-      this.held = {bytes: Buffer.from(bytes), at: performance.now()};
+      const at = this.monitor.earliestArrival();
+      this.held = {bytes: Buffer.from(bytes), at};
       this.reader.plan.onHeld();
       return false;
     }
--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -59,7 +59,7 @@
   readonly expected: number | undefined;
 }
 
-/** The context of a call that arrived at the clock time `arrivedAt`. */
+/** The context of a call that can have arrived at the clock time `arrivedAt`. */
 export function newCallContext(
   response: ServerResponse,
   arrivedAt: number,
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -51,7 +51,7 @@
 export interface OpenCall {
   /** Empty until the call is handled. */
   readonly requestId: string;
-  /** Clock time in milliseconds. */
+  /** Earliest clock time at which it can have arrived, in milliseconds. */
   readonly arrivedAt: number;
   readonly progress: CallProgress;
   /** False if an upstream that has received the call is left to complete it. */
@@ -119,7 +119,7 @@
   private readonly openedAt: number;
   private readonly receipt = new ReceiptEstimate();
   private isEnding = false;
-  /** Clock time at which the caller began to write the request that follows. */
+  /** Earliest clock time at which the request that follows can have begun to arrive. */
   private nextArrival: number | undefined;
   private reason: ConnectionEnd | undefined;
   /** Response to bytes that are no request, behind the responses under way. */
@@ -191,8 +191,12 @@
     return this.openCalls.length > 1 || this.socket.isWaiting;
   }
 
-  /** Earliest clock time at which the request that is read now can have arrived. */
-  private get earliestArrival(): number {
+  /**
+   * Earliest clock time at which the request that is read now can have begun to arrive.
+   * Its caller has waited since.
+   */
+  arrivalOfNext(): number {
+    if (this.nextArrival !== undefined) return this.nextArrival;
     const {monitor} = this.parts;
     // What came with the connection waited as long as the connection itself.
     const isNew = monitor.polledAt <= this.openedAt;
@@ -202,11 +206,6 @@
     );
   }
 
-  /** Clock time at which the request that is being read began to arrive. */
-  arrivalOfNext(): number {
-    return this.nextArrival ?? this.parts.clock.now();
-  }
-
   /**
    * Waits until the responses to earlier calls have ended. Resolves with whether the
    * connection can still carry a response.
@@ -218,7 +217,7 @@
     const isBehind = this.openCalls.push(call) > 1;
     const wasHeld = this.nextArrival !== undefined;
     const {clock, onCallRead} = this.parts;
-    if (!wasHeld) onCallRead(clock.now() - this.earliestArrival);
+    if (!wasHeld) onCallRead(clock.now() - call.arrivedAt);
     this.nextArrival = undefined;
     this.lastCall = call;
     this.callCount += 1;
