Calls that lay unread begin behind the reads that show who has left

What callers saw: upstreams ran requests over half a second after their callers had left.

Cause: a host handled each call in the turn of the event loop in which it read it. The end of the caller's connection lies behind the request in the same buffer and shows in the next turn, when the call has been sent; and while a turn handles all that it has read, what others send lies unread. The class of fault: work is done in the order and at the moment of its notice, before what is known by then is looked at.

ProcessorQueue (decisions, both products) lets a few calls begin in a turn, those that lay unread for 20 ms or more behind the reads of the next turn: on-time and urgent ones first. A call is not begun when half of its time has passed, nor when it is over 0.4 s old and its caller has ended its direction, as one that left has: 503 processor-short with Retry-After, which promises that it has not run. A caller that has only ended its direction may come back; on a host that reads in time it is served as before.

Events 1012 and persimmonwick_late_calls_total count refusals.

--- a/bench/late-hosts.mjs
+++ b/bench/late-hosts.mjs
@@ -10,7 +10,8 @@
  * timeout of the routes is 400 ms. One request in ten occupies its server until the
  * deadline that the host gives it. Prints how many requests were held for over half a
  * second beyond the timeout, and how many reached a server over half a second after
- * their caller had left. Other arguments: `program` (path of the bundle) and `folder`
+ * their caller had left. `warm` (0) is the number of requests to each host before its
+ * processor time is taken away. Other arguments: `program` (path of the bundle) and `folder`
  * (for the output of the hosts).
  */
 
@@ -31,6 +32,7 @@
   share: number('share', 0.2),
   periodMilliseconds: number('period', 100),
   requestsPerSecond: number('rate', 150),
+  warmUpRequests: number('warm', 0),
   program:
     values.program ??
     fileURLToPath(new URL('../target/persimmonwick.mjs', import.meta.url)),
--- a/packages/command/src/explain-end.ts
+++ b/packages/command/src/explain-end.ts
@@ -34,6 +34,8 @@
       return explainQueueFull(lines);
     case 'memory-short':
       return 'Refused: the host had no memory for its body; see event 3135 for what others held.';
+    case 'processor-short':
+      return 'Refused: the host was short of processor time; see event 1012 in its log.';
     case 'stream-not-resumable':
       return explainTakeUp(lastFieldsOf(lines, 'streamTakenUp'));
     case 'prompt-quarantined':
--- a/packages/coordination/src/decisions/processor-time.ts
+++ b/packages/coordination/src/decisions/processor-time.ts
@@ -10,7 +10,7 @@
 /** Time between the arrival of a call and its begin from which it is late. */
 const lateMilliseconds = 100;
 
-/** Time without a late call after which a shortage is over. */
+/** Time without a late or refused call after which a shortage is over. */
 const recoveryMilliseconds = 1000;
 
 /** The begin or the end of a shortage. */
@@ -21,6 +21,8 @@
       /** Time since the shortage began. */
       readonly milliseconds: number;
       readonly lateCalls: number;
+      /** Calls that were refused for want of processor time. */
+      readonly refusedCalls: number;
       /** Longest time between the arrival of a call and its begin. */
       readonly waitMilliseconds: number;
     };
@@ -29,6 +31,7 @@
   readonly since: number;
   lastLateAt: number;
   lateCalls: number;
+  refusedCalls: number;
   waitMilliseconds: number;
 }
 
@@ -50,22 +53,32 @@
    */
   recordBegin(waitMilliseconds: number, now: number): boolean {
     if (waitMilliseconds < lateMilliseconds) return false;
+    this.extendShortage(waitMilliseconds, now).lateCalls += 1;
+    return true;
+  }
+
+  /** Records a call that is refused `waitMilliseconds` after it can have arrived. */
+  recordRefusal(waitMilliseconds: number, now: number): void {
+    this.extendShortage(waitMilliseconds, now).refusedCalls += 1;
+  }
+
+  private extendShortage(waitMilliseconds: number, now: number): Shortage {
     if (this.shortage === undefined)
       this.onChange({kind: 'short', waitMilliseconds});
     this.shortage ??= {
       since: now,
       lastLateAt: now,
       lateCalls: 0,
+      refusedCalls: 0,
       waitMilliseconds: 0,
     };
     const {shortage} = this;
     shortage.lastLateAt = now;
-    shortage.lateCalls += 1;
     shortage.waitMilliseconds = Math.max(
       shortage.waitMilliseconds,
       waitMilliseconds,
     );
-    return true;
+    return shortage;
   }
 
   /** Has to be called at intervals, so that the end of a shortage is noticed. */
@@ -73,9 +86,8 @@
     const {shortage} = this;
     if (shortage === undefined) return;
     if (now - shortage.lastLateAt < recoveryMilliseconds) return;
-    const {since, lateCalls, waitMilliseconds} = shortage;
+    const {since, lastLateAt: _, ...counts} = shortage;
     this.shortage = undefined;
-    const milliseconds = now - since;
-    this.onChange({kind: 'enough', milliseconds, lateCalls, waitMilliseconds});
+    this.onChange({kind: 'enough', milliseconds: now - since, ...counts});
   }
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -280,6 +280,13 @@
   ResponseMemoryParts,
 } from './passthrough/response-memory.js';
 export type {HeldTotal} from './decisions/response-memory.js';
+export {ProcessorQueue} from './decisions/processor-queue.js';
+export type {
+  CallDecision,
+  DecidedCall,
+  ProcessorRefusal,
+  ReadCall,
+} from './decisions/processor-queue.js';
 export {ProcessorTime} from './decisions/processor-time.js';
 export type {ProcessorTimeChange} from './decisions/processor-time.js';
 export {UnreadTime} from './decisions/unread-time.js';
--- a/packages/coordination/src/passthrough/passthrough-host.ts
+++ b/packages/coordination/src/passthrough/passthrough-host.ts
@@ -237,6 +237,11 @@
     return arrivedAt + Math.min(callerTimeoutMilliseconds, timeoutMilliseconds);
   }
 
+  /** Urgency of a call; 0 is the most urgent. */
+  urgencyOf({route, account}: CallRouting): number {
+    return this.accountSpec(account)?.urgency ?? route.urgency;
+  }
+
   private buildRoutedCall(
     incoming: IncomingCall,
     route: PassthroughRoute,
@@ -250,7 +255,7 @@
       account,
       route,
       deadline: this.deadlineOf(incoming, {route, account}),
-      urgency: this.accountSpec(account)?.urgency ?? route.urgency,
+      urgency: this.urgencyOf({route, account}),
       fingerprint: fingerprintOf({...incoming, body}, account ?? ''),
       allowedRegions: intersectRegions([
         route.allowedRegions,
--- a/packages/coordination/src/requests/failure.ts
+++ b/packages/coordination/src/requests/failure.ts
@@ -23,6 +23,7 @@
   | 'rate-exceeded'
   | 'queue-full'
   | 'memory-short'
+  | 'processor-short'
   | 'target-unreachable'
   | 'no-upstream'
   | 'prompt-quarantined'
@@ -87,6 +88,7 @@
       return 502;
     case 'queue-full':
     case 'memory-short':
+    case 'processor-short':
     case 'target-unreachable':
     case 'no-upstream':
     case 'prompt-quarantined':
--- a/packages/coordination/test/unread-time.test.ts
+++ b/packages/coordination/test/unread-time.test.ts
@@ -45,6 +45,12 @@
   t.false(time.isShort);
   t.deepEqual(changes, [
     {kind: 'short', waitMilliseconds: 100},
-    {kind: 'enough', milliseconds: 1490, lateCalls: 2, waitMilliseconds: 700},
+    {
+      kind: 'enough',
+      milliseconds: 1490,
+      lateCalls: 2,
+      refusedCalls: 0,
+      waitMilliseconds: 700,
+    },
   ]);
 });
--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -5,6 +5,7 @@
 import type {RequestFailure} from '@persimmonwick/coordination';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import type {ControllerDependencies} from '../controller-dependencies.js';
+import {CallIntake} from '../connections/call-intake.js';
 import type {CallerConnection} from '../passthrough/caller-connection.js';
 import type {CallerConnections} from '../passthrough/caller-connections.js';
 import {requestIdOf} from './request-headers.js';
@@ -55,9 +56,24 @@
     parts.gate.add(record);
     return undefined;
   });
-  fastify.addHook('preValidation', async request =>
-    callRecordOf(request).recordReceipt(),
-  );
+  const intake = new CallIntake(parts);
+  fastify.addHook('preValidation', async (request, reply) => {
+    const record = callRecordOf(request);
+    record.recordReceipt();
+    const connection = connections.of(request.raw.socket);
+    const refusal = await intake.enter(
+      {
+        arrivedAt: record.arrivedAt,
+        deadline: record.deadline,
+        targetMilliseconds: undefined,
+        urgency: 0,
+        hasBegun: false,
+        hasCallerEnded: () => connection?.hasCallerEnded === true,
+      },
+      record.closed,
+    );
+    return refusal === undefined ? undefined : sendFailure(reply, refusal);
+  });
   fastify.addHook('onSend', async (request, {raw: response}) => {
     const connection = connections.of(request.raw.socket);
     if (request.raw.complete) connection?.announceEndIfDue(response);
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -96,18 +96,13 @@
   gate,
   observer,
   monitor,
-  processorTime,
   reads,
 }: ControllerDependencies): CallerConnections {
   return new CallerConnections(
     {
       clock,
       monitor,
-      onCallRead: unread => {
-        reads.recordUnread(unread);
-        if (processorTime.recordBegin(unread, clock.now()))
-          reads.recordLateCall();
-      },
+      onCallRead: unread => reads.recordUnread(unread),
       stoppingSince: () => gate.drainingSince,
       onLoss: loss => logConnectionLoss(log, loss),
       onUnread: input => logUnreadInput(log, input),
--- a/packages/daemon/src/connections/accept-times.ts
+++ b/packages/daemon/src/connections/accept-times.ts
@@ -17,32 +17,29 @@
 export class AcceptTimes {
   /** Earliest opening of the connections that wait; undefined while none does. */
   private waitingSince: number | undefined;
-  private acceptedCount = 0;
+  private hasAccepted = false;
 
   /** `earliestArrival` returns the earliest time at which what is read now can have arrived. */
   constructor(private readonly earliestArrival: () => number) {}
 
-  /** Whether connections may wait at the port: one was accepted in this turn or the last. */
-  get isBehind(): boolean {
-    return this.waitingSince !== undefined;
-  }
-
   record(socket: Socket): void {
-    this.acceptedCount += 1;
-    const isFirst = this.waitingSince === undefined;
-    this.waitingSince ??= this.earliestArrival();
+    this.hasAccepted = true;
+    if (this.waitingSince === undefined) {
+      this.waitingSince = this.earliestArrival();
+      this.watch();
+    }
     earliestOpenings.set(socket, this.waitingSince);
-    if (isFirst) this.watch();
   }
 
-  /** Looks on until a turn accepts none. */
+  /** Looks on until a turn of the event loop accepts none. */
   private watch(): void {
     setImmediate(() => {
-      const {acceptedCount} = this;
-      setImmediate(() => {
-        if (this.acceptedCount > acceptedCount) this.watch();
-        else this.waitingSince = undefined;
-      });
+      if (!this.hasAccepted) {
+        this.waitingSince = undefined;
+        return;
+      }
+      this.hasAccepted = false;
+      this.watch();
     });
   }
 }
--- a/packages/daemon/src/connections/call-read-metrics.ts
+++ b/packages/daemon/src/connections/call-read-metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the time that calls lie unread before a host reads them. */
 
+import type {ProcessorRefusal} from '@persimmonwick/coordination';
 import {Counter, Histogram} from 'prom-client';
 import type {Registry} from 'prom-client';
 
@@ -17,7 +18,8 @@
   });
   private readonly lateCalls = new Counter({
     name: 'persimmonwick_late_calls_total',
-    help: 'Calls that began late after they can have arrived',
+    help: 'Calls that began late after they can have arrived, or were refused for it',
+    labelNames: ['outcome'],
     registers: [],
   });
 
@@ -30,7 +32,7 @@
     this.unreadTimes.observe(milliseconds / millisecondsPerSecond);
   }
 
-  recordLateCall(): void {
-    this.lateCalls.inc();
+  recordLateCall(outcome: 'begun' | ProcessorRefusal): void {
+    this.lateCalls.inc({outcome});
   }
 }
--- a/packages/daemon/src/controller-dependencies.ts
+++ b/packages/daemon/src/controller-dependencies.ts
@@ -5,6 +5,7 @@
   Configuration,
   Host,
   ProcessorTime,
+  RandomSource,
   RequestMemory,
 } from '@persimmonwick/coordination';
 import type {DrainGate} from './callers/drain-gate.js';
@@ -22,6 +23,7 @@
   readonly observer: RequestObserver;
   readonly requestMilliseconds: number;
   readonly requestMemory: RequestMemory;
+  readonly random: RandomSource;
   readonly monitor: EventLoopMonitor;
   readonly processorTime: ProcessorTime;
   readonly reads: CallReadMetrics;
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -81,8 +81,14 @@
   processorTimeChanged: {
     number: 1012,
     level: 'warn',
-    text: 'calls begin over 100 ms after they may have arrived, because the process has too little processor time or stood still (short), or none has for a second (enough)',
-    fields: ['processorTime', 'waitMilliseconds', 'lateCalls', 'milliseconds'],
+    text: 'calls begin over 100 ms after they may have arrived, or are refused, because the process has too little processor time or stood still (short), or none has for a second (enough)',
+    fields: [
+      'processorTime',
+      'waitMilliseconds',
+      'lateCalls',
+      'refusedCalls',
+      'milliseconds',
+    ],
   },
   configurationApplied: {
     number: 2001,
--- a/packages/daemon/src/operators/request-metrics.ts
+++ b/packages/daemon/src/operators/request-metrics.ts
@@ -134,6 +134,7 @@
   switch (code) {
     case 'queue-full':
     case 'memory-short':
+    case 'processor-short':
     case 'target-unreachable':
     case 'no-upstream':
     case 'claim-unavailable':
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -186,6 +186,11 @@
     return response?.req.complete === false ? response : undefined;
   }
 
+  /** Whether the caller has ended its direction, or the whole connection. */
+  get hasCallerEnded(): boolean {
+    return this.isHalfClosed;
+  }
+
   /** Whether the caller has written more behind the call under way, which is handled. */
   private get hasFurtherInput(): boolean {
     return this.openCalls.length > 1 || this.socket.isWaiting;
--- a/packages/daemon/src/passthrough/passthrough-daemon.ts
+++ b/packages/daemon/src/passthrough/passthrough-daemon.ts
@@ -452,11 +452,9 @@
       onTakenOver: (request, peer) =>
         log.write('callTakenOver', {request, peer}),
       monitor: this.eventLoopMonitor,
-      onCallRead: unread => {
-        this.metrics.reads.recordUnread(unread);
-        if (this.processorTime.recordBegin(unread, clock.now()))
-          this.metrics.reads.recordLateCall();
-      },
+      random,
+      processorTime: this.processorTime,
+      reads: this.metrics.reads,
       onEnd: summary => this.recordCallEnd(summary),
       onConnectionLoss: loss => {
         this.metrics.recordConnectionLoss(loss);
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -248,13 +248,15 @@
     case 'short':
       return log.write('processorTimeChanged', {
         ...{processorTime, waitMilliseconds},
-        lateCalls: 1,
+        lateCalls: 0,
+        refusedCalls: 0,
         milliseconds: 0,
       });
     case 'enough':
       return log.write('processorTimeChanged', {
         ...{processorTime, waitMilliseconds},
         lateCalls: change.lateCalls,
+        refusedCalls: change.refusedCalls,
         milliseconds: Math.round(change.milliseconds),
       });
   }
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -10,10 +10,14 @@
   httpStatusOf,
 } from '@persimmonwick/coordination';
 import type {
+  CallRouting,
   Clock,
   Cancellation,
+  IncomingCall,
   PassthroughResponse,
   PassthroughHost,
+  ProcessorTime,
+  RandomSource,
   RequestFailure,
   RequestMemory,
   ShutdownSchedule,
@@ -22,6 +26,8 @@
 import {fastify} from 'fastify';
 import type {FastifyInstance, FastifyServerOptions} from 'fastify';
 import {Result} from 'true-myth';
+import {CallIntake} from '../connections/call-intake.js';
+import type {CallReadMetrics} from '../connections/call-read-metrics.js';
 import type {EventLoopMonitor} from '../connections/event-loop-monitor.js';
 import {failureBody} from '../callers/failure-reply.js';
 import {summaryOf, newCallContext} from './call-context.js';
@@ -67,8 +73,9 @@
   /** Receives the id of each call that the host at `address` has handed over. */
   readonly onTakenOver: (requestId: string, address: string) => void;
   readonly monitor: EventLoopMonitor;
-  /** Receives for how long a call may have lain unread when it was read. */
-  readonly onCallRead: (unreadMilliseconds: number) => void;
+  readonly random: RandomSource;
+  readonly processorTime: ProcessorTime;
+  readonly reads: CallReadMetrics;
   readonly onEnd: (summary: CallSummary) => void;
   readonly onConnectionLoss: (loss: ConnectionLoss) => void;
   readonly onUnreadInput: (input: UnreadInput) => void;
@@ -86,6 +93,7 @@
 export class PassthroughServer {
   private readonly instance: FastifyInstance;
   private readonly connections: CallerConnections;
+  private readonly intake: CallIntake;
   /** Aborted when their callers disconnect or the host gives them up. */
   private readonly activeCalls = new Set<AbortController>();
   private readonly forwardedCalls = new Map<string, CallContext>();
@@ -100,13 +108,14 @@
       {
         clock: parts.clock,
         monitor: parts.monitor,
-        onCallRead: parts.onCallRead,
+        onCallRead: unread => parts.reads.recordUnread(unread),
         stoppingSince: () => this.stoppingSince,
         onLoss: parts.onConnectionLoss,
         onUnread: parts.onUnreadInput,
       },
       () => this.reportIfIdle(),
     );
+    this.intake = new CallIntake(parts);
     this.instance = fastify({
       schemaController: schemalessController,
       clientErrorHandler: (error, socket) =>
@@ -326,6 +335,9 @@
     context.isCancelable =
       context.isGeneration || routing.value.route.target.repeatable;
     this.forwardedCalls.set(context.requestId, context);
+    const refusal = await this.enterIntake(call.value, routing.value, context);
+    if (refusal !== undefined)
+      return this.sendFailure(response, request, refusal, context);
     const upstreamResponse = await host.forward(
       {...call.value, isHandedOver},
       routing.value,
@@ -347,6 +359,27 @@
     );
   }
 
+  /** Resolves when the call may begin, with why it may not. */
+  private enterIntake(
+    call: IncomingCall,
+    routing: CallRouting,
+    {ended, arrivedAt, response}: CallContext,
+  ): Promise<RequestFailure | undefined> {
+    const {host} = this.parts;
+    const connection = this.connections.carrying(response)!;
+    return this.intake.enter(
+      {
+        arrivedAt,
+        deadline: host.deadlineOf(call, routing),
+        targetMilliseconds: routing.route.firstTokenTargetMilliseconds,
+        urgency: host.urgencyOf(routing),
+        hasBegun: call.lastEventId !== undefined,
+        hasCallerEnded: () => connection.hasCallerEnded,
+      },
+      ended.signal,
+    );
+  }
+
   /** Ends one call after an error that no other code handles. */
   private endAfterInternalError(
     request: IncomingMessage,
--- a/packages/daemon/src/passthrough/server-failures.ts
+++ b/packages/daemon/src/passthrough/server-failures.ts
@@ -27,7 +27,8 @@
     (code === 'no-upstream' ||
       code === 'not-ready' ||
       code === 'draining' ||
-      code === 'memory-short')
+      code === 'memory-short' ||
+      code === 'processor-short')
   );
 }
 
--- a/packages/daemon/test/tools/run-passthrough-server.ts
+++ b/packages/daemon/test/tools/run-passthrough-server.ts
@@ -3,11 +3,14 @@
 import type {ExecutionContext} from 'ava';
 import {Result} from 'true-myth';
 import {
+  ProcessorTime,
   RequestMemory,
+  seededRandom,
   ShutdownSchedule,
   systemClock,
 } from '@persimmonwick/coordination';
 import type {IncomingCall, PassthroughHost} from '@persimmonwick/coordination';
+import {CallReadMetrics} from '../../src/connections/call-read-metrics.js';
 import {EventLoopMonitor} from '../../src/connections/event-loop-monitor.js';
 import {EarlyListener} from '../../src/passthrough/early-listener.js';
 import {PassthroughServer} from '../../src/passthrough/passthrough-server.js';
@@ -24,7 +27,11 @@
   t.teardown(() => monitor.close());
   const server = new PassthroughServer({
     clock: systemClock,
-    host: {deadlineOf: () => Infinity, ...host} as PassthroughHost,
+    host: {
+      deadlineOf: () => Infinity,
+      urgencyOf: () => 0,
+      ...host,
+    } as PassthroughHost,
     shutdown: new ShutdownSchedule(systemClock),
     requestMemory: new RequestMemory({clock: systemClock, budgetBytes: 100e6}),
     wireFormat: {
@@ -41,7 +48,9 @@
     isPeer: () => false,
     onTakenOver: () => undefined,
     monitor,
-    onCallRead: () => undefined,
+    random: seededRandom(1),
+    processorTime: new ProcessorTime(),
+    reads: new CallReadMetrics(),
     onEnd: () => undefined,
     onConnectionLoss: () => undefined,
     onUnreadInput: () => undefined,
