A host short of processor time refuses calls that would begin too late

What callers saw: calls that waited for half of their time, and were refused then.

Cause: nothing told how long the calls that were read would wait for the processor. The class of fault is the one of queues for engine memory, and the mechanism the same: QueueForecast counts what began while calls waited. A call is refused when it is read if the calls ahead leave it no time, and once it is late if those on time take all of the processor.

None is refused at 40 a second.

--- a/packages/coordination/src/decisions/processor-queue.ts
+++ b/packages/coordination/src/decisions/processor-queue.ts
@@ -8,7 +8,8 @@
  *
  * A few calls begin in a turn of the event loop, after all that has arrived was read. A
  * call that was read in time begins at once if few have begun in the turn and none waits.
- * Those that wait begin in the order of calls that wait for engine memory.
+ * Those that wait begin in the order of calls that wait for engine memory, and the same
+ * forecast tells which of them would begin too late.
  */
 
 import {QueueForecast, retryAfterMilliseconds} from './queue-admission.js';
@@ -101,6 +102,8 @@
     if (canBegin) return this.begin();
     const reason = this.reasonToRefuse(call, now);
     if (reason !== undefined) return this.refuse(reason, call, now);
+    if (!this.canWait(call, this.countAhead(call, now), now))
+      return this.refuse('late', call, now);
     if (this.size === 0) this.forecast.recordBacklog(true, now);
     this.waiting.add({call, turn: this.turn});
     return {kind: 'wait'};
@@ -158,7 +161,30 @@
     const age = now - call.arrivedAt;
     if (age >= doubtfulMilliseconds && call.hasCallerEnded())
       return 'caller-ended';
-    return now >= latestBeginOf(call) ? 'late' : undefined;
+    if (now >= latestBeginOf(call)) return 'late';
+    // Calls that are on time overtake one that is late.
+    const isLate = stateOf(call, now).timeLeftMilliseconds < 0;
+    return isLate && !this.canWait(call, this.size, now) ? 'late' : undefined;
+  }
+
+  /** Whether `call` would begin in its time by the forecast, behind `callsAhead` others. */
+  private canWait(call: Call, callsAhead: number, now: number): boolean {
+    if (callsAhead === 0) return true;
+    const queued = {
+      ...stateOf(call, now),
+      timeoutMilliseconds: latestBeginOf(call) - now,
+      tokens: tokensOfCall,
+      isAdmitted: false,
+    };
+    return this.forecast.admit(queued, callsAhead, now).kind === 'wait';
+  }
+
+  private countAhead(call: Call, now: number): number {
+    const state = stateOf(call, now);
+    let count = 0;
+    for (const entry of this.waiting)
+      if (compareWaitingCalls(stateOf(entry.call, now), state) <= 0) count += 1;
+    return count;
   }
 
   private refuse(
--- a/packages/coordination/test/processor-queue.test.ts
+++ b/packages/coordination/test/processor-queue.test.ts
@@ -86,3 +86,64 @@
   ]);
   t.deepEqual(describe(queue.endTurn(202)), ['begin late']);
 });
+
+/** Milliseconds of the processor that a call and a refusal take. */
+const callMilliseconds = 20;
+const refusalMilliseconds = 5;
+
+/** Plays `rate` calls a second for 20 s, and returns what became of them. */
+function play(rate: number) {
+  const queue = createQueue();
+  const begun: number[] = [];
+  const refused: number[] = [];
+  const retries: number[] = [];
+  let arrived = 0;
+  let now = 0;
+  const settle = ({call, decision}: DecidedCall<NamedCall>, at: number) => {
+    now += decision.kind === 'begin' ? callMilliseconds : refusalMilliseconds;
+    const waited = at - call.arrivedAt;
+    if (decision.kind === 'begin') begun.push(waited);
+    else {
+      refused.push(waited);
+      retries.push(decision.retryAfterMilliseconds);
+    }
+  };
+  while (now < 20_000) {
+    now += 1;
+    for (; arrived < (now / 1000) * rate; arrived += 1) {
+      const call = callAt((arrived / rate) * 1000);
+      const decision = queue.enter(call, now);
+      if (decision.kind !== 'wait') settle({call, decision}, now);
+    }
+    const at = now;
+    for (const decided of queue.endTurn(now)) settle(decided, at);
+  }
+  return {begun, refused, retries};
+}
+
+const median = (values: readonly number[]) =>
+  [...values].sort((left, right) => left - right)[
+    Math.floor(values.length / 2)
+  ]!;
+
+test('no call is refused while the processor suffices', t => {
+  const {begun, refused} = play(40);
+  t.is(refused.length, 0);
+  t.true(Math.max(...begun) < 150);
+});
+
+// Against: all calls wait for as long as they may, and are late or refused late.
+for (const rate of [60, 100, 150])
+  test(`overload of ${rate} calls a second is refused in time`, t => {
+    const {begun, refused, retries} = play(rate);
+    t.true(
+      begun.every(waited => waited < deadlineMilliseconds / 2),
+      `${Math.max(...begun)} ms`,
+    );
+    t.true(median(refused) < deadlineMilliseconds / 4, `${median(refused)} ms`);
+    t.true(retries.every(milliseconds => milliseconds >= 50));
+    // The processor is used for calls as far as refusals leave it.
+    const seconds = 20 - (refused.length * refusalMilliseconds) / 1000;
+    const possible = (seconds * 1000) / callMilliseconds;
+    t.true(begun.length > possible * 0.8, `${begun.length} of ${possible}`);
+  });
