Only the time before its head was read makes a call late

A body that comes slowly would have made its call late as well.

Cause: the queue of the processor took the whole time since the arrival for lateness of the host. It now gets the time for which the head lay unread. Times in 3002 begin at the read as before, which `a stream that a stop ends is not logged as caller-gone` asks for, and `unreadMilliseconds` says how long the head can have lain before.

--- a/packages/coordination/src/decisions/processor-queue.ts
+++ b/packages/coordination/src/decisions/processor-queue.ts
@@ -18,7 +18,10 @@
 
 /** A call that was read. Times are clock times in milliseconds. */
 export interface ReadCall {
-  /** Earliest time at which it can have arrived. */
+  /**
+   * Earliest time at which its last byte can have arrived, without a wait behind earlier
+   * calls of its caller.
+   */
   readonly arrivedAt: number;
   readonly deadline: number;
   /** Time from the arrival to the first bytes of a response; undefined without a target. */
--- a/packages/daemon/src/callers/call-hooks.ts
+++ b/packages/daemon/src/callers/call-hooks.ts
@@ -63,7 +63,7 @@
     const connection = connections.of(request.raw.socket);
     const refusal = await intake.enter(
       {
-        arrivedAt: record.arrivedAt,
+        arrivedAt: parts.clock.now() - record.unreadMilliseconds,
         deadline: record.deadline,
         targetMilliseconds: undefined,
         urgency: 0,
@@ -88,7 +88,13 @@
   connection: CallerConnection,
 ): CallRecord {
   const arrivedAt = connection.arrivalOfNext();
-  const record = new CallRecord(requestIdOf(request), reply, parts, arrivedAt);
+  const record = new CallRecord(
+    requestIdOf(request),
+    reply,
+    parts,
+    arrivedAt,
+    connection.unreadTimeOfNext(),
+  );
   request.callRecord = record;
   records.set(reply.raw, record);
   reply.header('x-request-id', record.requestId);
--- a/packages/daemon/src/callers/call-record.ts
+++ b/packages/daemon/src/callers/call-record.ts
@@ -64,6 +64,7 @@
     private readonly parts: CallRecordParts,
     /** Earliest clock time at which the call can have arrived, in milliseconds. */
     readonly arrivedAt = parts.clock.now(),
+    readonly unreadMilliseconds = 0,
   ) {
     void this.enforceTimeLimit();
   }
@@ -231,6 +232,7 @@
 const unknownTiming = {
   bodyMilliseconds: -1,
   sendMilliseconds: -1,
+  unreadMilliseconds: -1,
   millisecondsSinceStop: -1,
   expectedMilliseconds: -1,
 } as const;
--- a/packages/daemon/src/log/catalogue.ts
+++ b/packages/daemon/src/log/catalogue.ts
@@ -303,6 +303,7 @@
       'milliseconds',
       'bodyMilliseconds',
       'sendMilliseconds',
+      'unreadMilliseconds',
       'millisecondsSinceStop',
       'expectedMilliseconds',
     ],
--- a/packages/daemon/src/passthrough/call-context.ts
+++ b/packages/daemon/src/passthrough/call-context.ts
@@ -3,7 +3,11 @@
 import type {ServerResponse} from 'node:http';
 import {cancellationCauseOf} from '@persimmonwick/coordination';
 import type {RequestFailure} from '@persimmonwick/coordination';
-import type {CallProgress, OpenCall} from './caller-connection.js';
+import type {
+  CallProgress,
+  CallerConnection,
+  OpenCall,
+} from './caller-connection.js';
 
 /** What is known of a call so far. */
 export interface CallContext extends OpenCall {
@@ -40,6 +44,8 @@
 
 /** When a call reached the steps before its response, in milliseconds. */
 export interface CallTiming {
+  /** Longest time for which it can have lain unread before. */
+  readonly unread: number;
   /** From its head to its last byte; undefined if that was not read. */
   readonly body: number | undefined;
   /** From its head to its first send; undefined if it was not sent. */
@@ -59,10 +65,10 @@
   readonly expected: number | undefined;
 }
 
-/** The context of a call that can have arrived at the clock time `arrivedAt`. */
+/** The context of the call that is read next on `connection`. */
 export function newCallContext(
   response: ServerResponse,
-  arrivedAt: number,
+  connection: CallerConnection,
 ): CallContext {
   return {
     requestId: '',
@@ -72,7 +78,8 @@
     ended: new AbortController(),
     account: '',
     route: '',
-    arrivedAt,
+    arrivedAt: connection.arrivalOfNext(),
+    unreadMilliseconds: connection.unreadTimeOfNext(),
     receivedAt: Infinity,
     sentAt: Infinity,
     expectedAtSend: undefined,
@@ -88,19 +95,22 @@
   endedAt: number,
   stop: StopTiming | undefined,
 ): CallSummary {
-  const {requestId, account, route, arrivedAt, isGeneration, ended} = context;
+  const {requestId, account, route, isGeneration, ended} = context;
+  const {unreadMilliseconds} = context;
+  const readAt = context.arrivedAt + unreadMilliseconds;
   return {
     requestId,
     account,
     route,
     status,
-    durationMilliseconds: endedAt - arrivedAt,
+    durationMilliseconds: endedAt - readAt,
     failure,
     cause: cancellationCauseOf(ended.signal),
     isGeneration,
     timing: {
-      body: finiteOrUndefined(context.receivedAt - arrivedAt),
-      send: finiteOrUndefined(context.sentAt - arrivedAt),
+      unread: unreadMilliseconds,
+      body: finiteOrUndefined(context.receivedAt - readAt),
+      send: finiteOrUndefined(context.sentAt - readAt),
       stop,
     },
   };
--- a/packages/daemon/src/passthrough/caller-connection.ts
+++ b/packages/daemon/src/passthrough/caller-connection.ts
@@ -53,6 +53,8 @@
   readonly requestId: string;
   /** Earliest clock time at which it can have arrived, in milliseconds. */
   readonly arrivedAt: number;
+  /** Longest time that it can have lain unread, without the wait behind earlier calls. */
+  readonly unreadMilliseconds: number;
   readonly progress: CallProgress;
   /** False if an upstream that has received the call is left to complete it. */
   readonly isCancelable: boolean;
@@ -211,6 +213,13 @@
     );
   }
 
+  /** Longest time for which the request that is read now can have lain unread. */
+  unreadTimeOfNext(): number {
+    // One that was held back waited for earlier calls.
+    if (this.nextArrival !== undefined) return 0;
+    return this.parts.clock.now() - this.arrivalOfNext();
+  }
+
   /**
    * Waits until the responses to earlier calls have ended. Resolves with whether the
    * connection can still carry a response.
@@ -221,8 +230,7 @@
     this.pendingEnd = undefined;
     const isBehind = this.openCalls.push(call) > 1;
     const wasHeld = this.nextArrival !== undefined;
-    const {clock, onCallRead} = this.parts;
-    if (!wasHeld) onCallRead(clock.now() - call.arrivedAt);
+    if (!wasHeld) this.parts.onCallRead(call.unreadMilliseconds);
     this.nextArrival = undefined;
     this.lastCall = call;
     this.callCount += 1;
--- a/packages/daemon/src/passthrough/passthrough-log.ts
+++ b/packages/daemon/src/passthrough/passthrough-log.ts
@@ -297,7 +297,7 @@
     durationMilliseconds,
     failure,
     cause,
-    timing: {body, send, stop},
+    timing: {unread, body, send, stop},
   }: CallSummary,
 ): void {
   const common = {request: requestId, account, route, status};
@@ -314,6 +314,7 @@
       ...roundNumbers({
         bodyMilliseconds: body ?? unknownTime,
         sendMilliseconds: send ?? unknownTime,
+        unreadMilliseconds: unread,
         millisecondsSinceStop: stop?.sinceStop ?? notStopping,
         expectedMilliseconds: stop?.expected ?? unknownTime,
       }),
--- a/packages/daemon/src/passthrough/passthrough-server.ts
+++ b/packages/daemon/src/passthrough/passthrough-server.ts
@@ -247,7 +247,7 @@
   ): Promise<void> {
     this.inFlight += 1;
     const connection = this.connections.of(request.socket)!;
-    const context = newCallContext(response, connection.arrivalOfNext());
+    const context = newCallContext(response, connection);
     try {
       if (await connection.enter(context))
         await this.processCall(request, target, response, context);
@@ -363,13 +363,13 @@
   private enterIntake(
     call: IncomingCall,
     routing: CallRouting,
-    {ended, arrivedAt, response}: CallContext,
+    {ended, receivedAt, unreadMilliseconds, response}: CallContext,
   ): Promise<RequestFailure | undefined> {
     const {host} = this.parts;
     const connection = this.connections.carrying(response)!;
     return this.intake.enter(
       {
-        arrivedAt,
+        arrivedAt: receivedAt - unreadMilliseconds,
         deadline: host.deadlineOf(call, routing),
         targetMilliseconds: routing.route.firstTokenTargetMilliseconds,
         urgency: host.urgencyOf(routing),
