--- a/packages/daemon/src/connections/call-intake.ts
+++ b/packages/daemon/src/connections/call-intake.ts
@@ -15,7 +15,6 @@
   ReadCall,
   RequestFailure,
 } from '@persimmonwick/coordination';
-
 import type {CallReadMetrics} from './call-read-metrics.js';
 
 export interface CallIntakeParts {
