A connection of a lasting run is not as old as its first

Cause: while each turn of the event loop accepts a connection, all counted as opened when the first was. The wait of the first counts as before, and the time since then up to 100 ms.

--- a/packages/daemon/src/connections/accept-times.ts
+++ b/packages/daemon/src/connections/accept-times.ts
@@ -14,9 +14,22 @@
   return earliestOpenings.get(socket);
 }
 
+/**
+ * Longest time since the first of the connections that are accepted one after the other
+ * that counts as a wait. Under lasting load each turn accepts one that is new.
+ */
+const maximumRunMilliseconds = 100;
+
+/** Connections that are accepted in turns that follow each other. */
+interface AcceptRun {
+  readonly startedAt: number;
+  /** Time for which the first can have waited. */
+  readonly firstWait: number;
+}
+
 export class AcceptTimes {
-  /** Earliest opening of the connections that wait; undefined while none does. */
-  private waitingSince: number | undefined;
+  /** Undefined while no connection waits. */
+  private run: AcceptRun | undefined;
   private hasAccepted = false;
 
   /** `earliestArrival` returns the earliest time at which what is read now can have arrived. */
@@ -24,18 +37,19 @@
 
   record(socket: Socket): void {
     this.hasAccepted = true;
-    if (this.waitingSince === undefined) {
-      this.waitingSince = this.earliestArrival();
-      this.watch();
-    }
-    earliestOpenings.set(socket, this.waitingSince);
+    const now = performance.now();
+    if (this.run === undefined) this.watch();
+    this.run ??= {startedAt: now, firstWait: now - this.earliestArrival()};
+    const {startedAt, firstWait} = this.run;
+    const sinceFirst = Math.min(now - startedAt, maximumRunMilliseconds);
+    earliestOpenings.set(socket, now - sinceFirst - firstWait);
   }
 
   /** Looks on until a turn of the event loop accepts none. */
   private watch(): void {
     setImmediate(() => {
       if (!this.hasAccepted) {
-        this.waitingSince = undefined;
+        this.run = undefined;
         return;
       }
       this.hasAccepted = false;
