--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 node --check lib-2.mjs
-for file in 6/*.mjs; do
+for file in 6/*.mjs 7/*.mjs; do
   node --check "$file"
 done
 test -f ../target/persimmonwick.mjs
